Meta: Lay out the workspace, the design and the interfaces

Cause: the project starts from nothing; several people will build its parts at the same time and need fixed seams. The classes declared for the other libraries have no code yet. Conclusion: the parts can be built independently against these headers.

--- /dev/null
+++ b/Libraries/LibCore/time.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace pimentopin {
+
+using Duration = std::chrono::microseconds;
+
+// Clock of the control loop. It has no now(): decision code receives the time
+// as a parameter, so that the daemon and the experiments can run the same code.
+struct ControlClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<ControlClock>;
+};
+
+using TimePoint = ControlClock::time_point;
+
+// Converts the steady clock of this process into a TimePoint.
+inline TimePoint SteadyNow() {
+  return TimePoint(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHealth/fingerprint_ledger.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <vector>
+
+#include "Libraries/LibCore/identifiers.h"
+#include "Libraries/LibCore/time.h"
+#include "Libraries/LibProtocol/membership_messages.h"
+
+namespace pimentopin {
+
+// Fingerprints of requests whose targets died while running them. Every host
+// has one; records are merged by gossip and forgotten after kRetention.
+class FingerprintLedger {
+ public:
+  static constexpr Duration kRetention = std::chrono::minutes(10);
+  // A request is refused once this many targets died while running it.
+  static constexpr std::size_t kBlockingKills = 2;
+
+  FingerprintLedger() = default;
+
+  void RecordKill(TimePoint now, ServiceId service, Fingerprint fingerprint, AttemptId attempt);
+  void Merge(TimePoint now, const std::vector<FingerprintRecord>& records);
+  void Tick(TimePoint now);
+
+  bool IsSuspect(Fingerprint fingerprint) const;
+  bool IsBlocked(Fingerprint fingerprint) const;
+  // Records for gossip, newest first.
+  std::vector<FingerprintRecord> Records(TimePoint now, std::size_t limit) const;
+};
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Meta/cmake/workspace.cmake
@@ -0,0 +1,45 @@
+# Helpers that declare the packages of the workspace. Sources are found by
+# glob, so that a new class needs no change of a build file.
+
+function(pimentopin_add_packages root)
+  file(GLOB lists CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${root}/*/CMakeLists.txt)
+  foreach(list ${lists})
+    get_filename_component(directory ${list} DIRECTORY)
+    add_subdirectory(${directory})
+  endforeach()
+  if(EXISTS ${CMAKE_SOURCE_DIR}/${root}/CMakeLists.txt)
+    add_subdirectory(${CMAKE_SOURCE_DIR}/${root})
+  endif()
+endfunction()
+
+# pimentopin_library(LibX [DEPENDS libraries...])
+function(pimentopin_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  if(sources)
+    add_library(${name} STATIC ${sources})
+    target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
+  else()
+    add_library(${name} INTERFACE)
+    target_link_libraries(${name} INTERFACE ${ARG_DEPENDS})
+  endif()
+endfunction()
+
+# pimentopin_program(name [DEPENDS libraries...])
+function(pimentopin_program name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  add_executable(${name} ${sources})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Threads::Threads)
+endfunction()
+
+# pimentopin_test(TestLibX [DEPENDS libraries...]): a CppUnit runner over the
+# sources of this directory.
+function(pimentopin_test name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  add_executable(${name} ${sources} ${CMAKE_SOURCE_DIR}/Tests/test_main.cc)
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} cppunit Threads::Threads)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
