Protocol: Encode messages between hosts with FlatBuffers

Cause: the plain message structs had no wire format.

The decoder verifies the buffer, then checks enumerators, durations, lengths, the alignment of list elements (the verifier of FlatBuffers 2.0.8 checks only that of the length) and the sum of all list and string sizes, so that tables sharing one list cannot decode into gigabytes. Member records travel as structs of 24 bytes; name, address, domain and a differing revision follow only where they are set.

UBSan found the missing alignment check.

Conclusion: bytes of a faulty peer end as an Error. Documents are limited to 1 MiB by the frame.

--- /dev/null
+++ b/Tests/LibProtocol/codec_test.cc
@@ -0,0 +1,370 @@
+#include "Libraries/LibProtocol/codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <iostream>
+#include <memory>
+#include <random>
+
+#include "Libraries/LibProtocol/frame_reader.h"
+#include "Libraries/LibProtocol/messages_generated.h"
+#include "Tests/LibProtocol/message_generators.h"
+
+namespace pimentopin {
+namespace {
+
+constexpr int kFuzzFrames = 400000;
+
+std::string_view Payload(const std::string& frame) {
+  return std::string_view(frame).substr(kFramePrefixBytes);
+}
+
+// Payload of an envelope that the codec itself would not write.
+std::string Forge(flatbuffers::FlatBufferBuilder& builder,
+                  wire::Message type,
+                  flatbuffers::Offset<void> message) {
+  builder.Finish(wire::CreateEnvelope(builder, 1, 2, type, message));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+void AssertRejected(std::string_view payload) {
+  Error error;
+  CPPUNIT_ASSERT(!DecodeFrame(payload, error));
+  CPPUNIT_ASSERT(error.code == ErrorCode::kProtocol);
+  CPPUNIT_ASSERT(!error.message.empty());
+}
+
+class CodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CodecTest);
+  CPPUNIT_TEST(TestEveryMessageKeepsItsFields);
+  CPPUNIT_TEST(TestUnalignedPayload);
+  CPPUNIT_TEST(TestDamagedAndRandomPayloads);
+  CPPUNIT_TEST(TestEveryTruncationIsRejected);
+  CPPUNIT_TEST(TestEnumeratorsOutOfRange);
+  CPPUNIT_TEST(TestDurationsOutOfRange);
+  CPPUNIT_TEST(TestMissingParts);
+  CPPUNIT_TEST(TestDetailIndexOutOfRange);
+  CPPUNIT_TEST(TestSharedBytesDoNotMultiply);
+  CPPUNIT_TEST(TestLimitsOfEncoding);
+  CPPUNIT_TEST(TestLimitsOfDecoding);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a field that is not sent, or is read into another field.
+  void TestEveryMessageKeepsItsFields() {
+    const auto generators = EnvelopeGenerators();
+    CPPUNIT_ASSERT_EQUAL(std::variant_size_v<Message>, generators.size());
+    for (std::size_t index = 0; index < generators.size(); ++index) {
+      const bool passed = rc::check("round trip of message " + std::to_string(index), [&] {
+        const Envelope envelope = *generators[index];
+        RC_ASSERT(envelope.message.index() == index);
+        const std::string frame = EncodeFrame(envelope);
+        FrameReader reader;
+        reader.Append(frame);
+        Error error;
+        const auto payload = reader.Next(error);
+        RC_ASSERT(payload.has_value());
+        RC_ASSERT(reader.buffered_bytes() == 0U);
+        const auto decoded = DecodeFrame(*payload, error);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(*decoded == envelope);
+      });
+      CPPUNIT_ASSERT(passed);
+    }
+  }
+
+  // Guards against reading scalars at unaligned addresses, which a payload
+  // behind a four-byte prefix has.
+  void TestUnalignedPayload() {
+    const Envelope envelope{HostId{1}, DomainId{2}, SlotGrant{AttemptId{3}, ServiceId{4}, {}}};
+    const std::string frame = EncodeFrame(envelope);
+    for (std::size_t shift = 0; shift < 8; ++shift) {
+      std::string shifted(shift, 'x');
+      shifted += Payload(frame);
+      Error error;
+      const auto decoded = DecodeFrame(std::string_view(shifted).substr(shift), error);
+      CPPUNIT_ASSERT(decoded && *decoded == envelope);
+    }
+  }
+
+  // Guards against a crash or a read outside of the payload on bytes of a
+  // faulty peer. Each payload is a heap block of its exact size, so that a run
+  // under AddressSanitizer finds a read past its end.
+  void TestDamagedAndRandomPayloads() {
+    constexpr std::uint64_t kSeed = 20261204;
+    std::mt19937_64 engine(kSeed);
+    const auto generators = EnvelopeGenerators();
+    std::vector<std::string> originals;
+    for (const auto& generator : generators) {
+      for (int sample = 0; sample < 20; ++sample) {
+        const auto envelope = generator(rc::Random(engine()), 30).value();
+        originals.emplace_back(Payload(EncodeFrame(envelope)));
+      }
+    }
+    int accepted = 0;
+    for (int run = 0; run < kFuzzFrames; ++run) {
+      const std::string payload = run % 8 == 0 ? RandomBytes(engine) : Damage(engine, originals);
+      const std::unique_ptr<char[]> block(new char[payload.size()]);
+      std::copy(payload.begin(), payload.end(), block.get());
+      Error error;
+      const auto decoded = DecodeFrame({block.get(), payload.size()}, error);
+      if (decoded) {
+        ++accepted;
+        // What was accepted must be within the limits of the encoder.
+        CPPUNIT_ASSERT(!EncodeFrame(*decoded).empty());
+        const auto again = DecodeFrame(Payload(EncodeFrame(*decoded)), error);
+        CPPUNIT_ASSERT(again && *again == *decoded);
+      } else {
+        CPPUNIT_ASSERT(error.code == ErrorCode::kProtocol);
+      }
+    }
+    std::cout << "codec fuzz: seed " << kSeed << ", " << kFuzzFrames << " payloads, " << accepted
+              << " still valid\n";
+    CPPUNIT_ASSERT(accepted > 0 && accepted < kFuzzFrames);
+  }
+
+  // Guards against taking the start of a message for the whole.
+  void TestEveryTruncationIsRejected() {
+    const Gossip gossip{{HostId{1}, "a", "127.0.0.1:1", {}, 1, 1, {}, 1}, {}, {}, {}};
+    const std::string frame = EncodeFrame({HostId{1}, DomainId{2}, gossip});
+    for (std::size_t size = 0; size < Payload(frame).size(); ++size) {
+      Error error;
+      const auto decoded = DecodeFrame(Payload(frame).substr(0, size), error);
+      // Only padding at the end may be missing.
+      CPPUNIT_ASSERT(!decoded || decoded->message == Message(gossip));
+      CPPUNIT_ASSERT(!decoded || size + 8 > Payload(frame).size());
+    }
+  }
+
+  // Guards against enumerators that no switch handles.
+  void TestEnumeratorsOutOfRange() {
+    const auto rejects = [](wire::Message type, auto create) {
+      flatbuffers::FlatBufferBuilder builder;
+      const auto message = create(builder);
+      AssertRejected(Forge(builder, type, message));
+    };
+    rejects(wire::Message::SlotRequest,
+            [](auto& builder) { return wire::CreateSlotRequest(builder, 1, 1, 1, 1, 2).Union(); });
+    rejects(wire::Message::SlotRefusal,
+            [](auto& builder) { return wire::CreateSlotRefusal(builder, 1, 1, 8).Union(); });
+    rejects(wire::Message::SlotClaim,
+            [](auto& builder) { return wire::CreateSlotClaim(builder, 1, 1, 1, 1, 2).Union(); });
+    rejects(wire::Message::SlotRelease, [](auto& builder) {
+      return wire::CreateSlotRelease(builder, 1, 1, 1, 1, 0, 9).Union();
+    });
+    rejects(wire::Message::HostReport, [](auto& builder) {
+      const std::vector<wire::OutstandingAttempt> list{{1, 1, 2}};
+      return wire::CreateHostReport(builder, 1, builder.CreateVectorOfStructs(list)).Union();
+    });
+    rejects(wire::Message::ServiceView, [](auto& builder) {
+      const std::vector list{wire::CreateTargetView(builder, 1, 4)};
+      return wire::CreateServiceView(builder, 1, 1, 1, 1, builder.CreateVector(list)).Union();
+    });
+    rejects(wire::Message::Gossip, [](auto& builder) {
+      const wire::MemberHeartbeat sender(1, 1, 1, 4);
+      return wire::CreateGossip(builder, &sender).Union();
+    });
+  }
+
+  // Guards against negative or huge durations that overflow a time.
+  void TestDurationsOutOfRange() {
+    for (const std::int64_t value :
+         {std::int64_t{-1}, kMaxWireDuration.count() + 1, std::numeric_limits<std::int64_t>::max(),
+          std::numeric_limits<std::int64_t>::min()}) {
+      flatbuffers::FlatBufferBuilder builder;
+      const auto message = wire::CreateSlotRefusal(builder, 1, 1, 1, value).Union();
+      AssertRejected(Forge(builder, wire::Message::SlotRefusal, message));
+    }
+    const Envelope late{HostId{1}, {}, SlotRequest{.budget = Duration(-5)}};
+    Error error;
+    const auto decoded = DecodeFrame(Payload(EncodeFrame(late)), error);
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT(std::get<SlotRequest>(decoded->message).budget == Duration::zero());
+  }
+
+  // Guards against following a null pointer.
+  void TestMissingParts() {
+    flatbuffers::FlatBufferBuilder empty;
+    AssertRejected(Forge(empty, wire::Message::SlotGrant, {}));
+    flatbuffers::FlatBufferBuilder untyped;
+    const auto grant = wire::CreateSlotGrant(untyped, 1, 1, 1).Union();
+    AssertRejected(Forge(untyped, wire::Message::NONE, grant));
+    flatbuffers::FlatBufferBuilder unknown;
+    const auto other = wire::CreateSlotGrant(unknown, 1, 1, 1).Union();
+    AssertRejected(Forge(unknown, static_cast<wire::Message>(13), other));
+    flatbuffers::FlatBufferBuilder anonymous;
+    const auto gossip = wire::CreateGossip(anonymous).Union();
+    AssertRejected(Forge(anonymous, wire::Message::Gossip, gossip));
+  }
+
+  // Guards against a write outside of the list of members.
+  void TestDetailIndexOutOfRange() {
+    for (const auto& indices : {std::vector<std::uint16_t>{2}, {0, 0}, {1, 0}, {0, 1, 2}}) {
+      flatbuffers::FlatBufferBuilder builder;
+      const wire::MemberHeartbeat sender(1, 1, 1, 0);
+      const std::vector<wire::MemberHeartbeat> members{{2, 1, 1, 0}};
+      std::vector<flatbuffers::Offset<wire::MemberDetail>> details;
+      for (const std::uint16_t index : indices) {
+        details.push_back(wire::CreateMemberDetail(builder, index, 0, 0, 7));
+      }
+      const auto member_list = builder.CreateVectorOfStructs(members);
+      const auto detail_list = builder.CreateVector(details);
+      const auto gossip = wire::CreateGossip(builder, &sender, 0, member_list, detail_list).Union();
+      AssertRejected(Forge(builder, wire::Message::Gossip, gossip));
+    }
+  }
+
+  // Guards against a frame of 200 KB that decodes into gigabytes because many
+  // tables refer to one long list.
+  void TestSharedBytesDoNotMultiply() {
+    flatbuffers::FlatBufferBuilder builder;
+    const auto domains = builder.CreateVector(std::vector<std::uint64_t>(10000, 1));
+    std::vector<flatbuffers::Offset<wire::TargetView>> targets;
+    for (int index = 0; index < 5000; ++index) {
+      targets.push_back(wire::CreateTargetView(builder, 1, 0, 1, 1, domains));
+    }
+    const auto list = builder.CreateVector(targets);
+    const auto view = wire::CreateServiceView(builder, 1, 1, 1, 1, list).Union();
+    AssertRejected(Forge(builder, wire::Message::ServiceView, view));
+  }
+
+  // Guards against sending a frame that every receiver answers by closing the
+  // connection.
+  void TestLimitsOfEncoding() {
+    const auto encode = [](Message message) {
+      return EncodeFrame({HostId{1}, DomainId{1}, std::move(message)});
+    };
+    ConfigurationDocument document{.revision = 1, .content = std::string(1'000'000, 'x')};
+    CPPUNIT_ASSERT(!encode(document).empty());
+    document.content.resize(kMaxFramePayloadBytes);
+    CPPUNIT_ASSERT(encode(document).empty());
+    document.content.clear();
+    document.author = std::string(kMaxWireNameBytes + 1, 'x');
+    CPPUNIT_ASSERT(encode(document).empty());
+    SlotRequest request;
+    request.allowed.resize(kMaxWireListEntries);
+    CPPUNIT_ASSERT(!encode(request).empty());
+    request.allowed.resize(kMaxWireListEntries + 1);
+    CPPUNIT_ASSERT(encode(request).empty());
+  }
+
+  void TestLimitsOfDecoding() {
+    flatbuffers::FlatBufferBuilder long_name;
+    const auto name = long_name.CreateString(std::string(kMaxWireNameBytes + 1, 'x'));
+    const auto document = wire::CreateConfigurationDocument(long_name, 2, 1, name).Union();
+    AssertRejected(Forge(long_name, wire::Message::ConfigurationDocument, document));
+    flatbuffers::FlatBufferBuilder long_list;
+    const auto ids = long_list.CreateVector(std::vector<std::uint64_t>(kMaxWireListEntries + 1, 1));
+    const auto request =
+        wire::CreateSlotRequest(long_list, 1, 1, 1, 1, 0, 1, 1, false, 0, ids).Union();
+    AssertRejected(Forge(long_list, wire::Message::SlotRequest, request));
+    AssertRejected("");
+    AssertRejected(std::string(kMaxFramePayloadBytes + 1, '\0'));
+  }
+
+ private:
+  static std::string RandomBytes(std::mt19937_64& engine) {
+    std::string bytes(engine() % 300, '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(engine());
+    }
+    return bytes;
+  }
+
+  static std::string Damage(std::mt19937_64& engine, const std::vector<std::string>& originals) {
+    std::string payload = originals[engine() % originals.size()];
+    const auto changes = 1 + engine() % 6;
+    for (std::uint64_t change = 0; change < changes && !payload.empty(); ++change) {
+      const std::size_t position = engine() % payload.size();
+      switch (engine() % 6) {
+        case 0:
+          payload[position] = static_cast<char>(engine());
+          break;
+        case 1:
+          payload[position] = static_cast<char>(payload[position] ^ (1 << (engine() % 8)));
+          break;
+        case 2:
+          payload.resize(position);
+          break;
+        case 3: {
+          const std::string& other = originals[engine() % originals.size()];
+          payload = payload.substr(0, position) + other.substr(std::min(position, other.size()));
+          break;
+        }
+        case 4:
+          payload.insert(position, std::string(1 + engine() % 16, static_cast<char>(engine())));
+          break;
+        default:
+          // Offsets near the limits of their type.
+          for (std::size_t index = position; index < std::min(position + 4, payload.size());
+               ++index) {
+            payload[index] = static_cast<char>(engine() % 2 == 0 ? 0xff : 0x00);
+          }
+          break;
+      }
+    }
+    return payload;
+  }
+};
+
+class FrameReaderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FrameReaderTest);
+  CPPUNIT_TEST(TestAnySplitGivesTheSameFrames);
+  CPPUNIT_TEST(TestLengthOutOfRange);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against frames that are lost or joined when TCP splits them.
+  void TestAnySplitGivesTheSameFrames() {
+    const bool passed = rc::check("split of a stream into reads", [] {
+      const auto bodies = *rc::gen::container<std::vector<std::string>>(
+          rc::gen::nonEmpty(rc::gen::arbitrary<std::string>()));
+      std::string stream;
+      for (const std::string& body : bodies) {
+        const std::size_t size = body.size();
+        stream += {static_cast<char>(size), static_cast<char>(size >> 8),
+                   static_cast<char>(size >> 16), static_cast<char>(size >> 24)};
+        stream += body;
+      }
+      FrameReader reader;
+      Error error;
+      std::vector<std::string> received;
+      std::size_t position = 0;
+      while (position < stream.size()) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 40);
+        reader.Append(std::string_view(stream).substr(position, size));
+        position += size;
+        while (auto payload = reader.Next(error)) {
+          received.push_back(*payload);
+        }
+      }
+      RC_ASSERT(error == Error{});
+      RC_ASSERT(received == bodies);
+      RC_ASSERT(reader.buffered_bytes() == 0U);
+    });
+    CPPUNIT_ASSERT(passed);
+  }
+
+  // Guards against reserving the memory that a damaged length asks for.
+  void TestLengthOutOfRange() {
+    const auto reads = [](std::string_view prefix) {
+      FrameReader reader;
+      reader.Append(prefix);
+      Error error;
+      CPPUNIT_ASSERT(!reader.Next(error));
+      return error.code;
+    };
+    CPPUNIT_ASSERT(reads(std::string_view("\x00\x00\x00\x00", 4)) == ErrorCode::kProtocol);
+    CPPUNIT_ASSERT(reads(std::string_view("\xff\xff\xff\xff", 4)) == ErrorCode::kProtocol);
+    CPPUNIT_ASSERT(reads(std::string_view("\x01\x00\x10\x00", 4)) == ErrorCode::kProtocol);
+    CPPUNIT_ASSERT(reads(std::string_view("\x00\x00\x10\x00", 4)) == ErrorCode::kNone);
+    CPPUNIT_ASSERT(reads(std::string_view("\x01\x00\x00", 3)) == ErrorCode::kNone);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(FrameReaderTest);
+
+}  // namespace
+}  // namespace pimentopin
--- /dev/null
+++ b/Tests/LibProtocol/message_generators.h
@@ -0,0 +1,220 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "Libraries/LibProtocol/codec.h"
+#include "Libraries/LibProtocol/envelope.h"
+
+// Generators of messages within the wire limits.
+namespace pimentopin {
+
+template <typename Id>
+rc::Gen<Id> AnyId() {
+  return rc::gen::map(rc::gen::arbitrary<std::uint64_t>(),
+                      [](std::uint64_t raw) { return Id{raw}; });
+}
+
+template <typename Id>
+rc::Gen<std::vector<Id>> AnyIds() {
+  return rc::gen::container<std::vector<Id>>(AnyId<Id>());
+}
+
+template <typename Enum>
+rc::Gen<Enum> AnyEnumerator(Enum last) {
+  return rc::gen::map(rc::gen::inRange<int>(0, static_cast<int>(last) + 1),
+                      [](int raw) { return static_cast<Enum>(raw); });
+}
+
+inline rc::Gen<Duration> AnyDuration() {
+  return rc::gen::map(rc::gen::inRange<std::int64_t>(0, kMaxWireDuration.count() + 1),
+                      [](std::int64_t count) { return Duration(count); });
+}
+
+// Bytes of every value, zero included.
+inline rc::Gen<std::string> AnyText(std::size_t limit) {
+  return rc::gen::map(rc::gen::arbitrary<std::string>(), [limit](std::string text) {
+    text.resize(std::min(text.size(), limit));
+    return text;
+  });
+}
+
+// Full-range integers, with zero and small values frequent.
+inline rc::Gen<std::uint64_t> AnyNumber() {
+  return rc::gen::arbitrary<std::uint64_t>();
+}
+
+inline rc::Gen<MemberRecord> AnyMember() {
+  return rc::gen::build<MemberRecord>(
+      rc::gen::set(&MemberRecord::host, AnyId<HostId>()),
+      rc::gen::set(&MemberRecord::name, AnyText(kMaxWireNameBytes)),
+      rc::gen::set(&MemberRecord::address, AnyText(kMaxWireAddressBytes)),
+      rc::gen::set(&MemberRecord::domain, AnyId<DomainId>()),
+      rc::gen::set(&MemberRecord::incarnation, AnyNumber()),
+      rc::gen::set(&MemberRecord::heartbeat, AnyNumber()),
+      rc::gen::set(&MemberRecord::state, AnyEnumerator(MemberState::kDead)),
+      rc::gen::set(&MemberRecord::configuration_revision, AnyNumber()));
+}
+
+// A record as most gossip carries it: known to the receiver, so that name,
+// address and domain are left out.
+inline rc::Gen<MemberRecord> AnyShortMember() {
+  return rc::gen::build<MemberRecord>(
+      rc::gen::set(&MemberRecord::host, AnyId<HostId>()),
+      rc::gen::set(&MemberRecord::incarnation, AnyNumber()),
+      rc::gen::set(&MemberRecord::heartbeat, rc::gen::inRange<std::uint64_t>(0, 1ULL << 32)),
+      rc::gen::set(&MemberRecord::state, AnyEnumerator(MemberState::kDead)));
+}
+
+inline rc::Gen<std::vector<MemberRecord>> AnyMembers() {
+  return rc::gen::container<std::vector<MemberRecord>>(
+      rc::gen::oneOf(AnyMember(), AnyShortMember()));
+}
+
+inline rc::Gen<SlotRequest> AnySlotRequest() {
+  return rc::gen::build<SlotRequest>(
+      rc::gen::set(&SlotRequest::attempt, AnyId<AttemptId>()),
+      rc::gen::set(&SlotRequest::service, AnyId<ServiceId>()),
+      rc::gen::set(&SlotRequest::organisation, AnyId<OrganisationId>()),
+      rc::gen::set(&SlotRequest::caller, AnyId<CallerId>()),
+      rc::gen::set(&SlotRequest::work_class, AnyEnumerator(WorkClass::kLong)),
+      rc::gen::set(&SlotRequest::budget, AnyDuration()),
+      rc::gen::set(&SlotRequest::fingerprint, AnyId<Fingerprint>()),
+      rc::gen::set(&SlotRequest::is_retry), rc::gen::set(&SlotRequest::affinity_key, AnyNumber()),
+      rc::gen::set(&SlotRequest::allowed, AnyIds<TargetId>()),
+      rc::gen::set(&SlotRequest::excluded, AnyIds<TargetId>()));
+}
+
+inline rc::Gen<SlotCancel> AnySlotCancel() {
+  return rc::gen::build<SlotCancel>(rc::gen::set(&SlotCancel::attempt, AnyId<AttemptId>()),
+                                    rc::gen::set(&SlotCancel::service, AnyId<ServiceId>()));
+}
+
+inline rc::Gen<SlotGrant> AnySlotGrant() {
+  return rc::gen::build<SlotGrant>(rc::gen::set(&SlotGrant::attempt, AnyId<AttemptId>()),
+                                   rc::gen::set(&SlotGrant::service, AnyId<ServiceId>()),
+                                   rc::gen::set(&SlotGrant::target, AnyId<TargetId>()));
+}
+
+inline rc::Gen<SlotRefusal> AnySlotRefusal() {
+  return rc::gen::build<SlotRefusal>(
+      rc::gen::set(&SlotRefusal::attempt, AnyId<AttemptId>()),
+      rc::gen::set(&SlotRefusal::service, AnyId<ServiceId>()),
+      rc::gen::set(&SlotRefusal::reason, AnyEnumerator(RefusalReason::kNotBroker)),
+      rc::gen::set(&SlotRefusal::retry_after, AnyDuration()));
+}
+
+inline rc::Gen<SlotClaim> AnySlotClaim() {
+  return rc::gen::build<SlotClaim>(
+      rc::gen::set(&SlotClaim::attempt, AnyId<AttemptId>()),
+      rc::gen::set(&SlotClaim::service, AnyId<ServiceId>()),
+      rc::gen::set(&SlotClaim::target, AnyId<TargetId>()),
+      rc::gen::set(&SlotClaim::organisation, AnyId<OrganisationId>()),
+      rc::gen::set(&SlotClaim::work_class, AnyEnumerator(WorkClass::kLong)),
+      rc::gen::set(&SlotClaim::is_retry));
+}
+
+inline rc::Gen<SlotRelease> AnySlotRelease() {
+  return rc::gen::build<SlotRelease>(
+      rc::gen::set(&SlotRelease::attempt, AnyId<AttemptId>()),
+      rc::gen::set(&SlotRelease::service, AnyId<ServiceId>()),
+      rc::gen::set(&SlotRelease::target, AnyId<TargetId>()),
+      rc::gen::set(&SlotRelease::organisation, AnyId<OrganisationId>()),
+      rc::gen::set(&SlotRelease::work_class, AnyEnumerator(WorkClass::kLong)),
+      rc::gen::set(&SlotRelease::result, AnyEnumerator(AttemptResult::kCancelled)),
+      rc::gen::set(&SlotRelease::service_time, AnyDuration()),
+      rc::gen::set(&SlotRelease::fingerprint, AnyId<Fingerprint>()),
+      rc::gen::set(&SlotRelease::target_draining));
+}
+
+inline rc::Gen<HostReport> AnyHostReport() {
+  return rc::gen::build<HostReport>(
+      rc::gen::set(&HostReport::service, AnyId<ServiceId>()),
+      rc::gen::set(
+          &HostReport::outstanding,
+          rc::gen::container<std::vector<OutstandingAttempt>>(rc::gen::build<OutstandingAttempt>(
+              rc::gen::set(&OutstandingAttempt::attempt, AnyId<AttemptId>()),
+              rc::gen::set(&OutstandingAttempt::target, AnyId<TargetId>()),
+              rc::gen::set(&OutstandingAttempt::work_class, AnyEnumerator(WorkClass::kLong))))));
+}
+
+inline rc::Gen<ServiceView> AnyServiceView() {
+  return rc::gen::build<ServiceView>(
+      rc::gen::set(&ServiceView::service, AnyId<ServiceId>()),
+      rc::gen::set(&ServiceView::sequence, AnyNumber()), rc::gen::set(&ServiceView::queued),
+      rc::gen::set(&ServiceView::active_hosts),
+      rc::gen::set(
+          &ServiceView::targets,
+          rc::gen::container<std::vector<TargetView>>(rc::gen::build<TargetView>(
+              rc::gen::set(&TargetView::target, AnyId<TargetId>()),
+              rc::gen::set(&TargetView::state, AnyEnumerator(TargetState::kLeaving)),
+              rc::gen::set(&TargetView::usable_slots), rc::gen::set(&TargetView::free_slots),
+              rc::gen::set(&TargetView::unreachable_from, AnyIds<DomainId>())))));
+}
+
+inline rc::Gen<Gossip> AnyGossip() {
+  return rc::gen::build<Gossip>(
+      rc::gen::set(&Gossip::sender, rc::gen::oneOf(AnyMember(), AnyShortMember())),
+      rc::gen::set(&Gossip::members, AnyMembers()),
+      rc::gen::set(&Gossip::leaving_targets,
+                   rc::gen::container<std::vector<LeavingTarget>>(rc::gen::build<LeavingTarget>(
+                       rc::gen::set(&LeavingTarget::target, AnyId<TargetId>()),
+                       rc::gen::set(&LeavingTarget::remaining, AnyDuration())))),
+      rc::gen::set(
+          &Gossip::fingerprints,
+          rc::gen::container<std::vector<FingerprintRecord>>(rc::gen::build<FingerprintRecord>(
+              rc::gen::set(&FingerprintRecord::fingerprint, AnyId<Fingerprint>()),
+              rc::gen::set(&FingerprintRecord::service, AnyId<ServiceId>()),
+              rc::gen::set(&FingerprintRecord::kills, AnyIds<AttemptId>()),
+              rc::gen::set(&FingerprintRecord::remaining, AnyDuration())))));
+}
+
+inline rc::Gen<ConfigurationOffer> AnyConfigurationOffer() {
+  return rc::gen::build<ConfigurationOffer>(
+      rc::gen::set(&ConfigurationOffer::revision, AnyNumber()));
+}
+
+inline rc::Gen<ConfigurationRequest> AnyConfigurationRequest() {
+  return rc::gen::build<ConfigurationRequest>(
+      rc::gen::set(&ConfigurationRequest::known_revision, AnyNumber()));
+}
+
+inline rc::Gen<ConfigurationDocument> AnyConfigurationDocument() {
+  return rc::gen::build<ConfigurationDocument>(
+      rc::gen::set(&ConfigurationDocument::revision, AnyNumber()),
+      rc::gen::set(&ConfigurationDocument::base_revision, AnyNumber()),
+      rc::gen::set(&ConfigurationDocument::change_id, AnyText(kMaxWireNameBytes)),
+      rc::gen::set(&ConfigurationDocument::author, AnyText(kMaxWireNameBytes)),
+      rc::gen::set(&ConfigurationDocument::committed_at_ms, AnyNumber()),
+      rc::gen::set(&ConfigurationDocument::content, rc::gen::arbitrary<std::string>()));
+}
+
+template <typename Value>
+rc::Gen<Envelope> EnvelopeOf(rc::Gen<Value> message) {
+  return rc::gen::build<Envelope>(
+      rc::gen::set(&Envelope::sender, AnyId<HostId>()),
+      rc::gen::set(&Envelope::sender_domain, AnyId<DomainId>()),
+      rc::gen::set(&Envelope::message, rc::gen::map(std::move(message), [](Value value) {
+        return Message(std::move(value));
+      })));
+}
+
+// One generator for each alternative of Message, in their order.
+inline std::vector<rc::Gen<Envelope>> EnvelopeGenerators() {
+  return {EnvelopeOf(AnySlotRequest()),
+          EnvelopeOf(AnySlotCancel()),
+          EnvelopeOf(AnySlotGrant()),
+          EnvelopeOf(AnySlotRefusal()),
+          EnvelopeOf(AnySlotClaim()),
+          EnvelopeOf(AnySlotRelease()),
+          EnvelopeOf(AnyHostReport()),
+          EnvelopeOf(AnyServiceView()),
+          EnvelopeOf(AnyGossip()),
+          EnvelopeOf(AnyConfigurationOffer()),
+          EnvelopeOf(AnyConfigurationRequest()),
+          EnvelopeOf(AnyConfigurationDocument())};
+}
+
+}  // namespace pimentopin
