Health: Eject targets on relative evidence

Targets fail gray, so a health endpoint or one host's few samples cannot judge them. ServiceHealth compares each outcome with those of the peers: CUSUM of service time over the peers' median per work class, CUSUM of failures against the peers' rate, path failures held back per host so that partitions mark domains or hosts instead of ejecting. EjectionPolicy keeps the floor and the least severe targets; EjectionSchedule escalates; probation and ramp follow. FingerprintLedger counts one death of a target once: RecordKill takes the target, and the kill ids in FingerprintRecord carry its hash.

An outcome is compared only after the peers have had two outcomes each.

--- a/Libraries/LibHealth/fingerprint_ledger.h
+++ b/Libraries/LibHealth/fingerprint_ledger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
@@ -18,7 +20,13 @@
 
   FingerprintLedger() = default;
 
-  void RecordKill(TimePoint now, ServiceId service, Fingerprint fingerprint, AttemptId attempt);
+  // Requests with the same fingerprint that were in flight at one death of a
+  // target count once.
+  void RecordKill(TimePoint now,
+                  ServiceId service,
+                  Fingerprint fingerprint,
+                  TargetId target,
+                  AttemptId attempt);
   void Merge(TimePoint now, const std::vector<FingerprintRecord>& records);
   void Tick(TimePoint now);
 
@@ -26,6 +34,24 @@
   bool IsBlocked(Fingerprint fingerprint) const;
   // Records for gossip, newest first.
   std::vector<FingerprintRecord> Records(TimePoint now, std::size_t limit) const;
+
+ private:
+  struct Kill {
+    TimePoint recorded;
+    // Another kill stands for the same death.
+    bool repeats_death = false;
+  };
+  struct Entry {
+    ServiceId service{};
+    TimePoint expires;
+    std::map<AttemptId, Kill> kills;
+
+    std::vector<AttemptId> DistinctKills() const;
+  };
+
+  void Add(TimePoint now, const FingerprintRecord& record);
+
+  std::map<Fingerprint, Entry> entries;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHealth/service_health.h
+++ b/Libraries/LibHealth/service_health.h
@@ -1,11 +1,20 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibHealth/crash_evidence.h"
+#include "Libraries/LibHealth/ejection_schedule.h"
+#include "Libraries/LibHealth/failure_repeats.h"
+#include "Libraries/LibHealth/reachability.h"
+#include "Libraries/LibHealth/target_evidence.h"
 #include "Libraries/LibProtocol/slot_messages.h"
 
 namespace pimentopin {
@@ -72,6 +81,83 @@
   HealthVerdict Verdict(TargetId target) const;
   // Events since the last call.
   std::vector<HealthEvent> TakeEvents();
+
+ private:
+  enum class Phase { kHealthy, kEjected, kProbation, kRamp };
+
+  // An outcome that waits until the peers have had outcomes of their own.
+  struct Pending {
+    TimePoint at;
+    // Value of Record::peer_outcomes from which on it is compared.
+    std::uint64_t due = 0;
+    WorkClass work_class = WorkClass::kShort;
+    bool failed = false;
+    // Failed by a death of the target.
+    bool death = false;
+    // Logarithm of the service time of a success.
+    double log_time = 0.0;
+  };
+
+  struct Record {
+    HealthTarget target;
+    Phase phase = Phase::kHealthy;
+    // End of the ejection, or start of probation or ramp.
+    TimePoint phase_time;
+    // End of an ejection that the floor cut short.
+    TimePoint interrupted_until;
+    // Agreeing outcomes in a row during probation and the sum of their log ratios.
+    std::size_t agreements = 0;
+    std::size_t disagreements = 0;
+    double agreement_sum = 0.0;
+    // Failed in probation.
+    bool relapsed = false;
+    // An ejection has been announced and not yet the return.
+    bool was_ejected = false;
+    std::optional<TimePoint> last_outcome;
+    TargetEvidence evidence;
+    Reachability reachability;
+    EjectionSchedule schedule;
+    // Outcomes of all other targets so far.
+    std::uint64_t peer_outcomes = 0;
+    std::deque<Pending> pending;
+    TargetEvidence::FailureIncrements last_death;
+  };
+
+  Record* Find(TargetId target);
+  const Record* Find(TargetId target) const;
+  std::uint32_t UsableSlots(const Record& record) const;
+  // Median over the other targets of their recent failure rate, if known.
+  std::optional<double> PeerFailureRate(const Record& record) const;
+  // Logarithm of the peers' usual service time, if known.
+  std::optional<double> PeerServiceTime(TimePoint now,
+                                        const Record& record,
+                                        WorkClass work_class) const;
+  void UpdateSpread(TimePoint now);
+
+  void ObservePathFailure(TimePoint now, Record& record, const HealthEvidence& evidence);
+  void ObserveLoss(TimePoint now, Record& record, const HealthEvidence& evidence);
+  void ObserveContact(TimePoint now, Record& record, const HealthEvidence& evidence);
+  // Enters an outcome and keeps it for the comparison with the peers.
+  void AddOutcome(TimePoint now, Record& record, Pending outcome);
+  void CompareDueOutcomes(TimePoint now, Record& record);
+  void Compare(TimePoint now, Record& record, const Pending& outcome);
+  void AdvanceProbation(TimePoint now, Record& record, const Pending& outcome);
+  void MarkUnreachable(TimePoint now, Record& record, HostId host, DomainId domain);
+  void ApplyPolicy(TimePoint now);
+  void Eject(TimePoint now, Record& record);
+  void Reinstate(TimePoint now, Record& record);
+  void AddEvent(TimePoint now, const Record& record, HealthEventKind kind, Duration detection = {});
+
+  std::vector<Record> records;
+  std::map<TargetId, std::size_t> positions;
+  std::uint32_t floor_slots = 0;
+  bool configured = false;
+  TimePoint last_update;
+  // Spread of the service times per class, relative to an exponential one.
+  std::array<double, TargetEvidence::kClasses> spread{1.0, 1.0};
+  CrashEvidence crashes;
+  FailureRepeats repeats;
+  std::vector<HealthEvent> events;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -38,8 +38,9 @@
   friend bool operator==(const LeavingTarget&, const LeavingTarget&) = default;
 };
 
-// Suspected kills by a request fingerprint. `kills` holds the ids of the
-// attempts whose target died, so that a record merged twice counts once.
+// Suspected kills by a request fingerprint. `kills` holds one id per death, made
+// by FingerprintLedger (upper half: hash of the target, lower half: hash of the
+// attempt), so that a record merged twice counts once.
 struct FingerprintRecord {
   Fingerprint fingerprint{};
   ServiceId service{};
