Dispatch: Add slot broker and host dispatcher

Cause: the interfaces in LibDispatch had no implementation.

Change: SlotBroker (fair queue, share of long work, retry budget, predicted wait, slot table) and HostDispatcher (request state, optimistic starts, broker route, local fallback) as decision code. The value types move to dispatch_types.h; BrokerPolicy holds the variants for experiments. The fleet test runs hosts, brokers, a faulty network and targets in virtual time with an observer of its own.

--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -1,138 +1,35 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <string>
-#include <variant>
+#include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/random_source.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/broker_route.h"
+#include "Libraries/LibDispatch/dispatch_types.h"
+#include "Libraries/LibDispatch/fair_queue.h"
+#include "Libraries/LibDispatch/request_state.h"
+#include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/view_state.h"
 #include "Libraries/LibProtocol/envelope.h"
 
 namespace pimentopin {
 
-struct RequestDescription {
-  RequestId request{};
-  ServiceId service{};
-  CallerId caller{};
-  OrganisationId organisation{};
-  WorkClass work_class = WorkClass::kShort;
-  bool idempotent = false;
-  // Absolute time of the caller's deadline.
-  TimePoint deadline;
-  Fingerprint fingerprint{};
-  // Non-zero: prefer the same target for the same key.
-  std::uint64_t affinity_key = 0;
-  // Targets this caller may use.
-  std::vector<TargetId> allowed;
-
-  friend bool operator==(const RequestDescription&, const RequestDescription&) = default;
-};
-
-enum class Outcome : std::uint8_t { kTarget, kNotRun, kUnknown };
-
-// Action: hand the request to the target.
-struct StartAttempt {
-  RequestId request{};
-  AttemptId attempt{};
-  TargetId target{};
-  TimePoint deadline;
-
-  friend bool operator==(const StartAttempt&, const StartAttempt&) = default;
-};
-
-// Action: close the attempt's connection.
-struct CancelAttempt {
-  AttemptId attempt{};
-
-  friend bool operator==(const CancelAttempt&, const CancelAttempt&) = default;
-};
-
-// Action: forward the answer of this attempt to the caller. Issued when its
-// header has arrived and the answer will not be replaced by a retry.
-struct ForwardAnswer {
-  RequestId request{};
-  AttemptId attempt{};
-
-  friend bool operator==(const ForwardAnswer&, const ForwardAnswer&) = default;
-};
-
-// Action: the request is over. With kTarget the answer was forwarded whole.
-struct FinishRequest {
-  RequestId request{};
-  Outcome outcome = Outcome::kNotRun;
-  RefusalReason refusal = RefusalReason::kNone;
-  // Result of the last attempt, if there was one.
-  AttemptResult last_result = AttemptResult::kSuccess;
-  std::uint32_t attempts = 0;
-  // Set if the answer was being forwarded: break the caller's connection.
-  bool abort_connection = false;
-  Duration retry_after{};
-
-  friend bool operator==(const FinishRequest&, const FinishRequest&) = default;
-};
-
-using DispatchAction =
-    std::variant<SendToHost, StartAttempt, CancelAttempt, ForwardAnswer, FinishRequest>;
-
-struct AttemptHeader {
-  int status = 0;
-  // The target states that it did not run the request.
-  bool shed = false;
-  bool wrong_attempt_id = false;
-
-  friend bool operator==(const AttemptHeader&, const AttemptHeader&) = default;
-};
-
-struct AttemptEnd {
-  AttemptResult result = AttemptResult::kSuccess;
-  bool may_have_been_sent = false;
-  Duration service_time{};
-  bool target_draining = false;
-
-  friend bool operator==(const AttemptEnd&, const AttemptEnd&) = default;
-};
-
-// Static facts of a service for a host.
-struct DispatchService {
-  ServiceId service{};
-  std::uint32_t floor_slots = 0;
-  struct Target {
-    TargetId target{};
-    DomainId domain{};
-    std::uint32_t slots = 1;
-    std::uint32_t connections = 1;
-    friend bool operator==(const Target&, const Target&) = default;
-  };
-  std::vector<Target> targets;
-
-  friend bool operator==(const DispatchService&, const DispatchService&) = default;
-};
-
-// How a target is chosen; the baselines are for comparison only.
-enum class DispatchPolicy { kBrokered, kLeastOutstanding, kRandom };
-
-struct DispatchSettings {
-  HostId self{};
-  DomainId domain{};
-  DispatchPolicy policy = DispatchPolicy::kBrokered;
-  // Asked at each decision, so that the notice is never stale.
-  std::function<bool(TargetId)> is_leaving;
-  std::function<bool(Fingerprint)> is_suspect;
-  std::function<bool(Fingerprint)> is_blocked;
-};
-
 // The requests of one host from arrival to outcome. Owns the truth about
 // "may have been sent"; the broker only advises.
 class HostDispatcher {
  public:
-  HostDispatcher(DispatchSettings settings, RandomSource& random);
+  HostDispatcher(DispatchSettings dispatch_settings, RandomSource& random_source);
 
-  void Configure(TimePoint now, std::vector<DispatchService> services);
+  void Configure(TimePoint now, std::vector<DispatchService> configured);
   // Hosts that may be brokers (alive, not leaving), the own one included.
-  std::vector<DispatchAction> SetMembers(TimePoint now, std::vector<HostId> members);
+  std::vector<DispatchAction> SetMembers(TimePoint now, std::vector<HostId> usable_hosts);
 
   std::vector<DispatchAction> Begin(TimePoint now, const RequestDescription& request);
   std::vector<DispatchAction> OnGrant(TimePoint now, HostId sender, const SlotGrant& grant);
@@ -146,7 +43,107 @@
   // Call every 10 ms: broker time-outs, deadlines, periodic reports.
   std::vector<DispatchAction> Tick(TimePoint now);
 
-  std::size_t requests_in_progress() const;
+  std::size_t requests_in_progress() const { return this->requests.size(); }
+
+ private:
+  // Everything that belongs to one service.
+  struct ServiceState {
+    DispatchService configuration;
+    BrokerRoute route;
+    ViewState view;
+    // Fair queue of the requests that wait in fallback.
+    FairQueue waiting_locally;
+    RetryBudget retries;
+    std::map<TargetId, std::uint32_t> outstanding;
+    std::uint32_t outstanding_total = 0;
+    std::uint32_t waiting_at_broker = 0;
+    std::optional<HostId> reported_to;
+    TimePoint reported_at;
+  };
+  using Actions = std::vector<DispatchAction>;
+
+  bool IsLeaving(TargetId target) const;
+  bool IsSuspect(Fingerprint fingerprint) const;
+  bool IsBlocked(Fingerprint fingerprint) const;
+  ServiceState* FindService(ServiceId service);
+  RequestState* FindRequest(RequestId request);
+  RequestState* FindAsking(AttemptId attempt);
+  AttemptId NewAttemptId();
+  // Targets in service as of the last view, with the floor applied.
+  std::vector<TargetView> TargetsInService(const ServiceState& service) const;
+  std::vector<TargetId> AllowedTargets(const ServiceState& service,
+                                       const RequestDescription& description) const;
+
+  // Decides how the next attempt of the request comes about.
+  void Place(TimePoint now, RequestState& state, Actions& actions);
+  void PlaceByBaseline(TimePoint now, ServiceState& service, RequestState& state, Actions& actions);
+  void PlaceLocally(TimePoint now, ServiceState& service, RequestState& state, Actions& actions);
+  std::optional<TargetId> OptimisticTarget(TimePoint now,
+                                           HostId broker,
+                                           const ServiceState& service,
+                                           const RequestState& state);
+  std::optional<TargetId> RandomMostFree(const std::vector<TargetView>& eligible);
+  std::optional<TargetId> FallbackTarget(const ServiceState& service, const RequestState& state);
+  std::uint32_t FallbackCap(const ServiceState& service) const;
+  // Target with the least outstanding attempts of this host, ties at random.
+  std::optional<TargetId> LeastOutstanding(const ServiceState& service,
+                                           const std::vector<TargetId>& targets);
+  void PumpLocal(TimePoint now, ServiceState& service, Actions& actions);
+  void Ask(TimePoint now,
+           HostId broker,
+           ServiceState& service,
+           RequestState& state,
+           Actions& actions);
+  SlotRequest RequestFor(TimePoint now,
+                         const ServiceState& service,
+                         const RequestState& state) const;
+  // Ends the waiting of a request at a broker or in the local queue.
+  void Withdraw(ServiceState& service, RequestState& state, bool tell_broker, Actions& actions);
+  void Start(TimePoint now,
+             ServiceState& service,
+             RequestState& state,
+             AttemptId attempt,
+             TargetId target,
+             std::optional<HostId> broker,
+             Actions& actions);
+  void Cancel(AttemptId attempt, CancelReason reason, Actions& actions);
+  void Release(TimePoint now,
+               const AttemptState& attempt,
+               AttemptId id,
+               const AttemptEnd& end,
+               Actions& actions);
+  static void ReturnGrant(HostId broker, const SlotGrant& grant, bool draining, Actions& actions);
+  bool MayRetry(TimePoint now, const RequestState& state) const;
+  // No further attempt: forwards a held answer or ends the request.
+  void Refuse(RequestState& state, RefusalReason reason, Duration retry_after, Actions& actions);
+  void Forward(RequestState& state, AttemptId attempt, Actions& actions);
+  // Erases the request; `state` is invalid afterwards.
+  void Finish(RequestState& state,
+              Outcome outcome,
+              RefusalReason reason,
+              Duration retry_after,
+              Actions& actions);
+  Outcome TruthOf(const RequestState& state) const;
+  void OnRequestAttemptEnd(TimePoint now,
+                           RequestState& state,
+                           AttemptId attempt,
+                           const AttemptEnd& end,
+                           bool forwarded,
+                           Actions& actions);
+  void TickRequest(TimePoint now, RequestState& state, Actions& actions);
+  void TickWaiting(TimePoint now, RequestState& state, Actions& actions);
+  void TickService(TimePoint now, ServiceState& service, Actions& actions);
+  void Report(TimePoint now, HostId broker, ServiceState& service, Actions& actions);
+
+  DispatchSettings settings;
+  RandomSource& random;
+  std::vector<HostId> members;
+  std::map<ServiceId, ServiceState> services;
+  std::map<RequestId, RequestState> requests;
+  std::map<AttemptId, AttemptState> attempts;
+  // Attempts that wait for a grant.
+  std::map<AttemptId, RequestId> asking;
+  std::optional<TimePoint> ticked_at;
 };
 
 }  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibDispatch/retry_budget.cc
@@ -0,0 +1,47 @@
+#include "Libraries/LibDispatch/retry_budget.h"
+
+namespace pimentopin {
+
+RetryBudget::Bucket& RetryBudget::BucketAt(TimePoint now) {
+  const std::int64_t index = now.time_since_epoch() / kBucket;
+  Bucket& bucket = this->buckets[static_cast<std::size_t>(index) % kBuckets];
+  if (bucket.index != index) {
+    bucket = Bucket{.index = index};
+  }
+  return bucket;
+}
+
+void RetryBudget::RecordFirstAttempt(TimePoint now) {
+  ++this->BucketAt(now).first_attempts;
+}
+
+void RetryBudget::RecordRetry(TimePoint now) {
+  ++this->BucketAt(now).retries;
+}
+
+bool RetryBudget::TryRetry(TimePoint now) {
+  const std::int64_t newest = this->BucketAt(now).index;
+  std::uint64_t first_attempts = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t retries_last_second = 0;
+  for (const Bucket& bucket : this->buckets) {
+    const std::int64_t age = newest - bucket.index;
+    if (bucket.index < 0 || age < 0 || age >= static_cast<std::int64_t>(kBuckets)) {
+      continue;
+    }
+    first_attempts += bucket.first_attempts;
+    retries += bucket.retries;
+    if (age < static_cast<std::int64_t>(kBucketsPerSecond)) {
+      retries_last_second += bucket.retries;
+    }
+  }
+  const bool within_fraction =
+      static_cast<double>(retries + 1) <= kFraction * static_cast<double>(first_attempts);
+  if (!within_fraction && retries_last_second >= kMinimumPerSecond) {
+    return false;
+  }
+  this->RecordRetry(now);
+  return true;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -0,0 +1,542 @@
+#include "Libraries/LibDispatch/slot_broker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentopin {
+namespace {
+
+constexpr Duration kViewInterval = std::chrono::milliseconds(20);
+// Hosts start optimistically on views younger than 250 ms, so an unchanged view
+// is repeated within that time while a host uses the service.
+constexpr Duration kViewRepeat = std::chrono::milliseconds(200);
+constexpr Duration kIdleViewRepeat = std::chrono::seconds(1);
+constexpr Duration kRecentUse = std::chrono::seconds(1);
+constexpr Duration kUseWindow = std::chrono::seconds(10);
+// Time for which a request waits for the target of its affinity key.
+constexpr Duration kAffinityWait = std::chrono::milliseconds(250);
+// A longer gap between ticks is a pause of the own process. Hosts' reports that
+// arrived meanwhile are not processed yet.
+constexpr Duration kPause = std::chrono::milliseconds(200);
+
+template <typename Id>
+bool Contains(const std::vector<Id>& ids, Id id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+SlotBroker::SlotBroker(BrokerConfiguration initial, BrokerPolicy broker_policy)
+    : configuration(std::move(initial)),
+      policy(broker_policy),
+      long_share(broker_policy.long_headroom) {
+  this->ConfigureHealth(TimePoint());
+}
+
+std::vector<SendToHost> SlotBroker::Configure(TimePoint now, BrokerConfiguration changed) {
+  this->configuration = std::move(changed);
+  std::erase_if(this->draining, [this](TargetId target) {
+    return std::none_of(this->configuration.targets.begin(), this->configuration.targets.end(),
+                        [target](const BrokerTarget& item) { return item.target == target; });
+  });
+  this->ConfigureHealth(now);
+  Messages messages;
+  this->RefuseExpired(now, messages);
+  this->Dispatch(now, messages);
+  return messages;
+}
+
+void SlotBroker::ConfigureHealth(TimePoint now) {
+  std::vector<HealthTarget> targets;
+  for (const BrokerTarget& target : this->configuration.targets) {
+    targets.push_back({.target = target.target,
+                       .slots = target.slots,
+                       .leaving = target.leaving || this->draining.contains(target.target)});
+  }
+  this->health.Configure(now, std::move(targets), this->configuration.floor_slots);
+  this->RefreshCandidates();
+}
+
+void SlotBroker::TouchHost(TimePoint now, HostId host) {
+  this->hosts[host].used_at = now;
+}
+
+void SlotBroker::RefreshCandidates() {
+  this->candidates.clear();
+  for (const BrokerTarget& target : this->configuration.targets) {
+    HealthVerdict verdict = this->health.Verdict(target.target);
+    verdict.usable_slots = std::min(verdict.usable_slots, target.slots);
+    if (target.leaving || this->draining.contains(target.target)) {
+      verdict.state = TargetState::kLeaving;
+    }
+    if (verdict.state == TargetState::kLeaving || verdict.state == TargetState::kEjected) {
+      verdict.usable_slots = 0;
+    }
+    this->candidates.push_back(
+        {.target = target.target, .slots = target.slots, .verdict = std::move(verdict)});
+  }
+}
+
+std::uint32_t SlotBroker::UsableSlots() const {
+  std::uint32_t slots = 0;
+  for (const Candidate& candidate : this->candidates) {
+    slots += candidate.verdict.usable_slots;
+  }
+  return slots;
+}
+
+std::uint32_t SlotBroker::LongLimit() const {
+  const std::uint32_t usable = this->UsableSlots();
+  if (this->policy.fixed_long_fraction > 0) {
+    return std::max<std::uint32_t>(
+        1, static_cast<std::uint32_t>(this->policy.fixed_long_fraction * usable));
+  }
+  return this->long_share.Limit(usable);
+}
+
+bool SlotBroker::IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const {
+  const std::vector<TargetId>& allowed = entry.request.allowed;
+  if (!allowed.empty() && !Contains(allowed, candidate.target)) {
+    return false;
+  }
+  const HealthVerdict& verdict = candidate.verdict;
+  return verdict.usable_slots > 0 && !Contains(verdict.unreachable_from, entry.domain) &&
+         !Contains(verdict.unreachable_hosts, entry.host);
+}
+
+std::vector<const SlotBroker::Candidate*> SlotBroker::CandidatesFor(const QueueEntry& entry) const {
+  std::vector<const Candidate*> fresh;
+  std::vector<const Candidate*> tried;
+  for (const Candidate& candidate : this->candidates) {
+    if (this->IsUsableFor(candidate, entry)) {
+      (Contains(entry.request.excluded, candidate.target) ? tried : fresh).push_back(&candidate);
+    }
+  }
+  // A target that failed the request is used again only if there is no other.
+  return fresh.empty() ? tried : fresh;
+}
+
+bool SlotBroker::HasRoom(const Candidate& candidate, WorkClass work_class) const {
+  return this->table.CountAt(candidate.target) < candidate.verdict.usable_slots &&
+         (work_class == WorkClass::kShort || this->table.long_count() < this->LongLimit());
+}
+
+bool SlotBroker::HasRoomAhead(const Candidate& candidate, WorkClass work_class) const {
+  // Long work is never granted ahead, and nothing is granted ahead where only
+  // long work runs: the request would wait for a long time.
+  return work_class == WorkClass::kShort && candidate.verdict.state == TargetState::kHealthy &&
+         this->table.LongCountAt(candidate.target) < candidate.verdict.usable_slots &&
+         this->table.CountAt(candidate.target) <
+             candidate.verdict.usable_slots + this->policy.ahead_per_target;
+}
+
+std::optional<TargetId> SlotBroker::ChooseTarget(TimePoint now, const QueueEntry& entry) const {
+  std::vector<const Candidate*> usable = this->CandidatesFor(entry);
+  const std::uint64_t key = entry.request.affinity_key;
+  if (key != 0 && !usable.empty() && now - entry.arrived < kAffinityWait) {
+    const auto preferred = std::max_element(
+        usable.begin(), usable.end(), [key](const Candidate* left, const Candidate* right) {
+          return StableHash(key, RawId(left->target)) < StableHash(key, RawId(right->target));
+        });
+    usable = {*preferred};
+  }
+  const Candidate* best = nullptr;
+  std::pair<double, std::uint64_t> best_score;
+  for (const Candidate* candidate : usable) {
+    if (!this->HasRoom(*candidate, entry.request.work_class)) {
+      continue;
+    }
+    const double slots = candidate->verdict.usable_slots;
+    const std::pair score((slots - this->table.CountAt(candidate->target)) / slots,
+                          StableHash(RawId(entry.request.attempt), RawId(candidate->target)));
+    if (best == nullptr || score > best_score) {
+      best = candidate;
+      best_score = score;
+    }
+  }
+  return best != nullptr ? std::optional(best->target) : this->ChooseAhead(entry, usable);
+}
+
+std::optional<TargetId> SlotBroker::ChooseAhead(const QueueEntry& entry,
+                                                const std::vector<const Candidate*>& usable) const {
+  const Candidate* best = nullptr;
+  std::uint32_t best_short = 0;
+  for (const Candidate* candidate : usable) {
+    const std::uint32_t short_work =
+        this->table.CountAt(candidate->target) - this->table.LongCountAt(candidate->target);
+    if (this->HasRoomAhead(*candidate, entry.request.work_class) &&
+        (best == nullptr || short_work > best_short)) {
+      best = candidate;
+      best_short = short_work;
+    }
+  }
+  return best != nullptr ? std::optional(best->target) : std::nullopt;
+}
+
+bool SlotBroker::CanStartAtOnce(TimePoint now, const QueueEntry& entry) const {
+  return this->queue.SizeOf(entry.request.work_class) == 0 &&
+         this->ChooseTarget(now, entry).has_value();
+}
+
+bool SlotBroker::QueueIsFull(WorkClass work_class) const {
+  const std::uint32_t limit = this->configuration.queue_limit;
+  // Waiting long work takes at most half of the queue, so that it cannot keep
+  // short work out.
+  return this->queue.size() >= limit ||
+         (work_class == WorkClass::kLong && this->queue.SizeOf(work_class) >= (limit + 1) / 2);
+}
+
+Duration SlotBroker::PredictedWait(const SlotRequest& request) const {
+  const std::size_t ahead = this->queue.AheadOf(request.work_class, request.organisation) + 1;
+  const std::uint32_t usable = this->UsableSlots();
+  const std::uint32_t long_used = this->table.long_count();
+  const std::uint32_t slots = request.work_class == WorkClass::kLong
+                                  ? this->LongLimit()
+                                  : usable - std::min(usable, long_used);
+  return this->estimate.PredictedWait(request.work_class, ahead, slots);
+}
+
+bool SlotBroker::BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const {
+  // Without outstanding work the estimate cannot be corrected by a sample.
+  return this->table.size() > 0 && wait + this->estimate.Mean(request.work_class) > budget;
+}
+
+SlotRefusal SlotBroker::Refusal(const SlotRequest& request, RefusalReason reason) const {
+  return {.attempt = request.attempt,
+          .service = request.service,
+          .reason = reason,
+          .retry_after = std::max<Duration>(this->PredictedWait(request), kViewInterval)};
+}
+
+std::optional<SlotRefusal> SlotBroker::Admit(TimePoint now,
+                                             const QueueEntry& entry,
+                                             Messages& messages) {
+  const SlotRequest& request = entry.request;
+  if (request.budget <= Duration::zero()) {
+    return this->Refusal(request, RefusalReason::kDeadline);
+  }
+  if (this->CandidatesFor(entry).empty()) {
+    return this->Refusal(request, RefusalReason::kNoTarget);
+  }
+  const bool at_once = this->CanStartAtOnce(now, entry);
+  if (!at_once && this->BudgetTooShort(request, this->PredictedWait(request), request.budget)) {
+    return this->Refusal(request, RefusalReason::kOverload);
+  }
+  const bool full = !at_once && this->QueueIsFull(request.work_class);
+  // A full queue must not let the organisation that filled it keep others out.
+  const std::optional<AttemptId> victim =
+      full ? this->queue.VictimFor(request.work_class, request.organisation) : std::nullopt;
+  if (full && !victim) {
+    return this->Refusal(request, RefusalReason::kQueueFull);
+  }
+  if (request.is_retry && !this->retries.TryRetry(now)) {
+    return this->Refusal(request, RefusalReason::kRetryBudget);
+  }
+  if (victim) {
+    const std::optional<QueueEntry> removed = this->queue.Remove(*victim);
+    messages.push_back({removed->host, this->Refusal(removed->request, RefusalReason::kQueueFull)});
+  }
+  return std::nullopt;
+}
+
+std::vector<SendToHost> SlotBroker::OnRequest(TimePoint now,
+                                              HostId sender,
+                                              DomainId sender_domain,
+                                              const SlotRequest& request,
+                                              bool fingerprint_blocked) {
+  Messages messages;
+  this->TouchHost(now, sender);
+  if (const SlotHolder* holder = this->table.Find(request.attempt)) {
+    // The host repeats a request whose grant was lost.
+    messages.push_back({sender, SlotGrant{.attempt = request.attempt,
+                                          .service = request.service,
+                                          .target = holder->target}});
+    return messages;
+  }
+  if (this->queue.Contains(request.attempt)) {
+    this->AcknowledgeQueued(now, sender, messages);
+    return messages;
+  }
+  if (this->table.HasEnded(request.attempt)) {
+    return messages;
+  }
+  if (fingerprint_blocked) {
+    messages.push_back({sender, this->Refusal(request, RefusalReason::kCrashRequest)});
+    return messages;
+  }
+  this->long_share.RecordArrival(now, request.work_class, this->estimate.Mean(request.work_class));
+  QueueEntry entry{.request = request,
+                   .host = sender,
+                   .domain = sender_domain,
+                   .arrived = now,
+                   .deadline = now + request.budget};
+  if (!this->policy.fair) {
+    entry.request.organisation = OrganisationId{};
+  }
+  if (const auto refusal = this->Admit(now, entry, messages)) {
+    messages.push_back({sender, *refusal});
+    return messages;
+  }
+  this->queue.Push(std::move(entry));
+  this->Dispatch(now, messages);
+  if (this->queue.Contains(request.attempt)) {
+    this->AcknowledgeQueued(now, sender, messages);
+  }
+  return messages;
+}
+
+void SlotBroker::AcknowledgeQueued(TimePoint now, HostId host, Messages& messages) {
+  HostUse& use = this->hosts[host];
+  // A host takes any message for a sign of life; one view per interval is enough.
+  if (now - use.view_sent_at < kViewInterval) {
+    return;
+  }
+  use.view_sent_at = now;
+  ServiceView view = this->View(now);
+  view.sequence = this->NextSequence(now);
+  messages.push_back({host, std::move(view)});
+}
+
+std::vector<SendToHost> SlotBroker::OnCancel(TimePoint now,
+                                             HostId sender,
+                                             const SlotCancel& cancel) {
+  this->TouchHost(now, sender);
+  this->queue.Remove(cancel.attempt);
+  // If the grant is on its way, the host answers it with a release. The request
+  // itself may still be on its way and must not be queued.
+  if (this->table.Find(cancel.attempt) == nullptr) {
+    this->table.Free(now, cancel.attempt);
+  }
+  return {};
+}
+
+std::vector<SendToHost> SlotBroker::OnClaim(TimePoint now,
+                                            HostId sender,
+                                            DomainId /*sender_domain*/,
+                                            const SlotClaim& claim) {
+  this->TouchHost(now, sender);
+  const bool added = this->table.Add(
+      now, claim.attempt, {.host = sender, .target = claim.target, .work_class = claim.work_class});
+  if (added) {
+    this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
+    if (claim.is_retry) {
+      this->retries.RecordRetry(now);
+    } else {
+      this->retries.RecordFirstAttempt(now);
+    }
+  }
+  return {};
+}
+
+std::vector<SendToHost> SlotBroker::OnRelease(TimePoint now,
+                                              HostId sender,
+                                              DomainId sender_domain,
+                                              const SlotRelease& release) {
+  this->TouchHost(now, sender);
+  if (release.target_draining && this->draining.insert(release.target).second) {
+    this->ConfigureHealth(now);
+  }
+  Messages messages;
+  const SlotHolder* holder = this->table.Find(release.attempt);
+  const bool known = holder != nullptr && holder->target == release.target;
+  const bool repeated = holder == nullptr && this->table.HasEnded(release.attempt);
+  if (holder == nullptr || known) {
+    this->table.Free(now, release.attempt);
+  }
+  if (!repeated && release.result != AttemptResult::kCancelled) {
+    if (release.result == AttemptResult::kSuccess) {
+      this->estimate.Observe(release.work_class, release.service_time);
+    }
+    this->health.Observe(now, {.target = release.target,
+                               .reporter = sender,
+                               .reporter_domain = sender_domain,
+                               .work_class = release.work_class,
+                               .result = release.result,
+                               .service_time = release.service_time,
+                               .fingerprint = release.fingerprint});
+    this->RefreshCandidates();
+  }
+  this->Dispatch(now, messages);
+  return messages;
+}
+
+std::vector<SendToHost> SlotBroker::OnReport(TimePoint now,
+                                             HostId sender,
+                                             DomainId /*sender_domain*/,
+                                             const HostReport& report) {
+  this->TouchHost(now, sender);
+  this->table.Reconcile(now, sender, report.outstanding);
+  Messages messages;
+  this->Dispatch(now, messages);
+  return messages;
+}
+
+void SlotBroker::OnProbe(TimePoint now, const HealthEvidence& evidence) {
+  this->health.Observe(now, evidence);
+  this->RefreshCandidates();
+}
+
+std::vector<SendToHost> SlotBroker::OnHostDead(TimePoint now, HostId host) {
+  this->hosts.erase(host);
+  for (const QueueEntry* entry : this->queue.All()) {
+    if (entry->host == host) {
+      this->queue.Remove(AttemptId{entry->request.attempt});
+    }
+  }
+  this->table.FreeHost(now, host);
+  Messages messages;
+  this->Dispatch(now, messages);
+  return messages;
+}
+
+void SlotBroker::Grant(TimePoint now,
+                       const QueueEntry& entry,
+                       TargetId target,
+                       Messages& messages) {
+  const SlotRequest& request = entry.request;
+  this->table.Add(now, request.attempt,
+                  {.host = entry.host, .target = target, .work_class = request.work_class});
+  if (!request.is_retry) {
+    this->retries.RecordFirstAttempt(now);
+  }
+  messages.push_back(
+      {entry.host,
+       SlotGrant{.attempt = request.attempt, .service = request.service, .target = target}});
+}
+
+bool SlotBroker::LongGoesFirst(TimePoint now) const {
+  TimePoint oldest_long = TimePoint::max();
+  TimePoint oldest_short = TimePoint::max();
+  for (const QueueEntry* entry : this->queue.All()) {
+    TimePoint& oldest = entry->request.work_class == WorkClass::kLong ? oldest_long : oldest_short;
+    oldest = std::min(oldest, entry->arrived);
+  }
+  if (oldest_long == TimePoint::max()) {
+    return false;
+  }
+  return this->policy.short_first ? now - oldest_long >= this->policy.long_pass_over
+                                  : oldest_long < oldest_short;
+}
+
+bool SlotBroker::GrantNext(TimePoint now, WorkClass work_class, Messages& messages) {
+  const bool room = std::any_of(
+      this->candidates.begin(), this->candidates.end(), [&](const Candidate& candidate) {
+        return this->HasRoom(candidate, work_class) || this->HasRoomAhead(candidate, work_class);
+      });
+  if (!room) {
+    return false;
+  }
+  for (const QueueEntry* entry : this->queue.Ordered(work_class)) {
+    const AttemptId attempt = entry->request.attempt;
+    if (this->BudgetTooShort(entry->request, Duration::zero(), entry->deadline - now)) {
+      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
+      messages.push_back(
+          {removed->host, this->Refusal(removed->request, RefusalReason::kDeadline)});
+      return true;
+    }
+    if (const std::optional<TargetId> target = this->ChooseTarget(now, *entry)) {
+      const std::optional<QueueEntry> taken = this->queue.Take(attempt);
+      this->Grant(now, *taken, *target, messages);
+      return true;
+    }
+  }
+  return false;
+}
+
+void SlotBroker::Dispatch(TimePoint now, Messages& messages) {
+  while (this->queue.size() > 0) {
+    const bool long_first = this->LongGoesFirst(now);
+    const WorkClass first = long_first ? WorkClass::kLong : WorkClass::kShort;
+    const WorkClass second = long_first ? WorkClass::kShort : WorkClass::kLong;
+    if (!this->GrantNext(now, first, messages) && !this->GrantNext(now, second, messages)) {
+      return;
+    }
+  }
+}
+
+void SlotBroker::RefuseExpired(TimePoint now, Messages& messages) {
+  for (const QueueEntry* entry : this->queue.All()) {
+    RefusalReason reason = RefusalReason::kNone;
+    if (entry->deadline <= now) {
+      reason = RefusalReason::kDeadline;
+    } else if (this->CandidatesFor(*entry).empty()) {
+      reason = RefusalReason::kNoTarget;
+    }
+    if (reason != RefusalReason::kNone) {
+      const AttemptId attempt = entry->request.attempt;
+      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
+      messages.push_back({removed->host, this->Refusal(removed->request, reason)});
+    }
+  }
+}
+
+std::uint64_t SlotBroker::NextSequence(TimePoint now) {
+  // Starting from the clock lets the views of a restarted broker replace those
+  // of its earlier incarnation.
+  const auto clock = static_cast<std::uint64_t>(now.time_since_epoch().count());
+  this->sequence = std::max(this->sequence + 1, clock);
+  return this->sequence;
+}
+
+std::vector<SendToHost> SlotBroker::Tick(TimePoint now) {
+  if (this->ticked_at && now - *this->ticked_at > kPause) {
+    this->table.ExtendTimeouts(now - *this->ticked_at);
+  }
+  this->ticked_at = now;
+  this->health.Tick(now);
+  this->RefreshCandidates();
+  this->table.Expire(now);
+  std::erase_if(this->hosts,
+                [now](const auto& item) { return now - item.second.used_at > kUseWindow; });
+  Messages messages;
+  this->RefuseExpired(now, messages);
+  this->Dispatch(now, messages);
+  this->PushViews(now, messages);
+  return messages;
+}
+
+void SlotBroker::PushViews(TimePoint now, Messages& messages) {
+  ServiceView view = this->View(now);
+  view.sequence = 0;
+  const bool changed = view != this->pushed && now - this->pushed_at >= kViewInterval;
+  if (changed) {
+    this->pushed = view;
+    this->pushed_at = now;
+    for (auto& [host, use] : this->hosts) {
+      use.view_owed = true;
+    }
+  }
+  view.sequence = this->NextSequence(now);
+  for (auto& [host, use] : this->hosts) {
+    const Duration repeat = now - use.used_at < kRecentUse ? kViewRepeat : kIdleViewRepeat;
+    if (use.view_owed || now - use.view_sent_at >= repeat) {
+      use.view_owed = false;
+      use.view_sent_at = now;
+      messages.push_back({host, view});
+    }
+  }
+}
+
+std::vector<HealthEvent> SlotBroker::TakeHealthEvents() {
+  return this->health.TakeEvents();
+}
+
+ServiceView SlotBroker::View(TimePoint /*now*/) const {
+  ServiceView view{.service = this->configuration.service,
+                   .sequence = this->sequence,
+                   .queued = static_cast<std::uint32_t>(this->queue.size()),
+                   .active_hosts = static_cast<std::uint16_t>(
+                       std::clamp<std::size_t>(this->hosts.size(), 1, 65535))};
+  for (const Candidate& candidate : this->candidates) {
+    const std::uint32_t usable = candidate.verdict.usable_slots;
+    const std::uint32_t used = std::min(usable, this->table.CountAt(candidate.target));
+    view.targets.push_back({.target = candidate.target,
+                            .state = candidate.verdict.state,
+                            .usable_slots = static_cast<std::uint16_t>(usable),
+                            .free_slots = static_cast<std::uint16_t>(usable - used),
+                            .unreachable_from = candidate.verdict.unreachable_from});
+  }
+  return view;
+}
+
+}  // namespace pimentopin
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -1,10 +1,19 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/broker_policy.h"
+#include "Libraries/LibDispatch/fair_queue.h"
+#include "Libraries/LibDispatch/long_work_share.h"
+#include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/service_time_estimate.h"
+#include "Libraries/LibDispatch/slot_table.h"
 #include "Libraries/LibHealth/service_health.h"
 #include "Libraries/LibProtocol/envelope.h"
 
@@ -33,9 +42,9 @@
 // health. Its state is soft; a new broker rebuilds it from host reports.
 class SlotBroker {
  public:
-  explicit SlotBroker(BrokerConfiguration configuration);
+  explicit SlotBroker(BrokerConfiguration initial, BrokerPolicy broker_policy = {});
 
-  std::vector<SendToHost> Configure(TimePoint now, BrokerConfiguration configuration);
+  std::vector<SendToHost> Configure(TimePoint now, BrokerConfiguration changed);
   std::vector<SendToHost> OnRequest(TimePoint now,
                                     HostId sender,
                                     DomainId sender_domain,
@@ -63,6 +72,73 @@
 
   std::vector<HealthEvent> TakeHealthEvents();
   ServiceView View(TimePoint now) const;
+
+  std::size_t queued() const { return this->queue.size(); }
+  // Attempts that hold a slot as far as the broker knows.
+  std::size_t outstanding() const { return this->table.size(); }
+  std::uint32_t long_outstanding() const { return this->table.long_count(); }
+  std::uint32_t LongLimit() const;
+
+ private:
+  struct HostUse {
+    TimePoint used_at;
+    TimePoint view_sent_at;
+    bool view_owed = false;
+  };
+  // A target with its verdict, limited by the configuration.
+  struct Candidate {
+    TargetId target{};
+    std::uint32_t slots = 0;
+    HealthVerdict verdict;
+  };
+  using Messages = std::vector<SendToHost>;
+
+  void ConfigureHealth(TimePoint now);
+  // Takes over the verdicts of the health component.
+  void RefreshCandidates();
+  void TouchHost(TimePoint now, HostId host);
+  std::uint32_t UsableSlots() const;
+  bool IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const;
+  // Targets that may run the request, whether they have a free slot or not.
+  std::vector<const Candidate*> CandidatesFor(const QueueEntry& entry) const;
+  bool HasRoom(const Candidate& candidate, WorkClass work_class) const;
+  bool HasRoomAhead(const Candidate& candidate, WorkClass work_class) const;
+  std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry) const;
+  std::optional<TargetId> ChooseAhead(const QueueEntry& entry,
+                                      const std::vector<const Candidate*>& candidates) const;
+  bool CanStartAtOnce(TimePoint now, const QueueEntry& entry) const;
+  bool QueueIsFull(WorkClass work_class) const;
+  Duration PredictedWait(const SlotRequest& request) const;
+  bool BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const;
+  // Returns the refusal, or nothing if the request may enter the queue.
+  std::optional<SlotRefusal> Admit(TimePoint now, const QueueEntry& entry, Messages& messages);
+  SlotRefusal Refusal(const SlotRequest& request, RefusalReason reason) const;
+  void Grant(TimePoint now, const QueueEntry& entry, TargetId target, Messages& messages);
+  void Dispatch(TimePoint now, Messages& messages);
+  bool GrantNext(TimePoint now, WorkClass work_class, Messages& messages);
+  bool LongGoesFirst(TimePoint now) const;
+  void RefuseExpired(TimePoint now, Messages& messages);
+  void PushViews(TimePoint now, Messages& messages);
+  void AcknowledgeQueued(TimePoint now, HostId host, Messages& messages);
+  std::uint64_t NextSequence(TimePoint now);
+
+  BrokerConfiguration configuration;
+  BrokerPolicy policy;
+  ServiceHealth health;
+  SlotTable table;
+  FairQueue queue;
+  RetryBudget retries;
+  ServiceTimeEstimate estimate;
+  LongWorkShare long_share;
+  std::vector<Candidate> candidates;
+  std::map<HostId, HostUse> hosts;
+  // Targets that announced in an answer that they are draining.
+  std::set<TargetId> draining;
+  std::uint64_t sequence = 0;
+  // Last view that was pushed, without its sequence, to detect a change.
+  ServiceView pushed;
+  TimePoint pushed_at;
+  std::optional<TimePoint> ticked_at;
 };
 
 }  // namespace pimentopin
--- /dev/null
+++ b/Tests/LibDispatch/fleet_simulation.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Libraries/LibCore/random_source.h"
+#include "Libraries/LibDispatch/host_dispatcher.h"
+#include "Libraries/LibDispatch/slot_broker.h"
+
+namespace pimentopin {
+
+struct FleetFaults {
+  double message_loss = 0;
+  double message_duplication = 0;
+  // Upper bound of an additional random delay, which reorders messages.
+  Duration message_delay{};
+  // Probability per host and 100 ms of a pause of up to `longest_pause`.
+  double pause = 0;
+  Duration longest_pause{};
+  // Results of attempts.
+  double connect_failure = 0;
+  double connection_lost = 0;
+  double server_error = 0;
+  double shed = 0;
+  double wrong_answer = 0;
+  double truncated = 0;
+  // The end of a server error arrives although its answer is held.
+  double early_end = 0;
+};
+
+struct FleetSettings {
+  std::uint64_t seed = 1;
+  std::size_t hosts = 8;
+  std::size_t targets = 6;
+  std::uint32_t slots = 3;
+  std::uint32_t queue_limit = 200;
+  Duration short_service = std::chrono::milliseconds(20);
+  Duration long_service = std::chrono::milliseconds(600);
+  DispatchPolicy policy = DispatchPolicy::kBrokered;
+  BrokerPolicy broker;
+  FleetFaults faults;
+};
+
+// One flow of requests with exponential gaps.
+struct FleetLoad {
+  OrganisationId organisation{};
+  double requests_per_second = 0;
+  double long_fraction = 0;
+  double idempotent_fraction = 0;
+  Duration deadline = std::chrono::seconds(2);
+  Duration from{};
+  Duration until{};
+};
+
+// What an observer outside the dispatchers saw of one request.
+struct ObservedRequest {
+  RequestDescription description;
+  HostId host{};
+  TimePoint begun;
+  TimePoint finished_at;
+  std::size_t starts = 0;
+  // Attempts whose bytes reached a target, and those that the target ran.
+  std::size_t sent = 0;
+  std::size_t ran = 0;
+  std::size_t forwards = 0;
+  std::size_t finishes = 0;
+  FinishRequest finish;
+};
+
+// Hosts, brokers, a faulty network and targets in virtual time. The observer's
+// records come from the network and the targets, not from the dispatchers.
+class FleetSimulation {
+ public:
+  explicit FleetSimulation(FleetSettings fleet_settings);
+  ~FleetSimulation();
+
+  void AddLoad(const FleetLoad& load);
+  void At(Duration time, std::function<void()> event);
+  void RunUntil(Duration end);
+
+  // Ends the faults, so that the fleet can come to rest.
+  void EndFaults() { this->settings.faults = {}; }
+  void SetLeaving(std::size_t target) { this->leaving.insert(this->TargetAt(target)); }
+  void Suspect(Fingerprint fingerprint) { this->suspects.insert(fingerprint); }
+  void Block(Fingerprint fingerprint) { this->blocked.insert(fingerprint); }
+  // Stops delivering messages to the host's broker.
+  void SilenceBroker(HostId host) { this->silent_brokers.insert(host); }
+  void RestoreBroker(HostId host) { this->silent_brokers.erase(host); }
+  HostId BrokerHost() const;
+
+  const std::map<RequestId, ObservedRequest>& observed() const { return this->requests; }
+  // Rules broken so far, as text.
+  const std::vector<std::string>& violations() const { return this->found; }
+  std::size_t broker_outstanding() const;
+  std::size_t broker_queued() const;
+  std::size_t requests_in_progress() const;
+  std::uint32_t most_long_at_once() const { return this->most_long; }
+  std::size_t claims() const { return this->claim_count; }
+  TargetId TargetAt(std::size_t index) const;
+  ServiceId service() const;
+  TimePoint now() const { return this->time; }
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::pair(other.at, other.order) < std::pair(this->at, this->order);
+    }
+  };
+  struct Host;
+  struct Target;
+  struct Run;
+
+  void Schedule(TimePoint at, std::function<void()> run);
+  void OnHost(std::size_t host, std::function<void()> run);
+  void Arrive(const FleetLoad& load);
+  void Tick(std::size_t host);
+  void MaybePause(std::size_t host);
+  void Apply(std::size_t host, const std::vector<DispatchAction>& actions);
+  void ApplyBroker(std::size_t host, const std::vector<SendToHost>& messages);
+  void Send(std::size_t from, const SendToHost& message);
+  void Deliver(std::size_t from, std::size_t to, const Message& message);
+  void OnStart(std::size_t host, const StartAttempt& start);
+  void OnCancel(std::size_t host, AttemptId attempt);
+  void OnForward(std::size_t host, const ForwardAnswer& forward);
+  void OnFinish(const FinishRequest& finish);
+  void ArriveAtTarget(AttemptId attempt);
+  void RunNext(Target& target);
+  void Answer(AttemptId attempt);
+  void Header(AttemptId attempt, const AttemptHeader& header);
+  void End(AttemptId attempt, AttemptResult result);
+  bool Happens(double probability) { return this->random.Unit() < probability; }
+  void Violation(const std::string& text);
+  SlotBroker& BrokerAt(std::size_t host);
+  std::size_t IndexOf(HostId host) const;
+
+  FleetSettings settings;
+  RandomSource random;
+  TimePoint time;
+  std::uint64_t order = 0;
+  std::priority_queue<Event> events;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::map<TargetId, std::unique_ptr<Target>> targets;
+  std::map<AttemptId, std::unique_ptr<Run>> runs;
+  std::map<RequestId, ObservedRequest> requests;
+  std::set<TargetId> leaving;
+  std::set<Fingerprint> suspects;
+  std::set<Fingerprint> blocked;
+  std::set<HostId> silent_brokers;
+  std::vector<std::string> found;
+  std::uint32_t most_long = 0;
+  std::size_t claim_count = 0;
+};
+
+}  // namespace pimentopin
