--- a/Libraries/LibConfig/configuration.cc
+++ b/Libraries/LibConfig/configuration.cc
@@ -11,6 +11,42 @@
   return found == range.end() ? nullptr : &*found;
 }
 
+template <typename Entry, typename Id>
+const Entry* FindIndexed(const std::vector<Entry>& entries,
+                         const std::unordered_map<Id, std::size_t>& positions,
+                         Id id) {
+  const auto found = positions.find(id);
+  return found == positions.end() ? nullptr : &entries[found->second];
+}
+
+const std::vector<std::size_t>& PositionsOf(
+    const std::unordered_map<ServiceId, std::vector<std::size_t>>& by_service,
+    ServiceId service) {
+  static const std::vector<std::size_t> none;
+  const auto found = by_service.find(service);
+  return found == by_service.end() ? none : found->second;
+}
+
+// Visits the rules at both ascending lists of positions in document order. Stops at the first
+// one for which `visit` is true and returns it.
+template <typename Rule, typename Visit>
+const Rule* VisitMerged(const std::vector<Rule>& rules,
+                        const std::vector<std::size_t>& specific,
+                        const std::vector<std::size_t>& general,
+                        Visit visit) {
+  auto next_specific = specific.begin();
+  auto next_general = general.begin();
+  while (next_specific != specific.end() || next_general != general.end()) {
+    const bool take_specific = next_general == general.end() ||
+                               (next_specific != specific.end() && *next_specific < *next_general);
+    const Rule& rule = rules[take_specific ? *next_specific++ : *next_general++];
+    if (visit(rule)) {
+      return &rule;
+    }
+  }
+  return nullptr;
+}
+
 bool ListedOrEmpty(const std::vector<std::string>& list, std::string_view value) {
   return list.empty() || std::find(list.begin(), list.end(), value) != list.end();
 }
@@ -21,26 +57,52 @@
 
 }  // namespace
 
-// FIXME: These look-ups are linear; index by name and id before configurations grow beyond a few
-// hundred entries (docs/CAPACITY.md gives the slope).
+Configuration Configuration::WithIndex() const {
+  Configuration indexed = *this;
+  indexed.index.pointer = ConfigurationIndex::Of(*this);
+  return indexed;
+}
+
 const Caller* Configuration::FindCaller(std::string_view name) const {
+  if (this->index.pointer) {
+    const Caller* const caller =
+        FindIndexed(this->callers, this->index.pointer->callers, IdFromName<CallerId>(name));
+    return caller != nullptr && caller->name == name ? caller : nullptr;
+  }
   return FindOrNull(this->callers, [&](const Caller& caller) { return caller.name == name; });
 }
 
 const Service* Configuration::FindService(std::string_view name) const {
+  if (this->index.pointer) {
+    const Service* const service = this->FindService(IdFromName<ServiceId>(name));
+    return service != nullptr && service->name == name ? service : nullptr;
+  }
   return FindOrNull(this->services, [&](const Service& service) { return service.name == name; });
 }
 
 const Service* Configuration::FindService(ServiceId id) const {
+  if (this->index.pointer) {
+    return FindIndexed(this->services, this->index.pointer->services, id);
+  }
   return FindOrNull(this->services, [&](const Service& service) { return service.id() == id; });
 }
 
 const Target* Configuration::FindTarget(TargetId id) const {
+  if (this->index.pointer) {
+    return FindIndexed(this->targets, this->index.pointer->targets, id);
+  }
   return FindOrNull(this->targets, [&](const Target& target) { return target.id() == id; });
 }
 
 std::vector<const Target*> Configuration::TargetsOf(std::string_view service) const {
   std::vector<const Target*> found;
+  if (this->index.pointer) {
+    for (const std::size_t position :
+         PositionsOf(this->index.pointer->targets_of, IdFromName<ServiceId>(service))) {
+      found.push_back(&this->targets[position]);
+    }
+    return found;
+  }
   for (const Target& target : this->targets) {
     if (target.service == service) {
       found.push_back(&target);
@@ -52,10 +114,17 @@
 std::vector<const Target*> Configuration::AllowedTargets(const Caller& caller,
                                                          const Service& service) const {
   std::vector<const AccessRule*> rules;
-  for (const AccessRule& rule : this->access) {
+  const auto add_if_matching = [&](const AccessRule& rule) {
     if (ListedOrEmpty(rule.services, service.name) && rule.callers.Matches(caller.labels)) {
       rules.push_back(&rule);
     }
+    return false;
+  };
+  if (this->index.pointer) {
+    VisitMerged(this->access, PositionsOf(this->index.pointer->access_of, service.id()),
+                this->index.pointer->general_access, add_if_matching);
+  } else {
+    std::for_each(this->access.begin(), this->access.end(), add_if_matching);
   }
   std::vector<const Target*> allowed = this->TargetsOf(service.name);
   std::erase_if(allowed, [&](const Target* target) {
@@ -70,16 +139,22 @@
                                    const Service& service,
                                    std::string_view method,
                                    std::string_view path) const {
-  for (const WorkRule& rule : this->work) {
-    if (ListedOrEmpty(rule.services, service.name) && ListedOrEmpty(rule.methods, method) &&
-        path.starts_with(rule.path_prefix) && rule.callers.Matches(caller.labels)) {
-      return {.idempotent = rule.idempotent,
-              .is_long = rule.is_long,
-              .affinity = rule.affinity,
-              .deadline = rule.deadline.value_or(service.deadline)};
-    }
+  const auto matches = [&](const WorkRule& rule) {
+    return ListedOrEmpty(rule.services, service.name) && ListedOrEmpty(rule.methods, method) &&
+           path.starts_with(rule.path_prefix) && rule.callers.Matches(caller.labels);
+  };
+  const WorkRule* const rule =
+      this->index.pointer
+          ? VisitMerged(this->work, PositionsOf(this->index.pointer->work_of, service.id()),
+                        this->index.pointer->general_work, matches)
+          : FindOrNull(this->work, matches);
+  if (rule == nullptr) {
+    return {.idempotent = IsSafeMethod(method), .deadline = service.deadline};
   }
-  return {.idempotent = IsSafeMethod(method), .deadline = service.deadline};
+  return {.idempotent = rule->idempotent,
+          .is_long = rule->is_long,
+          .affinity = rule->affinity,
+          .deadline = rule->deadline.value_or(service.deadline)};
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Libraries/LibConfig/configuration_index.h"
 #include "Libraries/LibConfig/labels.h"
 #include "Libraries/LibConfig/selector.h"
 #include "Libraries/LibCore/identifiers.h"
@@ -107,6 +108,12 @@
   std::vector<Target> targets;
   std::vector<AccessRule> access;
   std::vector<WorkRule> work;
+  // Set by WithIndex(); the look-ups below are linear without it.
+  ConfigurationIndexPointer index;
+
+  // The same configuration with constant-time look-ups. The lists of the result
+  // must not be changed; a changed copy needs a new index.
+  Configuration WithIndex() const;
 
   // Null if there is none of that name or id.
   const Caller* FindCaller(std::string_view name) const;
--- /dev/null
+++ b/Libraries/LibConfig/configuration_difference.cc
@@ -0,0 +1,306 @@
+#include "Libraries/LibConfig/configuration_difference.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace pimentopin {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::pair<DifferenceKind, std::string_view>, 6> kKindNames{{
+    {DifferenceKind::kOrganisation, "organisation"},
+    {DifferenceKind::kCaller, "caller"},
+    {DifferenceKind::kService, "service"},
+    {DifferenceKind::kTarget, "target"},
+    {DifferenceKind::kAccessRule, "access"},
+    {DifferenceKind::kWorkRule, "work"},
+}};
+
+std::string_view KindName(DifferenceKind kind) {
+  return kKindNames[static_cast<std::size_t>(kind)].second;
+}
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string_view OperatorName(SelectorOperator op) {
+  switch (op) {
+    case SelectorOperator::kIn:
+      return "In";
+    case SelectorOperator::kNotIn:
+      return "NotIn";
+    case SelectorOperator::kExists:
+      return "Exists";
+    case SelectorOperator::kDoesNotExist:
+      return "DoesNotExist";
+  }
+  return "";
+}
+
+json SelectorJson(const Selector& selector) {
+  json value = json::object();
+  if (!selector.match_labels.empty()) {
+    value["match_labels"] = selector.match_labels;
+  }
+  for (const SelectorRequirement& requirement : selector.match_expressions) {
+    json expression{{"key", requirement.key}, {"operator", OperatorName(requirement.op)}};
+    if (!requirement.values.empty()) {
+      expression["values"] = requirement.values;
+    }
+    value["match_expressions"].push_back(std::move(expression));
+  }
+  return value;
+}
+
+json EntryJson(const Organisation& organisation) {
+  return {{"labels", organisation.labels}};
+}
+
+json EntryJson(const Service& service) {
+  return {{"floor_slots", service.floor_slots},
+          {"deadline_ms", Milliseconds(service.deadline)},
+          {"queue_limit", service.queue_limit}};
+}
+
+json EntryJson(const Target& target) {
+  return {{"service", target.service},         {"address", target.address},
+          {"domain", target.domain},           {"slots", target.slots},
+          {"connections", target.connections}, {"labels", target.labels},
+          {"leaving", target.leaving}};
+}
+
+json EntryJson(const AccessRule& rule) {
+  json value{{"callers", SelectorJson(rule.callers)}, {"targets", SelectorJson(rule.targets)}};
+  if (!rule.services.empty()) {
+    value["services"] = rule.services;
+  }
+  return value;
+}
+
+json EntryJson(const WorkRule& rule) {
+  json value{{"callers", SelectorJson(rule.callers)},
+             {"path_prefix", rule.path_prefix},
+             {"idempotent", rule.idempotent},
+             {"long", rule.is_long},
+             {"affinity", rule.affinity}};
+  if (!rule.services.empty()) {
+    value["services"] = rule.services;
+  }
+  if (!rule.methods.empty()) {
+    value["methods"] = rule.methods;
+  }
+  if (rule.deadline) {
+    value["deadline_ms"] = Milliseconds(*rule.deadline);
+  }
+  return value;
+}
+
+using NamedEntries = std::map<std::string, json>;
+
+template <typename Entry>
+NamedEntries ByName(const std::vector<Entry>& entries) {
+  NamedEntries named;
+  for (const Entry& entry : entries) {
+    named.emplace(entry.name, EntryJson(entry));
+  }
+  return named;
+}
+
+NamedEntries CallersByName(const Configuration& configuration) {
+  std::map<std::string_view, const Labels*> inherited;
+  for (const Organisation& organisation : configuration.organisations) {
+    inherited.emplace(organisation.name, &organisation.labels);
+  }
+  NamedEntries named;
+  for (const Caller& caller : configuration.callers) {
+    Labels own = caller.labels;
+    own.erase("organisation");
+    if (const auto from = inherited.find(caller.organisation); from != inherited.end()) {
+      std::erase_if(own, [&](const auto& label) {
+        const auto same = from->second->find(label.first);
+        return same != from->second->end() && same->second == label.second;
+      });
+    }
+    named.emplace(caller.name, json{{"organisation", caller.organisation}, {"labels", own}});
+  }
+  return named;
+}
+
+class Comparison {
+ public:
+  void CompareNamed(DifferenceKind kind, const NamedEntries& before, const NamedEntries& after) {
+    NamedEntries names = before;
+    names.insert(after.begin(), after.end());
+    for (const auto& [name, unused] : names) {
+      const auto old_entry = before.find(name);
+      const auto new_entry = after.find(name);
+      this->CompareEntry(kind, name, old_entry == before.end() ? nullptr : &old_entry->second,
+                         new_entry == after.end() ? nullptr : &new_entry->second);
+    }
+  }
+
+  // Rules are ordered and have no names: equal rules at both ends are matched,
+  // and the rest is compared in pairs, or as removed and added if the numbers
+  // differ.
+  template <typename Rule>
+  void CompareRules(DifferenceKind kind,
+                    const std::vector<Rule>& before,
+                    const std::vector<Rule>& after) {
+    const std::size_t shorter = std::min(before.size(), after.size());
+    std::size_t head = 0;
+    while (head < shorter && before[head] == after[head]) {
+      ++head;
+    }
+    std::size_t tail = 0;
+    while (tail < shorter - head &&
+           before[before.size() - 1 - tail] == after[after.size() - 1 - tail]) {
+      ++tail;
+    }
+    const bool in_pairs = before.size() == after.size();
+    for (std::size_t position = head; position < before.size() - tail; ++position) {
+      const json old_rule = EntryJson(before[position]);
+      const json new_rule = in_pairs ? EntryJson(after[position]) : json();
+      this->CompareEntry(kind, std::to_string(position), &old_rule, in_pairs ? &new_rule : nullptr);
+    }
+    for (std::size_t position = head; !in_pairs && position < after.size() - tail; ++position) {
+      const json new_rule = EntryJson(after[position]);
+      this->CompareEntry(kind, std::to_string(position), nullptr, &new_rule);
+    }
+  }
+
+  ConfigurationDifference Take() { return std::move(this->difference); }
+
+ private:
+  void CompareEntry(DifferenceKind kind,
+                    const std::string& name,
+                    const json* before,
+                    const json* after) {
+    if (before != nullptr && after != nullptr) {
+      this->CompareFields(kind, name, "", *before, *after);
+      return;
+    }
+    this->Add(kind, name, "", before, after);
+  }
+
+  void CompareFields(DifferenceKind kind,
+                     const std::string& name,
+                     const std::string& prefix,
+                     const json& before,
+                     const json& after) {
+    json fields = before;
+    fields.update(after);
+    for (const auto& item : fields.items()) {
+      const json* const old_value = before.contains(item.key()) ? &before[item.key()] : nullptr;
+      const json* const new_value = after.contains(item.key()) ? &after[item.key()] : nullptr;
+      const bool on_both_sides = old_value != nullptr && new_value != nullptr;
+      if (on_both_sides && *old_value == *new_value) {
+        continue;
+      }
+      if (on_both_sides && prefix.empty() && item.key() == "labels") {
+        this->CompareFields(kind, name, "labels/", *old_value, *new_value);
+        continue;
+      }
+      this->Add(kind, name, prefix + item.key(), old_value, new_value);
+    }
+  }
+
+  void Add(DifferenceKind kind,
+           const std::string& name,
+           const std::string& field,
+           const json* before,
+           const json* after) {
+    this->difference.push_back(
+        {.kind = kind, .name = name, .field = field, .before = Text(before), .after = Text(after)});
+  }
+
+  static std::optional<std::string> Text(const json* value) {
+    return value == nullptr ? std::nullopt : std::optional(value->dump());
+  }
+
+  ConfigurationDifference difference;
+};
+
+json SideJson(const std::optional<std::string>& side) {
+  return side ? json::parse(*side) : json();
+}
+
+std::optional<std::string> SideFromJson(const json& value) {
+  return value.is_null() ? std::nullopt : std::optional(value.dump());
+}
+
+}  // namespace
+
+ConfigurationDifference Compare(const Configuration& before, const Configuration& after) {
+  Comparison comparison;
+  comparison.CompareNamed(DifferenceKind::kOrganisation, ByName(before.organisations),
+                          ByName(after.organisations));
+  comparison.CompareNamed(DifferenceKind::kCaller, CallersByName(before), CallersByName(after));
+  comparison.CompareNamed(DifferenceKind::kService, ByName(before.services),
+                          ByName(after.services));
+  comparison.CompareNamed(DifferenceKind::kTarget, ByName(before.targets), ByName(after.targets));
+  comparison.CompareRules(DifferenceKind::kAccessRule, before.access, after.access);
+  comparison.CompareRules(DifferenceKind::kWorkRule, before.work, after.work);
+  return comparison.Take();
+}
+
+std::string DifferenceToText(const ConfigurationDifference& difference) {
+  std::string text;
+  for (const DifferenceEntry& entry : difference) {
+    const std::string subject = std::string(KindName(entry.kind)) + " " + entry.name;
+    if (!entry.field.empty()) {
+      text += "~ " + subject + " " + entry.field + ": " + entry.before.value_or("(absent)") +
+              " -> " + entry.after.value_or("(absent)") + "\n";
+    } else if (entry.after) {
+      text += "+ " + subject + ": " + *entry.after + "\n";
+    } else {
+      text += "- " + subject + ": " + entry.before.value_or("") + "\n";
+    }
+  }
+  return text;
+}
+
+std::string DifferenceToJson(const ConfigurationDifference& difference) {
+  json entries = json::array();
+  for (const DifferenceEntry& entry : difference) {
+    entries.push_back({{"kind", KindName(entry.kind)},
+                       {"name", entry.name},
+                       {"field", entry.field},
+                       {"before", SideJson(entry.before)},
+                       {"after", SideJson(entry.after)}});
+  }
+  return entries.dump();
+}
+
+std::optional<ConfigurationDifference> DifferenceFromJson(std::string_view text) {
+  const json entries = json::parse(text, nullptr, false);
+  if (!entries.is_array()) {
+    return std::nullopt;
+  }
+  ConfigurationDifference difference;
+  for (const json& value : entries) {
+    const auto has_text = [&](const char* field) {
+      return value.contains(field) && value[field].is_string();
+    };
+    if (!value.is_object() || !has_text("kind") || !has_text("name") || !has_text("field")) {
+      return std::nullopt;
+    }
+    const auto* const kind =
+        std::find_if(kKindNames.begin(), kKindNames.end(),
+                     [&](const auto& entry) { return value["kind"] == entry.second; });
+    if (kind == kKindNames.end()) {
+      return std::nullopt;
+    }
+    difference.push_back({.kind = kind->first,
+                          .name = value["name"],
+                          .field = value["field"],
+                          .before = SideFromJson(value.value("before", json())),
+                          .after = SideFromJson(value.value("after", json()))});
+  }
+  return difference;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibConfig/configuration_index.cc
@@ -0,0 +1,49 @@
+#include "Libraries/LibConfig/configuration_index.h"
+
+#include "Libraries/LibConfig/configuration.h"
+
+namespace pimentopin {
+namespace {
+
+template <typename Rule>
+void IndexRules(const std::vector<Rule>& rules,
+                std::unordered_map<ServiceId, std::vector<std::size_t>>& by_service,
+                std::vector<std::size_t>& general) {
+  for (std::size_t position = 0; position < rules.size(); ++position) {
+    if (rules[position].services.empty()) {
+      general.push_back(position);
+    }
+    for (const std::string& service : rules[position].services) {
+      std::vector<std::size_t>& positions = by_service[IdFromName<ServiceId>(service)];
+      if (positions.empty() || positions.back() != position) {
+        positions.push_back(position);
+      }
+    }
+  }
+}
+
+template <typename Id, typename Entry>
+void IndexEntries(const std::vector<Entry>& entries, std::unordered_map<Id, std::size_t>& by_id) {
+  by_id.reserve(entries.size());
+  for (std::size_t position = 0; position < entries.size(); ++position) {
+    by_id.emplace(entries[position].id(), position);
+  }
+}
+
+}  // namespace
+
+std::shared_ptr<const ConfigurationIndex> ConfigurationIndex::Of(
+    const Configuration& configuration) {
+  auto index = std::make_shared<ConfigurationIndex>();
+  IndexEntries(configuration.callers, index->callers);
+  IndexEntries(configuration.services, index->services);
+  IndexEntries(configuration.targets, index->targets);
+  for (std::size_t position = 0; position < configuration.targets.size(); ++position) {
+    index->targets_of[configuration.targets[position].service_id()].push_back(position);
+  }
+  IndexRules(configuration.access, index->access_of, index->general_access);
+  IndexRules(configuration.work, index->work_of, index->general_work);
+  return index;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibConfig/configuration_reader.cc
@@ -0,0 +1,586 @@
+#include "Libraries/LibConfig/configuration_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "Libraries/LibConfig/document_scanner.h"
+#include "Libraries/LibCore/socket_address.h"
+
+namespace pimentopin {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxNameBytes = 63;
+constexpr std::size_t kMaxPathPrefixBytes = 1024;
+constexpr std::int64_t kMaxSlots = 1024;
+constexpr std::int64_t kMaxConnections = 65535;
+constexpr std::int64_t kMaxFloorSlots = 1'000'000;
+constexpr std::int64_t kMaxQueueLimit = 100'000;
+constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
+// Key under which a caller carries the name of its organisation.
+constexpr std::string_view kOrganisationLabel = "organisation";
+
+enum class Presence { kRequired, kOptional };
+
+bool IsLowerOrDigit(char byte) {
+  return (byte >= 'a' && byte <= 'z') || (byte >= '0' && byte <= '9');
+}
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](char byte) { return IsLowerOrDigit(byte) || byte == '-'; });
+}
+
+bool IsLabelText(std::string_view text) {
+  return text.size() <= kMaxNameBytes && std::all_of(text.begin(), text.end(), [](char byte) {
+           return IsLowerOrDigit(byte) || (byte >= 'A' && byte <= 'Z') || byte == '-' ||
+                  byte == '_' || byte == '.' || byte == '/';
+         });
+}
+
+bool IsMethod(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](char byte) { return (byte >= 'A' && byte <= 'Z') || byte == '-'; });
+}
+
+std::string_view TypeName(const json& value) {
+  return value.type_name();
+}
+
+// One JSON object with its place. Each read reports its own faults and returns
+// a neutral value after one, so that reading goes on to the next fault.
+class ObjectReader {
+ public:
+  ObjectReader(const json& object, std::string place, const FaultReporter& reporter)
+      : value(object), location(std::move(place)), report(reporter) {
+    if (!this->value.is_object()) {
+      this->report(this->location, "must be an object, not " + std::string(TypeName(this->value)));
+    }
+  }
+
+  const std::string& place() const { return this->location; }
+  std::string PlaceOf(std::string_view field) const { return ChildPointer(this->location, field); }
+  void Report(std::string_view field, std::string message) const {
+    this->report(this->PlaceOf(field), std::move(message));
+  }
+
+  void AllowOnly(std::initializer_list<std::string_view> fields) const {
+    if (!this->value.is_object()) {
+      return;
+    }
+    for (const auto& item : this->value.items()) {
+      if (std::find(fields.begin(), fields.end(), item.key()) == fields.end()) {
+        this->Report(item.key(), "unknown field");
+      }
+    }
+  }
+
+  // Null if absent; absence of a required field is a fault.
+  const json* Field(std::string_view field, Presence presence) const {
+    if (!this->value.is_object()) {
+      return nullptr;
+    }
+    const auto found = this->value.find(field);
+    if (found != this->value.end()) {
+      return &*found;
+    }
+    if (presence == Presence::kRequired) {
+      this->Report(field, "required field is missing");
+    }
+    return nullptr;
+  }
+
+  std::optional<std::string> Text(std::string_view field, Presence presence) const {
+    const json* const found = this->Field(field, presence);
+    if (found == nullptr || !this->HasType(field, *found, found->is_string(), "a string")) {
+      return std::nullopt;
+    }
+    return found->get<std::string>();
+  }
+
+  std::string Name(std::string_view field) const {
+    const std::optional<std::string> text = this->Text(field, Presence::kRequired);
+    if (text && !IsName(*text)) {
+      this->Report(field, "'" + Shortened(*text) + "' must match [a-z0-9-]{1,63}");
+    }
+    return text.value_or("");
+  }
+
+  std::optional<std::int64_t> Integer(std::string_view field,
+                                      std::int64_t minimum,
+                                      std::int64_t maximum,
+                                      Presence presence) const {
+    const json* const found = this->Field(field, presence);
+    if (found == nullptr ||
+        !this->HasType(field, *found, found->is_number_integer(), "an integer")) {
+      return std::nullopt;
+    }
+    const bool above_signed = found->is_number_unsigned() &&
+                              found->get<std::uint64_t>() > static_cast<std::uint64_t>(maximum);
+    if (above_signed || found->get<std::int64_t>() < minimum ||
+        found->get<std::int64_t>() > maximum) {
+      this->Report(field, found->dump() + " is outside " + std::to_string(minimum) + " to " +
+                              std::to_string(maximum));
+      return std::nullopt;
+    }
+    return found->get<std::int64_t>();
+  }
+
+  std::uint32_t Count(std::string_view field, std::int64_t minimum, std::int64_t maximum) const {
+    return static_cast<std::uint32_t>(
+        this->Integer(field, minimum, maximum, Presence::kRequired).value_or(minimum));
+  }
+
+  bool Boolean(std::string_view field, Presence presence) const {
+    const json* const found = this->Field(field, presence);
+    return found != nullptr && this->HasType(field, *found, found->is_boolean(), "true or false") &&
+           found->get<bool>();
+  }
+
+  // Calls `visit` with each element of an array and its place.
+  void Elements(std::string_view field,
+                Presence presence,
+                const std::function<void(const json&, const std::string&)>& visit) const {
+    const json* const found = this->Field(field, presence);
+    if (found == nullptr || !this->HasType(field, *found, found->is_array(), "an array")) {
+      return;
+    }
+    const std::string array_place = this->PlaceOf(field);
+    for (std::size_t index = 0; index < found->size(); ++index) {
+      visit((*found)[index], ChildPointer(array_place, std::to_string(index)));
+    }
+  }
+
+  // A list of distinct strings. An empty list is a fault: absence means "all",
+  // and a template that lost its entries must not widen a rule.
+  std::vector<std::string> DistinctStrings(
+      std::string_view field,
+      const std::function<void(const std::string&, const std::string&)>& check) const {
+    std::vector<std::string> strings;
+    std::set<std::string> seen;
+    this->Elements(field, Presence::kOptional, [&](const json& element, const std::string& place) {
+      if (!element.is_string()) {
+        this->report(place, "must be a string, not " + std::string(TypeName(element)));
+        return;
+      }
+      strings.push_back(element.get<std::string>());
+      if (!seen.insert(strings.back()).second) {
+        this->report(place, "'" + Shortened(strings.back()) + "' is listed more than once");
+      }
+      check(strings.back(), place);
+    });
+    const json* const found = this->Field(field, Presence::kOptional);
+    if (found != nullptr && found->is_array() && found->empty()) {
+      this->Report(field, "must not be empty; leave the field out to mean all");
+    }
+    return strings;
+  }
+
+  Labels LabelMap(std::string_view field) const {
+    Labels labels;
+    const json* const found = this->Field(field, Presence::kOptional);
+    if (found == nullptr || !this->HasType(field, *found, found->is_object(), "an object")) {
+      return labels;
+    }
+    for (const auto& item : found->items()) {
+      const std::string place = ChildPointer(this->PlaceOf(field), item.key());
+      if (item.key().empty() || !IsLabelText(item.key())) {
+        this->report(place, "label key must match [A-Za-z0-9._/-]{1,63}");
+      }
+      if (!item.value().is_string()) {
+        this->report(place, "must be a string, not " + std::string(TypeName(item.value())));
+      } else if (!IsLabelText(item.value().get_ref<const std::string&>())) {
+        this->report(place, "label value must match [A-Za-z0-9._/-]{0,63}");
+      } else {
+        labels.emplace(item.key(), item.value().get<std::string>());
+      }
+    }
+    return labels;
+  }
+
+ private:
+  bool HasType(std::string_view field, const json& found, bool matches, const char* wanted) const {
+    if (!matches) {
+      this->Report(field,
+                   "must be " + std::string(wanted) + ", not " + std::string(TypeName(found)));
+    }
+    return matches;
+  }
+
+  const json& value;
+  std::string location;
+  const FaultReporter& report;
+};
+
+// Names seen so far of one kind of entry.
+class NameRegister {
+ public:
+  explicit NameRegister(const FaultReporter& reporter) : report(reporter) {}
+
+  void Add(const std::string& name, const std::string& place) {
+    if (name.empty()) {
+      return;
+    }
+    const auto [first, inserted] = this->places.emplace(name, place);
+    if (!inserted) {
+      this->report(place, "'" + Shortened(name) + "' is already used at " + first->second);
+      return;
+    }
+    const auto [other, distinct] = this->names_by_id.emplace(StableHash(name), name);
+    if (!distinct) {
+      this->report(place, "the id of '" + Shortened(name) + "' equals that of '" +
+                              Shortened(other->second) + "'; choose another name");
+    }
+  }
+
+  bool Contains(const std::string& name) const { return this->places.contains(name); }
+
+ private:
+  const FaultReporter& report;
+  std::map<std::string, std::string> places;
+  std::map<std::uint64_t, std::string> names_by_id;
+};
+
+class DocumentReader {
+ public:
+  DocumentReader(const FaultReporter& reporter, std::uint64_t revision)
+      : report(reporter),
+        organisation_names(reporter),
+        caller_names(reporter),
+        service_names(reporter),
+        target_names(reporter),
+        target_addresses(reporter) {
+    this->configuration.revision = revision;
+  }
+
+  Configuration Read(const json& document) {
+    const ObjectReader root(document, "", this->report);
+    root.AllowOnly({"organisations", "callers", "services", "targets", "access", "work"});
+    // Names come before the entries that refer to them.
+    root.Elements("organisations", Presence::kRequired,
+                  [&](const json& value, const std::string& place) {
+                    this->ReadOrganisation(ObjectReader(value, place, this->report));
+                  });
+    root.Elements("callers", Presence::kRequired, [&](const json& value, const std::string& place) {
+      this->ReadCaller(ObjectReader(value, place, this->report));
+    });
+    root.Elements("services", Presence::kRequired,
+                  [&](const json& value, const std::string& place) {
+                    this->ReadService(ObjectReader(value, place, this->report));
+                  });
+    root.Elements("targets", Presence::kRequired, [&](const json& value, const std::string& place) {
+      this->ReadTarget(ObjectReader(value, place, this->report));
+    });
+    root.Elements("access", Presence::kRequired, [&](const json& value, const std::string& place) {
+      this->ReadAccessRule(ObjectReader(value, place, this->report));
+    });
+    root.Elements("work", Presence::kOptional, [&](const json& value, const std::string& place) {
+      this->ReadWorkRule(ObjectReader(value, place, this->report));
+    });
+    this->CheckServices();
+    return std::move(this->configuration);
+  }
+
+ private:
+  struct ServicePlace {
+    std::string place;
+    std::uint64_t slots = 0;
+    bool has_targets = false;
+    // False if a target's slots are faulty, so that the sum means nothing.
+    bool slots_known = true;
+  };
+
+  void ReadOrganisation(const ObjectReader& reader) {
+    reader.AllowOnly({"name", "labels"});
+    Organisation organisation{.name = reader.Name("name"), .labels = reader.LabelMap("labels")};
+    this->organisation_names.Add(organisation.name, reader.PlaceOf("name"));
+    this->RejectOrganisationLabel(reader, organisation.labels);
+    this->organisation_labels.emplace(organisation.name, organisation.labels);
+    this->configuration.organisations.push_back(std::move(organisation));
+  }
+
+  void ReadCaller(const ObjectReader& reader) {
+    reader.AllowOnly({"name", "organisation", "labels"});
+    Caller caller{.name = reader.Name("name"),
+                  .organisation = reader.Name("organisation"),
+                  .labels = reader.LabelMap("labels")};
+    this->caller_names.Add(caller.name, reader.PlaceOf("name"));
+    this->CheckReference(caller.organisation, this->organisation_names, "organisation",
+                         reader.PlaceOf("organisation"));
+    this->RejectOrganisationLabel(reader, caller.labels);
+    caller.labels.emplace(kOrganisationLabel, caller.organisation);
+    // A caller's own label takes precedence over that of its organisation.
+    const auto inherited = this->organisation_labels.find(caller.organisation);
+    if (inherited != this->organisation_labels.end()) {
+      caller.labels.insert(inherited->second.begin(), inherited->second.end());
+    }
+    this->configuration.callers.push_back(std::move(caller));
+  }
+
+  void ReadService(const ObjectReader& reader) {
+    reader.AllowOnly({"name", "floor_slots", "deadline_ms", "queue_limit"});
+    Service service{
+        .name = reader.Name("name"),
+        .floor_slots = reader.Count("floor_slots", 0, kMaxFloorSlots),
+        .deadline = std::chrono::milliseconds(reader.Count("deadline_ms", 1, kMaxDeadlineMs)),
+        .queue_limit = reader.Count("queue_limit", 0, kMaxQueueLimit)};
+    this->service_names.Add(service.name, reader.PlaceOf("name"));
+    this->service_places.emplace(service.name, ServicePlace{.place = reader.place()});
+    this->configuration.services.push_back(std::move(service));
+  }
+
+  void ReadTarget(const ObjectReader& reader) {
+    reader.AllowOnly(
+        {"name", "service", "address", "domain", "slots", "connections", "labels", "leaving"});
+    const std::optional<std::int64_t> slots =
+        reader.Integer("slots", 1, kMaxSlots, Presence::kRequired);
+    const std::optional<std::int64_t> connections =
+        reader.Integer("connections", 1, kMaxConnections, Presence::kRequired);
+    Target target{.name = reader.Name("name"),
+                  .service = reader.Name("service"),
+                  .address = this->ReadAddress(reader),
+                  .domain = reader.Name("domain"),
+                  .slots = static_cast<std::uint32_t>(slots.value_or(1)),
+                  .connections = static_cast<std::uint32_t>(connections.value_or(1)),
+                  .labels = reader.LabelMap("labels"),
+                  .leaving = reader.Boolean("leaving", Presence::kOptional)};
+    this->target_names.Add(target.name, reader.PlaceOf("name"));
+    this->CheckReference(target.service, this->service_names, "service", reader.PlaceOf("service"));
+    if (slots && connections && *connections < *slots) {
+      reader.Report("connections", "is below the number of slots");
+    }
+    const auto service = this->service_places.find(target.service);
+    if (service != this->service_places.end()) {
+      service->second.slots += target.slots;
+      service->second.has_targets = true;
+      service->second.slots_known = service->second.slots_known && slots.has_value();
+    }
+    this->configuration.targets.push_back(std::move(target));
+  }
+
+  std::string ReadAddress(const ObjectReader& reader) {
+    const std::optional<std::string> text = reader.Text("address", Presence::kRequired);
+    if (!text) {
+      return "";
+    }
+    const std::optional<SocketAddress> address = SocketAddress::Parse(*text);
+    if (!address || address->port == 0) {
+      reader.Report("address", "'" + Shortened(*text) + "' must be IP:port with port 1 to 65535");
+      return "";
+    }
+    // Two targets at one address would count its slots twice.
+    this->target_addresses.Add(address->ToText(), reader.PlaceOf("address"));
+    return *text;
+  }
+
+  void ReadAccessRule(const ObjectReader& reader) {
+    reader.AllowOnly({"callers", "targets", "services"});
+    this->configuration.access.push_back(
+        {.callers = this->ReadSelector(reader, "callers", Presence::kRequired),
+         .targets = this->ReadSelector(reader, "targets", Presence::kRequired),
+         .services = this->ReadServiceNames(reader)});
+  }
+
+  void ReadWorkRule(const ObjectReader& reader) {
+    reader.AllowOnly({"services", "methods", "path_prefix", "callers", "idempotent", "long",
+                      "deadline_ms", "affinity"});
+    WorkRule rule{.services = this->ReadServiceNames(reader),
+                  .methods = this->ReadMethods(reader),
+                  .path_prefix = this->ReadPathPrefix(reader),
+                  .callers = this->ReadSelector(reader, "callers", Presence::kOptional),
+                  .idempotent = reader.Boolean("idempotent", Presence::kRequired),
+                  .is_long = reader.Boolean("long", Presence::kOptional),
+                  .affinity = reader.Boolean("affinity", Presence::kOptional)};
+    const std::optional<std::int64_t> deadline_ms =
+        reader.Integer("deadline_ms", 1, kMaxDeadlineMs, Presence::kOptional);
+    if (deadline_ms) {
+      rule.deadline = std::chrono::milliseconds(*deadline_ms);
+    }
+    this->configuration.work.push_back(std::move(rule));
+  }
+
+  std::vector<std::string> ReadServiceNames(const ObjectReader& reader) {
+    return reader.DistinctStrings(
+        "services", [&](const std::string& name, const std::string& place) {
+          this->CheckReference(name, this->service_names, "service", place);
+        });
+  }
+
+  std::vector<std::string> ReadMethods(const ObjectReader& reader) {
+    return reader.DistinctStrings(
+        "methods", [&](const std::string& method, const std::string& place) {
+          if (!IsMethod(method)) {
+            this->report(place, "'" + Shortened(method) + "' is not a method in upper case");
+          }
+        });
+  }
+
+  std::string ReadPathPrefix(const ObjectReader& reader) {
+    const std::string prefix = reader.Text("path_prefix", Presence::kOptional).value_or("");
+    if (!prefix.empty() && prefix.front() != '/') {
+      reader.Report("path_prefix", "must start with '/'");
+    }
+    if (prefix.size() > kMaxPathPrefixBytes) {
+      reader.Report("path_prefix",
+                    "is longer than " + std::to_string(kMaxPathPrefixBytes) + " bytes");
+    }
+    return prefix;
+  }
+
+  Selector ReadSelector(const ObjectReader& parent, std::string_view field, Presence presence) {
+    const json* const found = parent.Field(field, presence);
+    if (found == nullptr) {
+      return {};
+    }
+    const ObjectReader reader(*found, parent.PlaceOf(field), this->report);
+    reader.AllowOnly({"match_labels", "match_expressions"});
+    Selector selector{.match_labels = reader.LabelMap("match_labels")};
+    reader.Elements("match_expressions", Presence::kOptional,
+                    [&](const json& value, const std::string& place) {
+                      selector.match_expressions.push_back(
+                          this->ReadRequirement(ObjectReader(value, place, this->report)));
+                    });
+    return selector;
+  }
+
+  SelectorRequirement ReadRequirement(const ObjectReader& reader) {
+    reader.AllowOnly({"key", "operator", "values"});
+    SelectorRequirement requirement{.key = reader.Text("key", Presence::kRequired).value_or("")};
+    if (reader.Field("key", Presence::kOptional) != nullptr &&
+        (requirement.key.empty() || !IsLabelText(requirement.key))) {
+      reader.Report("key", "label key must match [A-Za-z0-9._/-]{1,63}");
+    }
+    std::set<std::string> seen;
+    reader.Elements(
+        "values", Presence::kOptional, [&](const json& value, const std::string& place) {
+          if (!value.is_string()) {
+            this->report(place, "must be a string, not " + std::string(TypeName(value)));
+          } else if (!IsLabelText(value.get_ref<const std::string&>())) {
+            this->report(place, "label value must match [A-Za-z0-9._/-]{0,63}");
+          } else if (!seen.insert(value.get<std::string>()).second) {
+            this->report(place, "'" + value.get<std::string>() + "' is listed more than once");
+          } else {
+            requirement.values.push_back(value.get<std::string>());
+          }
+        });
+    this->ReadOperator(reader, requirement);
+    return requirement;
+  }
+
+  void ReadOperator(const ObjectReader& reader, SelectorRequirement& requirement) {
+    static constexpr std::array kOperators{
+        std::pair<std::string_view, SelectorOperator>{"In", SelectorOperator::kIn},
+        std::pair<std::string_view, SelectorOperator>{"NotIn", SelectorOperator::kNotIn},
+        std::pair<std::string_view, SelectorOperator>{"Exists", SelectorOperator::kExists},
+        std::pair<std::string_view, SelectorOperator>{"DoesNotExist",
+                                                      SelectorOperator::kDoesNotExist}};
+    const std::optional<std::string> text = reader.Text("operator", Presence::kRequired);
+    if (!text) {
+      return;
+    }
+    const auto* const found = std::find_if(kOperators.begin(), kOperators.end(),
+                                           [&](const auto& entry) { return entry.first == *text; });
+    if (found == kOperators.end()) {
+      reader.Report("operator",
+                    "'" + Shortened(*text) + "' is not one of In, NotIn, Exists, DoesNotExist");
+      return;
+    }
+    requirement.op = found->second;
+    const json* const values = reader.Field("values", Presence::kOptional);
+    const bool has_values = values != nullptr && !(values->is_array() && values->empty());
+    const bool takes_values =
+        requirement.op == SelectorOperator::kIn || requirement.op == SelectorOperator::kNotIn;
+    if (takes_values && !has_values) {
+      reader.Report("values", *text + " needs at least one value");
+    }
+    if (!takes_values && has_values) {
+      reader.Report("values", *text + " takes no values");
+    }
+  }
+
+  void CheckReference(const std::string& name,
+                      const NameRegister& known,
+                      std::string_view kind,
+                      const std::string& place) {
+    if (!name.empty() && !known.Contains(name)) {
+      this->report(place, "unknown " + std::string(kind) + " '" + Shortened(name) + "'");
+    }
+  }
+
+  void RejectOrganisationLabel(const ObjectReader& reader, const Labels& labels) {
+    if (labels.contains(std::string(kOrganisationLabel))) {
+      this->report(ChildPointer(reader.PlaceOf("labels"), kOrganisationLabel),
+                   "is set from the caller's organisation and must not be given");
+    }
+  }
+
+  // A leaving target counts towards the floor: draining must not make the
+  // document invalid.
+  void CheckServices() {
+    for (const Service& service : this->configuration.services) {
+      const auto entry = this->service_places.find(service.name);
+      if (service.name.empty() || entry == this->service_places.end()) {
+        continue;
+      }
+      if (!entry->second.has_targets) {
+        this->report(entry->second.place, "service has no targets");
+      } else if (entry->second.slots_known && service.floor_slots > entry->second.slots) {
+        this->report(ChildPointer(entry->second.place, "floor_slots"),
+                     std::to_string(service.floor_slots) + " is above the " +
+                         std::to_string(entry->second.slots) + " slots of the service's targets");
+      }
+      // A second service of the same name was reported as a duplicate.
+      this->service_places.erase(entry);
+    }
+  }
+
+  const FaultReporter& report;
+  Configuration configuration;
+  NameRegister organisation_names;
+  NameRegister caller_names;
+  NameRegister service_names;
+  NameRegister target_names;
+  NameRegister target_addresses;
+  std::map<std::string, Labels> organisation_labels;
+  std::map<std::string, ServicePlace> service_places;
+};
+
+}  // namespace
+
+std::optional<Configuration> ReadConfiguration(std::string_view json_text,
+                                               std::uint64_t revision,
+                                               Findings& findings,
+                                               const ConfigurationLimits& limits) {
+  std::size_t faults = 0;
+  const FaultReporter report = [&](std::string place, std::string message) {
+    ++faults;
+    if (faults <= limits.max_findings) {
+      findings.Add(std::move(place), std::move(message));
+    }
+  };
+  if (json_text.size() > limits.max_bytes) {
+    report("", "document has " + std::to_string(json_text.size()) + " bytes; at most " +
+                   std::to_string(limits.max_bytes) + " are allowed");
+    return std::nullopt;
+  }
+  if (!ScanDocument(json_text, limits.max_depth, report)) {
+    return std::nullopt;
+  }
+  Configuration configuration = DocumentReader(report, revision).Read(json::parse(json_text));
+  if (faults > limits.max_findings) {
+    findings.Add("", std::to_string(faults - limits.max_findings) + " further faults not listed");
+  }
+  if (faults > 0) {
+    return std::nullopt;
+  }
+  return configuration.WithIndex();
+}
+
+}  // namespace pimentopin
