--- a/Libraries/LibConfig/configuration.cc
+++ b/Libraries/LibConfig/configuration.cc
@@ -55,6 +55,33 @@
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
+// True for "." and ".." segments, also with percent-encoded dots.
+bool IsDotSegment(std::string_view segment) {
+  std::size_t dots = 0;
+  while (!segment.empty()) {
+    if (segment.front() == '.') {
+      segment.remove_prefix(1);
+    } else if (segment.starts_with("%2e") || segment.starts_with("%2E")) {
+      segment.remove_prefix(3);
+    } else {
+      return false;
+    }
+    ++dots;
+  }
+  return dots == 1 || dots == 2;
+}
+
+bool HasDotSegment(std::string_view path) {
+  while (!path.empty()) {
+    const std::size_t end = std::min(path.find('/'), path.size());
+    if (IsDotSegment(path.substr(0, end))) {
+      return true;
+    }
+    path.remove_prefix(std::min(end + 1, path.size()));
+  }
+  return false;
+}
+
 }  // namespace
 
 Configuration Configuration::WithIndex() const {
@@ -139,6 +166,11 @@
                                    const Service& service,
                                    std::string_view method,
                                    std::string_view path) const {
+  // A target may resolve /availability/../bookings to /bookings, so the prefix says nothing about
+  // the work, and a repeat could book twice.
+  if (HasDotSegment(path)) {
+    return {.idempotent = false, .deadline = service.deadline};
+  }
   const auto matches = [&](const WorkRule& rule) {
     return ListedOrEmpty(rule.services, service.name) && ListedOrEmpty(rule.methods, method) &&
            path.starts_with(rule.path_prefix) && rule.callers.Matches(caller.labels);
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -125,7 +125,8 @@
   // Targets of the service that an access rule opens to the caller; empty
   // means that the caller is denied.
   std::vector<const Target*> AllowedTargets(const Caller& caller, const Service& service) const;
-  // `path` is the part after the service name and starts with '/'.
+  // `path` is the part after the service name and starts with '/'. No rule
+  // applies to a path with "." or ".." segments; it is not idempotent.
   WorkTraits TraitsOf(const Caller& caller,
                       const Service& service,
                       std::string_view method,
--- a/Tests/LibConfig/configuration_reader_test.cc
+++ b/Tests/LibConfig/configuration_reader_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(TestDrainedServiceKeepsItsFloor);
   CPPUNIT_TEST(TestIndexedLookUpsEqualLinearOnes);
   CPPUNIT_TEST(TestIndexFollowsCopies);
+  CPPUNIT_TEST(TestDotSegmentsMatchNoRule);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -288,6 +289,24 @@
     CPPUNIT_ASSERT(copy.FindTarget(copy.targets[1].id()) == &copy.targets[1]);
   }
 
+  // Guards against a booking that is sent twice because its path passes through
+  // a prefix that is idempotent.
+  void TestDotSegmentsMatchNoRule() {
+    const Configuration configuration = ReadValid(documents::Valid());
+    const Caller& caller = configuration.callers[0];
+    const Service& service = configuration.services[1];
+    const auto is_idempotent = [&](const char* path) {
+      return configuration.TraitsOf(caller, service, "POST", path).idempotent;
+    };
+    CPPUNIT_ASSERT(is_idempotent("/large/7"));
+    CPPUNIT_ASSERT(is_idempotent("/large/..."));
+    CPPUNIT_ASSERT(is_idempotent("/large/a..b"));
+    for (const char* path : {"/large/../bookings", "/large/%2e%2E/bookings", "/large/.%2e",
+                             "/large/./x", "/large/.."}) {
+      CPPUNIT_ASSERT_MESSAGE(path, !is_idempotent(path));
+    }
+  }
+
  private:
   static std::vector<std::string> Names(const std::vector<const Target*>& targets) {
     std::vector<std::string> names;
