Protocol: Carry probe outcomes to the broker

Cause: probes are made by one host per target and failure domain, but the broker of the service judges the targets; no message carried their outcome. Change: message ProbeReport with schema, codec and generator; the test of an unknown message type now derives the first unknown number from the list of messages, since 13 has become a known one.

--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -165,6 +165,13 @@
                 .Union()};
   }
 
+  TypedMessage Write(const ProbeReport& value) {
+    return {wire::Message::ProbeReport,
+            wire::CreateProbeReport(this->builder, RawId(value.service), RawId(value.target),
+                                    Byte(value.result), Microseconds(value.service_time))
+                .Union()};
+  }
+
   static wire::MemberHeartbeat Heartbeat(const MemberRecord& record) {
     return {RawId(record.host), record.incarnation, static_cast<std::uint32_t>(record.heartbeat),
             Byte(record.state)};
@@ -291,6 +298,9 @@
       case wire::Message::ConfigurationDocument:
         result.message = this->Read(*envelope.message_as_ConfigurationDocument());
         break;
+      case wire::Message::ProbeReport:
+        result.message = this->Read(*envelope.message_as_ProbeReport());
+        break;
       default:
         this->Reject("message type is unknown");
         break;
@@ -457,6 +467,13 @@
     return view;
   }
 
+  ProbeReport Read(const wire::ProbeReport& value) {
+    return {.service = ServiceId{value.service()},
+            .target = TargetId{value.target()},
+            .result = this->Enumerator(value.result(), AttemptResult::kCancelled),
+            .service_time = this->Microseconds(value.service_time_us())};
+  }
+
   MemberRecord ReadHeartbeat(const wire::MemberHeartbeat& value, std::uint64_t revision) {
     MemberRecord record;
     record.host = HostId{value.host()};
--- a/Libraries/LibProtocol/envelope.h
+++ b/Libraries/LibProtocol/envelope.h
@@ -19,7 +19,8 @@
                              Gossip,
                              ConfigurationOffer,
                              ConfigurationRequest,
-                             ConfigurationDocument>;
+                             ConfigurationDocument,
+                             ProbeReport>;
 
 // A message with the host and failure domain that sent it.
 struct Envelope {
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -68,6 +68,9 @@
 struct ConfigurationDocument;
 struct ConfigurationDocumentBuilder;
 
+struct ProbeReport;
+struct ProbeReportBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -85,11 +88,12 @@
   ConfigurationOffer = 10,
   ConfigurationRequest = 11,
   ConfigurationDocument = 12,
+  ProbeReport = 13,
   MIN = NONE,
-  MAX = ConfigurationDocument
+  MAX = ProbeReport
 };
 
-inline const Message (&EnumValuesMessage())[13] {
+inline const Message (&EnumValuesMessage())[14] {
   static const Message values[] = {
     Message::NONE,
     Message::SlotRequest,
@@ -103,13 +107,14 @@
     Message::Gossip,
     Message::ConfigurationOffer,
     Message::ConfigurationRequest,
-    Message::ConfigurationDocument
+    Message::ConfigurationDocument,
+    Message::ProbeReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "NONE",
     "SlotRequest",
     "SlotCancel",
@@ -123,13 +128,14 @@
     "ConfigurationOffer",
     "ConfigurationRequest",
     "ConfigurationDocument",
+    "ProbeReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ConfigurationDocument)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ProbeReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -186,6 +192,10 @@
   static const Message enum_value = Message::ConfigurationDocument;
 };
 
+template<> struct MessageTraits<pimentopin::wire::ProbeReport> {
+  static const Message enum_value = Message::ProbeReport;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -1749,6 +1759,83 @@
       content__);
 }
 
+struct ProbeReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_TARGET = 6,
+    VT_RESULT = 8,
+    VT_SERVICE_TIME_US = 10
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t target() const {
+    return GetField<uint64_t>(VT_TARGET, 0);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  int64_t service_time_us() const {
+    return GetField<int64_t>(VT_SERVICE_TIME_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<int64_t>(verifier, VT_SERVICE_TIME_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ProbeReportBuilder {
+  typedef ProbeReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(ProbeReport::VT_SERVICE, service, 0);
+  }
+  void add_target(uint64_t target) {
+    fbb_.AddElement<uint64_t>(ProbeReport::VT_TARGET, target, 0);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(ProbeReport::VT_RESULT, result, 0);
+  }
+  void add_service_time_us(int64_t service_time_us) {
+    fbb_.AddElement<int64_t>(ProbeReport::VT_SERVICE_TIME_US, service_time_us, 0);
+  }
+  explicit ProbeReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProbeReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProbeReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProbeReport> CreateProbeReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t target = 0,
+    uint8_t result = 0,
+    int64_t service_time_us = 0) {
+  ProbeReportBuilder builder_(_fbb);
+  builder_.add_service_time_us(service_time_us);
+  builder_.add_target(target);
+  builder_.add_service(service);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+struct ProbeReport::Traits {
+  using type = ProbeReport;
+  static auto constexpr Create = CreateProbeReport;
+};
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -1807,6 +1894,9 @@
   const pimentopin::wire::ConfigurationDocument *message_as_ConfigurationDocument() const {
     return message_type() == pimentopin::wire::Message::ConfigurationDocument ? static_cast<const pimentopin::wire::ConfigurationDocument *>(message()) : nullptr;
   }
+  const pimentopin::wire::ProbeReport *message_as_ProbeReport() const {
+    return message_type() == pimentopin::wire::Message::ProbeReport ? static_cast<const pimentopin::wire::ProbeReport *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SENDER, 8) &&
@@ -1866,6 +1956,10 @@
   return message_as_ConfigurationDocument();
 }
 
+template<> inline const pimentopin::wire::ProbeReport *Envelope::message_as<pimentopin::wire::ProbeReport>() const {
+  return message_as_ProbeReport();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1965,6 +2059,10 @@
       auto ptr = reinterpret_cast<const pimentopin::wire::ConfigurationDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::ProbeReport: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::ProbeReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -176,4 +176,14 @@
   friend bool operator==(const ServiceView&, const ServiceView&) = default;
 };
 
+// Outcome of a probe, for the broker of the service.
+struct ProbeReport {
+  ServiceId service{};
+  TargetId target{};
+  AttemptResult result = AttemptResult::kSuccess;
+  Duration service_time{};
+
+  friend bool operator==(const ProbeReport&, const ProbeReport&) = default;
+};
+
 }  // namespace pimentopin
--- a/Tests/LibProtocol/codec_test.cc
+++ b/Tests/LibProtocol/codec_test.cc
@@ -192,7 +192,9 @@
     AssertRejected(Forge(untyped, wire::Message::NONE, grant));
     flatbuffers::FlatBufferBuilder unknown;
     const auto other = wire::CreateSlotGrant(unknown, 1, 1, 1).Union();
-    AssertRejected(Forge(unknown, static_cast<wire::Message>(13), other));
+    const auto first_unknown =
+        static_cast<wire::Message>(std::variant_size_v<Message> + 1);  // 0 is NONE
+    AssertRejected(Forge(unknown, first_unknown, other));
     flatbuffers::FlatBufferBuilder anonymous;
     const auto gossip = wire::CreateGossip(anonymous).Union();
     AssertRejected(Forge(anonymous, wire::Message::Gossip, gossip));
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -191,6 +191,14 @@
       rc::gen::set(&ConfigurationDocument::content, rc::gen::arbitrary<std::string>()));
 }
 
+inline rc::Gen<ProbeReport> AnyProbeReport() {
+  return rc::gen::build<ProbeReport>(
+      rc::gen::set(&ProbeReport::service, AnyId<ServiceId>()),
+      rc::gen::set(&ProbeReport::target, AnyId<TargetId>()),
+      rc::gen::set(&ProbeReport::result, AnyEnumerator(AttemptResult::kCancelled)),
+      rc::gen::set(&ProbeReport::service_time, AnyDuration()));
+}
+
 template <typename Value>
 rc::Gen<Envelope> EnvelopeOf(rc::Gen<Value> message) {
   return rc::gen::build<Envelope>(
@@ -214,7 +222,8 @@
           EnvelopeOf(AnyGossip()),
           EnvelopeOf(AnyConfigurationOffer()),
           EnvelopeOf(AnyConfigurationRequest()),
-          EnvelopeOf(AnyConfigurationDocument())};
+          EnvelopeOf(AnyConfigurationDocument()),
+          EnvelopeOf(AnyProbeReport())};
 }
 
 }  // namespace pimentopin
