Dispatch: Do not change the broker's queue while reading it

Cause: refusing expired entries removed them while iterating over pointers into the same queue (use after free, found by AddressSanitizer in the fleet test).

Change: the entries to remove are collected first, also for a dead host.

Result: TestLibDispatch passes its 7 tests with -fsanitize=address,undefined.

Conclusion: fixed; the test that guards it needs a sanitizer build.

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -378,11 +378,15 @@
 
 std::vector<SendToHost> SlotBroker::OnHostDead(TimePoint now, HostId host) {
   this->hosts.erase(host);
+  std::vector<AttemptId> orphans;
   for (const QueueEntry* entry : this->queue.All()) {
     if (entry->host == host) {
-      this->queue.Remove(AttemptId{entry->request.attempt});
+      orphans.push_back(entry->request.attempt);
     }
   }
+  for (const AttemptId attempt : orphans) {
+    this->queue.Remove(attempt);
+  }
   this->table.FreeHost(now, host);
   Messages messages;
   this->Dispatch(now, messages);
@@ -455,19 +459,18 @@
 }
 
 void SlotBroker::RefuseExpired(TimePoint now, Messages& messages) {
+  std::vector<std::pair<AttemptId, RefusalReason>> refused;
   for (const QueueEntry* entry : this->queue.All()) {
-    RefusalReason reason = RefusalReason::kNone;
     if (entry->deadline <= now) {
-      reason = RefusalReason::kDeadline;
+      refused.emplace_back(entry->request.attempt, RefusalReason::kDeadline);
     } else if (this->CandidatesFor(*entry).empty()) {
-      reason = RefusalReason::kNoTarget;
-    }
-    if (reason != RefusalReason::kNone) {
-      const AttemptId attempt = entry->request.attempt;
-      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-      messages.push_back({removed->host, this->Refusal(removed->request, reason)});
+      refused.emplace_back(entry->request.attempt, RefusalReason::kNoTarget);
     }
   }
+  for (const auto& [attempt, reason] : refused) {
+    const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
+    messages.push_back({removed->host, this->Refusal(removed->request, reason)});
+  }
 }
 
 std::uint64_t SlotBroker::NextSequence(TimePoint now) {
