--- /dev/null
+++ b/Tests/LibDispatch/components_test.cc
@@ -0,0 +1,333 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+#include "Libraries/LibDispatch/broker_route.h"
+#include "Libraries/LibDispatch/fair_queue.h"
+#include "Libraries/LibDispatch/long_work_share.h"
+#include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/service_time_estimate.h"
+#include "Libraries/LibDispatch/slot_table.h"
+#include "Libraries/LibDispatch/view_state.h"
+
+namespace pimentopin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+QueueEntry Entry(std::uint64_t attempt, std::uint64_t organisation, int arrived_ms = 0) {
+  return {.request = {.attempt = AttemptId{attempt}, .organisation = OrganisationId{organisation}},
+          .arrived = TimePoint(milliseconds(arrived_ms))};
+}
+
+class ComponentsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ComponentsTest);
+  CPPUNIT_TEST(TestFairQueueAlternatesBetweenOrganisations);
+  CPPUNIT_TEST(TestFairQueueGivesNoCreditForIdleTime);
+  CPPUNIT_TEST(TestFairQueueAheadOfMatchesOrder);
+  CPPUNIT_TEST(TestFairQueueVictimIsOfLargestOrganisation);
+  CPPUNIT_TEST(TestRetryBudgetWindow);
+  CPPUNIT_TEST(TestLongWorkShareFollowsOfferedWork);
+  CPPUNIT_TEST(TestPredictedWait);
+  CPPUNIT_TEST(TestSlotTableIgnoresClaimAfterRelease);
+  CPPUNIT_TEST(TestSlotTableReportGrace);
+  CPPUNIT_TEST(TestSlotTableFreesSilentHost);
+  CPPUNIT_TEST(TestSlotTableRebuildsFromReports);
+  CPPUNIT_TEST(TestSlotTableOutlastsOwnPause);
+  CPPUNIT_TEST(TestSlotTableCountsStayConsistent);
+  CPPUNIT_TEST(TestBrokerRouteMovesOnAndReturns);
+  CPPUNIT_TEST(TestViewStateIgnoresOlderViews);
+  CPPUNIT_TEST(TestViewStateAppliesFloor);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // rapidcheck reads its seed from the environment when the first check runs.
+  void setUp() override { setenv("RC_PARAMS", "seed=20261204", 0); }
+
+  // Guards against service in order of arrival, by which an organisation with a
+  // backlog delays all others.
+  void TestFairQueueAlternatesBetweenOrganisations() {
+    FairQueue queue;
+    for (std::uint64_t index = 0; index < 50; ++index) {
+      queue.Push(Entry(100 + index, 1));
+    }
+    for (std::uint64_t index = 0; index < 5; ++index) {
+      queue.Push(Entry(200 + index, 2, 1));
+    }
+    int served_of_second = 0;
+    for (int index = 0; index < 10; ++index) {
+      const AttemptId next = queue.Ordered(WorkClass::kShort).front()->request.attempt;
+      served_of_second += RawId(next) >= 200 ? 1 : 0;
+      queue.Take(next);
+    }
+    CPPUNIT_ASSERT_EQUAL(5, served_of_second);
+  }
+
+  // Guards against an organisation that saves up service while it sends nothing.
+  void TestFairQueueGivesNoCreditForIdleTime() {
+    FairQueue queue;
+    for (std::uint64_t index = 0; index < 100; ++index) {
+      queue.Push(Entry(100 + index, 1));
+    }
+    for (int index = 0; index < 50; ++index) {
+      queue.Take(queue.Ordered(WorkClass::kShort).front()->request.attempt);
+    }
+    for (std::uint64_t index = 0; index < 50; ++index) {
+      queue.Push(Entry(300 + index, 2, 1));
+    }
+    int served_of_second = 0;
+    for (int index = 0; index < 20; ++index) {
+      const AttemptId next = queue.Ordered(WorkClass::kShort).front()->request.attempt;
+      served_of_second += RawId(next) >= 300 ? 1 : 0;
+      queue.Take(next);
+    }
+    CPPUNIT_ASSERT(served_of_second >= 9 && served_of_second <= 11);
+  }
+
+  // Guards against a predicted wait that counts entries which are served later,
+  // so that a small organisation is refused because of a flooding one.
+  void TestFairQueueAheadOfMatchesOrder() {
+    const bool holds = rc::check("AheadOf is the position of a new entry", [] {
+      FairQueue queue;
+      std::uint64_t attempt = 1;
+      for (const auto operation : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6))) {
+        const std::vector<const QueueEntry*> ordered = queue.Ordered(WorkClass::kShort);
+        if (operation >= 4 && !ordered.empty()) {
+          queue.Take(ordered.front()->request.attempt);
+        } else {
+          queue.Push(Entry(attempt++, static_cast<std::uint64_t>(operation % 4), 0));
+        }
+      }
+      const auto organisation = static_cast<std::uint64_t>(*rc::gen::inRange(0, 5));
+      const std::size_t ahead = queue.AheadOf(WorkClass::kShort, OrganisationId{organisation});
+      queue.Push(Entry(attempt, organisation, 1));
+      const std::vector<const QueueEntry*> ordered = queue.Ordered(WorkClass::kShort);
+      RC_ASSERT(ahead < ordered.size());
+      RC_ASSERT(ordered[ahead]->request.attempt == AttemptId{attempt});
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  // Guards against a full queue that drops requests of small organisations.
+  void TestFairQueueVictimIsOfLargestOrganisation() {
+    FairQueue queue;
+    for (std::uint64_t index = 0; index < 5; ++index) {
+      queue.Push(Entry(100 + index, 1));
+    }
+    queue.Push(Entry(200, 2));
+    CPPUNIT_ASSERT(queue.VictimFor(WorkClass::kShort, OrganisationId{2}) == AttemptId{104});
+    CPPUNIT_ASSERT(!queue.VictimFor(WorkClass::kShort, OrganisationId{1}));
+  }
+
+  // Guards against retries above 8 % of the first attempts of the last 10 s,
+  // and against a service with few requests that can never retry.
+  void TestRetryBudgetWindow() {
+    RetryBudget budget;
+    TimePoint now(seconds(100));
+    CPPUNIT_ASSERT(budget.TryRetry(now));
+    CPPUNIT_ASSERT(!budget.TryRetry(now + milliseconds(500)));
+    CPPUNIT_ASSERT(budget.TryRetry(now + milliseconds(1100)));
+    now += seconds(20);
+    for (int index = 0; index < 1000; ++index) {
+      budget.RecordFirstAttempt(now);
+    }
+    int allowed = 0;
+    for (int index = 0; index < 200; ++index) {
+      allowed += budget.TryRetry(now + milliseconds(100)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(80, allowed);
+    CPPUNIT_ASSERT(budget.TryRetry(now + seconds(11)));
+    CPPUNIT_ASSERT(!budget.TryRetry(now + seconds(11)));
+  }
+
+  // Guards against a limit that ignores the mix of work or reaches every slot.
+  void TestLongWorkShareFollowsOfferedWork() {
+    LongWorkShare share(1.0);
+    const TimePoint now(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(1U, share.Limit(18));
+    for (int index = 0; index < 98; ++index) {
+      share.RecordArrival(now, WorkClass::kShort, milliseconds(20));
+    }
+    share.RecordArrival(now, WorkClass::kLong, milliseconds(600));
+    share.RecordArrival(now, WorkClass::kLong, milliseconds(600));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.38, share.share(), 0.01);
+    CPPUNIT_ASSERT_EQUAL(7U, share.Limit(18));
+    for (int index = 0; index < 1000; ++index) {
+      share.RecordArrival(now, WorkClass::kLong, milliseconds(600));
+    }
+    CPPUNIT_ASSERT_EQUAL(17U, share.Limit(18));
+    CPPUNIT_ASSERT_EQUAL(1U, share.Limit(1));
+  }
+
+  // Guards against an admission control that mixes up classes or slots.
+  void TestPredictedWait() {
+    ServiceTimeEstimate estimate;
+    CPPUNIT_ASSERT(estimate.PredictedWait(WorkClass::kShort, 100, 1) == Duration::zero());
+    estimate.Observe(WorkClass::kShort, milliseconds(20));
+    estimate.Observe(WorkClass::kLong, milliseconds(600));
+    CPPUNIT_ASSERT(estimate.PredictedWait(WorkClass::kShort, 9, 18) == milliseconds(10));
+    CPPUNIT_ASSERT(estimate.PredictedWait(WorkClass::kLong, 1, 2) == milliseconds(300));
+  }
+
+  // Guards against a claim that arrives after its release and holds a slot.
+  void TestSlotTableIgnoresClaimAfterRelease() {
+    SlotTable table;
+    const TimePoint now(seconds(1));
+    table.Free(now, AttemptId{1});
+    CPPUNIT_ASSERT(!table.Add(now, AttemptId{1}, {.host = HostId{1}, .target = TargetId{1}}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table.size());
+  }
+
+  // Guards against freeing an attempt whose grant crossed the report, and
+  // against keeping one whose release was lost.
+  void TestSlotTableReportGrace() {
+    SlotTable table;
+    const TimePoint now(seconds(1));
+    table.Add(now, AttemptId{1}, {.host = HostId{1}, .target = TargetId{1}});
+    table.Reconcile(now + milliseconds(900), HostId{1}, {});
+    CPPUNIT_ASSERT_EQUAL(1U, table.CountAt(TargetId{1}));
+    table.Reconcile(now + milliseconds(1100), HostId{1}, {});
+    CPPUNIT_ASSERT_EQUAL(0U, table.CountAt(TargetId{1}));
+  }
+
+  // Guards against slots that a failed host holds for ever.
+  void TestSlotTableFreesSilentHost() {
+    SlotTable table;
+    const TimePoint now(seconds(1));
+    table.Add(now, AttemptId{1}, {.host = HostId{1}, .target = TargetId{1}});
+    table.Add(now, AttemptId{2}, {.host = HostId{2}, .target = TargetId{1}});
+    table.Reconcile(now + seconds(1), HostId{1}, {{AttemptId{1}, TargetId{1}, WorkClass::kShort}});
+    table.Expire(now + seconds(2));
+    CPPUNIT_ASSERT_EQUAL(2U, table.CountAt(TargetId{1}));
+    table.Expire(now + milliseconds(2100));
+    CPPUNIT_ASSERT_EQUAL(1U, table.CountAt(TargetId{1}));
+    table.Expire(now + milliseconds(3100));
+    CPPUNIT_ASSERT_EQUAL(0U, table.CountAt(TargetId{1}));
+  }
+
+  // Guards against a new broker that grants slots which are in use.
+  void TestSlotTableRebuildsFromReports() {
+    SlotTable table;
+    const TimePoint now(seconds(1));
+    table.Reconcile(now, HostId{1}, {{AttemptId{1}, TargetId{1}, WorkClass::kLong}});
+    CPPUNIT_ASSERT_EQUAL(1U, table.CountAt(TargetId{1}));
+    CPPUNIT_ASSERT_EQUAL(1U, table.long_count());
+    table.Reconcile(now, HostId{1}, {{AttemptId{1}, TargetId{2}, WorkClass::kLong}});
+    CPPUNIT_ASSERT_EQUAL(0U, table.CountAt(TargetId{1}));
+    CPPUNIT_ASSERT_EQUAL(1U, table.CountAt(TargetId{2}));
+  }
+
+  // Guards against a paused broker that frees all slots when it resumes.
+  void TestSlotTableOutlastsOwnPause() {
+    SlotTable table;
+    const TimePoint now(seconds(1));
+    table.Add(now, AttemptId{1}, {.host = HostId{1}, .target = TargetId{1}});
+    table.ExtendTimeouts(seconds(5));
+    table.Expire(now + seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.size());
+  }
+
+  // Guards against counts that differ from the attempts after any sequence of
+  // additions, releases, reports and time-outs.
+  void TestSlotTableCountsStayConsistent() {
+    const bool holds = rc::check("counts equal the holders", [] {
+      SlotTable table;
+      TimePoint now(seconds(1));
+      for (const auto step : *rc::gen::container<std::vector<std::uint32_t>>(
+               rc::gen::inRange<std::uint32_t>(0, 6000))) {
+        now += milliseconds(step % 400);
+        const AttemptId attempt{step % 7};
+        const HostId host{step % 2};
+        const TargetId target{step % 3};
+        const auto work_class = step % 5 == 0 ? WorkClass::kLong : WorkClass::kShort;
+        switch (step % 4) {
+          case 0:
+            table.Add(now, attempt, {.host = host, .target = target, .work_class = work_class});
+            break;
+          case 1:
+            table.Free(now, attempt);
+            break;
+          case 2:
+            table.Reconcile(now, host, {{attempt, target, work_class}});
+            break;
+          default:
+            table.Expire(now);
+        }
+        std::uint32_t sum = 0;
+        std::uint32_t sum_long = 0;
+        for (std::uint64_t index = 0; index < 3; ++index) {
+          sum += table.CountAt(TargetId{index});
+          sum_long += table.LongCountAt(TargetId{index});
+        }
+        RC_ASSERT(sum == table.size());
+        RC_ASSERT(sum_long == table.long_count());
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  // Guards against waiting for a silent broker, and against never going back.
+  void TestBrokerRouteMovesOnAndReturns() {
+    BrokerRoute route;
+    const TimePoint now(seconds(1));
+    route.SetRanking({HostId{1}, HostId{2}, HostId{3}});
+    CPPUNIT_ASSERT(route.Current(now) == HostId{1});
+    route.OnSilent(now, HostId{1});
+    CPPUNIT_ASSERT(route.Current(now) == HostId{2});
+    route.OnSilent(now, HostId{2});
+    CPPUNIT_ASSERT(!route.Current(now));
+    route.OnHeard(now, HostId{2});
+    CPPUNIT_ASSERT(route.Current(now) == HostId{2});
+    CPPUNIT_ASSERT(route.Current(now + BrokerRoute::kSilencePeriod) == HostId{1});
+    CPPUNIT_ASSERT(!route.IsCandidate(HostId{3}));
+  }
+
+  // Guards against reordered views and views of an earlier broker.
+  void TestViewStateIgnoresOlderViews() {
+    ViewState state;
+    const TimePoint now(seconds(1));
+    state.Accept(now, HostId{1}, true, {.sequence = 5, .queued = 5});
+    state.Accept(now, HostId{1}, true, {.sequence = 4, .queued = 4});
+    CPPUNIT_ASSERT_EQUAL(5U, state.view()->queued);
+    state.Accept(now, HostId{2}, false, {.sequence = 9, .queued = 9});
+    CPPUNIT_ASSERT_EQUAL(5U, state.view()->queued);
+    state.Accept(now, HostId{2}, true, {.sequence = 1, .queued = 1});
+    CPPUNIT_ASSERT_EQUAL(1U, state.view()->queued);
+    CPPUNIT_ASSERT(state.IsFreshFrom(now + milliseconds(249), HostId{2}));
+    CPPUNIT_ASSERT(!state.IsFreshFrom(now + milliseconds(250), HostId{2}));
+    CPPUNIT_ASSERT(!state.IsFreshFrom(now, HostId{1}));
+  }
+
+  // Guards against a view that leaves a service with less than its floor, and
+  // against a leaving target that fills the floor.
+  void TestViewStateAppliesFloor() {
+    ViewState state;
+    DispatchService service{.floor_slots = 6};
+    ServiceView view{.sequence = 1};
+    for (std::uint64_t index = 1; index <= 4; ++index) {
+      service.targets.push_back({.target = TargetId{index}, .slots = 3});
+      view.targets.push_back({.target = TargetId{index}, .state = TargetState::kEjected});
+    }
+    view.targets[0].state = TargetState::kHealthy;
+    view.targets[0].usable_slots = 3;
+    view.targets[0].free_slots = 2;
+    view.targets[1].unreachable_from = {DomainId{1}};
+    state.Accept(TimePoint(), HostId{1}, true, view);
+    state.RecordStart(TargetId{1});
+    const auto in_service =
+        state.InService(service, [](TargetId target) { return target == TargetId{3}; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, in_service.size());
+    CPPUNIT_ASSERT(in_service[0].target == TargetId{1});
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, in_service[0].free_slots);
+    CPPUNIT_ASSERT(in_service[1].target == TargetId{4});
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{3}, in_service[1].usable_slots);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ComponentsTest);
+
+}  // namespace
+}  // namespace pimentopin
--- /dev/null
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -0,0 +1,303 @@
+#include "Libraries/LibDispatch/slot_broker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace pimentopin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr HostId kHost{1};
+constexpr DomainId kDomain{1};
+constexpr ServiceId kService{7};
+
+class SlotBrokerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SlotBrokerTest);
+  CPPUNIT_TEST(TestGrantsUpToSlotsAndOneAhead);
+  CPPUNIT_TEST(TestShortBeforeLongWithBound);
+  CPPUNIT_TEST(TestRepeatedRequestRepeatsGrant);
+  CPPUNIT_TEST(TestCancelBeforeRequestPreventsGrant);
+  CPPUNIT_TEST(TestRefusesWhenBudgetIsTooShort);
+  CPPUNIT_TEST(TestQueueLimitHitsLargestOrganisation);
+  CPPUNIT_TEST(TestNoTargetAndBlocked);
+  CPPUNIT_TEST(TestRetriesAreRefusedBeyondBudget);
+  CPPUNIT_TEST(TestRetryAvoidsExcludedTargets);
+  CPPUNIT_TEST(TestAffinityKeepsTarget);
+  CPPUNIT_TEST(TestDrainingTargetGetsNoGrant);
+  CPPUNIT_TEST(TestDeadHostFreesSlotsAndQueue);
+  CPPUNIT_TEST(TestViewsAreAcknowledgedPushedAndRepeated);
+  CPPUNIT_TEST(TestExpiredEntriesAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against grants beyond the slots, and against a slot that idles for a
+  // round trip because nothing was granted ahead.
+  void TestGrantsUpToSlotsAndOneAhead() {
+    SlotBroker broker(Configuration(2, 3));
+    std::map<TargetId, int> granted;
+    for (std::uint64_t index = 1; index <= 20; ++index) {
+      this->Request(broker, Short(index), granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, broker.queued());
+    CPPUNIT_ASSERT_EQUAL(4, granted[TargetId{1}]);
+    CPPUNIT_ASSERT_EQUAL(4, granted[TargetId{2}]);
+  }
+
+  // Guards against long work before short work, and against long work that is
+  // passed over for ever.
+  void TestShortBeforeLongWithBound() {
+    SlotBroker broker(Configuration(1, 1), {.ahead_per_target = 0});
+    std::map<TargetId, int> granted;
+    this->Request(broker, Short(1), granted);
+    SlotRequest long_request = Short(2);
+    long_request.work_class = WorkClass::kLong;
+    this->Request(broker, long_request, granted);
+    for (std::uint64_t index = 3; index <= 6; ++index) {
+      this->Request(broker, Short(index), granted);
+    }
+    CPPUNIT_ASSERT(this->ReleaseAndNext(broker, 1) == AttemptId{3});
+    this->now += milliseconds(50);
+    CPPUNIT_ASSERT(this->ReleaseAndNext(broker, 3) == AttemptId{4});
+    this->now += milliseconds(60);
+    CPPUNIT_ASSERT(this->ReleaseAndNext(broker, 4) == AttemptId{2});
+    CPPUNIT_ASSERT(this->ReleaseAndNext(broker, 2) == AttemptId{5});
+  }
+
+  // Guards against a host that waits until its deadline for a lost grant.
+  void TestRepeatedRequestRepeatsGrant() {
+    SlotBroker broker(Configuration(1, 3));
+    const auto first = broker.OnRequest(this->now, kHost, kDomain, Short(1), false);
+    const auto second = broker.OnRequest(this->now, kHost, kDomain, Short(1), false);
+    CPPUNIT_ASSERT(std::get<SlotGrant>(first.at(0).message) ==
+                   std::get<SlotGrant>(second.at(0).message));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, broker.outstanding());
+  }
+
+  // Guards against a reordered request that is granted after its withdrawal.
+  void TestCancelBeforeRequestPreventsGrant() {
+    SlotBroker broker(Configuration(1, 3));
+    broker.OnCancel(this->now, kHost, {.attempt = AttemptId{1}, .service = kService});
+    CPPUNIT_ASSERT(broker.OnRequest(this->now, kHost, kDomain, Short(1), false).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.outstanding());
+  }
+
+  // Guards against queueing requests that cannot be served in time.
+  void TestRefusesWhenBudgetIsTooShort() {
+    SlotBroker broker(Configuration(1, 1), {.ahead_per_target = 0});
+    std::map<TargetId, int> granted;
+    this->Request(broker, Short(1), granted);
+    this->ReleaseAndNext(broker, 1, milliseconds(20));
+    for (std::uint64_t index = 2; index <= 6; ++index) {
+      this->Request(broker, Short(index), granted);
+    }
+    // One runs and four wait: 5 x 20 ms of wait and 20 ms of service.
+    SlotRequest hurried = Short(10);
+    hurried.budget = milliseconds(119);
+    const auto refused = broker.OnRequest(this->now, kHost, kDomain, hurried, false);
+    CPPUNIT_ASSERT(std::get<SlotRefusal>(refused.at(0).message).reason == RefusalReason::kOverload);
+    hurried.attempt = AttemptId{11};
+    hurried.budget = milliseconds(121);
+    broker.OnRequest(this->now, kHost, kDomain, hurried, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, broker.queued());
+  }
+
+  // Guards against an organisation that fills the queue and keeps others out.
+  void TestQueueLimitHitsLargestOrganisation() {
+    BrokerConfiguration configuration = Configuration(1, 1);
+    configuration.queue_limit = 4;
+    SlotBroker broker(configuration, {.ahead_per_target = 0});
+    std::map<TargetId, int> granted;
+    for (std::uint64_t index = 1; index <= 5; ++index) {
+      this->Request(broker, Short(index), granted);
+    }
+    const auto own = broker.OnRequest(this->now, kHost, kDomain, Short(6), false);
+    CPPUNIT_ASSERT(std::get<SlotRefusal>(own.at(0).message).reason == RefusalReason::kQueueFull);
+    SlotRequest other = Short(7);
+    other.organisation = OrganisationId{2};
+    const auto messages = broker.OnRequest(this->now, HostId{2}, kDomain, other, false);
+    const auto& refusal = std::get<SlotRefusal>(messages.at(0).message);
+    CPPUNIT_ASSERT(refusal.attempt == AttemptId{5});
+    CPPUNIT_ASSERT(messages.at(0).host == kHost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, broker.queued());
+  }
+
+  // Guards against waiting for a target that this caller may never use, and
+  // against a third kill by a blocked request.
+  void TestNoTargetAndBlocked() {
+    SlotBroker broker(Configuration(2, 3));
+    SlotRequest request = Short(1);
+    request.allowed = {TargetId{9}};
+    const auto none = broker.OnRequest(this->now, kHost, kDomain, request, false);
+    CPPUNIT_ASSERT(std::get<SlotRefusal>(none.at(0).message).reason == RefusalReason::kNoTarget);
+    const auto blocked = broker.OnRequest(this->now, kHost, kDomain, Short(2), true);
+    CPPUNIT_ASSERT(std::get<SlotRefusal>(blocked.at(0).message).reason ==
+                   RefusalReason::kCrashRequest);
+  }
+
+  // Guards against retries that multiply an overload.
+  void TestRetriesAreRefusedBeyondBudget() {
+    SlotBroker broker(Configuration(2, 3));
+    SlotRequest retry = Short(1);
+    retry.is_retry = true;
+    const auto first = broker.OnRequest(this->now, kHost, kDomain, retry, false);
+    CPPUNIT_ASSERT(std::holds_alternative<SlotGrant>(first.at(0).message));
+    retry.attempt = AttemptId{2};
+    const auto second = broker.OnRequest(this->now, kHost, kDomain, retry, false);
+    CPPUNIT_ASSERT(std::get<SlotRefusal>(second.at(0).message).reason ==
+                   RefusalReason::kRetryBudget);
+  }
+
+  // Guards against a retry at the target that failed, while another is allowed.
+  void TestRetryAvoidsExcludedTargets() {
+    for (std::uint64_t attempt = 1; attempt <= 20; ++attempt) {
+      SlotBroker broker(Configuration(2, 3));
+      SlotRequest request = Short(attempt);
+      request.excluded = {TargetId{1}};
+      const auto messages = broker.OnRequest(this->now, kHost, kDomain, request, false);
+      CPPUNIT_ASSERT(std::get<SlotGrant>(messages.at(0).message).target == TargetId{2});
+      request.attempt = AttemptId{attempt + 100};
+      request.excluded = {TargetId{1}, TargetId{2}};
+      const auto any = broker.OnRequest(this->now, kHost, kDomain, request, false);
+      CPPUNIT_ASSERT(std::holds_alternative<SlotGrant>(any.at(0).message));
+    }
+  }
+
+  // Guards against a re-opened page that is served by another target.
+  void TestAffinityKeepsTarget() {
+    SlotBroker broker(Configuration(6, 3));
+    std::map<TargetId, int> granted;
+    for (std::uint64_t attempt = 1; attempt <= 6; ++attempt) {
+      SlotRequest request = Short(attempt);
+      request.affinity_key = 99;
+      this->Request(broker, request, granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted.size());
+    // The wait for the preferred target is bounded.
+    this->now += milliseconds(260);
+    broker.Tick(this->now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.queued());
+  }
+
+  // Guards against grants at a target that announced that it drains.
+  void TestDrainingTargetGetsNoGrant() {
+    SlotBroker broker(Configuration(2, 3));
+    broker.OnRelease(this->now, kHost, kDomain,
+                     {.attempt = AttemptId{1},
+                      .service = kService,
+                      .target = TargetId{1},
+                      .result = AttemptResult::kCancelled,
+                      .target_draining = true});
+    std::map<TargetId, int> granted;
+    for (std::uint64_t index = 10; index <= 20; ++index) {
+      this->Request(broker, Short(index), granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, granted[TargetId{1}]);
+    CPPUNIT_ASSERT_EQUAL(4, granted[TargetId{2}]);
+    CPPUNIT_ASSERT(broker.View(this->now).targets[0].state == TargetState::kLeaving);
+  }
+
+  // Guards against slots and queue entries of a host that failed.
+  void TestDeadHostFreesSlotsAndQueue() {
+    SlotBroker broker(Configuration(1, 3));
+    std::map<TargetId, int> granted;
+    for (std::uint64_t index = 1; index <= 40; ++index) {
+      this->Request(broker, Short(index), granted);
+    }
+    broker.OnHostDead(this->now, kHost);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.queued());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.outstanding());
+  }
+
+  // Guards against hosts that take a waiting broker for a failed one, and
+  // against views that grow too old for optimistic starts.
+  void TestViewsAreAcknowledgedPushedAndRepeated() {
+    SlotBroker broker(Configuration(1, 1), {.ahead_per_target = 0});
+    broker.OnRequest(this->now, kHost, kDomain, Short(1), false);
+    const auto queued = broker.OnRequest(this->now, kHost, kDomain, Short(2), false);
+    CPPUNIT_ASSERT_EQUAL(1U, std::get<ServiceView>(queued.at(0).message).queued);
+    std::vector<TimePoint> pushed;
+    std::uint64_t sequence = 0;
+    for (int tick = 0; tick < 90; ++tick) {
+      this->now += milliseconds(10);
+      for (const SendToHost& message : broker.Tick(this->now)) {
+        pushed.push_back(this->now);
+        const auto& view = std::get<ServiceView>(message.message);
+        CPPUNIT_ASSERT(view.sequence > sequence);
+        sequence = view.sequence;
+      }
+    }
+    CPPUNIT_ASSERT(pushed.size() >= 4);
+    for (std::size_t index = 1; index < pushed.size(); ++index) {
+      CPPUNIT_ASSERT(pushed[index] - pushed[index - 1] < milliseconds(250));
+    }
+  }
+
+  // Guards against granting slots to callers that have given up.
+  void TestExpiredEntriesAreRefused() {
+    SlotBroker broker(Configuration(1, 1), {.ahead_per_target = 0});
+    broker.OnRequest(this->now, kHost, kDomain, Short(1), false);
+    for (std::uint64_t index = 2; index <= 40; ++index) {
+      SlotRequest request = Short(index);
+      request.budget = milliseconds(100);
+      broker.OnRequest(this->now, kHost, kDomain, request, false);
+    }
+    this->now += milliseconds(100);
+    std::size_t refused = 0;
+    for (const SendToHost& message : broker.Tick(this->now)) {
+      const auto* refusal = std::get_if<SlotRefusal>(&message.message);
+      refused += refusal != nullptr && refusal->reason == RefusalReason::kDeadline ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{39}, refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.queued());
+  }
+
+ private:
+  static BrokerConfiguration Configuration(std::uint64_t targets, std::uint32_t slots) {
+    BrokerConfiguration configuration{.service = kService, .floor_slots = 1, .queue_limit = 100};
+    for (std::uint64_t index = 1; index <= targets; ++index) {
+      configuration.targets.push_back({.target = TargetId{index}, .slots = slots});
+    }
+    return configuration;
+  }
+
+  static SlotRequest Short(std::uint64_t attempt) {
+    return {.attempt = AttemptId{attempt},
+            .service = kService,
+            .organisation = OrganisationId{1},
+            .budget = seconds(2)};
+  }
+
+  void Request(SlotBroker& broker, const SlotRequest& request, std::map<TargetId, int>& granted) {
+    for (const SendToHost& message : broker.OnRequest(this->now, kHost, kDomain, request, false)) {
+      if (const auto* grant = std::get_if<SlotGrant>(&message.message)) {
+        ++granted[grant->target];
+      }
+    }
+  }
+
+  AttemptId ReleaseAndNext(SlotBroker& broker,
+                           std::uint64_t attempt,
+                           Duration service_time = Duration::zero()) {
+    const auto messages = broker.OnRelease(this->now, kHost, kDomain,
+                                           {.attempt = AttemptId{attempt},
+                                            .service = kService,
+                                            .target = TargetId{1},
+                                            .service_time = service_time});
+    for (const SendToHost& message : messages) {
+      if (const auto* grant = std::get_if<SlotGrant>(&message.message)) {
+        return grant->attempt;
+      }
+    }
+    return AttemptId{};
+  }
+
+  TimePoint now{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SlotBrokerTest);
+
+}  // namespace
+}  // namespace pimentopin
