--- /dev/null
+++ b/Bench/Runner/gray_command.cc
@@ -0,0 +1,281 @@
+#include "Bench/Runner/gray_command.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Bench/Runner/command.h"
+#include "Bench/Runner/gray_experiment.h"
+#include "Bench/Runner/parallel.h"
+
+namespace pimentopin::bench {
+namespace {
+
+constexpr FleetShape kShapes[] = {{6, 3}, {8, 2}, {11, 3}, {11, 2}};
+constexpr GrayPolicy kPolicies[] = {GrayPolicy::kFleetDetector, GrayPolicy::kHostOutliers};
+// The bounds are stated for this load.
+constexpr double kBoundLoad = 0.5;
+
+struct GrayOptions {
+  std::string revision;
+  std::uint64_t first_seed = 1;
+  std::size_t seeds = 5;
+  std::vector<double> loads;
+  std::vector<std::string> cases;
+  std::size_t jobs = 2;
+  bool hour = true;
+  std::string json_path;
+};
+
+std::string_view PolicyName(GrayPolicy policy) {
+  return policy == GrayPolicy::kFleetDetector ? "fleet" : "host";
+}
+
+double Seconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
+std::optional<GrayOptions> ParseOptions(int argc, char** argv) {
+  cxxopts::Options options("pimentopin-bench gray", "Detection of gray targets in virtual time");
+  options.add_options()("revision", "Git revision for the records",
+                        cxxopts::value<std::string>()->default_value("unknown"))(
+      "seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seeds", "Seeds per case", cxxopts::value<std::size_t>()->default_value("5"))(
+      "loads", "Offered load as shares of the capacity",
+      cxxopts::value<std::vector<double>>()->default_value("0.2,0.5,0.8"))(
+      "cases", "Cases; none: all", cxxopts::value<std::vector<std::string>>()->default_value(""))(
+      "jobs", "Runs at a time", cxxopts::value<std::size_t>()->default_value("2"))(
+      "skip-hour", "Leave out the healthy hour")(
+      "json", "File for the JSON lines; none: standard output",
+      cxxopts::value<std::string>()->default_value(""))("help", "Show the options");
+  const cxxopts::ParseResult parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    fmt::print("{}", options.help());
+    return std::nullopt;
+  }
+  GrayOptions result;
+  result.revision = parsed["revision"].as<std::string>();
+  result.first_seed = parsed["seed"].as<std::uint64_t>();
+  result.seeds = parsed["seeds"].as<std::size_t>();
+  result.loads = parsed["loads"].as<std::vector<double>>();
+  result.cases = parsed["cases"].as<std::vector<std::string>>();
+  std::erase(result.cases, "");
+  result.jobs = parsed["jobs"].as<std::size_t>();
+  result.hour = parsed.count("skip-hour") == 0;
+  result.json_path = parsed["json"].as<std::string>();
+  return result;
+}
+
+std::vector<GrayRun> PlanRuns(const GrayOptions& options) {
+  std::vector<GrayRun> runs;
+  for (const GrayCase& gray : GrayCases()) {
+    if (!options.cases.empty() &&
+        std::find(options.cases.begin(), options.cases.end(), gray.name) == options.cases.end()) {
+      continue;
+    }
+    for (const GrayPolicy policy : kPolicies) {
+      for (const FleetShape& shape : kShapes) {
+        for (const double load : options.loads) {
+          for (std::size_t index = 0; index < options.seeds; ++index) {
+            runs.push_back({gray, policy, shape, load, options.first_seed + index});
+          }
+        }
+      }
+    }
+  }
+  return runs;
+}
+
+nlohmann::json ToJson(const GrayOptions& options, const GrayRun& run, const GrayResult& result) {
+  nlohmann::json line{{"command", "gray"},
+                      {"revision", options.revision},
+                      {"case", run.gray.name},
+                      {"policy", PolicyName(run.policy)},
+                      {"shape", run.shape.Name()},
+                      {"load", run.load},
+                      {"seed", run.seed},
+                      {"ejections", result.ejections},
+                      {"false_ejections", result.false_ejections},
+                      {"below_floor", result.below_floor},
+                      {"good_share", result.good_share},
+                      {"exposed_share", result.exposed_share},
+                      {"p99_before_ms", result.p99_before_ms},
+                      {"p99_after_ms", result.p99_after_ms},
+                      {"violations", result.violations}};
+  line["detection_s"] = result.detection ? nlohmann::json(Seconds(*result.detection)) : nullptr;
+  line["bound_s"] = run.gray.bound ? nlohmann::json(Seconds(*run.gray.bound)) : nullptr;
+  return line;
+}
+
+// Summary of the seeds of one case, policy, shape and load.
+struct Summary {
+  std::vector<double> detections;
+  std::size_t undetected = 0;
+  std::uint64_t ejections = 0;
+  std::uint64_t false_ejections = 0;
+  std::uint64_t below_floor = 0;
+  std::uint64_t violations = 0;
+  double good_share = 0.0;
+  double exposed_share = 0.0;
+  double p99_before_ms = 0.0;
+  double p99_after_ms = 0.0;
+};
+
+Summary Summarise(const GrayResult* results, std::size_t count) {
+  Summary summary;
+  for (const GrayResult* result = results; result != results + count; ++result) {
+    if (result->detection) {
+      summary.detections.push_back(Seconds(*result->detection));
+    } else {
+      ++summary.undetected;
+    }
+    summary.ejections += result->ejections;
+    summary.false_ejections += result->false_ejections;
+    summary.below_floor += result->below_floor;
+    summary.violations += result->violations;
+    const auto share = static_cast<double>(count);
+    summary.good_share += result->good_share / share;
+    summary.exposed_share += result->exposed_share / share;
+    summary.p99_before_ms += result->p99_before_ms / share;
+    summary.p99_after_ms += result->p99_after_ms / share;
+  }
+  std::sort(summary.detections.begin(), summary.detections.end());
+  return summary;
+}
+
+// "met" or "MISSED" for stated bounds, empty where none is stated.
+std::string Judge(const GrayRun& run, const Summary& summary) {
+  if (run.policy != GrayPolicy::kFleetDetector) {
+    return "";
+  }
+  const bool safe = summary.below_floor == 0 && summary.violations == 0;
+  if (run.gray.must_stay) {
+    return safe && summary.ejections + summary.false_ejections == 0 ? "met" : "MISSED";
+  }
+  if (!run.gray.bound || run.load != kBoundLoad) {
+    return safe ? "" : "MISSED";
+  }
+  const bool in_time = summary.undetected == 0 && !summary.detections.empty() &&
+                       summary.detections.back() <= Seconds(*run.gray.bound);
+  return safe && in_time ? "met" : "MISSED";
+}
+
+bool PrintCases(const std::vector<GrayRun>& runs,
+                const std::vector<GrayResult>& results,
+                std::size_t seeds) {
+  fmt::print(
+      "{:13} {:6} {:5} {:>5} {:>7} {:>7} {:>6} {:>7} {:>6} {:>6} {:>6} {:>8} {:>8} {:>8} {}\n",
+      "case", "policy", "shape", "load", "med s", "max s", "never", "eject", "false", "floor",
+      "viol", "good %", "p99 ms", "p99' ms", "bound");
+  bool met = true;
+  for (std::size_t first = 0; first < runs.size(); first += seeds) {
+    const GrayRun& run = runs[first];
+    const Summary summary = Summarise(&results[first], seeds);
+    const std::string verdict = Judge(run, summary);
+    met = met && verdict != "MISSED";
+    const bool any = !summary.detections.empty();
+    const std::string median =
+        any ? fmt::format("{:.2f}", summary.detections[summary.detections.size() / 2]) : "-";
+    const std::string maximum = any ? fmt::format("{:.2f}", summary.detections.back()) : "-";
+    fmt::print(
+        "{:13} {:6} {:5} {:5.2f} {:>7} {:>7} {:6} {:7} {:6} {:6} {:6} {:8.3f} {:8.1f} {:8.1f} {}\n",
+        run.gray.name, PolicyName(run.policy), run.shape.Name(), run.load, median, maximum,
+        summary.undetected, summary.ejections, summary.false_ejections, summary.below_floor,
+        summary.violations, 100.0 * summary.good_share, summary.p99_before_ms, summary.p99_after_ms,
+        verdict);
+  }
+  return met;
+}
+
+bool RunHours(const GrayOptions& options, std::vector<std::string>& lines) {
+  std::vector<HealthyHourRun> runs;
+  for (const GrayPolicy policy : kPolicies) {
+    for (const FleetShape& shape : kShapes) {
+      runs.push_back({.policy = policy, .shape = shape, .seed = options.first_seed});
+    }
+  }
+  std::vector<HealthyHourResult> results(runs.size());
+  RunParallel(runs.size(), options.jobs,
+              [&](std::size_t index) { results[index] = RunHealthyHour(runs[index]); });
+  fmt::print("\nhealthy hour: load 0.2 to 0.95 with peaks at 1.5, 2 % long work\n");
+  fmt::print("{:6} {:5} {:>9} {:>7} {:>6} {:>6} {:>8} {:>8} {:>9} {}\n", "policy", "shape",
+             "requests", "false", "floor", "viol", "refused", "unknown", "p99 ms", "bound");
+  bool met = true;
+  for (std::size_t index = 0; index < runs.size(); ++index) {
+    const HealthyHourRun& run = runs[index];
+    const HealthyHourResult& result = results[index];
+    const bool own = run.policy == GrayPolicy::kFleetDetector;
+    const bool good =
+        result.false_ejections == 0 && result.below_floor == 0 && result.violations == 0;
+    met = met && (good || !own);
+    fmt::print("{:6} {:5} {:9} {:7} {:6} {:6} {:8} {:8} {:9.1f} {}\n", PolicyName(run.policy),
+               run.shape.Name(), result.requests, result.false_ejections, result.below_floor,
+               result.violations, result.refused, result.unknown, result.p99_ms,
+               own ? (good ? "met" : "MISSED") : "");
+    lines.push_back(nlohmann::json{{"command", "gray"},
+                                   {"revision", options.revision},
+                                   {"case", "healthy-hour"},
+                                   {"policy", PolicyName(run.policy)},
+                                   {"shape", run.shape.Name()},
+                                   {"load", "0.2-0.95, peaks 1.5"},
+                                   {"seed", run.seed},
+                                   {"requests", result.requests},
+                                   {"false_ejections", result.false_ejections},
+                                   {"below_floor", result.below_floor},
+                                   {"refused", result.refused},
+                                   {"unknown", result.unknown},
+                                   {"p99_ms", result.p99_ms},
+                                   {"violations", result.violations}}
+                        .dump());
+  }
+  return met;
+}
+
+}  // namespace
+
+int RunGrayCommand(int argc, char** argv) {
+  const std::optional<GrayOptions> options = ParseOptions(argc, argv);
+  if (!options) {
+    return kExitSuccess;
+  }
+  const std::vector<GrayRun> runs = PlanRuns(*options);
+  if (runs.empty()) {
+    fmt::print(stderr, "no run: check --cases, --loads and --seeds\n");
+    return kExitUsage;
+  }
+  std::vector<GrayResult> results(runs.size());
+  RunParallel(runs.size(), options->jobs,
+              [&](std::size_t index) { results[index] = RunGray(runs[index]); });
+  fmt::print("revision {}, seeds {} to {}\n", options->revision, options->first_seed,
+             options->first_seed + options->seeds - 1);
+  bool met = PrintCases(runs, results, options->seeds);
+  std::vector<std::string> lines;
+  for (std::size_t index = 0; index < runs.size(); ++index) {
+    lines.push_back(ToJson(*options, runs[index], results[index]).dump());
+  }
+  if (options->hour) {
+    met = RunHours(*options, lines) && met;
+  }
+  std::ofstream file;
+  if (!options->json_path.empty()) {
+    file.open(options->json_path);
+  }
+  for (const std::string& line : lines) {
+    if (file.is_open()) {
+      file << line << '\n';
+    } else {
+      fmt::print("{}\n", line);
+    }
+  }
+  fmt::print("{}\n", met ? "all stated bounds met" : "stated bounds MISSED, see above");
+  return met ? kExitSuccess : kExitFailure;
+}
+
+}  // namespace pimentopin::bench
