Peer: Send frames between hosts over TCP on Asio

Cause: PeerNetwork was an interface without an implementation.

Change: one outgoing connection for each peer, opened for the first frame and closed after 60 s without one; back-off of 50 ms to 2 s with jitter; TCP_NODELAY and a TCP user timeout of 5 s; 256 KiB of backlog, the oldest frames dropped first. Frames in a write that failed are not sent again, so that none is delivered twice.

Conclusion: an unreachable, slow or faulty peer costs bounded memory and does not disturb the other links.

--- /dev/null
+++ b/Libraries/LibPeer/outgoing_link.cc
@@ -0,0 +1,211 @@
+#include "Libraries/LibPeer/outgoing_link.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "Libraries/LibCore/identifiers.h"
+
+namespace pimentopin {
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr Duration kMinBackoff = std::chrono::milliseconds(50);
+constexpr Duration kMaxBackoff = std::chrono::seconds(2);
+// Without it, a peer that vanished without closing its connections is noticed
+// only after the kernel's retransmissions, about 15 minutes.
+constexpr unsigned kUserTimeoutMs = 5000;
+// Bounds one write, so that frames of a slow peer stay in the backlog, where
+// the oldest can be dropped.
+constexpr std::size_t kMaxWriteBytes = 64 * 1024;
+
+}  // namespace
+
+OutgoingLink::OutgoingLink(asio::io_context& context,
+                           asio::ip::tcp::endpoint peer,
+                           std::uint64_t seed,
+                           std::shared_ptr<PeerCounters> totals)
+    : endpoint(std::move(peer)),
+      socket(context),
+      timer(context),
+      counters(std::move(totals)),
+      jitter_seed(seed) {}
+
+void OutgoingLink::Send(std::string frame) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  while (!this->backlog.empty() &&
+         this->backlog_bytes + frame.size() > PeerNetwork::kMaxBacklogBytes) {
+    this->backlog_bytes -= this->backlog.front().size();
+    this->backlog.pop_front();
+    ++this->counters->frames_dropped;
+  }
+  this->backlog_bytes += frame.size();
+  this->backlog.push_back(std::move(frame));
+  if (this->state == State::kIdle) {
+    this->Connect();
+  } else if (this->state == State::kConnected) {
+    this->Write();
+  }
+}
+
+void OutgoingLink::SetEndpoint(const asio::ip::tcp::endpoint& new_endpoint) {
+  if (this->state == State::kClosed || this->endpoint == new_endpoint) {
+    return;
+  }
+  this->endpoint = new_endpoint;
+  this->failures = 0;
+  this->CloseSocket();
+  this->state = State::kIdle;
+  if (!this->backlog.empty()) {
+    this->Connect();
+  }
+}
+
+void OutgoingLink::Close() {
+  this->CloseSocket();
+  this->state = State::kClosed;
+  this->counters->frames_dropped += this->backlog.size();
+  this->backlog.clear();
+  this->backlog_bytes = 0;
+}
+
+void OutgoingLink::CloseSocket() {
+  ++this->generation;
+  asio::error_code ignored;
+  this->socket.close(ignored);
+  this->timer.cancel();
+  // How much of these arrived is unknown. They are not sent again: a message
+  // may be lost, but is never delivered twice.
+  this->counters->frames_dropped += this->in_flight.size();
+  this->in_flight.clear();
+}
+
+void OutgoingLink::Connect() {
+  this->state = State::kConnecting;
+  ++this->generation;
+  const auto own = this->generation;
+  const auto self = this->shared_from_this();
+  this->socket.async_connect(this->endpoint, [self, own](const asio::error_code& failure) {
+    if (own == self->generation) {
+      self->OnConnected(failure);
+    }
+  });
+  this->timer.expires_after(kConnectTimeout);
+  this->timer.async_wait([self, own](const asio::error_code& cancelled) {
+    if (!cancelled && own == self->generation && self->state == State::kConnecting) {
+      self->Disconnect();
+    }
+  });
+}
+
+void OutgoingLink::OnConnected(const asio::error_code& failure) {
+  if (failure) {
+    this->Disconnect();
+    return;
+  }
+  this->state = State::kConnected;
+  ++this->counters->connections_opened;
+  asio::error_code ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  ::setsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+               sizeof(kUserTimeoutMs));
+  this->WatchForClose();
+  this->Write();
+}
+
+void OutgoingLink::Disconnect() {
+  this->CloseSocket();
+  ++this->failures;
+  this->Wait();
+}
+
+void OutgoingLink::Wait() {
+  this->state = State::kWaiting;
+  const std::uint32_t doublings = std::min(this->failures - 1, 16U);
+  const Duration longest = std::min(kMinBackoff * (1 << doublings), kMaxBackoff);
+  const auto half = static_cast<std::uint64_t>(longest.count() / 2);
+  const std::uint64_t jitter = StableHash(this->jitter_seed, this->failures) % half;
+  this->timer.expires_after(Duration(static_cast<Duration::rep>(half + jitter)));
+  const auto own = this->generation;
+  this->timer.async_wait([self = this->shared_from_this(), own](const asio::error_code& cancelled) {
+    if (cancelled || own != self->generation) {
+      return;
+    }
+    self->state = State::kIdle;
+    if (!self->backlog.empty()) {
+      self->Connect();
+    }
+  });
+}
+
+void OutgoingLink::Write() {
+  if (!this->in_flight.empty() || this->backlog.empty()) {
+    return;
+  }
+  std::size_t bytes = 0;
+  std::vector<asio::const_buffer> buffers;
+  while (!this->backlog.empty() && bytes < kMaxWriteBytes) {
+    bytes += this->backlog.front().size();
+    this->in_flight.push_back(std::move(this->backlog.front()));
+    this->backlog.pop_front();
+  }
+  this->backlog_bytes -= bytes;
+  buffers.reserve(this->in_flight.size());
+  for (const std::string& frame : this->in_flight) {
+    buffers.push_back(asio::buffer(frame));
+  }
+  const auto own = this->generation;
+  asio::async_write(
+      this->socket, buffers,
+      [self = this->shared_from_this(), own](const asio::error_code& failure, std::size_t written) {
+        if (own == self->generation) {
+          self->OnWritten(failure, written);
+        }
+      });
+}
+
+void OutgoingLink::OnWritten(const asio::error_code& failure, std::size_t bytes) {
+  if (failure) {
+    this->Disconnect();
+    return;
+  }
+  this->failures = 0;
+  this->counters->frames_sent += this->in_flight.size();
+  this->counters->bytes_sent += bytes;
+  this->in_flight.clear();
+  this->WatchForIdleness();
+  this->Write();
+}
+
+void OutgoingLink::WatchForClose() {
+  // The peer never sends on this connection: a completed read means that it
+  // closed it or does not follow the protocol.
+  const auto own = this->generation;
+  this->socket.async_read_some(
+      asio::buffer(this->unexpected_input),
+      [self = this->shared_from_this(), own](const asio::error_code&, std::size_t) {
+        if (own == self->generation) {
+          self->Disconnect();
+        }
+      });
+}
+
+void OutgoingLink::WatchForIdleness() {
+  const auto own = this->generation;
+  this->timer.expires_after(PeerNetwork::kIdleTimeout);
+  this->timer.async_wait([self = this->shared_from_this(), own](const asio::error_code& cancelled) {
+    if (!cancelled && own == self->generation && self->in_flight.empty()) {
+      self->CloseSocket();
+      self->state = State::kIdle;
+    }
+  });
+}
+
+}  // namespace pimentopin
