Operator: Add pimentopinctl

Cause: operators had no tool, and a commit whose answer is lost must not leave them with a guess.

After a lost or unclear answer it asks again with the same id and then consults the history; only a statement about the change id settles the outcome. A conflict, not-run or invalid answer is final only if no earlier request may have been executed.

--- a/Libraries/LibCore/settings.cc
+++ b/Libraries/LibCore/settings.cc
@@ -123,7 +123,9 @@
                  const std::vector<SettingDescription>& descriptions)
       : options(program.name, program.summary) {
     this->options.allow_unrecognised_options();
-    this->options.positional_help(program.positional_help);
+    if (!program.positional_help.empty()) {
+      this->options.positional_help(program.positional_help).show_positional_help();
+    }
     this->options.set_width(kHelpColumns);
     for (const SettingDescription& description : descriptions) {
       const auto value = cxxopts::value<std::string>();
--- /dev/null
+++ b/Libraries/LibOperator/configuration_change.cc
@@ -0,0 +1,221 @@
+#include "Libraries/LibOperator/configuration_change.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace pimentopin {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxChangeIdBytes = 64;
+
+json ParseObject(const std::string& text) {
+  json value = json::parse(text, nullptr, false);
+  return value.is_object() ? value : json::object();
+}
+
+std::uint64_t UnsignedOf(const json& object, const char* field) {
+  const json value = object.value(field, json());
+  return value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
+}
+
+std::string TextOf(const json& object, const char* field) {
+  const json value = object.value(field, json());
+  return value.is_string() ? value.get<std::string>() : std::string();
+}
+
+std::string RequestBody(const ConfigurationChange& change) {
+  return json{{"base_revision", change.base_revision},
+              {"change_id", change.change_id},
+              {"author", change.author},
+              {"content", change.content}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+ChangeResult CommittedResult(std::uint64_t revision) {
+  return {.outcome = ChangeOutcome::kCommitted, .revision = revision};
+}
+
+ChangeResult ConflictResult(const json& body) {
+  const json conflict = body.value("conflict", json::object());
+  ChangeResult result{.outcome = ChangeOutcome::kConflict};
+  if (conflict.is_object()) {
+    result.current_revision = UnsignedOf(conflict, "current_revision");
+    result.current_author = TextOf(conflict, "author");
+    result.current_change_id = TextOf(conflict, "change_id");
+  }
+  result.difference = DifferenceFromJson(body.value("difference", json::array()).dump())
+                          .value_or(ConfigurationDifference());
+  return result;
+}
+
+ChangeResult InvalidResult(const json& body) {
+  ChangeResult result{.outcome = ChangeOutcome::kInvalid};
+  const json findings = body.value("findings", json::array());
+  for (const json& finding : findings) {
+    if (finding.is_object()) {
+      result.findings.Add(TextOf(finding, "place"), TextOf(finding, "message"));
+    }
+  }
+  return result;
+}
+
+// Reads one answer. Whatever is not a clear statement counts as unknown,
+// because the host may have committed before it failed.
+ChangeResult ReadAnswer(const std::string& host, const AdminResponse& response) {
+  const json body = ParseObject(response.body);
+  const std::string reason = host + ": status " + std::to_string(response.status);
+  switch (response.status) {
+    case 200:
+      if (UnsignedOf(body, "revision") > 0) {
+        return CommittedResult(UnsignedOf(body, "revision"));
+      }
+      return {.outcome = ChangeOutcome::kUnknown, .reason = reason + " without a revision"};
+    case 409:
+      return ConflictResult(body);
+    case 422:
+      return InvalidResult(body);
+    case 503:
+      if (TextOf(body, "outcome") == "not-run") {
+        return {.outcome = ChangeOutcome::kNotRun, .reason = reason + ", not run"};
+      }
+      return {.outcome = ChangeOutcome::kUnknown, .reason = reason + ", outcome unknown"};
+    default:
+      return {.outcome = response.status >= 400 && response.status < 500 ? ChangeOutcome::kRejected
+                                                                         : ChangeOutcome::kUnknown,
+              .reason = reason};
+  }
+}
+
+// One commit over several hosts. Once one request may have been executed, only
+// a positive statement about the change id settles the outcome.
+class Commit {
+ public:
+  Commit(AdminSession& admin_session, const ConfigurationChange& configuration_change)
+      : session(admin_session),
+        change(configuration_change),
+        body(RequestBody(configuration_change)) {}
+
+  ChangeResult Run(const std::function<void(Duration)>& wait) {
+    for (int round = 0; round < kChangeRounds; ++round) {
+      if (round > 0) {
+        wait(kChangeRoundPause);
+      }
+      for (const std::string& host : this->session.hosts()) {
+        const std::optional<ChangeResult> settled = this->Try(host);
+        if (settled) {
+          return *settled;
+        }
+      }
+      if (!this->may_have_run) {
+        return {.outcome = ChangeOutcome::kNotRun, .reason = this->reasons};
+      }
+    }
+    return this->Settle({.outcome = ChangeOutcome::kUnknown, .reason = this->reasons});
+  }
+
+ private:
+  // Absent if the next host should be asked.
+  std::optional<ChangeResult> Try(const std::string& host) {
+    Error error;
+    const std::optional<AdminResponse> response =
+        this->session.Post(host, "/admin/v1/configuration", this->body, error);
+    if (!response) {
+      this->AddReason(error.message);
+      this->may_have_run = this->may_have_run || error.code != ErrorCode::kUnreachable;
+      return std::nullopt;
+    }
+    const ChangeResult answer = ReadAnswer(host, *response);
+    switch (answer.outcome) {
+      case ChangeOutcome::kCommitted:
+        return answer;
+      case ChangeOutcome::kUnknown:
+        this->may_have_run = true;
+        [[fallthrough]];
+      case ChangeOutcome::kNotRun:
+        this->AddReason(answer.reason);
+        return std::nullopt;
+      case ChangeOutcome::kConflict:
+        if (answer.current_change_id == this->change.change_id) {
+          return CommittedResult(answer.current_revision);
+        }
+        return this->may_have_run ? this->Settle(answer) : answer;
+      case ChangeOutcome::kInvalid:
+      case ChangeOutcome::kRejected:
+        return this->may_have_run ? this->Settle(answer) : answer;
+    }
+    return std::nullopt;
+  }
+
+  // The change may have been committed earlier and overtaken since.
+  ChangeResult Settle(const ChangeResult& answer) {
+    const ChangeRecord record = FindChange(this->session, this->change.change_id);
+    if (record.state == ChangeState::kCommitted) {
+      return CommittedResult(record.revision);
+    }
+    // The write is conditional on the base revision, so it cannot take effect
+    // any more once a higher one is in force.
+    const bool is_overtaken =
+        record.state == ChangeState::kNotCommitted && record.revision > this->change.base_revision;
+    if (!is_overtaken) {
+      this->AddReason(record.reason);
+      return {.outcome = ChangeOutcome::kUnknown, .reason = this->reasons};
+    }
+    if (answer.outcome == ChangeOutcome::kUnknown) {
+      return {.outcome = ChangeOutcome::kConflict, .current_revision = record.revision};
+    }
+    return answer;
+  }
+
+  void AddReason(const std::string& reason) {
+    if (!reason.empty() && this->reasons.find(reason) == std::string::npos) {
+      this->reasons += (this->reasons.empty() ? "" : "; ") + reason;
+    }
+  }
+
+  AdminSession& session;
+  const ConfigurationChange& change;
+  std::string body;
+  bool may_have_run = false;
+  std::string reasons;
+};
+
+}  // namespace
+
+bool IsChangeId(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxChangeIdBytes &&
+         std::all_of(text.begin(), text.end(), [](char byte) {
+           return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') ||
+                  (byte >= '0' && byte <= '9') || byte == '.' || byte == '_' || byte == '-';
+         });
+}
+
+ChangeRecord FindChange(AdminSession& session, const std::string& change_id) {
+  Error error;
+  const auto response = session.Get("/admin/v1/history?change=" + change_id, error);
+  if (!response) {
+    return {.reason = error.message};
+  }
+  const json body = ParseObject(response->body);
+  const std::string state = TextOf(body, "state");
+  if (response->status == 200 && state == "committed" && UnsignedOf(body, "revision") > 0) {
+    return {.state = ChangeState::kCommitted,
+            .revision = UnsignedOf(body, "revision"),
+            .body = response->body};
+  }
+  if (response->status == 404 && state == "not-committed") {
+    return {.state = ChangeState::kNotCommitted,
+            .revision = UnsignedOf(body, "current_revision"),
+            .body = response->body};
+  }
+  return {.reason = "history: status " + std::to_string(response->status)};
+}
+
+ChangeResult CommitChange(AdminSession& session,
+                          const ConfigurationChange& change,
+                          const std::function<void(Duration)>& wait) {
+  return Commit(session, change).Run(wait);
+}
+
+}  // namespace pimentopin
