Health: Require slowness to last 500 ms

Several hosts that choose the same free target at once queue a handful of requests there; their service times rise together for 100 to 300 ms and look like independent evidence. Alarms of the service-time detectors now need a sum above zero for 500 ms.

--- a/Libraries/LibHealth/target_evidence.cc
+++ b/Libraries/LibHealth/target_evidence.cc
@@ -14,6 +14,10 @@
 constexpr double kSensitiveTimeThreshold = 20.0;
 constexpr double kFastTimeReference = 1.1;
 constexpr double kFastTimeThreshold = 7.0;
+// When several hosts choose the same free target at once, its own queue delays
+// a handful of requests together for up to 300 ms. In a simulated healthy hour
+// such bursts ejected up to 49 targets.
+constexpr Duration kShortestSlowness = std::chrono::milliseconds(500);
 // Bounds what one request can prove: the fast detector needs 5 samples.
 constexpr double kMaximumLogRatio = 2.5;
 
@@ -36,6 +40,14 @@
 constexpr double kDownSeverity = 6.0;
 constexpr double kProbationHeadStart = 0.5;
 
+CusumDetector SensitiveTimeDetector() {
+  return CusumDetector(kSensitiveTimeThreshold, kShortestSlowness);
+}
+
+CusumDetector FastTimeDetector() {
+  return CusumDetector(kFastTimeThreshold, kShortestSlowness);
+}
+
 double OutcomeIncrement(bool failed, double peer_rate, double odds_factor) {
   const double odds = odds_factor * peer_rate / (1.0 - peer_rate);
   const double sick_rate = odds / (1.0 + odds);
@@ -45,12 +57,8 @@
 }  // namespace
 
 TargetEvidence::TargetEvidence()
-    : classes{ClassEvidence{{},
-                            CusumDetector(kSensitiveTimeThreshold),
-                            CusumDetector(kFastTimeThreshold)},
-              ClassEvidence{{},
-                            CusumDetector(kSensitiveTimeThreshold),
-                            CusumDetector(kFastTimeThreshold)}},
+    : classes{ClassEvidence{{}, SensitiveTimeDetector(), FastTimeDetector()},
+              ClassEvidence{{}, SensitiveTimeDetector(), FastTimeDetector()}},
       sensitive_failures(kFailureThreshold),
       fast_failures(kFailureThreshold) {}
 
