Http: Add server on RESTinio and client on libcurl

Cause: hosts, stand-ins and tools need one HTTP server and one client with exact knowledge of what was sent and whether an answer is whole.

Change: - HttpServer runs RESTinio with its own io_context. A socket type in the traits resets the connection on Abort() or when a responder is dropped, and answers malformed or too large requests (400, 413, 431, 501), which RESTinio would only meet by closing the connection. The null timer manager turns RESTinio's time limits off. Up to 16 pipelined requests per connection are accepted, because RESTinio notices a closed connection only while it reads. - HttpClient runs a libcurl multi handle on Asio. The pre-request hook counts sends and refuses the second one. An answer whose end is not marked (neither Content-Length nor chunked) ends as truncated, since a crash looks the same. - libcurl keeps its sockets; Asio only watches them. With the open and close socket callbacks, libcurl 7.88 left a socket without its close callback after a connect time-out, and the destructor of the client hung.

Conclusion: truncation, aborts and suppressed resends are visible end to end over real loopback sockets.

--- /dev/null
+++ b/Libraries/LibHttp/answer_head.cc
@@ -0,0 +1,62 @@
+#include "Libraries/LibHttp/answer_head.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace pimentopin {
+namespace {
+
+bool IsSetByServer(const HttpHeader& header) {
+  constexpr std::array<std::string_view, 4> kNames{"Connection", "Content-Length", "Keep-Alive",
+                                                   "Transfer-Encoding"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&](std::string_view name) { return EqualHeaderNames(header.name, name); });
+}
+
+}  // namespace
+
+bool IsBodilessStatus(int status) {
+  return status < 200 || status == 204 || status == 304;
+}
+
+std::string AnswerHead(int status, const HttpHeaders& headers, const AnswerFraming& framing) {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head += http_status_str(static_cast<http_status>(status));
+  head += "\r\n";
+  for (const HttpHeader& header : headers) {
+    if (!IsSetByServer(header) && IsSendableHeader(header)) {
+      head += header.name + ": " + header.value + "\r\n";
+    }
+  }
+  if (framing.chunked) {
+    head += "Transfer-Encoding: chunked\r\n";
+  } else if (framing.content_length) {
+    head += "Content-Length: " + std::to_string(*framing.content_length) + "\r\n";
+  }
+  head += framing.keep_alive ? "Connection: keep-alive\r\n\r\n" : "Connection: close\r\n\r\n";
+  return head;
+}
+
+HttpHeaders NotRunHeaders(const RequestFault& fault) {
+  HttpHeaders headers{{"Content-Type", "application/json"},
+                      {"Pimentopin-Outcome", "not-run"},
+                      {"Pimentopin-Reason", fault.reason}};
+  if (fault.status == 503) {
+    headers.push_back({"Retry-After", "1"});
+  }
+  return headers;
+}
+
+std::string NotRunBody(const RequestFault& fault) {
+  const nlohmann::json body = {{"error",
+                                {{"reason", fault.reason},
+                                 {"message", fault.message},
+                                 {"outcome", "not-run"},
+                                 {"request_id", ""}}}};
+  return body.dump() + "\n";
+}
+
+}  // namespace pimentopin
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -56,7 +56,7 @@
   virtual ~Transfer() = default;
   // Closes the connection; on_end follows with kCancelled unless it has ended.
   virtual void Cancel() = 0;
-  // Stops and resumes reading from the peer, to bound buffered bytes.
+  // Stops and resumes delivery to on_body and reading from the peer, to bound buffered bytes.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
 };
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -33,11 +33,13 @@
   // `written` is called once the bytes have left for the socket.
   virtual void Write(std::string bytes, std::function<void()> written) = 0;
   virtual void End() = 0;
-  // Closes the connection so that the caller cannot take the answer for whole.
+  // Resets the connection so that the caller cannot take the answer for whole. Bytes that were
+  // not yet written are lost.
   virtual void Abort() = 0;
   // A complete answer in one call.
   virtual void Respond(int status, HttpHeaders headers, std::string body) = 0;
-  // Called on a server thread when the caller's connection closes before End().
+  // Called on a server thread when the caller's connection closes before End(). A caller that
+  // closes only its sending side counts as gone.
   virtual void OnCallerGone(std::function<void()> callback) = 0;
 };
 
@@ -63,7 +65,8 @@
 
   // Bound address as IP:port.
   virtual std::string address() const = 0;
-  // Number of requests whose answer has not ended.
+  // Number of requests whose answer has neither been written whole nor been aborted, and whose
+  // connection is open.
   virtual std::size_t requests_in_progress() const = 0;
   // Closes the listening socket; requests in progress go on, and idle
   // keep-alive connections are closed.
--- /dev/null
+++ b/Libraries/LibHttp/request_inspector.cc
@@ -0,0 +1,115 @@
+#include "Libraries/LibHttp/request_inspector.h"
+
+#include <http_parser.h>
+
+namespace pimentopin {
+
+struct RequestInspector::State {
+  std::size_t max_body_bytes = 0;
+  std::size_t body_bytes = 0;
+  std::uint64_t whole_requests = 0;
+  bool in_request = false;
+  bool after_last_request = false;
+  std::optional<RequestFault> fault;
+  http_parser parser{};
+  http_parser_settings settings{};
+};
+
+namespace {
+
+// Any value other than 0, 1 and 2 makes http_parser stop with an error.
+constexpr int kStopParsing = -1;
+
+RequestFault TooLarge(std::size_t limit) {
+  return {.status = 413,
+          .reason = "body-too-large",
+          .message = "the request body exceeds " + std::to_string(limit) + " bytes"};
+}
+
+RequestFault FaultFromParser(http_errno error) {
+  if (error == HPE_HEADER_OVERFLOW) {
+    return {.status = 431, .reason = "header-too-large", .message = "the header is too large"};
+  }
+  return {.status = 400, .reason = "malformed-request", .message = http_errno_description(error)};
+}
+
+}  // namespace
+
+RequestInspector::RequestInspector(std::size_t max_body_bytes) : state(std::make_unique<State>()) {
+  this->state->max_body_bytes = max_body_bytes;
+  this->state->parser.data = this->state.get();
+  http_parser_init(&this->state->parser, HTTP_REQUEST);
+
+  http_parser_settings& settings = this->state->settings;
+  http_parser_settings_init(&settings);
+  settings.on_message_begin = [](http_parser* parser) {
+    auto& current = *static_cast<State*>(parser->data);
+    current.in_request = true;
+    current.body_bytes = 0;
+    return 0;
+  };
+  settings.on_headers_complete = [](http_parser* parser) {
+    auto& current = *static_cast<State*>(parser->data);
+    if (parser->upgrade != 0) {
+      current.fault = {.status = 501,
+                       .reason = "upgrade-unsupported",
+                       .message = "CONNECT and protocol upgrades are not supported"};
+      return kStopParsing;
+    }
+    // http_parser reports an absent Content-Length as the greatest value.
+    const bool length_given = parser->content_length != UINT64_MAX;
+    if (length_given && parser->content_length > current.max_body_bytes) {
+      current.fault = TooLarge(current.max_body_bytes);
+      return kStopParsing;
+    }
+    return 0;
+  };
+  settings.on_body = [](http_parser* parser, const char*, std::size_t length) {
+    auto& current = *static_cast<State*>(parser->data);
+    current.body_bytes += length;
+    if (current.body_bytes > current.max_body_bytes) {
+      current.fault = TooLarge(current.max_body_bytes);
+      return kStopParsing;
+    }
+    return 0;
+  };
+  settings.on_message_complete = [](http_parser* parser) {
+    auto& current = *static_cast<State*>(parser->data);
+    current.in_request = false;
+    ++current.whole_requests;
+    return 0;
+  };
+}
+
+RequestInspector::~RequestInspector() = default;
+RequestInspector::RequestInspector(RequestInspector&&) noexcept = default;
+RequestInspector& RequestInspector::operator=(RequestInspector&&) noexcept = default;
+
+RequestInspector::Result RequestInspector::Inspect(std::string_view bytes) {
+  State& current = *this->state;
+  if (current.after_last_request) {
+    return {};
+  }
+  const std::size_t parsed =
+      http_parser_execute(&current.parser, &current.settings, bytes.data(), bytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&current.parser);
+  if (error == HPE_OK) {
+    return {.usable_bytes = bytes.size()};
+  }
+  if (error == HPE_CLOSED_CONNECTION) {
+    // Bytes after a request with "Connection: close". They must not disturb its answer.
+    current.after_last_request = true;
+    return {.usable_bytes = parsed};
+  }
+  return {.fault = current.fault ? current.fault : FaultFromParser(error)};
+}
+
+bool RequestInspector::in_request() const {
+  return this->state->in_request;
+}
+
+std::uint64_t RequestInspector::whole_requests() const {
+  return this->state->whole_requests;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Tests/LibHttp/http_server_test.cc
@@ -0,0 +1,489 @@
+#include "Libraries/LibHttp/http_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "Tests/LibHttp/http_test_support.h"
+
+namespace pimentopin {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 1000;
+
+std::string Get(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
+}
+
+class HttpServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(TestWholeAnswersOnOneConnection);
+  CPPUNIT_TEST(TestRequestIsPassedOnUnchanged);
+  CPPUNIT_TEST(TestStreamedAnswerKeepsOrderFromAnyThread);
+  CPPUNIT_TEST(TestAbortLeavesChunkedAnswerIncomplete);
+  CPPUNIT_TEST(TestDroppedResponderLeavesChunkedAnswerIncomplete);
+  CPPUNIT_TEST(TestAbortBeforeStartSendsNothing);
+  CPPUNIT_TEST(TestAbortAfterEndIsIgnored);
+  CPPUNIT_TEST(TestCallerGoneIsReported);
+  CPPUNIT_TEST(TestCallerGoneIsReportedWhenSetLate);
+  CPPUNIT_TEST(TestCallerGoneIsNotReportedAfterEnd);
+  CPPUNIT_TEST(TestMalformedRequestGetsError);
+  CPPUNIT_TEST(TestLargeBodyGets413);
+  CPPUNIT_TEST(TestLargeChunkedBodyGets413);
+  CPPUNIT_TEST(TestUpgradeIsRefused);
+  CPPUNIT_TEST(TestTooManyRequestsGet503);
+  CPPUNIT_TEST(TestHeadHasLengthAndNoBody);
+  CPPUNIT_TEST(TestHeadersCannotBreakFraming);
+  CPPUNIT_TEST(TestPipelinedAnswersKeepOrder);
+  CPPUNIT_TEST(TestMalformedPipelinedRequestCannotBeTakenForAnswer);
+  CPPUNIT_TEST(TestStopListeningLetsRequestsEnd);
+  CPPUNIT_TEST(TestStopListeningClosesIdleConnections);
+  CPPUNIT_TEST(TestResponderOutlivesServer);
+  CPPUNIT_TEST(TestUnusableAddressIsReported);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void tearDown() override {
+    {
+      const std::scoped_lock lock(this->mutex);
+      this->requests.clear();
+      this->responders.clear();
+    }
+    this->server.reset();
+  }
+
+  // Guards against a keep-alive connection that serves only one request.
+  void TestWholeAnswersOnOneConnection() {
+    this->StartServer([](const HttpServerRequest& request, const auto& responder) {
+      responder->Respond(200, {{"X-Path", request.path}}, "body of " + request.path);
+    });
+    RawConnection caller = this->Connect();
+    for (int round = 0; round < 3; ++round) {
+      caller.Send(Get("/a" + std::to_string(round)));
+      const std::string answer = caller.ReadUntil("body of /a" + std::to_string(round));
+      CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+      CPPUNIT_ASSERT(answer.find("Content-Length: 11\r\n") != std::string::npos);
+    }
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+  }
+
+  // Guards against changed or lost parts of a request, such as repeated headers.
+  void TestRequestIsPassedOnUnchanged() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(
+        "POST http://name/path/x?a=1&b=%20 HTTP/1.1\r\nHost: h\r\nX-One: 1\r\nX-One: 2\r\n"
+        "Content-Length: 4\r\n\r\nbody");
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    const HttpServerRequest request = this->requests.front();
+    CPPUNIT_ASSERT_EQUAL(std::string("POST"), request.method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/path/x"), request.path);
+    CPPUNIT_ASSERT_EQUAL(std::string("a=1&b=%20"), request.query);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), request.body);
+    const HttpHeaders expected{
+        {"Host", "h"}, {"X-One", "1"}, {"X-One", "2"}, {"Content-Length", "4"}};
+    CPPUNIT_ASSERT(expected == request.headers);
+  }
+
+  // Guards against chunks that overtake each other when they come from several threads.
+  void TestStreamedAnswerKeepsOrderFromAnyThread() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    const auto responder = this->TakeResponder();
+    responder->Start(200, {{"Content-Length", "7"}});
+    std::atomic<int> written = 0;
+    std::string expected;
+    for (int index = 0; index < 200; ++index) {
+      const std::string chunk = "<" + std::to_string(index) + ">";
+      expected += chunk;
+      std::thread([&] { responder->Write(chunk, [&] { ++written; }); }).join();
+    }
+    responder->End();
+    const std::string answer = caller.ReadUntil("\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(answer.find("Transfer-Encoding: chunked") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("Content-Length") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(expected, Dechunk(answer));
+    CPPUNIT_ASSERT(Eventually([&] { return written == 200; }));
+  }
+
+  // Guards against P2: a broken answer that ends like a whole one.
+  void TestAbortLeavesChunkedAnswerIncomplete() {
+    this->CheckIncompleteAnswer([](std::shared_ptr<HttpResponder>& responder) {
+      responder->Abort();
+      responder->End();
+    });
+  }
+
+  // Guards against a handler that loses its responder and leaves the caller waiting.
+  void TestDroppedResponderLeavesChunkedAnswerIncomplete() {
+    this->CheckIncompleteAnswer(
+        [](std::shared_ptr<HttpResponder>& responder) { responder.reset(); });
+  }
+
+  // Guards against an invented status for an answer that never started.
+  void TestAbortBeforeStartSendsNothing() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    this->TakeResponder()->Abort();
+    CPPUNIT_ASSERT_EQUAL(std::string(), caller.ReadUntilClosed());
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+  }
+
+  // Guards against a whole answer that is cut because its responder goes away.
+  void TestAbortAfterEndIsIgnored() {
+    this->StartServer([](const HttpServerRequest&, const auto& responder) {
+      responder->Respond(200, {}, std::string(300000, 'x'));
+      responder->Abort();
+    });
+    RawConnection caller = this->Connect();
+    caller.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answer = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{300000}, answer.size() - answer.find("\r\n\r\n") - 4);
+  }
+
+  // Guards against targets that go on working for a caller that has left.
+  void TestCallerGoneIsReported() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    const auto responder = this->TakeResponder();
+    std::atomic<int> calls = 0;
+    responder->OnCallerGone([&] { ++calls; });
+    caller.Close();
+    CPPUNIT_ASSERT(Eventually([&] { return calls == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->server->requests_in_progress());
+    responder->Respond(200, {}, "too late");
+  }
+
+  // Guards against a missed notice when the caller leaves before the handler asks for it.
+  void TestCallerGoneIsReportedWhenSetLate() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    const auto responder = this->TakeResponder();
+    caller.Close();
+    CPPUNIT_ASSERT(Eventually([&] { return this->server->requests_in_progress() == 0; }));
+    std::promise<void> called;
+    responder->OnCallerGone([&] { called.set_value(); });
+    CPPUNIT_ASSERT(called.get_future().wait_for(kTestPatience) == std::future_status::ready);
+  }
+
+  // Guards against answered requests that are counted as given up.
+  void TestCallerGoneIsNotReportedAfterEnd() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    const auto responder = this->TakeResponder();
+    std::atomic<int> calls = 0;
+    responder->OnCallerGone([&] { ++calls; });
+    responder->Respond(200, {}, "done");
+    caller.ReadUntil("done");
+    caller.Close();
+    // A later exchange shows that the server has seen the first connection close.
+    RawConnection other = this->Connect();
+    other.Send(Get("/"));
+    this->TakeResponder()->Respond(200, {}, "next");
+    other.ReadUntil("next");
+    this->server.reset();
+    CPPUNIT_ASSERT_EQUAL(0, calls.load());
+  }
+
+  // Guards against malformed requests that are met with a closed connection only.
+  void TestMalformedRequestGetsError() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send("GET / HTTP/1.1\r\nbad header line\r\n\r\n");
+    const std::string answer = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 400 Bad Request\r\n"));
+    CPPUNIT_ASSERT(answer.find("Pimentopin-Outcome: not-run\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("\"reason\":\"malformed-request\"") != std::string::npos);
+    CPPUNIT_ASSERT(this->requests.empty());
+  }
+
+  // Guards against unbounded bodies and against a lost 413 while the caller still sends.
+  void TestLargeBodyGets413() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'x'));
+    const std::string answer = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 413 Payload Too Large\r\n"));
+    CPPUNIT_ASSERT(answer.find("\"reason\":\"body-too-large\"") != std::string::npos);
+    CPPUNIT_ASSERT(!caller.end_reason() || caller.end_reason() == asio::error::eof);
+    CPPUNIT_ASSERT(this->requests.empty());
+  }
+
+  // Guards against a body without Content-Length that passes the limit.
+  void TestLargeChunkedBodyGets413() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int index = 0; index < 3; ++index) {
+      caller.Send("190\r\n" + std::string(400, 'x') + "\r\n");
+    }
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().starts_with("HTTP/1.1 413 "));
+    CPPUNIT_ASSERT(this->requests.empty());
+  }
+
+  // Guards against connections that RESTinio takes out of the ordinary handling.
+  void TestUpgradeIsRefused() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send("GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n");
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().starts_with("HTTP/1.1 501 "));
+    CPPUNIT_ASSERT(this->requests.empty());
+  }
+
+  // Guards against an unbounded number of requests in memory.
+  void TestTooManyRequestsGet503() {
+    this->StartRecordingServer(2);
+    RawConnection first = this->Connect();
+    RawConnection second = this->Connect();
+    RawConnection third = this->Connect();
+    first.Send(Get("/1"));
+    second.Send(Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    third.Send(Get("/3"));
+    const std::string refusal = third.ReadUntil("\"too-many-requests-in-progress\"");
+    CPPUNIT_ASSERT(refusal.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(refusal.find("Retry-After: 1\r\n") != std::string::npos);
+    this->TakeResponder()->Respond(200, {}, "one");
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 1; }));
+    third.Send(Get("/4"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+  }
+
+  // Guards against a body after the header of a HEAD answer, which shifts all later answers.
+  void TestHeadHasLengthAndNoBody() {
+    this->StartServer([](const HttpServerRequest& request, const auto& responder) {
+      if (request.path == "/whole") {
+        responder->Respond(200, {}, "12345");
+        return;
+      }
+      responder->Start(200, {{"Content-Length", "77"}});
+      responder->Write("never sent", nullptr);
+      responder->End();
+    });
+    RawConnection caller = this->Connect();
+    caller.Send("HEAD /whole HTTP/1.1\r\n\r\n");
+    const std::string whole = caller.ReadUntil("\r\n\r\n");
+    CPPUNIT_ASSERT(whole.find("Content-Length: 5\r\n") != std::string::npos);
+    caller.Send("HEAD /streamed HTTP/1.1\r\n\r\n");
+    const std::string streamed = caller.ReadUntil("\r\n\r\n");
+    CPPUNIT_ASSERT(streamed.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(streamed.find("Content-Length: 77\r\n") != std::string::npos);
+    caller.Send("HEAD /whole HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string last = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(last.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(last.ends_with("\r\n\r\n"));
+  }
+
+  // Guards against response splitting through header values and against doubled framing headers.
+  void TestHeadersCannotBreakFraming() {
+    this->StartServer([](const HttpServerRequest&, const auto& responder) {
+      responder->Respond(200,
+                         {{"X-Bad", "a\r\nX-Injected: 1"},
+                          {"X Bad", "1"},
+                          {"Content-Length", "99"},
+                          {"Transfer-Encoding", "chunked"},
+                          {"X-Good", "yes"}},
+                         "ok");
+    });
+    RawConnection caller = this->Connect();
+    caller.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            "HTTP/1.1 200 OK\r\nX-Good: yes\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"),
+        caller.ReadUntilClosed());
+  }
+
+  // Guards against answers that are given to the wrong request of a connection.
+  void TestPipelinedAnswersKeepOrder() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2") + Get("/3"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    for (const std::size_t index : {2U, 0U, 1U}) {
+      this->responders[index]->Respond(200, {}, "answer-to-" + this->requests[index].path);
+    }
+    const std::string answers = caller.ReadUntil("answer-to-/3");
+    CPPUNIT_ASSERT(answers.find("answer-to-/1") < answers.find("answer-to-/2"));
+    CPPUNIT_ASSERT(answers.find("answer-to-/2") < answers.find("answer-to-/3"));
+  }
+
+  // Guards against an error for a later request that is sent in the place of an earlier answer.
+  void TestMalformedPipelinedRequestCannotBeTakenForAnswer() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1"));
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    caller.Send("nonsense\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string(), caller.ReadUntilClosed());
+  }
+
+  // Guards against P6: a planned stop that interrupts a request in flight.
+  void TestStopListeningLetsRequestsEnd() {
+    this->StartRecordingServer();
+    const std::string address = this->server->address();
+    RawConnection streamed = this->Connect();
+    RawConnection pending = this->Connect();
+    streamed.Send(Get("/streamed"));
+    const auto streaming = this->TakeResponder();
+    streaming->Start(200, {});
+    streaming->Write("first", nullptr);
+    CPPUNIT_ASSERT(streamed.ReadUntil("first").find("keep-alive") != std::string::npos);
+    pending.Send(Get("/pending"));
+    const auto waiting = this->TakeResponder();
+
+    this->server->StopListening();
+    CPPUNIT_ASSERT_THROW(RawConnection::Open(this->context, address), std::system_error);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->server->requests_in_progress());
+
+    streaming->Write("second", nullptr);
+    streaming->End();
+    CPPUNIT_ASSERT(streamed.ReadUntilClosed().ends_with("second\r\n0\r\n\r\n"));
+    CPPUNIT_ASSERT(streamed.end_reason() == asio::error::eof);
+    waiting->Respond(200, {}, "whole");
+    const std::string answer = pending.ReadUntilClosed();
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nwhole"));
+    CPPUNIT_ASSERT(answer.find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+  }
+
+  // Guards against a stop that waits for connections without requests, and against one that closes
+  // a connection whose request is on its way.
+  void TestStopListeningClosesIdleConnections() {
+    this->StartRecordingServer();
+    RawConnection unused = this->Connect();
+    RawConnection used = this->Connect();
+    used.Send(Get("/1"));
+    this->TakeResponder()->Respond(200, {}, "one");
+    used.ReadUntil("one");
+    RawConnection partial = this->Connect();
+    partial.Send("GET /2 HTTP/1.1\r\n");
+    // Another exchange, so that the server has read the partial request before it stops.
+    used.Send(Get("/3"));
+    this->TakeResponder()->Respond(200, {}, "three");
+    used.ReadUntil("three");
+
+    this->server->StopListening();
+    CPPUNIT_ASSERT_EQUAL(std::string(), unused.ReadUntilClosed());
+    CPPUNIT_ASSERT_EQUAL(std::string(), used.ReadUntilClosed());
+    partial.Send("\r\n");
+    this->TakeResponder()->Respond(200, {}, "two");
+    CPPUNIT_ASSERT(partial.ReadUntilClosed().ends_with("two"));
+  }
+
+  // Guards against a crash when a handler's late thread still holds a responder.
+  void TestResponderOutlivesServer() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    const auto responder = this->TakeResponder();
+    responder->Start(200, {});
+    responder->Write("part", nullptr);
+    caller.ReadUntil("part");
+    this->server.reset();
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().find("0\r\n\r\n") == std::string::npos);
+    responder->Write("late", nullptr);
+    responder->End();
+  }
+
+  // Guards against a start that seems to succeed on an address in use.
+  void TestUnusableAddressIsReported() {
+    this->StartRecordingServer();
+    const auto ignore = [](const HttpServerRequest&, const std::shared_ptr<HttpResponder>&) {};
+    for (const std::string& address :
+         {this->server->address(), std::string("nowhere"), std::string("127.0.0.1:99999")}) {
+      Error error;
+      CPPUNIT_ASSERT(HttpServer::Create({.address = address}, ignore, error) == nullptr);
+      CPPUNIT_ASSERT(error.code == ErrorCode::kInvalidArgument);
+      CPPUNIT_ASSERT(error.message.find(address) != std::string::npos);
+    }
+  }
+
+ private:
+  void StartServer(HttpServer::Handler handler, std::size_t max_concurrent_requests = 100) {
+    Error error;
+    this->server = HttpServer::Create({.address = "127.0.0.1:0",
+                                       .threads = 2,
+                                       .max_body_bytes = kMaxBodyBytes,
+                                       .max_concurrent_requests = max_concurrent_requests},
+                                      std::move(handler), error);
+    CPPUNIT_ASSERT_MESSAGE(error.message, this->server != nullptr);
+  }
+
+  // Keeps every request and responder for the test to handle.
+  void StartRecordingServer(std::size_t max_concurrent_requests = 100) {
+    this->StartServer(
+        [this](HttpServerRequest request, std::shared_ptr<HttpResponder> responder) {
+          const std::scoped_lock lock(this->mutex);
+          this->requests.push_back(std::move(request));
+          this->responders.push_back(std::move(responder));
+        },
+        max_concurrent_requests);
+  }
+
+  RawConnection Connect() { return RawConnection::Open(this->context, this->server->address()); }
+
+  bool WaitForRequests(std::size_t count) {
+    return Eventually([&] {
+      const std::scoped_lock lock(this->mutex);
+      return this->requests.size() >= count;
+    });
+  }
+
+  // Next responder that no test step has taken yet.
+  std::shared_ptr<HttpResponder> TakeResponder() {
+    CPPUNIT_ASSERT(this->WaitForRequests(this->taken + 1));
+    const std::scoped_lock lock(this->mutex);
+    return std::move(this->responders[this->taken++]);
+  }
+
+  void CheckIncompleteAnswer(const std::function<void(std::shared_ptr<HttpResponder>&)>& give_up) {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/"));
+    auto responder = this->TakeResponder();
+    responder->Start(200, {});
+    responder->Write("partial", nullptr);
+    const std::string received = caller.ReadUntil("partial\r\n");
+    CPPUNIT_ASSERT(received.find("Transfer-Encoding: chunked") != std::string::npos);
+    give_up(responder);
+    CPPUNIT_ASSERT_EQUAL(std::string(), caller.ReadUntilClosed());
+    // A reset also tells callers that take the end of the stream for the end of the answer.
+    CPPUNIT_ASSERT(caller.end_reason() == asio::error::connection_reset);
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+  }
+
+  static std::string Dechunk(const std::string& answer) {
+    std::string body;
+    std::size_t place = answer.find("\r\n\r\n") + 4;
+    while (true) {
+      const std::size_t size = std::stoul(answer.substr(place), nullptr, 16);
+      if (size == 0) {
+        return body;
+      }
+      place = answer.find("\r\n", place) + 2;
+      body += answer.substr(place, size);
+      place += size + 2;
+    }
+  }
+
+  asio::io_context context;
+  std::unique_ptr<HttpServer> server;
+  std::mutex mutex;
+  std::vector<HttpServerRequest> requests;
+  std::vector<std::shared_ptr<HttpResponder>> responders;
+  std::size_t taken = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+}  // namespace
+}  // namespace pimentopin
