--- /dev/null
+++ b/Bench/Load/body_check.cc
@@ -0,0 +1,39 @@
+#include "Bench/Load/body_check.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "Libraries/LibCore/identifiers.h"
+
+namespace pimentopin {
+namespace {
+
+constexpr std::uint64_t kLetters = 26;
+
+bool IsPattern(std::string_view bytes, std::string_view request_id) {
+  const std::uint64_t offset = StableHash(request_id) % kLetters;
+  for (std::size_t index = 0; index < bytes.size(); ++index) {
+    if (bytes[index] != static_cast<char>('a' + (offset + index) % kLetters)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+bool IsExpectedBody(std::string_view body, const ExpectedBody& expected) {
+  const std::size_t line_end = body.find('\n');
+  if (line_end == std::string_view::npos || body.size() - line_end - 1 != expected.size) {
+    return false;
+  }
+  const auto line = nlohmann::json::parse(body.substr(0, line_end), nullptr, false);
+  if (!line.is_object() || line.value("service", "") != expected.service) {
+    return false;
+  }
+  const std::string request_id = line.value("request_id", "");
+  return request_id.starts_with(expected.id_prefix) &&
+         IsPattern(body.substr(line_end + 1), request_id);
+}
+
+}  // namespace pimentopin
--- a/Bench/Runner/command.cc
+++ b/Bench/Runner/command.cc
@@ -1,12 +1,14 @@
 #include "Bench/Runner/command.h"
 
 #include "Bench/Runner/gray_command.h"
+#include "Bench/Runner/slopes_command.h"
 
 namespace pimentopin::bench {
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands{
       {"gray", "detection of gray targets and false ejections", RunGrayCommand},
+      {"slopes", "cost of state and messages against size", RunSlopesCommand},
   };
   return commands;
 }
--- /dev/null
+++ b/Bench/Runner/membership_slopes.cc
@@ -0,0 +1,211 @@
+#include "Bench/Runner/membership_slopes.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "Libraries/LibMembership/configuration_tracker.h"
+#include "Libraries/LibMembership/membership.h"
+#include "Libraries/LibProtocol/codec.h"
+
+namespace pimentopin::bench {
+namespace {
+
+constexpr std::size_t kHostCounts[] = {32, 128, 512};
+constexpr std::size_t kSpreadHostCounts[] = {32, 128, 512, 2048};
+constexpr Duration kStep = std::chrono::milliseconds(100);
+constexpr Duration kLink = Duration(1500);
+constexpr Duration kMeasured = std::chrono::seconds(10);
+constexpr TimePoint kStart{std::chrono::seconds(1000)};
+constexpr std::uint64_t kDomains = 8;
+
+HostId HostAt(std::size_t index) {
+  return IdFromName<HostId>(fmt::format("host-{}", index));
+}
+
+MemberRecord RecordAt(std::size_t index) {
+  return {.host = HostAt(index),
+          .name = fmt::format("host-{}", index),
+          .address = fmt::format("10.{}.{}.1:7000", index / 250, index % 250),
+          .domain = DomainId{index % kDomains},
+          .incarnation = 1765000000000,
+          .heartbeat = 1000};
+}
+
+double FrameBytes(const Message& message) {
+  return static_cast<double>(EncodeFrame({HostId{1}, DomainId{1}, message}).size());
+}
+
+struct GossipCost {
+  double bytes_per_host_s = 0;
+  double heap_bytes_per_host = 0;
+  double cpu_us_per_host_s = 0;
+};
+
+// All members know each other; then gossip runs for ten seconds.
+GossipCost MeasureGossip(std::size_t hosts) {
+  RandomSource random(1);
+  std::vector<MemberRecord> records;
+  for (std::size_t index = 0; index < hosts; ++index) {
+    records.push_back(RecordAt(index));
+  }
+  const double heap_before = HeapBytes();
+  std::vector<std::unique_ptr<Membership>> members;
+  for (std::size_t index = 0; index < hosts; ++index) {
+    members.push_back(std::make_unique<Membership>(records[index], random));
+    // A snapshot of all records stands for the gossip of the time before.
+    members.back()->OnGossip(kStart, {.sender = records[(index + 1) % hosts], .members = records});
+  }
+  GossipCost cost{.heap_bytes_per_host = (HeapBytes() - heap_before) / static_cast<double>(hosts)};
+  std::map<HostId, std::size_t> positions;
+  for (std::size_t index = 0; index < hosts; ++index) {
+    positions[records[index].host] = index;
+  }
+  double bytes = 0;
+  const double cpu_before = ThreadCpuMicroseconds();
+  for (TimePoint now = kStart; now < kStart + kMeasured; now += kStep) {
+    for (std::size_t index = 0; index < hosts; ++index) {
+      for (const SendToHost& action : members[index]->Tick(now)) {
+        bytes += FrameBytes(action.message);
+        if (const auto* gossip = std::get_if<Gossip>(&action.message)) {
+          members[positions.at(action.host)]->OnGossip(now, *gossip);
+        }
+      }
+    }
+  }
+  const double host_seconds =
+      static_cast<double>(hosts) * std::chrono::duration<double>(kMeasured).count();
+  cost.cpu_us_per_host_s = (ThreadCpuMicroseconds() - cpu_before) / host_seconds;
+  cost.bytes_per_host_s = bytes / host_seconds;
+  return cost;
+}
+
+struct SpreadCost {
+  double seconds = 0;
+  double documents_per_host = 0;
+  double other_messages_per_host = 0;
+};
+
+// One host commits a document; counts time and messages until all have it.
+class SpreadRun {
+ public:
+  explicit SpreadRun(std::size_t hosts) : random(1) {
+    std::vector<MemberRecord> records;
+    for (std::size_t index = 0; index < hosts; ++index) {
+      records.push_back(RecordAt(index));
+      this->positions[records.back().host] = index;
+    }
+    for (const MemberRecord& record : records) {
+      this->trackers.push_back(
+          std::make_unique<ConfigurationTracker>(record.host, record.domain, this->random));
+      this->trackers.back()->SetMembers(records);
+    }
+  }
+
+  SpreadCost Run() {
+    const auto hosts = static_cast<double>(this->trackers.size());
+    const ConfigurationDocument document{.revision = 1, .change_id = "change", .content = "{}"};
+    TimePoint now = kStart;
+    this->Execute(now, 0, this->trackers[0]->OnDocument(now, document));
+    TimePoint next_tick = now + kStep;
+    while (this->adopted < this->trackers.size() && now < kStart + std::chrono::seconds(60)) {
+      if (!this->in_flight.empty() && this->in_flight.front().at <= next_tick) {
+        const Delivery delivery = this->in_flight.front();
+        this->in_flight.pop_front();
+        now = delivery.at;
+        this->Deliver(now, delivery);
+        continue;
+      }
+      now = next_tick;
+      next_tick += kStep;
+      for (std::size_t index = 0; index < this->trackers.size(); ++index) {
+        this->Execute(now, index, this->trackers[index]->Tick(now));
+      }
+    }
+    return {.seconds = std::chrono::duration<double>(now - kStart).count(),
+            .documents_per_host = this->documents / hosts,
+            .other_messages_per_host = this->others / hosts};
+  }
+
+ private:
+  // All links have the same delay, so deliveries stay in the order of sending.
+  struct Delivery {
+    TimePoint at;
+    std::size_t from = 0;
+    std::size_t to = 0;
+    Message message;
+  };
+
+  void Execute(TimePoint now, std::size_t index, const std::vector<ConfigurationAction>& actions) {
+    for (const ConfigurationAction& action : actions) {
+      if (std::holds_alternative<AdoptConfiguration>(action)) {
+        ++this->adopted;
+      } else if (const auto* send = std::get_if<SendToHost>(&action)) {
+        const bool is_document = std::holds_alternative<ConfigurationDocument>(send->message);
+        (is_document ? this->documents : this->others) += 1;
+        this->in_flight.push_back(
+            {now + kLink, index, this->positions.at(send->host), send->message});
+      }
+    }
+  }
+
+  void Deliver(TimePoint now, const Delivery& delivery) {
+    ConfigurationTracker& tracker = *this->trackers[delivery.to];
+    const HostId sender = HostAt(delivery.from);
+    if (const auto* document = std::get_if<ConfigurationDocument>(&delivery.message)) {
+      this->Execute(now, delivery.to, tracker.OnDocument(now, *document));
+    } else if (const auto* offer = std::get_if<ConfigurationOffer>(&delivery.message)) {
+      this->Execute(now, delivery.to, tracker.OnOffer(now, sender, *offer));
+    } else if (const auto* request = std::get_if<ConfigurationRequest>(&delivery.message)) {
+      this->Execute(now, delivery.to, tracker.OnRequest(now, sender, *request));
+    }
+  }
+
+  RandomSource random;
+  std::map<HostId, std::size_t> positions;
+  std::vector<std::unique_ptr<ConfigurationTracker>> trackers;
+  std::deque<Delivery> in_flight;
+  std::size_t adopted = 0;
+  double documents = 0;
+  double others = 0;
+};
+
+}  // namespace
+
+std::vector<Slope> MeasureMembershipSlopes() {
+  std::vector<SlopePoint> bytes;
+  std::vector<SlopePoint> heap;
+  std::vector<SlopePoint> cpu;
+  for (const std::size_t hosts : kHostCounts) {
+    const GossipCost cost = MeasureGossip(hosts);
+    const auto x = static_cast<double>(hosts);
+    bytes.push_back({x, cost.bytes_per_host_s});
+    heap.push_back({x, cost.heap_bytes_per_host});
+    cpu.push_back({x, cost.cpu_us_per_host_s});
+  }
+  std::vector<SlopePoint> seconds;
+  std::vector<SlopePoint> documents;
+  std::vector<SlopePoint> others;
+  for (const std::size_t hosts : kSpreadHostCounts) {
+    const SpreadCost cost = SpreadRun(hosts).Run();
+    const auto x = std::log2(static_cast<double>(hosts));
+    seconds.push_back({x, cost.seconds});
+    documents.push_back({x, cost.documents_per_host});
+    others.push_back({x, cost.other_messages_per_host});
+  }
+  return {FitSlope("gossip sent by a host", "host", "bytes/s", std::move(bytes)),
+          FitSlope("member table of a host", "host", "bytes", std::move(heap)),
+          FitSlope("gossip processing of a host", "host", "cpu us/s", std::move(cpu)),
+          FitSlope("change in force everywhere", "doubling of hosts", "s", std::move(seconds)),
+          FitSlope("documents sent per host and change", "doubling of hosts", "messages",
+                   std::move(documents)),
+          FitSlope("offers and requests per host and change", "doubling of hosts", "messages",
+                   std::move(others))};
+}
+
+}  // namespace pimentopin::bench
--- /dev/null
+++ b/Libraries/LibHost/blackboard.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <vector>
+
+#include "Libraries/LibConfig/configuration.h"
+#include "Libraries/LibHealth/fingerprint_ledger.h"
+#include "Libraries/LibHost/snapshot.h"
+#include "Libraries/LibMembership/leaving_targets.h"
+#include "Libraries/LibProtocol/membership_messages.h"
+#include "Libraries/LibProtocol/slot_messages.h"
+
+namespace pimentopin {
+
+// Whether the load balancer should send callers to this host.
+struct Readiness {
+  bool has_configuration = false;
+  // Neither a peer nor the table was heard of late.
+  bool isolated = false;
+  bool shutting_down = false;
+
+  bool ready() const { return this->has_configuration && !this->isolated && !this->shutting_down; }
+  friend bool operator==(const Readiness&, const Readiness&) = default;
+};
+
+// State shared by the controllers of a host. Snapshots are written on the
+// control thread and read anywhere.
+struct Blackboard {
+  Snapshot<Configuration> configuration;
+  // The audit data and text of the configuration in force.
+  Snapshot<ConfigurationDocument> document;
+  Snapshot<std::vector<MemberRecord>> members;
+  Snapshot<std::vector<HostId>> usable_hosts;
+  // Last view of each service that this host used.
+  Snapshot<std::vector<ServiceView>> views;
+  Snapshot<Readiness> readiness;
+
+  // Control thread only.
+  LeavingTargets leaving_targets;
+  FingerprintLedger fingerprints;
+};
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -0,0 +1,485 @@
+#include "Libraries/LibHost/dispatch_controller.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "Libraries/LibCore/rendezvous.h"
+
+namespace pimentopin {
+namespace {
+
+bool IsLeaving(const Blackboard& board, TargetId target) {
+  if (board.leaving_targets.IsLeaving(target)) {
+    return true;
+  }
+  const auto configuration = board.configuration.Read();
+  const Target* configured = configuration ? configuration->FindTarget(target) : nullptr;
+  return configured == nullptr || configured->leaving;
+}
+
+DispatchSettings DispatcherSettings(const DispatchController::Settings& settings,
+                                    Blackboard& board) {
+  DispatchSettings result;
+  result.self = settings.self;
+  result.domain = IdFromName<DomainId>(settings.domain_name);
+  result.is_leaving = [&board](TargetId target) { return IsLeaving(board, target); };
+  result.is_suspect = [&board](Fingerprint print) { return board.fingerprints.IsSuspect(print); };
+  result.is_blocked = [&board](Fingerprint print) { return board.fingerprints.IsBlocked(print); };
+  return result;
+}
+
+ErrorAnswer ClaimRefusal(ClaimDecision decision) {
+  switch (decision) {
+    case ClaimDecision::kAlreadyRun:
+      return {409, Outcome::kTarget, "already-run",
+              "the request with this key has run; its answer was too large to keep"};
+    case ClaimDecision::kInProgressOrLost:
+      return {409, Outcome::kUnknown, "in-progress-or-lost",
+              "an earlier request with this key is running, or its outcome was lost"};
+    case ClaimDecision::kKeyReused:
+      return {422, Outcome::kNotRun, "key-reused", "the key was used with a different request"};
+    case ClaimDecision::kTableUnavailable:
+    case ClaimDecision::kRun:
+    case ClaimDecision::kReplay:
+      break;
+  }
+  return {503, Outcome::kNotRun, "claim-unavailable",
+          "the idempotency key could not be recorded; nothing was sent"};
+}
+
+}  // namespace
+
+DispatchController::DispatchController(ControlLoop& loop,
+                                       Blackboard& board,
+                                       PeerNetwork& peers,
+                                       ClaimLedger& claims,
+                                       RandomSource& random,
+                                       Settings settings)
+    : loop(loop),
+      board(board),
+      peers(peers),
+      claims(claims),
+      random(random),
+      settings(std::move(settings)),
+      dispatcher(DispatcherSettings(this->settings, board), random) {
+  board.configuration.Observe(
+      [this](const Configuration& configuration) { this->Configure(configuration); });
+  board.usable_hosts.Observe(
+      [this](const std::vector<HostId>& hosts) { this->OnUsableHosts(hosts); });
+  board.members.Observe(
+      [this](const std::vector<MemberRecord>& members) { this->OnMembers(members); });
+  if (const auto hosts = board.usable_hosts.Read()) {
+    this->OnUsableHosts(*hosts);
+  }
+}
+
+void DispatchController::Configure(const Configuration& configuration) {
+  std::vector<DispatchService> services;
+  std::map<ServiceId, BrokerConfiguration> next;
+  for (const Service& service : configuration.services) {
+    DispatchService dispatch{.service = service.id(), .floor_slots = service.floor_slots};
+    BrokerConfiguration broker{.service = service.id(),
+                               .floor_slots = service.floor_slots,
+                               .queue_limit = service.queue_limit};
+    for (const Target* target : configuration.TargetsOf(service.name)) {
+      dispatch.targets.push_back(
+          {target->id(), target->domain_id(), target->slots, target->connections});
+      broker.targets.push_back(
+          {target->id(), target->domain_id(), target->slots, IsLeaving(this->board, target->id())});
+    }
+    services.push_back(std::move(dispatch));
+    next.emplace(service.id(), std::move(broker));
+  }
+  this->broker_configurations = std::move(next);
+  this->dispatcher.Configure(this->Now(), std::move(services));
+  std::erase_if(this->brokers, [this](const auto& entry) {
+    return !this->broker_configurations.contains(entry.first);
+  });
+  for (auto& [service, broker] : this->brokers) {
+    this->Execute(broker->Configure(this->Now(), this->broker_configurations.at(service)));
+  }
+}
+
+void DispatchController::RefreshLeavingTargets() {
+  for (auto& [service, configuration] : this->broker_configurations) {
+    const BrokerConfiguration before = configuration;
+    for (BrokerTarget& target : configuration.targets) {
+      target.leaving = IsLeaving(this->board, target.target);
+    }
+    const auto broker = this->brokers.find(service);
+    if (broker != this->brokers.end() && before != configuration) {
+      this->Execute(broker->second->Configure(this->Now(), configuration));
+    }
+  }
+}
+
+void DispatchController::OnUsableHosts(const std::vector<HostId>& hosts) {
+  this->Execute(this->dispatcher.SetMembers(this->Now(), hosts));
+}
+
+void DispatchController::OnMembers(const std::vector<MemberRecord>& members) {
+  for (const MemberRecord& member : members) {
+    if (member.state != MemberState::kDead) {
+      continue;
+    }
+    for (auto& [service, broker] : this->brokers) {
+      this->Execute(broker->OnHostDead(this->Now(), member.host));
+    }
+  }
+}
+
+void DispatchController::Submit(std::shared_ptr<Exchange> exchange) {
+  exchange->description.request = RequestId{this->random.Next()};
+  if (exchange->claim_key) {
+    this->Claim(exchange);
+    return;
+  }
+  this->Begin(exchange, std::nullopt);
+}
+
+void DispatchController::Claim(const std::shared_ptr<Exchange>& exchange) {
+  const AttemptId claimant{this->random.Next()};
+  this->claims.Claim(this->Now(), *exchange->claim_key, claimant, exchange->description.fingerprint,
+                     [this, exchange, claimant](const ClaimResult& result) {
+                       this->OnClaimed(exchange, claimant, result);
+                     });
+}
+
+void DispatchController::OnClaimed(const std::shared_ptr<Exchange>& exchange,
+                                   AttemptId claimant,
+                                   const ClaimResult& result) {
+  if (result.decision == ClaimDecision::kRun) {
+    this->Begin(exchange, claimant);
+    return;
+  }
+  if (result.decision == ClaimDecision::kReplay) {
+    this->Replay(*exchange, *result.outcome);
+    return;
+  }
+  this->Answer(*exchange, ClaimRefusal(result.decision));
+}
+
+void DispatchController::Replay(const Exchange& exchange, const StoredOutcome& outcome) {
+  HttpHeaders headers = outcome.headers;
+  headers.push_back({std::string(kOutcomeHeader), std::string(OutcomeName(Outcome::kTarget))});
+  headers.push_back({std::string(kReplayedHeader), "true"});
+  headers.push_back({std::string(kRequestIdHeader), exchange.request_id});
+  exchange.responder->Respond(outcome.status, std::move(headers), outcome.body.value_or(""));
+  this->Report(exchange,
+               {.outcome = Outcome::kTarget, .reason = "replayed", .status = outcome.status});
+}
+
+void DispatchController::Begin(const std::shared_ptr<Exchange>& exchange,
+                               std::optional<AttemptId> claimant) {
+  const RequestId request = exchange->description.request;
+  const ServiceId service = exchange->description.service;
+  const auto view = this->views.find(service);
+  this->active.emplace(
+      request, ActiveRequest{.exchange = exchange,
+                             .claimant = claimant,
+                             .in_demand_peak = view != this->views.end() && view->second.queued > 0,
+                             .beside_long_work = this->HasLongWork(service)});
+  exchange->responder->OnCallerGone(
+      [this, request] { this->loop.Post([this, request] { this->OnCallerGone(request); }); });
+  this->Execute(this->dispatcher.Begin(this->Now(), exchange->description));
+}
+
+void DispatchController::OnCallerGone(RequestId request) {
+  const auto found = this->active.find(request);
+  if (found == this->active.end()) {
+    return;
+  }
+  found->second.caller_gone = true;
+  for (const auto& [attempt, transfer] : found->second.transfers) {
+    transfer->DiscardBody();
+  }
+  // Keyed work that was sent runs on, so that its outcome can be stored for
+  // the caller's next try.
+  if (found->second.claimant && !found->second.transfers.empty()) {
+    return;
+  }
+  this->Execute(this->dispatcher.OnCallerGone(this->Now(), request));
+}
+
+void DispatchController::OnMessage(const Envelope& envelope) {
+  const TimePoint now = this->Now();
+  const HostId sender = envelope.sender;
+  const DomainId domain = envelope.sender_domain;
+  std::visit(
+      [&](const auto& message) {
+        using T = std::decay_t<decltype(message)>;
+        if constexpr (std::is_same_v<T, SlotGrant>) {
+          this->Execute(this->dispatcher.OnGrant(now, sender, message));
+        } else if constexpr (std::is_same_v<T, SlotRefusal>) {
+          this->Execute(this->dispatcher.OnRefusal(now, sender, message));
+        } else if constexpr (std::is_same_v<T, ServiceView>) {
+          this->dispatcher.OnView(now, sender, message);
+          this->views[message.service] = message;
+        } else if constexpr (std::is_same_v<T, SlotRequest>) {
+          SlotBroker* broker = this->BrokerOf(message.service);
+          if (broker == nullptr) {
+            this->Execute(SendToHost{
+                sender,
+                SlotRefusal{message.attempt, message.service, RefusalReason::kNotBroker, {}}});
+            return;
+          }
+          const bool blocked = this->board.fingerprints.IsBlocked(message.fingerprint);
+          this->Execute(broker->OnRequest(now, sender, domain, message, blocked));
+        } else if constexpr (std::is_same_v<T, SlotCancel>) {
+          if (SlotBroker* broker = this->BrokerOf(message.service)) {
+            this->Execute(broker->OnCancel(now, sender, message));
+          }
+        } else if constexpr (std::is_same_v<T, SlotClaim>) {
+          if (SlotBroker* broker = this->BrokerOf(message.service)) {
+            this->Execute(broker->OnClaim(now, sender, domain, message));
+          }
+        } else if constexpr (std::is_same_v<T, SlotRelease>) {
+          if (SlotBroker* broker = this->BrokerOf(message.service)) {
+            this->Execute(broker->OnRelease(now, sender, domain, message));
+          }
+        } else if constexpr (std::is_same_v<T, HostReport>) {
+          if (SlotBroker* broker = this->BrokerOf(message.service)) {
+            this->Execute(broker->OnReport(now, sender, domain, message));
+          }
+        } else if constexpr (std::is_same_v<T, ProbeReport>) {
+          if (SlotBroker* broker = this->BrokerOf(message.service)) {
+            broker->OnProbe(now, {.target = message.target,
+                                  .reporter = sender,
+                                  .reporter_domain = domain,
+                                  .result = message.result,
+                                  .service_time = message.service_time,
+                                  .is_probe = true});
+          }
+        }
+      },
+      envelope.message);
+}
+
+void DispatchController::OnProbe(ServiceId service, const HealthEvidence& evidence) {
+  const auto hosts = this->board.usable_hosts.Read();
+  if (!hosts || hosts->empty()) {
+    return;
+  }
+  const HostId broker = RendezvousRank(RawId(service), *hosts).front();
+  this->Execute(SendToHost{
+      broker, ProbeReport{service, evidence.target, evidence.result, evidence.service_time}});
+}
+
+SlotBroker* DispatchController::BrokerOf(ServiceId service) {
+  const auto configuration = this->broker_configurations.find(service);
+  if (configuration == this->broker_configurations.end()) {
+    return nullptr;
+  }
+  auto found = this->brokers.find(service);
+  if (found == this->brokers.end()) {
+    found =
+        this->brokers.emplace(service, std::make_unique<SlotBroker>(configuration->second)).first;
+  }
+  return found->second.get();
+}
+
+void DispatchController::Tick() {
+  const TimePoint now = this->Now();
+  this->RefreshLeavingTargets();
+  this->Execute(this->dispatcher.Tick(now));
+  for (auto& [service, broker] : this->brokers) {
+    this->Execute(broker->Tick(now));
+    for (const HealthEvent& event : broker->TakeHealthEvents()) {
+      this->settings.on_health_event(service, event);
+    }
+  }
+  std::vector<ServiceView> current;
+  for (const auto& [service, view] : this->views) {
+    current.push_back(view);
+  }
+  this->board.views.Write(std::move(current));
+}
+
+void DispatchController::Execute(const std::vector<DispatchAction>& actions) {
+  for (const DispatchAction& action : actions) {
+    std::visit([this](const auto& concrete) { this->Execute(concrete); }, action);
+  }
+}
+
+void DispatchController::Execute(const std::vector<SendToHost>& actions) {
+  for (const SendToHost& action : actions) {
+    this->Execute(action);
+  }
+}
+
+void DispatchController::Execute(const SendToHost& action) {
+  if (action.host != this->settings.self) {
+    this->peers.Send(action.host, action.message);
+    return;
+  }
+  // Posted, so that decision code is never entered while its actions are carried out.
+  this->loop.Post([this, message = action.message] {
+    this->OnMessage(
+        {this->settings.self, IdFromName<DomainId>(this->settings.domain_name), message});
+  });
+}
+
+void DispatchController::Execute(const StartAttempt& action) {
+  const auto found = this->active.find(action.request);
+  const auto configuration = this->board.configuration.Read();
+  const Target* target = configuration ? configuration->FindTarget(action.target) : nullptr;
+  if (found == this->active.end() || target == nullptr) {
+    this->loop.Post([this, action] {
+      this->Execute(this->dispatcher.OnAttemptEnd(this->Now(), action.attempt,
+                                                  {.result = AttemptResult::kConnectFailure}));
+    });
+    return;
+  }
+  ActiveRequest& request = found->second;
+  AttemptTransfer::Hooks hooks;
+  hooks.on_header = [this, attempt = action.attempt](const AttemptHeader& header) {
+    this->loop.Post([this, attempt, header] {
+      this->Execute(this->dispatcher.OnHeader(this->Now(), attempt, header));
+    });
+  };
+  hooks.on_end = [this, action](const AttemptEnd& end) {
+    this->loop.Post([this, action, end] {
+      this->OnAttemptEnd(action.request, action.attempt, action.target, end);
+    });
+  };
+  auto transfer =
+      std::make_shared<AttemptTransfer>(request.exchange, action.attempt, std::move(hooks));
+  request.transfers[action.attempt] = transfer;
+  this->attempts[action.attempt] = action.request;
+
+  HttpClientRequest http_request;
+  http_request.url = "http://" + target->address + request.exchange->target_path;
+  http_request.headers = {{"Pimentopin-Host", this->settings.host_name},
+                          {"Pimentopin-Host-Domain", this->settings.domain_name}};
+  http_request.timeout = std::max(action.deadline - this->Now(), Duration(1));
+  HttpClient& client =
+      *this->settings.clients[RawId(action.attempt) % this->settings.clients.size()];
+  transfer->Start(client, std::move(http_request));
+}
+
+void DispatchController::Execute(const CancelAttempt& action) {
+  const auto request = this->attempts.find(action.attempt);
+  if (request == this->attempts.end()) {
+    return;
+  }
+  const auto found = this->active.find(request->second);
+  if (found != this->active.end() && found->second.transfers.contains(action.attempt)) {
+    found->second.transfers.at(action.attempt)->Cancel();
+  }
+}
+
+void DispatchController::Execute(const ForwardAnswer& action) {
+  const auto found = this->active.find(action.request);
+  if (found == this->active.end() || !found->second.transfers.contains(action.attempt)) {
+    return;
+  }
+  ActiveRequest& request = found->second;
+  request.forwarded = request.transfers.at(action.attempt);
+  if (request.caller_gone) {
+    request.forwarded->DiscardBody();
+    return;
+  }
+  request.forwarded->Forward();
+}
+
+void DispatchController::OnAttemptEnd(RequestId request,
+                                      AttemptId attempt,
+                                      TargetId target,
+                                      const AttemptEnd& end) {
+  const TimePoint now = this->Now();
+  if (end.target_draining && this->board.leaving_targets.Mark(now, target)) {
+    this->settings.on_notice();
+  }
+  const auto found = this->active.find(request);
+  if (found != this->active.end() && end.may_have_been_sent && end.result != AttemptResult::kShed) {
+    ++found->second.possible_runs;
+  }
+  if (end.result == AttemptResult::kConnectionLost && found != this->active.end()) {
+    const RequestDescription& description = found->second.exchange->description;
+    this->board.fingerprints.RecordKill(now, description.service, description.fingerprint, target,
+                                        attempt);
+    this->settings.on_notice();
+  }
+  this->attempts.erase(attempt);
+  this->Execute(this->dispatcher.OnAttemptEnd(now, attempt, end));
+}
+
+void DispatchController::Execute(const FinishRequest& action) {
+  const auto found = this->active.find(action.request);
+  if (found == this->active.end()) {
+    return;
+  }
+  const ActiveRequest request = std::move(found->second);
+  this->active.erase(found);
+  this->SettleClaim(request, action);
+
+  const Exchange& exchange = *request.exchange;
+  FinishedRequest facts{.outcome = action.outcome,
+                        .attempts = action.attempts,
+                        .possible_runs = request.possible_runs,
+                        .broken = action.abort_connection && !request.caller_gone,
+                        .abandoned = request.caller_gone,
+                        .in_demand_peak = request.in_demand_peak,
+                        .beside_long_work = request.beside_long_work};
+  if (action.outcome == Outcome::kTarget && request.forwarded) {
+    if (!request.caller_gone) {
+      request.forwarded->FinishAnswer();
+    }
+    facts.status = request.forwarded->status_code();
+    this->Report(exchange, std::move(facts));
+    return;
+  }
+  const ErrorAnswer answer = AnswerFor(action);
+  if (action.abort_connection) {
+    exchange.responder->Abort();
+  } else {
+    exchange.responder->Respond(answer.status, answer.Headers(exchange.request_id),
+                                answer.Body(exchange.request_id));
+  }
+  facts.reason = request.caller_gone ? "caller-gone" : answer.reason;
+  facts.status = answer.status;
+  this->Report(exchange, std::move(facts));
+}
+
+void DispatchController::SettleClaim(const ActiveRequest& request, const FinishRequest& finish) {
+  if (!request.claimant) {
+    return;
+  }
+  if (finish.outcome == Outcome::kTarget && request.forwarded) {
+    this->claims.Complete(this->Now(), *request.claimant, request.forwarded->TakeOutcome());
+  } else if (finish.outcome == Outcome::kNotRun) {
+    this->claims.Release(this->Now(), *request.claimant);
+  } else {
+    this->claims.Abandon(*request.claimant);
+  }
+}
+
+void DispatchController::Answer(const Exchange& exchange, const ErrorAnswer& answer) {
+  exchange.responder->Respond(answer.status, answer.Headers(exchange.request_id),
+                              answer.Body(exchange.request_id));
+  this->Report(exchange,
+               {.outcome = answer.outcome, .reason = answer.reason, .status = answer.status});
+}
+
+bool DispatchController::HasLongWork(ServiceId service) const {
+  return std::any_of(this->active.begin(), this->active.end(), [service](const auto& entry) {
+    const RequestDescription& description = entry.second.exchange->description;
+    return description.service == service && description.work_class == WorkClass::kLong;
+  });
+}
+
+void DispatchController::Report(const Exchange& exchange, FinishedRequest facts) {
+  const TimePoint now = this->Now();
+  facts.request_id = exchange.request_id;
+  facts.service = exchange.service;
+  facts.organisation = exchange.organisation;
+  facts.caller = exchange.caller;
+  facts.work_class = exchange.description.work_class;
+  facts.idempotent = exchange.description.idempotent;
+  facts.latency = now - exchange.arrived;
+  facts.late = now > exchange.description.deadline;
+  this->settings.on_finished(facts);
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/host.cc
@@ -0,0 +1,389 @@
+#include "Libraries/LibHost/host.h"
+
+#include <asio/signal_set.hpp>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibHost/configuration_controller.h"
+#include "Libraries/LibHost/control_loop.h"
+#include "Libraries/LibHost/dispatch_controller.h"
+#include "Libraries/LibHost/membership_controller.h"
+#include "Libraries/LibHost/metrics.h"
+#include "Libraries/LibHost/operator_endpoint.h"
+#include "Libraries/LibHost/probe_controller.h"
+#include "Libraries/LibHost/report_controller.h"
+#include "Libraries/LibHost/request_reader.h"
+#include "Libraries/LibHost/wall_clock.h"
+#include "Libraries/LibPlatform/http_platform.h"
+
+namespace pimentopin {
+namespace {
+
+// 32 hosts with 8 connections each for requests and one for probes stay under
+// a target's limit of 300.
+// FIXME: Derive the share from the configured limit and the number of hosts.
+constexpr std::size_t kConnectionsPerTarget = 8;
+constexpr std::size_t kProbeConnectionsPerTarget = 1;
+constexpr Duration kIsolationWindow = std::chrono::seconds(4);
+constexpr Duration kCommitRetryDelay = std::chrono::milliseconds(300);
+constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
+// Writes to the platform that are still open do not hold up an exit for longer.
+constexpr Duration kFlushLimit = std::chrono::seconds(10);
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+class HostProcess : public Host {
+ public:
+  explicit HostProcess(HostSettings settings)
+      : settings(std::move(settings)),
+        random(RandomSeed()),
+        self(IdFromName<HostId>(this->settings.name)),
+        domain(IdFromName<DomainId>(this->settings.domain)),
+        signals(this->loop.context()) {}
+
+  bool Start(Error& error);
+  void Run() override;
+
+ private:
+  void CreatePlatform();
+  bool CreatePeers(Error& error);
+  void CreateControllers();
+  bool CreateServers(Error& error);
+  void ScheduleTasks();
+  void OnPeerMessage(const Envelope& envelope);
+  void OnCallerRequest(HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder);
+  void OnFinished(const FinishedRequest& finished);
+  void OnHealthEvent(ServiceId service, const HealthEvent& event);
+  void UpdateReadiness();
+  void BeginShutdown();
+  void StopListening();
+  void AwaitRequests();
+  void Flush(TimePoint give_up_at);
+
+  const HostSettings settings;
+  RandomSource random;
+  const HostId self;
+  const DomainId domain;
+
+  ControlLoop loop;
+  asio::signal_set signals;
+  Blackboard board;
+  Metrics metrics;
+  bool shutting_down = false;
+
+  std::unique_ptr<HttpClient> platform_client;
+  std::unique_ptr<TableStore> table;
+  std::unique_ptr<ObjectStore> objects;
+  std::unique_ptr<HostList> host_list;
+  std::unique_ptr<ConfigurationStore> configuration_store;
+  std::unique_ptr<ClaimLedger> claims;
+
+  std::unique_ptr<PeerNetwork> peers;
+  std::unique_ptr<MembershipController> membership;
+  std::unique_ptr<ConfigurationController> configuration;
+  std::unique_ptr<DispatchController> dispatch;
+  std::unique_ptr<ProbeController> probes;
+  std::unique_ptr<ReportController> reports;
+
+  // Declared last: their threads use everything above and end first.
+  std::unique_ptr<HttpClient> probe_client;
+  std::unique_ptr<HttpClient> target_client;
+  std::unique_ptr<HttpServer> caller_server;
+  std::unique_ptr<OperatorEndpoint> operator_endpoint;
+};
+
+bool HostProcess::Start(Error& error) {
+  this->CreatePlatform();
+  if (!this->CreatePeers(error)) {
+    return false;
+  }
+  this->CreateControllers();
+  if (!this->CreateServers(error)) {
+    return false;
+  }
+  this->ScheduleTasks();
+  Log(LogLevel::kInfo, "host_started",
+      {{"name", this->settings.name},
+       {"domain", this->settings.domain},
+       {"caller_address", this->caller_server->address()},
+       {"operator_address", this->operator_endpoint->address()},
+       {"peer_address", this->peers->address()}});
+  return true;
+}
+
+void HostProcess::CreatePlatform() {
+  this->platform_client = HttpClient::Create({.max_connections_per_address = 4});
+  const HttpPlatformSettings platform{
+      .base_url = this->settings.platform_url,
+      .post = [this](std::function<void()> task) { this->loop.Post(std::move(task)); }};
+  this->table = CreateHttpTableStore(*this->platform_client, platform);
+  this->objects = CreateHttpObjectStore(*this->platform_client, platform);
+  this->host_list = CreateHttpHostList(*this->platform_client, platform);
+  this->configuration_store = std::make_unique<ConfigurationStore>(
+      *this->table, *this->objects,
+      [this](std::function<void()> task) { this->loop.After(kCommitRetryDelay, std::move(task)); });
+  this->claims = std::make_unique<ClaimLedger>(*this->table);
+}
+
+bool HostProcess::CreatePeers(Error& error) {
+  this->peers = PeerNetwork::Create(
+      this->loop.context(), this->settings.peer_address, this->self, this->domain,
+      [this](const Envelope& envelope) { this->OnPeerMessage(envelope); }, error);
+  return this->peers != nullptr;
+}
+
+void HostProcess::CreateControllers() {
+  const MemberRecord record{.host = this->self,
+                            .name = this->settings.name,
+                            .address = this->peers->address(),
+                            .domain = this->domain,
+                            .incarnation = WallClockMs()};
+  this->membership = std::make_unique<MembershipController>(
+      this->board, *this->peers, *this->host_list, record, this->settings.seeds, this->random);
+  this->configuration = std::make_unique<ConfigurationController>(
+      this->board, *this->peers, *this->configuration_store, this->self, this->domain, this->random,
+      SteadyNow);
+  this->probe_client =
+      HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget});
+  this->target_client = HttpClient::Create({.max_connections_per_address = kConnectionsPerTarget});
+  this->reports = std::make_unique<ReportController>(*this->objects, record);
+
+  DispatchController::Settings dispatch_settings{
+      .self = this->self,
+      .host_name = this->settings.name,
+      .domain_name = this->settings.domain,
+      .clients = {this->target_client.get()},
+      .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
+      .on_health_event = [this](ServiceId service,
+                                const HealthEvent& event) { this->OnHealthEvent(service, event); },
+      .on_notice = [this] { this->membership->SpreadNotices(SteadyNow()); }};
+  this->dispatch =
+      std::make_unique<DispatchController>(this->loop, this->board, *this->peers, *this->claims,
+                                           this->random, std::move(dispatch_settings));
+  ProbeController::Settings probe_settings{
+      .self = this->self,
+      .domain = this->domain,
+      .host_name = this->settings.name,
+      .domain_name = this->settings.domain,
+      .on_evidence =
+          [this](ServiceId service, const HealthEvidence& evidence) {
+            this->dispatch->OnProbe(service, evidence);
+          },
+      .on_leaving = [this] { this->membership->SpreadNotices(SteadyNow()); }};
+  this->probes = std::make_unique<ProbeController>(this->loop, this->board, *this->probe_client,
+                                                   std::move(probe_settings));
+  this->board.configuration.Observe([this](const Configuration& configuration_in_force) {
+    this->membership->SetConfigurationRevision(configuration_in_force.revision);
+  });
+  this->board.readiness.Write(Readiness{});
+  this->board.views.Write({});
+}
+
+bool HostProcess::CreateServers(Error& error) {
+  OperatorEndpoint::Settings operator_settings{
+      .address = this->settings.operator_address,
+      .host_name = this->settings.name,
+      .domain_name = this->settings.domain,
+      .on_drain = [this] { this->BeginShutdown(); },
+      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); }};
+  this->operator_endpoint = OperatorEndpoint::Create(
+      this->loop, this->board, *this->configuration, *this->configuration_store, *this->objects,
+      this->metrics, std::move(operator_settings), error);
+  if (!this->operator_endpoint) {
+    return false;
+  }
+  this->caller_server = HttpServer::Create(
+      {.address = this->settings.caller_address,
+       .threads = this->settings.traffic_threads,
+       .max_body_bytes = this->settings.max_body_bytes,
+       .max_concurrent_requests = this->settings.max_concurrent_requests},
+      [this](HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder) {
+        this->OnCallerRequest(std::move(request), responder);
+      },
+      error);
+  return this->caller_server != nullptr;
+}
+
+void HostProcess::ScheduleTasks() {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  this->loop.Every(milliseconds(5), [this] { this->claims->Tick(SteadyNow()); });
+  this->loop.Every(milliseconds(10), [this] { this->dispatch->Tick(); });
+  this->loop.Every(milliseconds(100), [this] {
+    const TimePoint now = SteadyNow();
+    this->membership->Tick(now);
+    this->configuration->Tick();
+    this->probes->Tick(now);
+    this->reports->Tick(now);
+    this->UpdateReadiness();
+  });
+  this->loop.Every(seconds(5), [this] { this->membership->RefreshFromHostList(SteadyNow()); });
+  this->loop.Post([this] { this->membership->RefreshFromHostList(SteadyNow()); });
+}
+
+void HostProcess::OnPeerMessage(const Envelope& envelope) {
+  if (const auto* gossip = std::get_if<Gossip>(&envelope.message)) {
+    this->membership->OnGossip(SteadyNow(), *gossip);
+    this->configuration->OnRevisionSeen(envelope.sender, gossip->sender.configuration_revision);
+  } else if (const auto* offer = std::get_if<ConfigurationOffer>(&envelope.message)) {
+    this->configuration->OnOffer(envelope.sender, *offer);
+  } else if (const auto* request = std::get_if<ConfigurationRequest>(&envelope.message)) {
+    this->configuration->OnRequest(envelope.sender, *request);
+  } else if (const auto* document = std::get_if<ConfigurationDocument>(&envelope.message)) {
+    this->configuration->OnDocument(*document);
+  } else {
+    this->dispatch->OnMessage(envelope);
+  }
+}
+
+void HostProcess::OnCallerRequest(HttpServerRequest request,
+                                  const std::shared_ptr<HttpResponder>& responder) {
+  const std::string given_id(FindHeader(request.headers, kRequestIdHeader));
+  const auto configuration_in_force = this->board.configuration.Read();
+  ErrorAnswer refusal{503, Outcome::kNotRun, "no-configuration",
+                      "this host has no configuration yet"};
+  std::optional<Exchange> exchange;
+  if (configuration_in_force) {
+    exchange = ReadRequest(*configuration_in_force, std::move(request), SteadyNow(), refusal);
+  }
+  if (!exchange) {
+    this->metrics.Count("pimentopin_refused_requests_total", "reason=\"" + refusal.reason + "\"");
+    Log(LogLevel::kInfo, "request_refused",
+        {{"request_id", given_id}, {"reason", refusal.reason}, {"message", refusal.message}});
+    responder->Respond(refusal.status, refusal.Headers(given_id), refusal.Body(given_id));
+    return;
+  }
+  exchange->responder = responder;
+  auto shared = std::make_shared<Exchange>(std::move(*exchange));
+  this->loop.Post([this, shared] {
+    if (shared->request_id.empty()) {
+      shared->request_id = std::to_string(this->random.Next());
+    }
+    this->dispatch->Submit(shared);
+  });
+}
+
+void HostProcess::OnFinished(const FinishedRequest& finished) {
+  const std::string service = "service=\"" + finished.service + "\"";
+  const std::string outcome =
+      service + ",outcome=\"" + std::string(OutcomeName(finished.outcome)) + "\"";
+  this->metrics.Count("pimentopin_requests_total", outcome);
+  this->metrics.ObserveLatency("pimentopin_request_seconds", service, finished.latency);
+  if (finished.attempts > 1) {
+    this->metrics.Count("pimentopin_retries_total", service, finished.attempts - 1);
+  }
+  this->reports->OnFinished(finished);
+  Log(LogLevel::kInfo, "request_finished",
+      {{"request_id", finished.request_id},
+       {"service", finished.service},
+       {"caller", finished.caller},
+       {"outcome", OutcomeName(finished.outcome)},
+       {"reason", finished.reason},
+       {"status", finished.status},
+       {"attempts", finished.attempts},
+       {"latency_us", finished.latency.count()}});
+}
+
+void HostProcess::OnHealthEvent(ServiceId service, const HealthEvent& event) {
+  const auto configuration_in_force = this->board.configuration.Read();
+  const Service* named = configuration_in_force->FindService(service);
+  const Target* target = configuration_in_force->FindTarget(event.target);
+  if (named == nullptr || target == nullptr) {
+    return;
+  }
+  constexpr std::array<std::string_view, 4> kNames = {
+      "target_ejected", "target_on_probation", "target_reinstated_for_floor", "target_returned"};
+  const std::string_view name = kNames.at(static_cast<std::size_t>(event.kind));
+  Log(LogLevel::kWarning, name,
+      {{"service", named->name},
+       {"target", target->name},
+       {"detection_ms", event.detection_time.count() / 1000}});
+  this->metrics.Count("pimentopin_health_events_total",
+                      "event=\"" + std::string(name) + "\",service=\"" + named->name + "\"");
+  this->reports->OnHealthEvent(named->name, event);
+}
+
+void HostProcess::UpdateReadiness() {
+  const TimePoint now = SteadyNow();
+  const auto members = this->board.members.Read();
+  const bool heard_peer =
+      members->size() > 1 && this->membership->HeardPeerWithin(now, kIsolationWindow);
+  const bool heard_table = this->configuration->HeardTableWithin(kIsolationWindow);
+  this->board.readiness.Write({.has_configuration = this->board.configuration.Read() != nullptr,
+                               .isolated = !heard_peer && !heard_table,
+                               .shutting_down = this->shutting_down});
+  this->metrics.SetGauge("pimentopin_configuration_revision", "",
+                         this->board.configuration.Read()
+                             ? static_cast<double>(this->board.configuration.Read()->revision)
+                             : 0.0);
+}
+
+void HostProcess::Run() {
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  this->signals.async_wait([this](const asio::error_code& error, int) {
+    if (!error) {
+      this->BeginShutdown();
+    }
+  });
+  this->loop.Run();
+}
+
+void HostProcess::BeginShutdown() {
+  if (std::exchange(this->shutting_down, true)) {
+    return;
+  }
+  Log(LogLevel::kInfo, "shutdown_started",
+      {{"requests_in_progress", this->dispatch->requests_in_progress()}});
+  this->UpdateReadiness();
+  this->membership->SetLeaving(SteadyNow());
+  this->loop.After(this->settings.shutdown_delay, [this] { this->StopListening(); });
+}
+
+void HostProcess::StopListening() {
+  this->caller_server->StopListening();
+  this->AwaitRequests();
+}
+
+void HostProcess::AwaitRequests() {
+  if (this->dispatch->requests_in_progress() > 0 ||
+      this->caller_server->requests_in_progress() > 0) {
+    this->loop.After(kShutdownPollInterval, [this] { this->AwaitRequests(); });
+    return;
+  }
+  this->reports->Close(SteadyNow());
+  this->Flush(SteadyNow() + kFlushLimit);
+}
+
+void HostProcess::Flush(TimePoint give_up_at) {
+  const std::size_t pending = this->claims->pending_writes() + this->reports->pending_writes();
+  if (pending > 0 && SteadyNow() < give_up_at) {
+    this->loop.After(kShutdownPollInterval, [this, give_up_at] { this->Flush(give_up_at); });
+    return;
+  }
+  Log(pending == 0 ? LogLevel::kInfo : LogLevel::kWarning, "shutdown_complete",
+      {{"unconfirmed_writes", pending}});
+  this->loop.Stop();
+}
+
+}  // namespace
+
+std::unique_ptr<Host> Host::Create(HostSettings settings, Error& error) {
+  auto host = std::make_unique<HostProcess>(std::move(settings));
+  if (!host->Start(error)) {
+    return nullptr;
+  }
+  return host;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/host_settings.cc
@@ -0,0 +1,125 @@
+#include "Libraries/LibHost/host_settings.h"
+
+#include <algorithm>
+
+namespace pimentopin {
+namespace {
+
+constexpr std::string_view kPlatformScheme = "http://";
+constexpr std::size_t kMaxNameBytes = 63;
+
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string::npos;
+}
+
+void CheckName(const Settings& settings, const std::string& name, Findings& findings) {
+  if (!IsName(settings.Text(name))) {
+    findings.Add("--" + name, "'" + settings.Text(name) +
+                                  "' is not a name of 1 to 63 lower-case letters, digits and '-'");
+  }
+}
+
+LogLevel ToLogLevel(const std::string& text) {
+  if (text == "debug") {
+    return LogLevel::kDebug;
+  }
+  if (text == "warning") {
+    return LogLevel::kWarning;
+  }
+  return text == "error" ? LogLevel::kError : LogLevel::kInfo;
+}
+
+}  // namespace
+
+std::vector<SettingDescription> HostSettingDescriptions() {
+  return {
+      {.name = "name", .help = "unique name of this host", .required = true},
+      {.name = "domain", .help = "failure domain of this host", .required = true},
+      {.name = "caller-address",
+       .kind = SettingKind::kAddress,
+       .help = "listening address for callers; port 0 lets the kernel choose",
+       .unit = "IP:port",
+       .required = true},
+      {.name = "operator-address",
+       .kind = SettingKind::kAddress,
+       .help = "listening address for operators, health checks and metrics",
+       .unit = "IP:port",
+       .required = true},
+      {.name = "peer-address",
+       .kind = SettingKind::kAddress,
+       .help = "listening address for other hosts; must be reachable as given",
+       .unit = "IP:port",
+       .required = true},
+      {.name = "seeds",
+       .kind = SettingKind::kAddressList,
+       .help = "peer addresses of other hosts; the platform's host list is used as well",
+       .unit = "IP:port,...",
+       .minimum = 1},
+      {.name = "platform-url",
+       .help = "base URL of the platform's table, object store and host list",
+       .unit = "http://IP:port",
+       .required = true},
+      {.name = "traffic-threads",
+       .kind = SettingKind::kNumber,
+       .help = "threads that serve callers",
+       .unit = "threads",
+       .default_value = "2",
+       .minimum = 1,
+       .maximum = 256},
+      {.name = "max-body-bytes",
+       .kind = SettingKind::kNumber,
+       .help = "largest request body",
+       .unit = "bytes",
+       .default_value = "1048576",
+       .minimum = 1,
+       .maximum = 1 << 30},
+      {.name = "max-concurrent-requests",
+       .kind = SettingKind::kNumber,
+       .help = "requests in progress at once; more are refused as not run",
+       .unit = "requests",
+       .default_value = "1024",
+       .minimum = 1,
+       .maximum = 1 << 20},
+      {.name = "shutdown-delay-ms",
+       .kind = SettingKind::kNumber,
+       .help = "time between becoming not ready and closing the listening socket",
+       .unit = "milliseconds",
+       .default_value = "5000",
+       .maximum = 600000},
+      {.name = "log-level",
+       .kind = SettingKind::kChoice,
+       .help = "least severe log lines to write",
+       .default_value = "info",
+       .choices = {"debug", "info", "warning", "error"}},
+  };
+}
+
+std::optional<HostSettings> ReadHostSettings(const Settings& settings, Findings& findings) {
+  CheckName(settings, "name", findings);
+  CheckName(settings, "domain", findings);
+  const std::string platform_url = settings.Text("platform-url");
+  if (!platform_url.starts_with(kPlatformScheme) || platform_url.size() == kPlatformScheme.size()) {
+    findings.Add("--platform-url", "'" + platform_url + "' does not start with http://");
+  }
+  if (!findings.empty()) {
+    return std::nullopt;
+  }
+  HostSettings result;
+  result.name = settings.Text("name");
+  result.domain = settings.Text("domain");
+  result.caller_address = settings.Text("caller-address");
+  result.operator_address = settings.Text("operator-address");
+  result.peer_address = settings.Text("peer-address");
+  result.seeds = settings.List("seeds");
+  result.platform_url = platform_url;
+  result.traffic_threads = static_cast<std::size_t>(settings.Number("traffic-threads"));
+  result.max_body_bytes = static_cast<std::size_t>(settings.Number("max-body-bytes"));
+  result.max_concurrent_requests =
+      static_cast<std::size_t>(settings.Number("max-concurrent-requests"));
+  result.shutdown_delay = std::chrono::milliseconds(settings.Number("shutdown-delay-ms"));
+  result.log_level = ToLogLevel(settings.Text("log-level"));
+  return result;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -0,0 +1,374 @@
+#include "Libraries/LibHost/operator_endpoint.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Libraries/LibConfig/configuration_difference.h"
+#include "Libraries/LibConfig/configuration_reader.h"
+#include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibHost/query_parameters.h"
+#include "Libraries/LibHost/summary_page.h"
+#include "Libraries/LibHost/wall_clock.h"
+#include "Libraries/LibReport/summary.h"
+
+namespace pimentopin {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxNameBytes = 64;
+
+void AnswerJson(const std::shared_ptr<HttpResponder>& responder, int status, const json& body) {
+  responder->Respond(status, {{"Content-Type", "application/json"}},
+                     body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n");
+}
+
+json MessageJson(const std::string& message) {
+  return {{"message", message}};
+}
+
+std::string_view StateName(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kLeaving:
+      return "leaving";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+std::string_view StateName(TargetState state) {
+  switch (state) {
+    case TargetState::kHealthy:
+      return "healthy";
+    case TargetState::kProbation:
+      return "probation";
+    case TargetState::kEjected:
+      return "ejected";
+    case TargetState::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+json DocumentJson(const ConfigurationDocument& document) {
+  return {{"revision", document.revision},
+          {"base_revision", document.base_revision},
+          {"change_id", document.change_id},
+          {"author", document.author},
+          {"committed_at_ms", document.committed_at_ms}};
+}
+
+json FindingsJson(const Findings& findings) {
+  json entries = json::array();
+  for (const Finding& finding : findings.all()) {
+    entries.push_back({{"place", finding.place}, {"message", finding.message}});
+  }
+  return {{"findings", std::move(entries)}};
+}
+
+json MemberJson(const MemberRecord& member) {
+  return {{"name", member.name},
+          {"address", member.address},
+          {"state", StateName(member.state)},
+          {"configuration_revision", member.configuration_revision}};
+}
+
+json ServiceJson(const Configuration& configuration,
+                 const Service& service,
+                 const Blackboard& board) {
+  const auto views = board.views.Read();
+  const ServiceView* view = nullptr;
+  for (const ServiceView& candidate : *views) {
+    if (candidate.service == service.id()) {
+      view = &candidate;
+    }
+  }
+  json targets = json::array();
+  for (const Target* target : configuration.TargetsOf(service.name)) {
+    json entry = {{"name", target->name}, {"address", target->address}, {"slots", target->slots}};
+    const bool leaving = target->leaving || board.leaving_targets.IsLeaving(target->id());
+    entry["state"] = leaving ? "leaving" : "healthy";
+    for (const TargetView& seen : view == nullptr ? std::vector<TargetView>() : view->targets) {
+      if (seen.target == target->id()) {
+        entry["usable_slots"] = seen.usable_slots;
+        entry["free_slots"] = seen.free_slots;
+        entry["state"] = leaving ? "leaving" : StateName(seen.state);
+      }
+    }
+    targets.push_back(std::move(entry));
+  }
+  return {{"name", service.name},
+          {"queued", view == nullptr ? 0 : view->queued},
+          {"targets", std::move(targets)}};
+}
+
+// Reads the body of an apply call; all faults go to `findings`.
+ConfigurationDocument ReadApplyBody(const std::string& text, Findings& findings) {
+  ConfigurationDocument document;
+  const json body = json::parse(text, nullptr, false);
+  if (!body.is_object()) {
+    findings.Add("", "the body is not a JSON object");
+    return document;
+  }
+  const json base = body.value("base_revision", json());
+  if (base.is_number_unsigned()) {
+    document.base_revision = base.get<std::uint64_t>();
+  } else {
+    findings.Add("/base_revision", "must be a whole number");
+  }
+  const auto read_text = [&](const char* field, std::string& value, std::size_t limit) {
+    const json entry = body.value(field, json());
+    if (!entry.is_string() || entry.get<std::string>().empty()) {
+      findings.Add("/" + std::string(field), "must be a text that is not empty");
+    } else if (entry.get<std::string>().size() > limit) {
+      findings.Add("/" + std::string(field), "is longer than " + std::to_string(limit) + " bytes");
+    } else {
+      value = entry.get<std::string>();
+    }
+  };
+  read_text("author", document.author, kMaxNameBytes);
+  read_text("change_id", document.change_id, kMaxNameBytes);
+  read_text("content", document.content, ConfigurationLimits().max_bytes);
+  constexpr std::string_view kChangeIdBytes =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+  if (document.change_id.find_first_not_of(kChangeIdBytes) != std::string::npos) {
+    findings.Add("/change_id", "may hold letters, digits, '.', '_' and '-' only");
+  }
+  document.committed_at_ms = WallClockMs();
+  return document;
+}
+
+}  // namespace
+
+std::unique_ptr<OperatorEndpoint> OperatorEndpoint::Create(ControlLoop& loop,
+                                                           Blackboard& board,
+                                                           ConfigurationController& configuration,
+                                                           ConfigurationStore& store,
+                                                           ObjectStore& objects,
+                                                           Metrics& metrics,
+                                                           Settings settings,
+                                                           Error& error) {
+  HttpServerSettings server_settings{.address = settings.address,
+                                     .max_body_bytes = settings.max_configuration_bytes,
+                                     .max_concurrent_requests = 64};
+  std::unique_ptr<OperatorEndpoint> endpoint(new OperatorEndpoint(
+      loop, board, configuration, store, objects, metrics, std::move(settings)));
+  endpoint->server = HttpServer::Create(
+      std::move(server_settings),
+      [pointer = endpoint.get()](const HttpServerRequest& request, const Responder& responder) {
+        pointer->Handle(request, responder);
+      },
+      error);
+  return endpoint->server ? std::move(endpoint) : nullptr;
+}
+
+OperatorEndpoint::OperatorEndpoint(ControlLoop& loop,
+                                   Blackboard& board,
+                                   ConfigurationController& configuration,
+                                   ConfigurationStore& store,
+                                   ObjectStore& objects,
+                                   Metrics& metrics,
+                                   Settings settings)
+    : loop(loop),
+      board(board),
+      configuration(configuration),
+      store(store),
+      objects(objects),
+      metrics(metrics),
+      settings(std::move(settings)) {}
+
+void OperatorEndpoint::Handle(const HttpServerRequest& request, const Responder& responder) {
+  if (request.path == "/healthz") {
+    responder->Respond(200, {{"Content-Type", "text/plain"}}, "ok\n");
+  } else if (request.path == "/readyz") {
+    this->AnswerReadiness(responder);
+  } else if (request.path == "/metrics") {
+    responder->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                       this->metrics.ToText());
+  } else {
+    // Admin calls read control state, so they run on the control thread.
+    this->loop.Post([this, request, responder] { this->HandleAdmin(request, responder); });
+  }
+}
+
+void OperatorEndpoint::HandleAdmin(const HttpServerRequest& request, const Responder& responder) {
+  const bool is_get = request.method == "GET";
+  const bool is_post = request.method == "POST";
+  if (request.path == "/admin/v1/status" && is_get) {
+    this->AnswerStatus(responder);
+  } else if (request.path == "/admin/v1/configuration" && is_get) {
+    this->AnswerConfiguration(responder);
+  } else if (request.path == "/admin/v1/configuration" && is_post) {
+    this->Apply(request, responder);
+  } else if (request.path == "/admin/v1/history" && is_get) {
+    this->AnswerHistory(request, responder);
+  } else if (request.path == "/admin/v1/audit" && is_get) {
+    this->AnswerAudit(responder);
+  } else if (request.path == "/admin/v1/summaries" && is_get) {
+    this->AnswerSummaries(request, responder);
+  } else if (request.path == "/admin/v1/drain" && is_post) {
+    this->settings.on_drain();
+    AnswerJson(responder, 200, {{"state", "leaving"}});
+  } else {
+    AnswerJson(responder, 404, MessageJson("no such call: " + request.method + " " + request.path));
+  }
+}
+
+void OperatorEndpoint::AnswerReadiness(const Responder& responder) const {
+  const auto readiness = this->board.readiness.Read();
+  const Readiness current = readiness ? *readiness : Readiness{};
+  AnswerJson(responder, current.ready() ? 200 : 503,
+             {{"ready", current.ready()},
+              {"has_configuration", current.has_configuration},
+              {"isolated", current.isolated},
+              {"shutting_down", current.shutting_down}});
+}
+
+void OperatorEndpoint::AnswerStatus(const Responder& responder) const {
+  const auto configuration_in_force = this->board.configuration.Read();
+  const auto members = this->board.members.Read();
+  json body = {{"name", this->settings.host_name},
+               {"domain", this->settings.domain_name},
+               {"version", PIMENTOPIN_VERSION},
+               {"revision", configuration_in_force ? configuration_in_force->revision : 0},
+               {"requests_in_progress", this->settings.requests_in_progress()},
+               {"members", json::array()},
+               {"services", json::array()}};
+  for (const MemberRecord& member : *members) {
+    body["members"].push_back(MemberJson(member));
+  }
+  if (configuration_in_force) {
+    for (const Service& service : configuration_in_force->services) {
+      body["services"].push_back(ServiceJson(*configuration_in_force, service, this->board));
+    }
+  }
+  AnswerJson(responder, 200, body);
+}
+
+void OperatorEndpoint::AnswerConfiguration(const Responder& responder) const {
+  const auto document = this->board.document.Read();
+  if (!document) {
+    AnswerJson(responder, 404, MessageJson("this host has no configuration yet"));
+    return;
+  }
+  json body = DocumentJson(*document);
+  body["content"] = document->content;
+  AnswerJson(responder, 200, body);
+}
+
+void OperatorEndpoint::AnswerAudit(const Responder& responder) const {
+  json entries = json::array();
+  for (const AuditEntry& entry : this->configuration.audit_trail().entries()) {
+    entries.push_back({{"from_revision", entry.from_revision},
+                       {"to_revision", entry.to_revision},
+                       {"change_id", entry.change_id},
+                       {"author", entry.author},
+                       {"committed_at_ms", entry.committed_at_ms},
+                       {"adopted_at_ms", entry.adopted_at_ms},
+                       {"difference", json::parse(DifferenceToJson(entry.difference))}});
+  }
+  AnswerJson(responder, 200, {{"host", this->settings.host_name}, {"entries", std::move(entries)}});
+}
+
+void OperatorEndpoint::AnswerHistory(const HttpServerRequest& request, const Responder& responder) {
+  const auto parameters = ParseQuery(request.query);
+  const auto change = parameters.find("change");
+  if (change == parameters.end() || change->second.empty()) {
+    this->AnswerAudit(responder);
+    return;
+  }
+  const auto in_force = this->board.configuration.Read();
+  const std::uint64_t revision = in_force ? in_force->revision : 0;
+  this->store.FindChange(
+      change->second, [responder, revision](const auto& document, const Error& error) {
+        if (error.code != ErrorCode::kNone) {
+          AnswerJson(responder, 503, {{"outcome", "unknown"}, {"message", error.message}});
+          return;
+        }
+        if (!document) {
+          AnswerJson(responder, 404, {{"state", "not-committed"}, {"current_revision", revision}});
+          return;
+        }
+        json body = DocumentJson(*document);
+        body["state"] = "committed";
+        AnswerJson(responder, 200, body);
+      });
+}
+
+void OperatorEndpoint::AnswerSummaries(const HttpServerRequest& request,
+                                       const Responder& responder) {
+  const auto parameters = ParseQuery(request.query);
+  const auto month = parameters.find("month");
+  if (month == parameters.end() || !IsMonth(month->second)) {
+    AnswerJson(responder, 400, MessageJson("parameter month must be YYYY-MM"));
+    return;
+  }
+  const auto after = parameters.find("after");
+  ReadSummaryPage(
+      this->objects, month->second, after == parameters.end() ? "" : after->second,
+      [responder](const auto& page, const Error& error) {
+        if (!page) {
+          AnswerJson(responder, 503, MessageJson(error.message));
+          return;
+        }
+        json body = {{"summaries", json::array()}, {"next", page->next}};
+        for (const StoredSummary& summary : page->summaries) {
+          body["summaries"].push_back({{"key", summary.key}, {"content", summary.content}});
+        }
+        AnswerJson(responder, 200, body);
+      });
+}
+
+void OperatorEndpoint::Apply(const HttpServerRequest& request, const Responder& responder) {
+  Findings findings;
+  ConfigurationDocument document = ReadApplyBody(request.body, findings);
+  if (findings.empty()) {
+    ReadConfiguration(document.content, document.base_revision + 1, findings);
+  }
+  if (!findings.empty()) {
+    AnswerJson(responder, 422, FindingsJson(findings));
+    return;
+  }
+  const std::string content = document.content;
+  this->configuration.Commit(std::move(document),
+                             [this, responder, content](const CommitResult& result) {
+                               this->AnswerCommit(content, result, responder);
+                             });
+}
+
+void OperatorEndpoint::AnswerCommit(const std::string& content,
+                                    const CommitResult& result,
+                                    const Responder& responder) const {
+  switch (result.status) {
+    case CommitStatus::kCommitted:
+      AnswerJson(responder, 200, DocumentJson(*result.document));
+      return;
+    case CommitStatus::kNotCommitted:
+      AnswerJson(responder, 503, {{"outcome", "not-run"}, {"message", result.message}});
+      return;
+    case CommitStatus::kUnknown:
+      AnswerJson(responder, 503, {{"outcome", "unknown"}, {"message", result.message}});
+      return;
+    case CommitStatus::kConflict:
+      break;
+  }
+  json body = {{"message", result.message}, {"difference", json::array()}};
+  if (result.document) {
+    body["conflict"] = DocumentJson(*result.document);
+    body["conflict"]["current_revision"] = result.document->revision;
+    Findings findings;
+    const auto winner = ReadConfiguration(result.document->content, 0, findings);
+    const auto own = ReadConfiguration(content, 0, findings);
+    if (winner && own) {
+      body["difference"] = json::parse(DifferenceToJson(Compare(*winner, *own)));
+    }
+  }
+  AnswerJson(responder, 409, body);
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/probe_controller.cc
@@ -0,0 +1,121 @@
+#include "Libraries/LibHost/probe_controller.h"
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "Libraries/LibCore/rendezvous.h"
+
+namespace pimentopin {
+namespace {
+
+// Three domains that probe every 3 s for 25 ms take 0.025 slots of a target.
+constexpr Duration kProbeInterval = std::chrono::seconds(3);
+// An isolated host learns of draining only from the target, within 3 s.
+constexpr Duration kIsolatedProbeInterval = std::chrono::seconds(1);
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+
+AttemptResult ProbeResult(int status, const TransferEnd& end) {
+  switch (end.error) {
+    case TransferError::kNone:
+      return status == 200 ? AttemptResult::kSuccess : AttemptResult::kServerError;
+    case TransferError::kConnectFailure:
+      return AttemptResult::kConnectFailure;
+    case TransferError::kTimeout:
+      return AttemptResult::kTimeout;
+    case TransferError::kCancelled:
+      return AttemptResult::kCancelled;
+    case TransferError::kConnectionLost:
+    case TransferError::kTruncated:
+    case TransferError::kMalformed:
+      break;
+  }
+  return AttemptResult::kTruncated;
+}
+
+}  // namespace
+
+ProbeController::ProbeController(ControlLoop& loop,
+                                 Blackboard& board,
+                                 HttpClient& client,
+                                 Settings settings)
+    : loop(loop), board(board), client(client), settings(std::move(settings)) {}
+
+bool ProbeController::IsOwnDuty(const Target& target) const {
+  const auto members = this->board.members.Read();
+  std::vector<HostId> domain_hosts;
+  for (const MemberRecord& member : *members) {
+    if (member.domain == this->settings.domain && member.state == MemberState::kAlive) {
+      domain_hosts.push_back(member.host);
+    }
+  }
+  const std::vector<HostId> rank = RendezvousRank(RawId(target.id()), std::move(domain_hosts));
+  return !rank.empty() && rank.front() == this->settings.self;
+}
+
+void ProbeController::Tick(TimePoint now) {
+  const auto configuration = this->board.configuration.Read();
+  const auto readiness = this->board.readiness.Read();
+  if (!configuration || !readiness) {
+    return;
+  }
+  const Duration interval = readiness->isolated ? kIsolatedProbeInterval : kProbeInterval;
+  for (const Target& target : configuration->targets) {
+    TimePoint& due = this->next_probe[target.id()];
+    if (due > now + interval) {
+      due = now;
+    }
+    if (due > now) {
+      continue;
+    }
+    // Spreads the probes of a host over the interval.
+    const bool is_first = due == TimePoint();
+    due = now + (is_first
+                     ? Duration(RawId(target.id()) % static_cast<std::uint64_t>(interval.count()))
+                     : interval);
+    if (!is_first && (readiness->isolated || this->IsOwnDuty(target))) {
+      this->Probe(target);
+    }
+  }
+}
+
+void ProbeController::Probe(const Target& target) {
+  HttpClientRequest request;
+  request.method = "GET";
+  request.url = "http://" + target.address + "/healthz";
+  request.headers = {{"Pimentopin-Host", this->settings.host_name},
+                     {"Pimentopin-Host-Domain", this->settings.domain_name}};
+  request.timeout = kProbeTimeout;
+
+  const auto status = std::make_shared<int>(0);
+  TransferHooks hooks;
+  hooks.on_headers = [this, target, status](int code, const HttpHeaders& headers) {
+    *status = code;
+    this->loop.Post([this, target, headers] { this->OnAnswered(target, headers); });
+  };
+  hooks.on_body = [](const std::string&) {};
+  hooks.on_end = [this, target, status](const TransferEnd& end) {
+    this->loop.Post([this, target, code = *status, end] { this->OnEnded(target, code, end); });
+  };
+  this->client.Start(std::move(request), std::move(hooks));
+}
+
+void ProbeController::OnAnswered(const Target& target, const HttpHeaders& headers) {
+  // A target that says "serving" does not end a notice from the host list or
+  // from the configuration, so notices only expire.
+  if (FindHeader(headers, "Target-State") == "draining" &&
+      this->board.leaving_targets.Mark(SteadyNow(), target.id())) {
+    this->settings.on_leaving();
+  }
+}
+
+void ProbeController::OnEnded(const Target& target, int status, const TransferEnd& end) {
+  this->settings.on_evidence(target.service_id(), {.target = target.id(),
+                                                   .reporter = this->settings.self,
+                                                   .reporter_domain = this->settings.domain,
+                                                   .result = ProbeResult(status, end),
+                                                   .service_time = end.elapsed,
+                                                   .is_probe = true});
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/query_parameters.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace pimentopin {
+
+// Decodes `a=1&b=x%20y`. Of a repeated name the last value counts.
+std::map<std::string, std::string> ParseQuery(std::string_view query);
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/report_controller.cc
@@ -0,0 +1,53 @@
+#include "Libraries/LibHost/report_controller.h"
+
+#include <utility>
+
+#include "Libraries/LibHost/wall_clock.h"
+
+namespace pimentopin {
+namespace {
+
+constexpr Duration kPeriod = std::chrono::seconds(60);
+
+}  // namespace
+
+ReportController::ReportController(ObjectStore& objects, const MemberRecord& self)
+    : recorder(self.name, self.incarnation, WallClockMs()),
+      writer(objects),
+      period_end(SteadyNow() + kPeriod) {}
+
+void ReportController::OnFinished(const FinishedRequest& finished) {
+  this->recorder.OnRequest({.service = finished.service,
+                            .work_class = finished.work_class,
+                            .outcome = finished.outcome,
+                            .idempotent = finished.idempotent,
+                            .broken = finished.broken,
+                            .abandoned = finished.abandoned,
+                            .late = finished.late,
+                            .attempts = finished.attempts,
+                            .possible_runs = finished.possible_runs,
+                            .latency = finished.latency,
+                            .in_demand_peak = finished.in_demand_peak,
+                            .beside_long_work = finished.beside_long_work});
+}
+
+void ReportController::OnHealthEvent(const std::string& service, const HealthEvent& event) {
+  this->recorder.OnHealthEvent(service, event);
+}
+
+void ReportController::Tick(TimePoint now) {
+  if (now >= this->period_end) {
+    this->Close(now);
+  }
+  this->writer.Tick(now);
+}
+
+void ReportController::Close(TimePoint now) {
+  this->period_end = now + kPeriod;
+  if (auto summary = this->recorder.Close(WallClockMs())) {
+    this->writer.Add(std::move(*summary));
+  }
+  this->writer.Tick(now);
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/report_controller.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "Libraries/LibHost/dispatch_controller.h"
+#include "Libraries/LibPlatform/object_store.h"
+#include "Libraries/LibProtocol/membership_messages.h"
+#include "Libraries/LibReport/summary_recorder.h"
+#include "Libraries/LibReport/summary_writer.h"
+
+namespace pimentopin {
+
+// Counts outcomes and writes a summary of each period to the object store.
+class ReportController {
+ public:
+  ReportController(ObjectStore& objects, const MemberRecord& self);
+
+  void OnFinished(const FinishedRequest& finished);
+  void OnHealthEvent(const std::string& service, const HealthEvent& event);
+  // Call every 100 ms.
+  void Tick(TimePoint now);
+  // Ends the running period early, before the host exits.
+  void Close(TimePoint now);
+  std::size_t pending_writes() const { return this->writer.unwritten(); }
+
+ private:
+  SummaryRecorder recorder;
+  SummaryWriter writer;
+  TimePoint period_end;
+};
+
+}  // namespace pimentopin
--- a/Libraries/LibOperator/operator_commands.h
+++ b/Libraries/LibOperator/operator_commands.h
@@ -8,7 +8,7 @@
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibOperator/admin_client.h"
-#include "Libraries/LibOperator/exit_code.h"
+#include "Libraries/LibCore/exit_code.h"
 
 namespace pimentopin {
 
--- a/Libraries/LibOperator/operator_program.h
+++ b/Libraries/LibOperator/operator_program.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "Libraries/LibOperator/exit_code.h"
+#include "Libraries/LibCore/exit_code.h"
 
 namespace pimentopin {
 
--- /dev/null
+++ b/Meta/run_check.py
@@ -0,0 +1,62 @@
+"""Compares what callers saw with what targets ran.
+
+The check uses only the callers' records and the targets' ledgers, never the
+hosts' own word.
+"""
+
+import collections
+import json
+
+
+class RunCheck:
+    """Counts of one run; `failures` lists the requests that broke a promise."""
+
+    def __init__(self, records, ledgers, idempotent_streams):
+        self.records = records
+        self.failures = []
+        self.counts = collections.Counter()
+        runs_by_request = collections.Counter()
+        runs_by_key = collections.Counter()
+        for runs in ledgers.values():
+            for run in runs:
+                runs_by_request[run["request_id"]] += 1
+                if run["idempotency_key"]:
+                    runs_by_key[run["idempotency_key"]] += 1
+        for record in records:
+            self._check(record, runs_by_request, idempotent_streams)
+        for key, runs in runs_by_key.items():
+            if runs > 1:
+                self._fail("doubled", f"key {key} ran {runs} times")
+
+    def _check(self, record, runs_by_request, idempotent_streams):
+        request_id = record["request_id"]
+        runs = runs_by_request[request_id]
+        self.counts["sent"] += 1
+        if not record["whole"]:
+            self._fail("broken", f"{request_id}: the answer did not arrive whole")
+        elif record["outcome"] == "not-run":
+            self.counts["not-run"] += 1
+            if runs > 0:
+                self._fail("false not-run", f"{request_id} ran {runs} times")
+        elif record["outcome"] == "unknown":
+            self.counts["unknown"] += 1
+        elif record["status"] == 200 and not record["own"]:
+            self._fail("mixed up", f"{request_id}: the answer is to another request")
+        else:
+            self.counts["answered"] += 1
+            if runs == 0 and not record["replayed"] and record["reason"] != "already-run":
+                self._fail("invented", f"{request_id} has an answer, but no target ran it")
+        if runs > 1 and record["stream"] not in idempotent_streams:
+            self._fail("doubled", f"{request_id} ran {runs} times")
+
+    def _fail(self, kind, text):
+        self.counts[kind] += 1
+        self.failures.append(f"{kind}: {text}")
+
+    def summary(self):
+        return ", ".join(f"{count} {kind}" for kind, count in sorted(self.counts.items()))
+
+
+def read_records(path):
+    with open(path, encoding="utf-8") as lines:
+        return [json.loads(line) for line in lines]
--- /dev/null
+++ b/Programs/pimentopin/main.cc
@@ -0,0 +1,64 @@
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "Libraries/LibCore/exit_code.h"
+#include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibCore/settings.h"
+#include "Libraries/LibHost/host.h"
+#include "Libraries/LibHost/host_settings.h"
+
+namespace {
+
+using pimentopin::ExitCode;
+
+constexpr int ToInt(ExitCode code) {
+  return static_cast<int>(code);
+}
+
+int ReportFindings(const pimentopin::Findings& findings) {
+  std::cerr << findings.ToText();
+  return ToInt(ExitCode::kUsage);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace pimentopin;
+  // A write to a closed connection is reported by the call itself.
+  std::signal(SIGPIPE, SIG_IGN);
+
+  Findings findings;
+  const ProgramDescription program{.name = "pimentopin",
+                                   .version = PIMENTOPIN_VERSION,
+                                   .summary = "Host daemon of the pimentopin proxy fleet."};
+  const SettingsResult result = ReadSettings(program, HostSettingDescriptions(),
+                                             std::vector<std::string>(argv + 1, argv + argc),
+                                             ReadProcessEnvironment, findings);
+  if (result.action == SettingsAction::kHelp || result.action == SettingsAction::kVersion) {
+    std::cout << result.output;
+    return ToInt(ExitCode::kSuccess);
+  }
+  if (!result.settings) {
+    return ReportFindings(findings);
+  }
+  const std::optional<HostSettings> settings = ReadHostSettings(*result.settings, findings);
+  if (!settings) {
+    return ReportFindings(findings);
+  }
+  if (result.action == SettingsAction::kCheck) {
+    std::cout << "settings are valid\n";
+    return ToInt(ExitCode::kSuccess);
+  }
+
+  StartLog(settings->name, settings->log_level);
+  Error error;
+  const auto host = Host::Create(*settings, error);
+  if (!host) {
+    std::cerr << error.message << "\n";
+    return ToInt(ExitCode::kInternalError);
+  }
+  host->Run();
+  return ToInt(ExitCode::kSuccess);
+}
--- /dev/null
+++ b/Tests/LibHost/request_reader_test.cc
@@ -0,0 +1,157 @@
+#include "Libraries/LibHost/request_reader.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace pimentopin {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::seconds(100)};
+
+Configuration SampleConfiguration() {
+  Configuration configuration;
+  configuration.revision = 1;
+  configuration.organisations = {{.name = "wheels"}};
+  configuration.callers = {
+      {.name = "desk", .organisation = "wheels", .labels = {{"role", "front-desk"}}},
+      {.name = "guest", .organisation = "wheels", .labels = {{"role", "guest"}}}};
+  configuration.services = {
+      {.name = "booking", .deadline = std::chrono::seconds(2), .queue_limit = 10}};
+  configuration.targets = {{.name = "booking-1", .service = "booking", .address = "127.0.0.1:1"},
+                           {.name = "booking-2",
+                            .service = "booking",
+                            .address = "127.0.0.1:2",
+                            .labels = {{"tier", "spare"}}}};
+  configuration.access = {{.callers = {.match_labels = {{"role", "front-desk"}}}}};
+  configuration.work = {{.services = {"booking"},
+                         .methods = {"POST"},
+                         .path_prefix = "/deposits",
+                         .idempotent = false,
+                         .is_long = true,
+                         .affinity = true,
+                         .deadline = std::chrono::seconds(9)}};
+  return configuration;
+}
+
+HttpServerRequest SampleRequest() {
+  return {.method = "POST",
+          .path = "/booking/deposits/7",
+          .query = "a=1",
+          .headers = {{"pimentopin-caller", "desk"}, {"Idempotency-Key", "k-1"}},
+          .body = "{}"};
+}
+
+class RequestReaderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestReaderTest);
+  CPPUNIT_TEST(TestFillsDescriptionFromRules);
+  CPPUNIT_TEST(TestRefusalsNameTheFault);
+  CPPUNIT_TEST(TestDeniedWithoutAccessRule);
+  CPPUNIT_TEST(TestFingerprintCoversEveryPart);
+  CPPUNIT_TEST(TestSafeMethodIgnoresKey);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against work that is treated as safe to repeat although a rule
+  // says otherwise.
+  void TestFillsDescriptionFromRules() {
+    const auto exchange = this->Read(SampleRequest());
+    CPPUNIT_ASSERT(exchange.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("/deposits/7?a=1"), exchange->target_path);
+    CPPUNIT_ASSERT(!exchange->description.idempotent);
+    CPPUNIT_ASSERT(exchange->description.work_class == WorkClass::kLong);
+    CPPUNIT_ASSERT(exchange->description.affinity_key != 0);
+    CPPUNIT_ASSERT(exchange->description.deadline == kNow + std::chrono::seconds(9));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, exchange->description.allowed.size());
+    CPPUNIT_ASSERT((exchange->claim_key == ClaimKey{"booking", "wheels", "k-1"}));
+  }
+
+  // Guards against bad input that is passed on, or refused without a place.
+  void TestRefusalsNameTheFault() {
+    struct Case {
+      int status;
+      std::string reason;
+      std::function<void(HttpServerRequest&)> change;
+    };
+    const std::vector<Case> cases = {
+        {400, "no-caller", [](auto& request) { request.headers.clear(); }},
+        {403, "unknown-caller", [](auto& request) { request.headers[0].value = "nobody"; }},
+        {404, "unknown-service", [](auto& request) { request.path = "/nothing/x"; }},
+        {404, "unknown-service", [](auto& request) { request.path = "/"; }},
+        {400, "bad-deadline",
+         [](auto& request) {
+           request.headers.push_back({"Pimentopin-Deadline-Ms", "-5"});
+         }},
+        {400, "bad-deadline",
+         [](auto& request) {
+           request.headers.push_back({"Pimentopin-Deadline-Ms", "1x"});
+         }},
+        {400, "bad-deadline",
+         [](auto& request) {
+           request.headers.push_back({"Pimentopin-Deadline-Ms", "99999999999999999999"});
+         }},
+        {400, "bad-idempotency-key",
+         [](auto& request) { request.headers[1].value = std::string(256, 'k'); }},
+        {400, "bad-idempotency-key", [](auto& request) { request.headers[1].value = "a b"; }},
+        {400, "bad-request-id",
+         [](auto& request) {
+           request.headers.push_back({"Pimentopin-Request-Id", "a\tb"});
+         }},
+    };
+    for (const Case& input : cases) {
+      HttpServerRequest request = SampleRequest();
+      input.change(request);
+      CPPUNIT_ASSERT(!this->Read(request));
+      CPPUNIT_ASSERT_EQUAL(input.reason, this->refusal.reason);
+      CPPUNIT_ASSERT_EQUAL(input.status, this->refusal.status);
+      CPPUNIT_ASSERT(this->refusal.outcome == Outcome::kNotRun);
+      CPPUNIT_ASSERT(!this->refusal.message.empty());
+    }
+  }
+
+  // Guards against access that no rule grants.
+  void TestDeniedWithoutAccessRule() {
+    HttpServerRequest request = SampleRequest();
+    request.headers[0].value = "guest";
+    CPPUNIT_ASSERT(!this->Read(request));
+    CPPUNIT_ASSERT_EQUAL(std::string("no-access"), this->refusal.reason);
+  }
+
+  // Guards against two different requests that share a fingerprint, so that one
+  // is refused for the crashes, or replayed for the key, of the other.
+  void TestFingerprintCoversEveryPart() {
+    const Fingerprint original = this->Read(SampleRequest())->description.fingerprint;
+    const std::vector<std::function<void(HttpServerRequest&)>> changes = {
+        [](auto& request) { request.method = "PUT"; },
+        [](auto& request) { request.path = "/booking/deposits/8"; },
+        [](auto& request) { request.query = "a=2"; }, [](auto& request) { request.body = "[]"; }};
+    for (const auto& change : changes) {
+      HttpServerRequest request = SampleRequest();
+      change(request);
+      CPPUNIT_ASSERT(this->Read(request)->description.fingerprint != original);
+    }
+    CPPUNIT_ASSERT(this->Read(SampleRequest())->description.fingerprint == original);
+  }
+
+  // Guards against a claim row for work that may be repeated anyway.
+  void TestSafeMethodIgnoresKey() {
+    HttpServerRequest request = SampleRequest();
+    request.method = "GET";
+    const auto exchange = this->Read(request);
+    CPPUNIT_ASSERT(exchange->description.idempotent);
+    CPPUNIT_ASSERT(!exchange->claim_key.has_value());
+  }
+
+ private:
+  std::optional<Exchange> Read(const HttpServerRequest& request) {
+    return ReadRequest(this->configuration, request, kNow, this->refusal);
+  }
+
+  const Configuration configuration = SampleConfiguration();
+  ErrorAnswer refusal;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestReaderTest);
+
+}  // namespace
+}  // namespace pimentopin
