--- /dev/null
+++ b/Tests/StandIns/Target/answer_body.cc
@@ -0,0 +1,37 @@
+#include "Tests/StandIns/Target/answer_body.h"
+
+#include <openssl/evp.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "Libraries/LibCore/identifiers.h"
+
+namespace pimentopin {
+
+std::string MakeAnswerBody(const std::string& service,
+                           const std::string& path,
+                           const std::string& request_id,
+                           std::size_t size) {
+  const nlohmann::json line = {
+      {"service", service}, {"path", path}, {"request_id", request_id}, {"size", size}};
+  std::string body = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  const std::uint64_t offset = StableHash(request_id) % 26;
+  body.reserve(body.size() + size);
+  for (std::size_t index = 0; index < size; ++index) {
+    body += static_cast<char>('a' + (offset + index) % 26);
+  }
+  return body;
+}
+
+std::string ContentDigest(const std::string& body) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int digest_size = 0;
+  EVP_Digest(body.data(), body.size(), digest.data(), &digest_size, EVP_sha256(), nullptr);
+  // Base64 needs four characters for three bytes, and EVP_EncodeBlock adds a final zero.
+  std::array<unsigned char, EVP_MAX_MD_SIZE * 2> encoded{};
+  const int length = EVP_EncodeBlock(encoded.data(), digest.data(), static_cast<int>(digest_size));
+  return "sha-256=:" + std::string(encoded.begin(), encoded.begin() + length) + ":";
+}
+
+}  // namespace pimentopin
