--- a/Libraries/LibIdempotency/claim_ledger.h
+++ b/Libraries/LibIdempotency/claim_ledger.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -12,6 +14,8 @@
 
 namespace pimentopin {
 
+class ClaimProcessor;
+
 // Answer of a target as kept for repeats of a keyed request.
 struct StoredOutcome {
   int status = 0;
@@ -59,9 +63,14 @@
  public:
   static constexpr std::size_t kMaxStoredBodyBytes = 32 * 1024;
 
+  // Answers of the table that arrive after the destruction have no effect.
   explicit ClaimLedger(TableStore& table);
+  ~ClaimLedger();
+  ClaimLedger(const ClaimLedger&) = delete;
+  ClaimLedger& operator=(const ClaimLedger&) = delete;
 
-  // Calls back once; kRun obliges the caller to end with Complete or Release.
+  // Calls back once, from Tick or from an answer of the table; kRun obliges the caller to
+  // end with Complete, Release or Abandon. Those do nothing for a claim that is not held.
   // The attempt id must be unique over the fleet.
   void Claim(TimePoint now,
              const ClaimKey& key,
@@ -76,8 +85,11 @@
   void Abandon(AttemptId claimant);
   // Call every 5 ms: sends batched writes and retries.
   void Tick(TimePoint now);
-  // Writes not yet confirmed; zero before a clean exit.
+  // Writes not yet confirmed, open claims included; zero before a clean exit.
   std::size_t pending_writes() const;
+
+ private:
+  std::shared_ptr<ClaimProcessor> processor;
 };
 
 }  // namespace pimentopin
