Meta: Count a copy of a keyed request as settled by its sibling

Cause: the demo failed on 15 copies that arrived while the first copy of the same key was running and were told unknown, as designed. Change: such a copy is no failure if the other one got its answer.

--- a/Meta/run_check.py
+++ b/Meta/run_check.py
@@ -22,6 +22,11 @@
                 runs_by_request[run["request_id"]] += 1
                 if run["idempotency_key"]:
                     runs_by_key[run["idempotency_key"]] += 1
+        self.answered_keys = {
+            record["idempotency_key"]
+            for record in records
+            if record["idempotency_key"] and record["whole"] and record["outcome"] == "target"
+        }
         for record in records:
             self._check(record, runs_by_request, idempotent_streams)
         for key, runs in runs_by_key.items():
@@ -39,7 +44,9 @@
             if runs > 0:
                 self._fail("false not-run", f"{request_id} ran {runs} times")
         elif record["outcome"] == "unknown":
-            self.counts["unknown"] += 1
+            # A copy that found the other one in progress is settled by that one's answer.
+            settled = record["idempotency_key"] in self.answered_keys
+            self.counts["unknown, settled by its copy" if settled else "unknown"] += 1
         elif record["status"] == 200 and not record["own"]:
             self._fail("mixed up", f"{request_id}: the answer is to another request")
         else:
