Platform: Add HTTP stores and a stand-in for the platform

Cause: claims and configurations need the platform's table, object store and host list, and tests need to take each of them down or lose their answers.

Change: TableStore, ObjectStore and HostList run on HttpClient. A write ends as unreachable only if it was not sent or the platform states "Platform-Outcome: not-applied", as an invalid argument or too large after a 4xx, and with an unknown outcome after everything else. Table values of any bytes survive JSON, as each byte is sent as the code point of the same number. platform-stand-in keeps all three parts in memory; POST /faults makes a part down, slow or lose its answers, and delays the host list.

Conclusion: a write that may have taken effect is never reported as failed.

--- a/Libraries/LibPlatform/object_store.h
+++ b/Libraries/LibPlatform/object_store.h
@@ -19,7 +19,8 @@
   virtual ~ObjectStore() = default;
   // ErrorCode::kNotFound if there is no such object.
   virtual void Get(const std::string& key, GetCallback callback) = 0;
-  // Does not overwrite; an existing object counts as stored.
+  // Does not overwrite; an existing object counts as stored. ErrorCode::kUnknownOutcome: the object
+  // may have been stored.
   virtual void PutIfAbsent(const std::string& key, std::string content, PutCallback callback) = 0;
   virtual void List(const std::string& prefix, ListCallback callback) = 0;
 };
--- a/Libraries/LibPlatform/table_store.h
+++ b/Libraries/LibPlatform/table_store.h
@@ -40,7 +40,8 @@
  public:
   // An absent row has version 0. No value and an Error if the table did not answer.
   using ReadCallback = std::function<void(std::optional<TableRow>, const Error&)>;
-  // ErrorCode::kUnknownOutcome: the write may have taken effect.
+  // ErrorCode::kUnknownOutcome: the write may have taken effect. With every other error it has not
+  // and will not.
   using WriteCallback = std::function<void(std::optional<std::vector<WriteResult>>, const Error&)>;
 
   virtual ~TableStore() = default;
--- /dev/null
+++ b/Tests/LibPlatform/http_platform_test.cc
@@ -0,0 +1,321 @@
+#include "Libraries/LibPlatform/http_platform.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <future>
+#include <thread>
+
+#include "Libraries/LibHttp/http_server.h"
+#include "Tests/LibHttp/http_test_support.h"
+#include "Tests/StandIns/Platform/platform.h"
+
+namespace pimentopin {
+namespace {
+
+template <typename Value>
+struct Outcome {
+  Value value;
+  Error error;
+};
+
+class HttpPlatformTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpPlatformTest);
+  CPPUNIT_TEST(TestConditionalWrites);
+  CPPUNIT_TEST(TestRacingWritesHaveOneWinner);
+  CPPUNIT_TEST(TestValuesOfAnyBytes);
+  CPPUNIT_TEST(TestLostAnswerOfWriteIsUnknown);
+  CPPUNIT_TEST(TestDownTableDidNotApply);
+  CPPUNIT_TEST(TestRefusedConnectionDidNotApply);
+  CPPUNIT_TEST(TestSlowWriteIsUnknownAfterTimeout);
+  CPPUNIT_TEST(TestUnreadableAnswersToWritesAreUnknown);
+  CPPUNIT_TEST(TestInvalidKeyIsRefused);
+  CPPUNIT_TEST(TestObjects);
+  CPPUNIT_TEST(TestObjectStoreFaults);
+  CPPUNIT_TEST(TestHostListLags);
+  CPPUNIT_TEST(TestHostListFaults);
+  CPPUNIT_TEST(TestCallbacksRunOnControlThread);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    this->work.emplace(asio::make_work_guard(this->control));
+    this->control_thread = std::thread([this] { this->control.run(); });
+    this->platform = std::make_unique<Platform>(this->control);
+    this->server = this->Serve([this](HttpServerRequest request, auto responder) {
+      asio::post(this->control,
+                 [this, request = std::move(request), responder = std::move(responder)]() mutable {
+                   this->platform->Handle(std::move(request), std::move(responder));
+                 });
+    });
+    this->client = HttpClient::Create({});
+    this->UseUrl("http://" + this->server->address());
+  }
+
+  void tearDown() override {
+    this->client.reset();
+    this->server.reset();
+    this->work.reset();
+    this->control.stop();
+    this->control_thread.join();
+  }
+
+  // Guards against a write that overwrites a version its writer has not seen.
+  void TestConditionalWrites() {
+    CPPUNIT_ASSERT(TableRow{} == *this->Read("a/b c%").value);
+    const auto created = this->Write({{"a/b c%", 0, "one"}, {"other", 3, "x"}});
+    CPPUNIT_ASSERT_EQUAL(std::string(), created.error.message);
+    const std::vector<WriteResult> expected{{true, 1}, {false, 0}};
+    CPPUNIT_ASSERT(expected == *created.value);
+    CPPUNIT_ASSERT((TableRow{1, "one"} == *this->Read("a/b c%").value));
+    CPPUNIT_ASSERT((WriteResult{true, 2} == this->Write({{"a/b c%", 1, "two"}}).value->front()));
+    CPPUNIT_ASSERT((WriteResult{false, 2} == this->Write({{"a/b c%", 1, "no"}}).value->front()));
+    CPPUNIT_ASSERT((TableRow{2, "two"} == *this->Read("a/b c%").value));
+  }
+
+  // Guards against P4: two claims of one key that both succeed.
+  void TestRacingWritesHaveOneWinner() {
+    std::vector<std::future<Outcome<std::optional<std::vector<WriteResult>>>>> writes;
+    for (int index = 0; index < 20; ++index) {
+      writes.push_back(std::async(std::launch::async, [this, index] {
+        return this->Write({{"claim", 0, std::to_string(index)}});
+      }));
+    }
+    int applied = 0;
+    for (auto& write : writes) {
+      applied += write.get().value->front().applied ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, applied);
+  }
+
+  // Guards against stored answers that come back changed.
+  void TestValuesOfAnyBytes() {
+    std::string bytes;
+    for (int byte = 0; byte < 256; ++byte) {
+      bytes += static_cast<char>(byte);
+    }
+    CPPUNIT_ASSERT(this->Write({{"bytes", 0, bytes}}).value->front().applied);
+    CPPUNIT_ASSERT(bytes == this->Read("bytes").value->value);
+  }
+
+  // Guards against P3 and P4: a write that took effect although its answer was lost must not be
+  // reported as not applied.
+  void TestLostAnswerOfWriteIsUnknown() {
+    this->SetFaults(R"({"table": "lose-answers"})");
+    const auto written = this->Write({{"key", 0, "mine"}});
+    CPPUNIT_ASSERT(!written.value);
+    CPPUNIT_ASSERT(written.error.code == ErrorCode::kUnknownOutcome);
+    CPPUNIT_ASSERT(this->Read("key").error.code == ErrorCode::kUnreachable);
+    this->SetFaults(R"({"table": "up"})");
+    CPPUNIT_ASSERT((TableRow{1, "mine"} == *this->Read("key").value));
+  }
+
+  // Guards against needless doubt when the platform states that it did nothing.
+  void TestDownTableDidNotApply() {
+    this->SetFaults(R"({"table": "down"})");
+    CPPUNIT_ASSERT(this->Write({{"key", 0, "x"}}).error.code == ErrorCode::kUnreachable);
+    const auto read = this->Read("key");
+    CPPUNIT_ASSERT(!read.value);
+    CPPUNIT_ASSERT(read.error.code == ErrorCode::kUnreachable);
+    this->SetFaults(R"({"table": "up"})");
+    CPPUNIT_ASSERT(TableRow{} == *this->Read("key").value);
+  }
+
+  // Guards against doubt about a write that never left.
+  void TestRefusedConnectionDidNotApply() {
+    this->server.reset();
+    CPPUNIT_ASSERT(this->Write({{"key", 0, "x"}}).error.code == ErrorCode::kUnreachable);
+    CPPUNIT_ASSERT(this->Put("key", "x").error.code == ErrorCode::kUnreachable);
+  }
+
+  // Guards against a write that is reported as failed and takes effect afterwards.
+  void TestSlowWriteIsUnknownAfterTimeout() {
+    this->UseUrl("http://" + this->server->address(), std::chrono::milliseconds(50));
+    this->SetFaults(R"({"table": "slow", "slow_ms": 300})");
+    CPPUNIT_ASSERT(this->Write({{"key", 0, "late"}}).error.code == ErrorCode::kUnknownOutcome);
+    this->SetFaults(R"({"table": "up"})");
+    CPPUNIT_ASSERT(Eventually([this] {
+      const auto read = this->Read("key");
+      return read.value && read.value->value == "late";
+    }));
+  }
+
+  // Guards against an answer without proof that is taken for a refusal or for success.
+  void TestUnreadableAnswersToWritesAreUnknown() {
+    struct Case {
+      int status;
+      std::string body;
+      ErrorCode expected;
+    };
+    const std::vector<Case> cases{{200, "", ErrorCode::kUnknownOutcome},
+                                  {200, "[]", ErrorCode::kUnknownOutcome},
+                                  {200, "[{\"applied\": 1}]", ErrorCode::kUnknownOutcome},
+                                  {500, "", ErrorCode::kUnknownOutcome},
+                                  {503, "", ErrorCode::kUnknownOutcome},
+                                  {302, "", ErrorCode::kUnknownOutcome},
+                                  {400, "", ErrorCode::kInvalidArgument},
+                                  {413, "", ErrorCode::kTooLarge}};
+    for (const Case& one : cases) {
+      const auto other = this->Serve([one](const HttpServerRequest&, const auto& responder) {
+        responder->Respond(one.status, {}, one.body);
+      });
+      this->UseUrl("http://" + other->address());
+      const auto written = this->Write({{"key", 0, "x"}});
+      CPPUNIT_ASSERT(!written.value);
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(one.expected), static_cast<int>(written.error.code));
+      CPPUNIT_ASSERT(!this->Read("key").value);
+    }
+  }
+
+  // Guards against an exception on the control thread.
+  void TestInvalidKeyIsRefused() {
+    CPPUNIT_ASSERT(this->Write({{"\xff", 0, "x"}}).error.code == ErrorCode::kInvalidArgument);
+  }
+
+  // Guards against an overwritten object and against keys that differ after a round trip.
+  void TestObjects() {
+    const std::string content("binary\0\xff\n", 9);
+    CPPUNIT_ASSERT(this->Get("p/a b?").error.code == ErrorCode::kNotFound);
+    CPPUNIT_ASSERT(this->Put("p/a b?", content).value);
+    CPPUNIT_ASSERT(this->Put("p/a b?", "other").value);
+    CPPUNIT_ASSERT(content == *this->Get("p/a b?").value);
+    CPPUNIT_ASSERT(this->Put("p/c", "").value);
+    CPPUNIT_ASSERT(this->Put("q/d", "").value);
+    const std::vector<std::string> expected{"p/a b?", "p/c"};
+    CPPUNIT_ASSERT(expected == *this->List("p/").value);
+    CPPUNIT_ASSERT(this->List("none").value->empty());
+  }
+
+  // Guards against a lost object that counts as stored.
+  void TestObjectStoreFaults() {
+    this->SetFaults(R"({"objects": "down"})");
+    CPPUNIT_ASSERT(this->Put("k", "v").error.code == ErrorCode::kUnreachable);
+    CPPUNIT_ASSERT(this->List("").error.code == ErrorCode::kUnreachable);
+    this->SetFaults(R"({"objects": "lose-answers"})");
+    const auto lost = this->Put("k", "v");
+    CPPUNIT_ASSERT(!lost.value);
+    CPPUNIT_ASSERT(lost.error.code == ErrorCode::kUnknownOutcome);
+    CPPUNIT_ASSERT(this->Get("k").error.code == ErrorCode::kUnreachable);
+    this->SetFaults(R"({"objects": "up"})");
+    CPPUNIT_ASSERT(std::string("v") == *this->Get("k").value);
+  }
+
+  // Guards against a stand-in whose list is never stale, which would hide faults of the hosts.
+  void TestHostListLags() {
+    const ListedHost host{"h-1", "127.0.0.1:1", ListedState::kLive, ListedKind::kHost};
+    const ListedHost target{"t-1", "127.0.0.1:2", ListedState::kLeaving, ListedKind::kTarget};
+    CPPUNIT_ASSERT(this->Register(host).value);
+    this->SetFaults(R"({"hosts_lag_ms": 3600000})");
+    CPPUNIT_ASSERT(this->Register(target).value);
+    CPPUNIT_ASSERT(this->ListHosts().value->empty());
+    this->SetFaults(R"({"hosts_lag_ms": 0})");
+    const std::vector<ListedHost> expected{host, target};
+    CPPUNIT_ASSERT(expected == *this->ListHosts().value);
+  }
+
+  // Guards against an outage that looks like an empty list.
+  void TestHostListFaults() {
+    this->SetFaults(R"({"hosts": "down"})");
+    const auto listed = this->ListHosts();
+    CPPUNIT_ASSERT(!listed.value);
+    CPPUNIT_ASSERT(listed.error.code == ErrorCode::kUnreachable);
+    this->SetFaults(R"({"hosts": "lose-answers"})");
+    CPPUNIT_ASSERT(this->Register({"h", "127.0.0.1:1"}).error.code == ErrorCode::kUnknownOutcome);
+  }
+
+  // Guards against decisions that run on the client's thread.
+  void TestCallbacksRunOnControlThread() {
+    std::promise<std::thread::id> thread;
+    this->table->Read("key", [&](const std::optional<TableRow>&, const Error&) {
+      thread.set_value(std::this_thread::get_id());
+    });
+    CPPUNIT_ASSERT(this->control_thread.get_id() == thread.get_future().get());
+  }
+
+ private:
+  std::unique_ptr<HttpServer> Serve(HttpServer::Handler handler) {
+    Error error;
+    auto created = HttpServer::Create({.address = "127.0.0.1:0"}, std::move(handler), error);
+    CPPUNIT_ASSERT_MESSAGE(error.message, created != nullptr);
+    return created;
+  }
+
+  void UseUrl(const std::string& url, Duration timeout = std::chrono::seconds(20)) {
+    const HttpPlatformSettings settings{
+        .base_url = url, .timeout = timeout, .post = [this](std::function<void()> function) {
+          asio::post(this->control, std::move(function));
+        }};
+    this->table = CreateHttpTableStore(*this->client, settings);
+    this->objects = CreateHttpObjectStore(*this->client, settings);
+    this->hosts = CreateHttpHostList(*this->client, settings);
+  }
+
+  void SetFaults(const std::string& text) {
+    TransferRecord record;
+    this->client->Start({.method = "POST",
+                         .url = "http://" + this->server->address() + "/faults",
+                         .body = text,
+                         .timeout = std::chrono::seconds(20)},
+                        record.Hooks());
+    CPPUNIT_ASSERT(record.Wait());
+    CPPUNIT_ASSERT_EQUAL(200, record.status);
+  }
+
+  // Starts a call and waits for its callback.
+  template <typename Value, typename Start>
+  static Outcome<Value> Await(Start start) {
+    std::promise<Outcome<Value>> done;
+    start([&](Value value, const Error& error) { done.set_value({std::move(value), error}); });
+    return done.get_future().get();
+  }
+
+  Outcome<std::optional<TableRow>> Read(const std::string& key) {
+    return Await<std::optional<TableRow>>(
+        [&](TableStore::ReadCallback callback) { this->table->Read(key, std::move(callback)); });
+  }
+  Outcome<std::optional<std::vector<WriteResult>>> Write(std::vector<ConditionalWrite> writes) {
+    return Await<std::optional<std::vector<WriteResult>>>([&](TableStore::WriteCallback callback) {
+      this->table->Write(std::move(writes), std::move(callback));
+    });
+  }
+  Outcome<std::optional<std::string>> Get(const std::string& key) {
+    return Await<std::optional<std::string>>(
+        [&](ObjectStore::GetCallback callback) { this->objects->Get(key, std::move(callback)); });
+  }
+  Outcome<bool> Put(const std::string& key, const std::string& content) {
+    return Await<bool>([&](ObjectStore::PutCallback callback) {
+      this->objects->PutIfAbsent(key, content, std::move(callback));
+    });
+  }
+  Outcome<std::optional<std::vector<std::string>>> List(const std::string& prefix) {
+    return Await<std::optional<std::vector<std::string>>>([&](ObjectStore::ListCallback callback) {
+      this->objects->List(prefix, std::move(callback));
+    });
+  }
+  Outcome<bool> Register(const ListedHost& host) {
+    return Await<bool>([&](HostList::RegisterCallback callback) {
+      this->hosts->Register(host, std::move(callback));
+    });
+  }
+  Outcome<std::optional<std::vector<ListedHost>>> ListHosts() {
+    return Await<std::optional<std::vector<ListedHost>>>(
+        [&](HostList::ListCallback callback) { this->hosts->List(std::move(callback)); });
+  }
+
+  asio::io_context control;
+  std::optional<asio::executor_work_guard<asio::io_context::executor_type>> work;
+  std::thread control_thread;
+  std::unique_ptr<Platform> platform;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<TableStore> table;
+  std::unique_ptr<ObjectStore> objects;
+  std::unique_ptr<HostList> hosts;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpPlatformTest);
+
+}  // namespace
+}  // namespace pimentopin
