Health: Take queueing at a target out of its service time

The broker knows how many attempts were there before, so HealthEvidence gets queue_factor, which SlotTable keeps per attempt, and the logarithm of it is subtracted. Attempts behind long work in every slot prove nothing about the service time.

A host that alone cannot reach a target kept starting work there, as views name only failure domains; the broker now adds the host's own domain in the view for that host.

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -57,8 +57,10 @@
   this->RefreshCandidates();
 }
 
-void SlotBroker::TouchHost(TimePoint now, HostId host) {
-  this->hosts[host].used_at = now;
+void SlotBroker::TouchHost(TimePoint now, HostId host, std::optional<DomainId> domain) {
+  HostUse& use = this->hosts[host];
+  use.used_at = now;
+  use.domain = domain.value_or(use.domain);
 }
 
 void SlotBroker::RefreshCandidates() {
@@ -245,7 +247,7 @@
                                               const SlotRequest& request,
                                               bool fingerprint_blocked) {
   Messages messages;
-  this->TouchHost(now, sender);
+  this->TouchHost(now, sender, sender_domain);
   if (const SlotHolder* holder = this->table.Find(request.attempt)) {
     // The host repeats a request whose grant was lost.
     messages.push_back({sender, SlotGrant{.attempt = request.attempt,
@@ -294,13 +296,13 @@
   use.view_sent_at = now;
   ServiceView view = this->View(now);
   view.sequence = this->NextSequence(now);
-  messages.push_back({host, std::move(view)});
+  messages.push_back({host, this->ViewFor(host, use, std::move(view))});
 }
 
 std::vector<SendToHost> SlotBroker::OnCancel(TimePoint now,
                                              HostId sender,
                                              const SlotCancel& cancel) {
-  this->TouchHost(now, sender);
+  this->TouchHost(now, sender, std::nullopt);
   this->queue.Remove(cancel.attempt);
   // If the grant is on its way, the host answers it with a release. The request
   // itself may still be on its way and must not be queued.
@@ -312,11 +314,15 @@
 
 std::vector<SendToHost> SlotBroker::OnClaim(TimePoint now,
                                             HostId sender,
-                                            DomainId /*sender_domain*/,
+                                            DomainId sender_domain,
                                             const SlotClaim& claim) {
-  this->TouchHost(now, sender);
-  const bool added = this->table.Add(
-      now, claim.attempt, {.host = sender, .target = claim.target, .work_class = claim.work_class});
+  this->TouchHost(now, sender, sender_domain);
+  const bool added =
+      this->table.Add(now, claim.attempt,
+                      {.host = sender,
+                       .target = claim.target,
+                       .work_class = claim.work_class,
+                       .queue_factor = this->QueueFactor(claim.target, claim.work_class)});
   if (added) {
     this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
     if (claim.is_retry) {
@@ -332,7 +338,7 @@
                                               HostId sender,
                                               DomainId sender_domain,
                                               const SlotRelease& release) {
-  this->TouchHost(now, sender);
+  this->TouchHost(now, sender, sender_domain);
   if (release.target_draining && this->draining.insert(release.target).second) {
     this->ConfigureHealth(now);
   }
@@ -340,6 +346,7 @@
   const SlotHolder* holder = this->table.Find(release.attempt);
   const bool known = holder != nullptr && holder->target == release.target;
   const bool repeated = holder == nullptr && this->table.HasEnded(release.attempt);
+  const double queue_factor = known ? holder->queue_factor : 1.0;
   if (holder == nullptr || known) {
     this->table.Free(now, release.attempt);
   }
@@ -353,7 +360,8 @@
                                .work_class = release.work_class,
                                .result = release.result,
                                .service_time = release.service_time,
-                               .fingerprint = release.fingerprint});
+                               .fingerprint = release.fingerprint,
+                               .queue_factor = queue_factor});
     this->RefreshCandidates();
   }
   this->Dispatch(now, messages);
@@ -362,9 +370,9 @@
 
 std::vector<SendToHost> SlotBroker::OnReport(TimePoint now,
                                              HostId sender,
-                                             DomainId /*sender_domain*/,
+                                             DomainId sender_domain,
                                              const HostReport& report) {
-  this->TouchHost(now, sender);
+  this->TouchHost(now, sender, sender_domain);
   this->table.Reconcile(now, sender, report.outstanding);
   Messages messages;
   this->Dispatch(now, messages);
@@ -399,7 +407,10 @@
                        Messages& messages) {
   const SlotRequest& request = entry.request;
   this->table.Add(now, request.attempt,
-                  {.host = entry.host, .target = target, .work_class = request.work_class});
+                  {.host = entry.host,
+                   .target = target,
+                   .work_class = request.work_class,
+                   .queue_factor = this->QueueFactor(target, request.work_class)});
   if (!request.is_retry) {
     this->retries.RecordFirstAttempt(now);
   }
@@ -408,6 +419,24 @@
        SlotGrant{.attempt = request.attempt, .service = request.service, .target = target}});
 }
 
+double SlotBroker::QueueFactor(TargetId target, WorkClass work_class) const {
+  const auto position =
+      std::find_if(this->candidates.begin(), this->candidates.end(),
+                   [target](const Candidate& candidate) { return candidate.target == target; });
+  if (position == this->candidates.end()) {
+    return 1.0;
+  }
+  // Short work waits for the slots that long work leaves; what long work waits
+  // for short work is negligible beside its own time.
+  const std::uint32_t long_work = this->table.LongCountAt(target);
+  const std::uint32_t short_work = this->table.CountAt(target) - long_work;
+  const bool is_long = work_class == WorkClass::kLong;
+  const std::uint32_t joined = (is_long ? long_work : short_work) + 1;
+  const std::uint32_t slots =
+      is_long ? position->slots : position->slots - std::min(position->slots, long_work);
+  return slots == 0 ? 0.0 : std::max(1.0, static_cast<double>(joined) / slots);
+}
+
 bool SlotBroker::LongGoesFirst(TimePoint now) const {
   TimePoint oldest_long = TimePoint::max();
   TimePoint oldest_short = TimePoint::max();
@@ -515,11 +544,20 @@
     if (use.view_owed || now - use.view_sent_at >= repeat) {
       use.view_owed = false;
       use.view_sent_at = now;
-      messages.push_back({host, view});
+      messages.push_back({host, this->ViewFor(host, use, view)});
     }
   }
 }
 
+ServiceView SlotBroker::ViewFor(HostId host, const HostUse& use, ServiceView view) const {
+  for (std::size_t index = 0; index < this->candidates.size(); ++index) {
+    if (Contains(this->candidates[index].verdict.unreachable_hosts, host)) {
+      view.targets[index].unreachable_from.push_back(use.domain);
+    }
+  }
+  return view;
+}
+
 std::vector<HealthEvent> SlotBroker::TakeHealthEvents() {
   return this->health.TakeEvents();
 }
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -81,6 +81,7 @@
 
  private:
   struct HostUse {
+    DomainId domain{};
     TimePoint used_at;
     TimePoint view_sent_at;
     bool view_owed = false;
@@ -96,7 +97,10 @@
   void ConfigureHealth(TimePoint now);
   // Takes over the verdicts of the health component.
   void RefreshCandidates();
-  void TouchHost(TimePoint now, HostId host);
+  void TouchHost(TimePoint now, HostId host, std::optional<DomainId> domain);
+  // The view with the targets that this one host cannot reach marked as
+  // unreachable from its domain.
+  ServiceView ViewFor(HostId host, const HostUse& use, ServiceView view) const;
   std::uint32_t UsableSlots() const;
   bool IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const;
   // Targets that may run the request, whether they have a free slot or not.
@@ -117,6 +121,8 @@
   void Dispatch(TimePoint now, Messages& messages);
   bool GrantNext(TimePoint now, WorkClass work_class, Messages& messages);
   bool LongGoesFirst(TimePoint now) const;
+  // Expected effect of the target's own queue on an attempt that joins it now.
+  double QueueFactor(TargetId target, WorkClass work_class) const;
   void RefuseExpired(TimePoint now, Messages& messages);
   void PushViews(TimePoint now, Messages& messages);
   void AcknowledgeQueued(TimePoint now, HostId host, Messages& messages);
--- a/Libraries/LibDispatch/slot_table.h
+++ b/Libraries/LibDispatch/slot_table.h
@@ -20,6 +20,8 @@
   WorkClass work_class = WorkClass::kShort;
   // When the broker learned of the attempt.
   TimePoint since;
+  // See HealthEvidence.
+  double queue_factor = 1.0;
 
   friend bool operator==(const SlotHolder&, const SlotHolder&) = default;
 };
--- a/Libraries/LibHealth/service_health.cc
+++ b/Libraries/LibHealth/service_health.cc
@@ -45,6 +45,14 @@
   return std::log(std::max(milliseconds, kShortestServiceTimeMs));
 }
 
+// Without this, hosts that choose the same target at once make it look slow.
+std::optional<double> LogTimeOf(const HealthEvidence& evidence) {
+  if (evidence.queue_factor <= 0.0) {
+    return std::nullopt;
+  }
+  return LogServiceTime(evidence.service_time) - std::log(evidence.queue_factor);
+}
+
 double Median(std::vector<double>& values) {
   const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
   std::nth_element(values.begin(), middle, values.end());
@@ -132,9 +140,8 @@
       if (!evidence.is_probe) {
         // A health endpoint may mislead: its successes show only the path.
         this->repeats.RecordSuccess(evidence.fingerprint);
-        this->AddOutcome(
-            now, *record,
-            {.work_class = evidence.work_class, .log_time = LogServiceTime(evidence.service_time)});
+        this->AddOutcome(now, *record,
+                         {.work_class = evidence.work_class, .log_time = LogTimeOf(evidence)});
       }
       break;
   }
@@ -363,8 +370,8 @@
 void ServiceHealth::AddOutcome(TimePoint now, Record& record, Pending outcome) {
   this->AdvanceProbation(now, record, outcome);
   record.evidence.AddOutcome(outcome.failed);
-  if (!outcome.failed) {
-    record.evidence.AddServiceTime(now, outcome.work_class, outcome.log_time);
+  if (outcome.log_time) {
+    record.evidence.AddServiceTime(now, outcome.work_class, *outcome.log_time);
   }
   const std::size_t peers = std::min(this->records.size() - 1, kMaximumPeers);
   outcome.at = now;
@@ -393,14 +400,14 @@
       record.last_death = increments;
     }
   }
-  if (outcome.failed) {
+  if (!outcome.log_time) {
     return;
   }
   if (const auto usual = this->PeerServiceTime(now, record, outcome.work_class)) {
     const double scale = this->spread[static_cast<std::size_t>(outcome.work_class)];
     const double allowance = record.phase == Phase::kRamp ? kRampAllowance : 0.0;
     record.evidence.CompareServiceTime(outcome.at, outcome.work_class,
-                                       (outcome.log_time - *usual) / scale, allowance);
+                                       (*outcome.log_time - *usual) / scale, allowance);
   }
 }
 
@@ -413,9 +420,9 @@
   }
   double ratio = 0.0;
   const auto usual = this->PeerServiceTime(now, record, outcome.work_class);
-  if (!outcome.failed && usual) {
+  if (outcome.log_time && usual) {
     ratio =
-        (outcome.log_time - *usual) / this->spread[static_cast<std::size_t>(outcome.work_class)];
+        (*outcome.log_time - *usual) / this->spread[static_cast<std::size_t>(outcome.work_class)];
   }
   const auto disagree = [&record] {
     record.agreements = 0;
--- a/Libraries/LibHealth/service_health.h
+++ b/Libraries/LibHealth/service_health.h
@@ -37,6 +37,9 @@
   Duration service_time{};
   Fingerprint fingerprint{};
   bool is_probe = false;
+  // Factor by which the queue at the target is expected to have prolonged the
+  // attempt; zero: unknown, and the service time proves nothing.
+  double queue_factor = 1.0;
 
   friend bool operator==(const HealthEvidence&, const HealthEvidence&) = default;
 };
@@ -94,8 +97,8 @@
     bool failed = false;
     // Failed by a death of the target.
     bool death = false;
-    // Logarithm of the service time of a success.
-    double log_time = 0.0;
+    // Logarithm of the service time of a success, less the effect of queueing.
+    std::optional<double> log_time;
   };
 
   struct Record {
--- a/Tests/BenchSimulation/cluster_test.cc
+++ b/Tests/BenchSimulation/cluster_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(TestHealthyFleetCompletesEverything);
   CPPUNIT_TEST(TestSlowTargetIsEjected);
   CPPUNIT_TEST(TestDeafDomainIsAvoided);
+  CPPUNIT_TEST(TestDeafHostAvoidsTarget);
   CPPUNIT_TEST(TestCrashRequestIsRefusedAndTargetsStay);
   CPPUNIT_TEST(TestDrainingTargetGetsNoWork);
   CPPUNIT_TEST(TestOverloadKeepsPromises);
@@ -87,6 +88,28 @@
     CPPUNIT_ASSERT(deaf_starts < 50);
   }
 
+  // Guards against a single host that goes on starting work at a target which
+  // it cannot reach, without the target losing the other hosts.
+  void TestDeafHostAvoidsTarget() {
+    Cluster cluster({.seed = 11});
+    cluster.AddWorkload(Load(cluster, 0.5, 60s));
+    cluster.RunFor(10s);
+    cluster.target(0, 0).fault.deaf_to_hosts = {cluster.host(4), cluster.host(9)};
+    cluster.RunFor(20s);
+    std::size_t deaf_starts = 0;
+    std::size_t all_starts = 0;
+    cluster.on_start = [&](HostId host, TargetId target, WorkClass) {
+      if (host == cluster.host(4) || host == cluster.host(9)) {
+        ++all_starts;
+        deaf_starts += target == cluster.target(0, 0).id() ? 1 : 0;
+      }
+    };
+    cluster.RunFor(30s);
+    CPPUNIT_ASSERT(ViewOf(cluster, 0).state == TargetState::kHealthy);
+    CPPUNIT_ASSERT(all_starts > 500);
+    CPPUNIT_ASSERT(deaf_starts * 50 < all_starts);
+  }
+
   // Guards against a crash request that goes through the whole service.
   void TestCrashRequestIsRefusedAndTargetsStay() {
     Cluster cluster({.seed = 6});
--- a/Tests/LibHealth/service_health_test.cc
+++ b/Tests/LibHealth/service_health_test.cc
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(TestCommonSlowdownEjectsNobody);
   CPPUNIT_TEST(TestCommonFailuresEjectNobody);
   CPPUNIT_TEST(TestCommonErrorRateEjectsNobody);
+  CPPUNIT_TEST(TestQueueAtTargetIsNotSlowness);
+  CPPUNIT_TEST(TestSlowTargetWithQueueIsEjected);
   CPPUNIT_TEST(TestShedAndCancelledSayNothing);
   CPPUNIT_TEST(TestDeafToDomainIsNotEjected);
   CPPUNIT_TEST(TestDomainIsUsedAgainAfterPartition);
@@ -140,6 +142,37 @@
     }
   }
 
+  // Guards against hosts that choose the same target at once making it look
+  // slow: service times 4x as long behind a queue 4x as long, over seconds.
+  void TestQueueAtTargetIsNotSlowness() {
+    HealthFleet fleet(6, 3, 3, 40);
+    fleet.Run(5s);
+    for (const double factor : {4.0, 0.0}) {
+      for (int index = 0; index < 100; ++index) {
+        HealthEvidence evidence = this->Evidence(fleet, 1, AttemptResult::kSuccess);
+        evidence.service_time = factor > 0.0 ? 60ms : 600ms;
+        evidence.queue_factor = factor;
+        fleet.health.Observe(fleet.now, evidence);
+        fleet.Run(20ms);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.events.size());
+  }
+
+  // Guards against a queue excusing a slow target.
+  void TestSlowTargetWithQueueIsEjected() {
+    HealthFleet fleet(6, 3, 3, 41);
+    fleet.Run(5s);
+    for (int index = 0; index < 100; ++index) {
+      HealthEvidence evidence = this->Evidence(fleet, 1, AttemptResult::kSuccess);
+      evidence.service_time = 400ms;
+      evidence.queue_factor = 2.0;
+      fleet.health.Observe(fleet.now, evidence);
+      fleet.Run(20ms);
+    }
+    CPPUNIT_ASSERT(fleet.Verdict(1).state == TargetState::kEjected);
+  }
+
   // Guards against an overloaded target, or impatient callers, looking sick.
   void TestShedAndCancelledSayNothing() {
     HealthFleet fleet(6, 3, 3, 4);
