--- a/Tests/LibConfig/configuration_reader_test.cc
+++ b/Tests/LibConfig/configuration_reader_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 
+#include "Libraries/LibProtocol/codec.h"
 #include "Tests/LibConfig/documents.h"
 
 namespace pimentopin {
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(TestIndexedLookUpsEqualLinearOnes);
   CPPUNIT_TEST(TestIndexFollowsCopies);
   CPPUNIT_TEST(TestDotSegmentsMatchNoRule);
+  CPPUNIT_TEST(TestLargestDocumentFitsOneFrame);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -289,6 +291,17 @@
     CPPUNIT_ASSERT(copy.FindTarget(copy.targets[1].id()) == &copy.targets[1]);
   }
 
+  // Guards against a revision that is committed, but cannot be pushed to other
+  // hosts.
+  void TestLargestDocumentFitsOneFrame() {
+    const Envelope envelope{.message = ConfigurationDocument{
+                                .revision = 1,
+                                .change_id = std::string(kMaxWireNameBytes, 'c'),
+                                .author = std::string(kMaxWireNameBytes, 'a'),
+                                .content = std::string(ConfigurationLimits().max_bytes, ' ')}};
+    CPPUNIT_ASSERT(!EncodeFrame(envelope).empty());
+  }
+
   // Guards against a booking that is sent twice because its path passes through
   // a prefix that is idempotent.
   void TestDotSegmentsMatchNoRule() {
