--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -68,6 +68,11 @@
 
         return wait_until(read, START_LIMIT_S, f"{self.name} to listen")
 
+    def runs(self):
+        """Runs that a target stand-in started."""
+        lines = self.out_path.read_text().splitlines()
+        return [json.loads(line[4:]) for line in lines if line.startswith("run ")]
+
     def log_events(self, event):
         """Log lines of that event, as dictionaries."""
         events = []
@@ -200,6 +205,7 @@
                 "--slots", str(target["slots"]),
                 "--service-time-ms", str(service_time_ms),
                 "--long-time-ms", str(service_time_ms * 30),
+                "--print-runs",
             ],
             self.directory,
         )
@@ -269,12 +275,8 @@
             raise RuntimeError(f"setting platform faults failed with {status}: {body}")
 
     def ledgers(self):
-        """Runs recorded by every target that is alive, by target name."""
-        runs = {}
-        for name, process in self.targets.items():
-            if process.child.poll() is None:
-                runs[name] = http("GET", f"http://{process.listening_address()}/ledger")[1]
-        return runs
+        """Runs started by every target, also by those that were killed, by name."""
+        return {name: process.runs() for name, process in self.targets.items()}
 
     def caller_addresses(self):
         return [host.caller_address for host in self.hosts]
--- a/Tests/StandIns/Target/main.cc
+++ b/Tests/StandIns/Target/main.cc
@@ -30,7 +30,8 @@
           .long_time = Milliseconds(flags, "long-time-ms"),
           .cold_start = Milliseconds(flags, "cold-start-ms"),
           .jitter = flags["jitter"].as<double>(),
-          .seed = flags["seed"].as<std::uint64_t>()};
+          .seed = flags["seed"].as<std::uint64_t>(),
+          .print_runs = flags["print-runs"].as<bool>()};
 }
 
 int Serve(const std::string& address, TargetSettings settings) {
@@ -92,7 +93,8 @@
       "jitter", "share by which service times vary",
       cxxopts::value<double>()->default_value("0.2"))(
       "seed", "seed of jitter and faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
-      "help", "print this help");
+      "print-runs", "print a line at the start of each run",
+      cxxopts::value<bool>()->default_value("false"))("help", "print this help");
   try {
     const cxxopts::ParseResult flags = options.parse(argc, argv);
     if (flags.count("help") > 0) {
--- a/Tests/StandIns/Target/target.cc
+++ b/Tests/StandIns/Target/target.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <chrono>
 #include <cstdlib>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -43,6 +44,17 @@
   return {};
 }
 
+json ToJson(const LedgerEntry& entry) {
+  return {{"attempt_id", entry.attempt_id},
+          {"request_id", entry.request_id},
+          {"idempotency_key", entry.idempotency_key},
+          {"method", entry.method},
+          {"path", entry.path},
+          {"started_at_us", entry.started_at_us},
+          {"ended_at_us", entry.ended_at_us},
+          {"completed", entry.completed}};
+}
+
 std::string Dump(const json& document) {
   return document.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
@@ -120,14 +132,7 @@
 void Target::Ledger(HttpResponder& responder) {
   json runs = json::array();
   for (const LedgerEntry& entry : this->ledger) {
-    runs.push_back({{"attempt_id", entry.attempt_id},
-                    {"request_id", entry.request_id},
-                    {"idempotency_key", entry.idempotency_key},
-                    {"method", entry.method},
-                    {"path", entry.path},
-                    {"started_at_us", entry.started_at_us},
-                    {"ended_at_us", entry.ended_at_us},
-                    {"completed", entry.completed}});
+    runs.push_back(ToJson(entry));
   }
   responder.Respond(200, {{"Content-Type", "application/json"}}, Dump(runs));
 }
@@ -201,6 +206,10 @@
                           .method = job->request.method,
                           .path = job->request.path,
                           .started_at_us = EpochMicroseconds()});
+  if (this->settings.print_runs) {
+    // Flushed, so that the runs of a target that is killed are known.
+    std::cout << "run " << Dump(ToJson(this->ledger.back())) << std::flush;
+  }
   Duration duration = this->ServiceTime(*job);
   const bool crashes = !this->mode.crash_path.empty() &&
                        job->request.path.find(this->mode.crash_path) != std::string::npos;
--- a/Tests/StandIns/Target/target.h
+++ b/Tests/StandIns/Target/target.h
@@ -33,6 +33,8 @@
   // Service times vary by this share in either direction.
   double jitter = 0.2;
   std::uint64_t seed = 1;
+  // Prints one line to standard output at the start of each run.
+  bool print_runs = false;
 };
 
 // One run of a request.
