Idempotency: Claim keyed work by conditional writes

Cause: ClaimLedger was an interface without an implementation.

Change: each row of the table is JSON with state, attempt id, fingerprint and outcome. A row of unknown form never permits a run.

--- /dev/null
+++ b/Libraries/LibIdempotency/claim_row.cc
@@ -0,0 +1,113 @@
+#include "Libraries/LibIdempotency/claim_row.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace pimentopin {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kClaimed = "claimed";
+constexpr const char* kReleased = "released";
+constexpr const char* kDone = "done";
+
+// JSON strings are UTF-8, but bodies and header values are any bytes. Each byte
+// is stored as the code point of the same number.
+std::string ToUtf8(const std::string& bytes) {
+  std::string text;
+  text.reserve(bytes.size());
+  for (const char byte : bytes) {
+    const auto value = static_cast<unsigned char>(byte);
+    if (value < 0x80) {
+      text.push_back(byte);
+    } else {
+      text.push_back(static_cast<char>(0xc0 | (value >> 6)));
+      text.push_back(static_cast<char>(0x80 | (value & 0x3f)));
+    }
+  }
+  return text;
+}
+
+std::string FromUtf8(const std::string& text) {
+  std::string bytes;
+  bytes.reserve(text.size());
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    const auto value = static_cast<unsigned char>(text[index]);
+    if (value >= 0x80 && index + 1 < text.size()) {
+      ++index;
+      const auto low = static_cast<unsigned char>(text[index]);
+      bytes.push_back(static_cast<char>((value << 6) | (low & 0x3f)));
+    } else {
+      bytes.push_back(static_cast<char>(value));
+    }
+  }
+  return bytes;
+}
+
+StoredOutcome ReadOutcome(const json& value) {
+  StoredOutcome outcome;
+  outcome.status = value.at("status").get<int>();
+  for (const json& header : value.at("headers")) {
+    outcome.headers.push_back(
+        {FromUtf8(header.at(0).get<std::string>()), FromUtf8(header.at(1).get<std::string>())});
+  }
+  if (value.contains("body")) {
+    outcome.body = FromUtf8(value.at("body").get<std::string>());
+  }
+  return outcome;
+}
+
+}  // namespace
+
+std::string FormatClaimRow(const ClaimRow& row) {
+  json value;
+  value["attempt"] = RawId(row.attempt);
+  value["fingerprint"] = RawId(row.fingerprint);
+  switch (row.state) {
+    case ClaimState::kClaimed:
+      value["state"] = kClaimed;
+      break;
+    case ClaimState::kReleased:
+      value["state"] = kReleased;
+      break;
+    case ClaimState::kDone:
+      value["state"] = kDone;
+      break;
+  }
+  if (row.outcome) {
+    json headers = json::array();
+    for (const HttpHeader& header : row.outcome->headers) {
+      headers.push_back(json::array({ToUtf8(header.name), ToUtf8(header.value)}));
+    }
+    value["outcome"] = {{"status", row.outcome->status}, {"headers", std::move(headers)}};
+    if (row.outcome->body) {
+      value["outcome"]["body"] = ToUtf8(*row.outcome->body);
+    }
+  }
+  return value.dump();
+}
+
+std::optional<ClaimRow> ParseClaimRow(const std::string& text) {
+  try {
+    const json value = json::parse(text);
+    ClaimRow row;
+    row.attempt = AttemptId{value.at("attempt").get<std::uint64_t>()};
+    row.fingerprint = Fingerprint{value.at("fingerprint").get<std::uint64_t>()};
+    const auto state = value.at("state").get<std::string>();
+    if (state == kDone) {
+      row.state = ClaimState::kDone;
+      row.outcome = ReadOutcome(value.at("outcome"));
+    } else if (state == kReleased) {
+      row.state = ClaimState::kReleased;
+    } else if (state != kClaimed) {
+      return std::nullopt;
+    }
+    return row;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace pimentopin
