Health: Detect a 10x slow target with fewer samples

The bound on a single log ratio, 2.5, cut off nearly half of what a 10x slow target shows. It is now 3.2, and the thresholds are 18 and 6, which for exponential times are reached by chance once in 2.4e9 samples.

--- a/Libraries/LibHealth/target_evidence.cc
+++ b/Libraries/LibHealth/target_evidence.cc
@@ -7,19 +7,20 @@
 namespace {
 
 // For exponential service times the sums reach their thresholds by chance
-// about once in exp(24) samples: the exponent t solves
+// about once in exp(21.6) = 2.4e9 samples: the exponent t solves
 // lnGamma(1 + t) = (reference - 0.367) t, which gives 1.2 for 0.45 and 3.6 for
-// 1.1, times the thresholds below. 3x slow needs about 45 samples, 10x about 7.
+// 1.1, times the thresholds below.
 constexpr double kSensitiveTimeReference = 0.45;
-constexpr double kSensitiveTimeThreshold = 20.0;
+constexpr double kSensitiveTimeThreshold = 18.0;
 constexpr double kFastTimeReference = 1.1;
-constexpr double kFastTimeThreshold = 7.0;
+constexpr double kFastTimeThreshold = 6.0;
 // When several hosts choose the same free target at once, its own queue delays
 // a handful of requests together for up to 300 ms. In a simulated healthy hour
 // such bursts ejected up to 49 targets.
 constexpr Duration kShortestSlowness = std::chrono::milliseconds(500);
-// Bounds what one request can prove: the fast detector needs 5 samples.
-constexpr double kMaximumLogRatio = 2.5;
+// Bounds what one request can prove: the fast detector needs 3 samples. A bound
+// of 2.5 cut off nearly half of the samples of a 10x slow target.
+constexpr double kMaximumLogRatio = 3.2;
 
 // Log-likelihood ratios of failure odds raised by these factors; a sum of 16
 // is reached by chance about once in exp(16) outcomes at the peers' rate.
