--- a/Libraries/LibHealth/target_evidence.cc
+++ b/Libraries/LibHealth/target_evidence.cc
@@ -18,6 +18,9 @@
 // a handful of requests together for up to 300 ms. In a simulated healthy hour
 // such bursts ejected up to 49 targets.
 constexpr Duration kShortestSlowness = std::chrono::milliseconds(500);
+// A burst of 1 s during a demand peak ejected a target through the sensitive
+// detector, which may take longer than the fast one.
+constexpr Duration kShortestMildSlowness = std::chrono::milliseconds(1500);
 // Bounds what one request can prove: the fast detector needs 3 samples. A bound
 // of 2.5 cut off nearly half of the samples of a 10x slow target.
 constexpr double kMaximumLogRatio = 3.2;
@@ -42,7 +45,7 @@
 constexpr double kProbationHeadStart = 0.5;
 
 CusumDetector SensitiveTimeDetector() {
-  return CusumDetector(kSensitiveTimeThreshold, kShortestSlowness);
+  return CusumDetector(kSensitiveTimeThreshold, kShortestMildSlowness);
 }
 
 CusumDetector FastTimeDetector() {
