Bench: Measure the cost of state and messages against size

Cause: docs/CAPACITY.md needs slopes. Change: Meta/bench slopes; sample targets get addresses of their own.

--- a/Bench/Runner/configuration_slopes.cc
+++ b/Bench/Runner/configuration_slopes.cc
@@ -45,7 +45,7 @@
   document["targets"].push_back(
       {{"name", fmt::format("target-{}", index)},
        {"service", "service"},
-       {"address", fmt::format("127.{}.{}.1:80", index / 250 % 250, index % 250)},
+       {"address", fmt::format("127.1.{}.{}:80", index / 250, index % 250)},
        {"domain", fmt::format("domain-{}", index % 8)},
        {"slots", 3},
        {"connections", 300},
