Membership: Spread configurations, gossip members and leaving targets

Cause: the three decision classes were interfaces without an implementation.

Change: Membership (gossip with questions about silent or unknown members and answers to them), ConfigurationTracker (push to 4 peers, pull, polling roles, start window of 1 s; documents above 4 KiB are offered first) and LeavingTargets (a notice does not prolong itself, a cleared one stays cleared).

The mechanisms were not switched off one by one.

--- a/Libraries/LibMembership/configuration_tracker.h
+++ b/Libraries/LibMembership/configuration_tracker.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -29,6 +32,18 @@
 // Only a higher revision is ever adopted.
 class ConfigurationTracker {
  public:
+  // Readers per failure domain that poll the table at kReaderInterval.
+  static constexpr std::size_t kReadersPerDomain = 2;
+  static constexpr Duration kReaderInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kMinOtherInterval = std::chrono::seconds(2);
+  // Peers that an adopted document is pushed to.
+  static constexpr std::size_t kPushFanout = 4;
+  // Larger documents are first offered, so that each crosses the network about
+  // once per host instead of up to four times.
+  static constexpr std::size_t kMaxPushedContentBytes = 4096;
+  // A starting host collects documents for this long and adopts the highest.
+  static constexpr Duration kStartWindow = std::chrono::seconds(1);
+
   ConfigurationTracker(HostId self, DomainId domain, RandomSource& random);
 
   // Alive members with their domains and revisions.
@@ -41,7 +56,7 @@
   std::vector<ConfigurationAction> OnRequest(TimePoint now,
                                              HostId sender,
                                              const ConfigurationRequest& request);
-  // A member's gossiped revision.
+  // A member's gossiped revision. A host that is behind gets the document.
   std::vector<ConfigurationAction> OnRevisionSeen(TimePoint now,
                                                   HostId host,
                                                   std::uint64_t revision);
@@ -51,9 +66,42 @@
   std::vector<ConfigurationAction> Tick(TimePoint now);
 
   // 0 if none is in force.
-  std::uint64_t revision() const;
-  const std::optional<ConfigurationDocument>& document() const;
+  std::uint64_t revision() const {
+    return this->current ? this->current->revision : std::uint64_t{0};
+  }
+  const std::optional<ConfigurationDocument>& document() const { return this->current; }
   bool HeardTableWithin(TimePoint now, Duration window) const;
+
+ private:
+  struct Peer {
+    DomainId domain{};
+    std::uint64_t incarnation = 0;
+    std::uint64_t revision = 0;
+    // Last document or offer sent because the peer was behind.
+    std::optional<TimePoint> pushed_at;
+    std::uint64_t pushed_revision = 0;
+  };
+
+  bool Starting(TimePoint now);
+  std::vector<ConfigurationAction> Adopt(TimePoint now, const ConfigurationDocument& adopted);
+  Message PushMessage() const;
+  std::vector<ConfigurationAction> PullFrom(TimePoint now, HostId host, std::uint64_t revision);
+  Duration PollInterval() const;
+
+  HostId self;
+  DomainId domain;
+  RandomSource& random;
+  std::map<HostId, Peer> peers;
+  std::optional<ConfigurationDocument> current;
+  // Highest document received in the start window.
+  std::optional<ConfigurationDocument> candidate;
+  std::optional<TimePoint> started_at;
+  std::optional<TimePoint> table_answered_at;
+  std::optional<TimePoint> last_poll;
+  std::optional<TimePoint> pulled_at;
+  // Highest revision asked for.
+  std::uint64_t pulled_revision = 0;
+  bool asked_seeds = false;
 };
 
 }  // namespace pimentopin
