Membership: Restore the bounds of the fleet tests

Cause: several bounds of the new fleet tests had been set after the measured figures (leaving host 5 s after 3.98 s was seen, suspects 1 in 200, dead records 1 in 50,000, and others).

--- a/Bench/Runner/membership_slopes.cc
+++ b/Bench/Runner/membership_slopes.cc
@@ -23,6 +23,7 @@
 constexpr Duration kMeasured = std::chrono::seconds(10);
 constexpr TimePoint kStart{std::chrono::seconds(1000)};
 constexpr std::uint64_t kDomains = 8;
+constexpr Duration kSpreadLimit = std::chrono::seconds(15);
 
 HostId HostAt(std::size_t index) {
   return IdFromName<HostId>(fmt::format("host-{}", index));
@@ -113,7 +114,7 @@
     TimePoint now = kStart;
     this->Execute(now, 0, this->trackers[0]->OnDocument(now, document));
     TimePoint next_tick = now + kStep;
-    while (this->adopted < this->trackers.size() && now < kStart + std::chrono::seconds(60)) {
+    while (this->adopted < this->trackers.size() && now < kStart + kSpreadLimit) {
       if (!this->in_flight.empty() && this->in_flight.front().at <= next_tick) {
         const Delivery delivery = this->in_flight.front();
         this->in_flight.pop_front();
@@ -125,6 +126,7 @@
       next_tick += kStep;
       for (std::size_t index = 0; index < this->trackers.size(); ++index) {
         this->Execute(now, index, this->trackers[index]->Tick(now));
+        this->GossipRevision(now, index);
       }
     }
     return {.seconds = std::chrono::duration<double>(now - kStart).count(),
@@ -154,6 +156,25 @@
     }
   }
 
+  // Each host tells three random ones its revision every 500 ms; this repairs
+  // what the pushes miss.
+  void GossipRevision(TimePoint now, std::size_t index) {
+    constexpr std::uint64_t kTicksPerGossip = 5;
+    constexpr int kGossipFanOut = 3;
+    const auto tick = static_cast<std::uint64_t>((now - kStart) / kStep);
+    if ((tick + index) % kTicksPerGossip != 0) {
+      return;
+    }
+    for (int peer = 0; peer < kGossipFanOut; ++peer) {
+      const std::size_t to = this->random.Below(this->trackers.size());
+      if (to != index) {
+        this->Execute(now, to,
+                      this->trackers[to]->OnRevisionSeen(now, HostAt(index),
+                                                         this->trackers[index]->revision()));
+      }
+    }
+  }
+
   void Deliver(TimePoint now, const Delivery& delivery) {
     ConfigurationTracker& tracker = *this->trackers[delivery.to];
     const HostId sender = HostAt(delivery.from);
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -291,7 +291,8 @@
 }
 
 void SlotBroker::AcknowledgeQueued(TimePoint now, HostId host, Messages& messages) {
-  this->hosts[host].view_sent_at = now;
+  HostUse& use = this->hosts[host];
+  use.view_sent_at = now;
   ServiceView view = this->View(now);
   view.sequence = this->NextSequence(now);
   messages.push_back({host, this->ViewFor(host, use, std::move(view))});
--- a/Libraries/LibOperator/operator_commands.h
+++ b/Libraries/LibOperator/operator_commands.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "Libraries/LibCore/exit_code.h"
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibOperator/admin_client.h"
-#include "Libraries/LibCore/exit_code.h"
 
 namespace pimentopin {
 
--- a/Meta/run_check.py
+++ b/Meta/run_check.py
@@ -37,7 +37,10 @@
         request_id = record["request_id"]
         runs = runs_by_request[request_id]
         self.counts["sent"] += 1
-        if not record["whole"]:
+        if not record["connected"]:
+            # A load balancer would not have chosen a host that does not listen.
+            self._fail("refused connection", f"{request_id}: the host does not listen")
+        elif not record["whole"]:
             self._fail("broken", f"{request_id}: the answer did not arrive whole")
         elif record["outcome"] == "not-run":
             self.counts["not-run"] += 1
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <csignal>
 #include <iostream>
 #include <string>
@@ -22,12 +24,23 @@
   return ToInt(ExitCode::kUsage);
 }
 
+// Each caller, target and peer connection takes a descriptor, and the server
+// stops accepting for good when none is left.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   using namespace pimentopin;
   // A write to a closed connection is reported by the call itself.
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit();
 
   Findings findings;
   const ProgramDescription program{.name = "pimentopin",
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -17,6 +17,13 @@
 constexpr std::size_t kHosts = 32;
 // P7 of the design.
 constexpr Duration kInForceLimit = seconds(5);
+// A record is suspect 3 s and dead 6 s after it last advanced; 2 s are allowed
+// for the last relays, and 60 s more until a dead host is forgotten.
+constexpr Duration kUnusedLimit = seconds(5);
+constexpr Duration kDeadLimit = seconds(8);
+constexpr Duration kForgottenLimit = seconds(62);
+constexpr Duration kLeavingLimit = seconds(3);
+constexpr Duration kKnownLimit = seconds(10);
 constexpr std::uint64_t kNextRevision = 2;
 
 // True for a test listed in KNOWN-RED.txt, unless PIMENTOPIN_KNOWN_RED is set.
@@ -184,8 +191,8 @@
     std::cout << "  suspected: " << suspected << ", of these dead: " << dead << " of " << samples
               << " samples\n";
     // FIXME: 54 records per second leave some of 31 members unheard for 3 s.
-    CPPUNIT_ASSERT(suspected * 200 <= samples);
-    CPPUNIT_ASSERT(dead * 50'000 <= samples);
+    CPPUNIT_ASSERT(suspected * 10'000 <= samples);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, dead);
   }
 
   // Guards against brokers on hosts that are gone, and against tables that
@@ -205,18 +212,18 @@
       };
       const auto unused = fleet.RunUntil(
           [&] { return everywhere([&](HostId host) { return !fleet.Sees(host, failed); }); },
-          seconds(8));
+          kUnusedLimit);
       CPPUNIT_ASSERT_MESSAGE("failed host is still used", unused);
       const auto dead = fleet.RunUntil(
           [&] {
             return everywhere(
                 [&](HostId host) { return fleet.StateOf(host, failed) == MemberState::kDead; });
           },
-          seconds(12) - *unused);
+          kDeadLimit - *unused);
       CPPUNIT_ASSERT_MESSAGE("failed host is not dead", dead);
       worst_suspect = std::max(worst_suspect, *unused);
       worst_dead = std::max(worst_dead, *unused + *dead);
-      fleet.RunFor(seconds(70));
+      fleet.RunFor(kForgottenLimit);
       for (const HostId host : fleet.Running()) {
         CPPUNIT_ASSERT_EQUAL(kHosts - 1, fleet.At(host).membership.Members().size());
       }
@@ -297,12 +304,11 @@
         const auto running = fleet.Running();
         return fleet.InForceEverywhere(1) &&
                std::all_of(running.begin(), running.end(), [&](HostId host) {
-                 return std::all_of(running.begin(), running.end(), [&](HostId other) {
-                   return fleet.StateOf(host, other) != MemberState::kDead;
-                 });
+                 return std::all_of(running.begin(), running.end(),
+                                    [&](HostId other) { return fleet.Sees(host, other); });
                });
       };
-      const auto time = fleet.RunUntil(settled, seconds(15));
+      const auto time = fleet.RunUntil(settled, kKnownLimit);
       CPPUNIT_ASSERT_MESSAGE("replacements do not know each other or the configuration", time);
       worst = std::max(worst, *time);
       fleet.RunFor(seconds(75));
@@ -325,7 +331,7 @@
             return std::none_of(running.begin(), running.end(),
                                 [&](HostId other) { return fleet.Sees(other, host); });
           },
-          seconds(5));
+          kLeavingLimit);
       CPPUNIT_ASSERT_MESSAGE("leaving host is still used", time);
       worst = std::max(worst, *time);
     });
@@ -455,7 +461,7 @@
           }
           return knows.size() == running.size() && is_known.size() == running.size();
         },
-        seconds(15));
+        kKnownLimit);
     CPPUNIT_ASSERT_MESSAGE("host is not known everywhere", time);
     return *time;
   }
