--- a/Tests/LibConfig/examples_test.cc
+++ b/Tests/LibConfig/examples_test.cc
@@ -43,7 +43,7 @@
     AssertTargets(configuration, {{"scorecards", 6}, {"corrective-actions", 11}, {"evidence", 8}},
                   2);
     const Caller& auditor = *configuration.FindCaller("harbour-inspection-field");
-    const Caller& buyer = *configuration.FindCaller("island-grocers-portal");
+    const Caller& buyer = *configuration.FindCaller("atlantic-outfitters-portal");
     const Service& scorecards = *configuration.FindService("scorecards");
     const Service& actions = *configuration.FindService("corrective-actions");
     const Service& evidence = *configuration.FindService("evidence");
