Host: Give every request an id

Cause: a refused request had an empty id in its answer and log line, so the two could not be matched. Conclusion: each answer can be traced.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -1,8 +1,10 @@
 #include "Libraries/LibHost/host.h"
 
+#include <fmt/format.h>
 #include <asio/signal_set.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -62,6 +64,8 @@
   void ScheduleTasks();
   void OnPeerMessage(const Envelope& envelope);
   void OnCallerRequest(HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder);
+  // Unique over the fleet; callable from any thread.
+  std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(ServiceId service, const HealthEvent& event);
   void UpdateReadiness();
@@ -74,6 +78,9 @@
   RandomSource random;
   const HostId self;
   const DomainId domain;
+  // A restarted host of the same name gets a higher one.
+  const std::uint64_t incarnation = WallClockMs();
+  std::atomic<std::uint64_t> next_request_number = 1;
 
   ControlLoop loop;
   asio::signal_set signals;
@@ -147,7 +154,7 @@
                             .name = this->settings.name,
                             .address = this->peers->address(),
                             .domain = this->domain,
-                            .incarnation = WallClockMs()};
+                            .incarnation = this->incarnation};
   this->membership = std::make_unique<MembershipController>(
       this->board, *this->peers, *this->host_list, record, this->settings.seeds, this->random);
   this->configuration = std::make_unique<ConfigurationController>(
@@ -248,7 +255,10 @@
 
 void HostProcess::OnCallerRequest(HttpServerRequest request,
                                   const std::shared_ptr<HttpResponder>& responder) {
-  const std::string given_id(FindHeader(request.headers, kRequestIdHeader));
+  std::string request_id(FindHeader(request.headers, kRequestIdHeader));
+  if (request_id.empty()) {
+    request_id = this->NewRequestId();
+  }
   const auto configuration_in_force = this->board.configuration.Read();
   ErrorAnswer refusal{503, Outcome::kNotRun, "no-configuration",
                       "this host has no configuration yet"};
@@ -259,18 +269,19 @@
   if (!exchange) {
     this->metrics.Count("pimentopin_refused_requests_total", "reason=\"" + refusal.reason + "\"");
     Log(LogLevel::kInfo, "request_refused",
-        {{"request_id", given_id}, {"reason", refusal.reason}, {"message", refusal.message}});
-    responder->Respond(refusal.status, refusal.Headers(given_id), refusal.Body(given_id));
+        {{"request_id", request_id}, {"reason", refusal.reason}, {"message", refusal.message}});
+    responder->Respond(refusal.status, refusal.Headers(request_id), refusal.Body(request_id));
     return;
   }
+  exchange->request_id = std::move(request_id);
   exchange->responder = responder;
   auto shared = std::make_shared<Exchange>(std::move(*exchange));
-  this->loop.Post([this, shared] {
-    if (shared->request_id.empty()) {
-      shared->request_id = std::to_string(this->random.Next());
-    }
-    this->dispatch->Submit(shared);
-  });
+  this->loop.Post([this, shared] { this->dispatch->Submit(shared); });
+}
+
+std::string HostProcess::NewRequestId() {
+  return fmt::format("{}-{:x}-{}", this->settings.name, this->incarnation,
+                     this->next_request_number.fetch_add(1));
 }
 
 void HostProcess::OnFinished(const FinishedRequest& finished) {
