Dispatch: Choose targets in a class of their own

Change: TargetChooser holds optimistic starts, fallback and baselines, and DispatchServiceState the counts of a service; the hooks are asked through DispatchSettings.

--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -122,6 +122,15 @@
   std::function<bool(TargetId)> is_leaving;
   std::function<bool(Fingerprint)> is_suspect;
   std::function<bool(Fingerprint)> is_blocked;
+
+  // False where the hook is not set.
+  bool IsLeaving(TargetId target) const { return this->is_leaving && this->is_leaving(target); }
+  bool IsSuspect(Fingerprint fingerprint) const {
+    return this->is_suspect && this->is_suspect(fingerprint);
+  }
+  bool IsBlocked(Fingerprint fingerprint) const {
+    return this->is_blocked && this->is_blocked(fingerprint);
+  }
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -27,67 +27,20 @@
 constexpr std::uint32_t kMaxUnusableGrants = 5;
 constexpr std::size_t kMaxWaitingLocally = 64;
 constexpr Duration kFallbackRetryAfter = std::chrono::seconds(1);
-// Share of requests that go to the broker while a target is on probation, as
-// optimistic starts use healthy targets only.
-constexpr std::uint64_t kProbationSampling = 10;
 
 template <typename Id>
 bool Contains(const std::vector<Id>& ids, Id id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-std::optional<TargetId> PreferredFor(std::uint64_t key, const std::vector<TargetId>& targets) {
-  const auto best =
-      std::max_element(targets.begin(), targets.end(), [key](TargetId left, TargetId right) {
-        return StableHash(key, RawId(left)) < StableHash(key, RawId(right));
-      });
-  return best == targets.end() ? std::nullopt : std::optional(*best);
-}
-
-// Target of the key, if a request can start there without asking.
-std::optional<TargetId> FreePreferred(std::uint64_t key, const std::vector<TargetView>& eligible) {
-  std::vector<TargetId> targets;
-  std::vector<TargetId> free;
-  for (const TargetView& target : eligible) {
-    targets.push_back(target.target);
-    if (target.state == TargetState::kHealthy && target.free_slots > 0) {
-      free.push_back(target.target);
-    }
-  }
-  const std::optional<TargetId> preferred = PreferredFor(key, targets);
-  return preferred && Contains(free, *preferred) ? preferred : std::nullopt;
-}
-
-// Drops targets that failed the request, unless nothing else is left.
-std::vector<TargetId> PreferUntried(const std::vector<TargetId>& targets,
-                                    const std::vector<TargetId>& excluded) {
-  std::vector<TargetId> untried;
-  for (const TargetId target : targets) {
-    if (!Contains(excluded, target)) {
-      untried.push_back(target);
-    }
-  }
-  return untried.empty() ? targets : untried;
-}
-
 }  // namespace
 
 HostDispatcher::HostDispatcher(DispatchSettings dispatch_settings, RandomSource& random_source)
-    : settings(std::move(dispatch_settings)), random(random_source) {}
-
-bool HostDispatcher::IsLeaving(TargetId target) const {
-  return this->settings.is_leaving && this->settings.is_leaving(target);
-}
-
-bool HostDispatcher::IsSuspect(Fingerprint fingerprint) const {
-  return this->settings.is_suspect && this->settings.is_suspect(fingerprint);
-}
-
-bool HostDispatcher::IsBlocked(Fingerprint fingerprint) const {
-  return this->settings.is_blocked && this->settings.is_blocked(fingerprint);
-}
+    : settings(std::move(dispatch_settings)),
+      random(random_source),
+      chooser(this->settings, random_source) {}
 
-HostDispatcher::ServiceState* HostDispatcher::FindService(ServiceId service) {
+DispatchServiceState* HostDispatcher::FindService(ServiceId service) {
   const auto position = this->services.find(service);
   return position == this->services.end() ? nullptr : &position->second;
 }
@@ -108,7 +61,7 @@
 
 void HostDispatcher::Configure(TimePoint /*now*/, std::vector<DispatchService> configured) {
   for (DispatchService& service : configured) {
-    ServiceState& state = this->services[service.service];
+    DispatchServiceState& state = this->services[service.service];
     state.configuration = std::move(service);
     state.route.SetRanking(RendezvousRank(RawId(state.configuration.service), this->members));
   }
@@ -126,6 +79,7 @@
 std::vector<DispatchAction> HostDispatcher::SetMembers(TimePoint now,
                                                        std::vector<HostId> usable_hosts) {
   this->members = std::move(usable_hosts);
+  this->chooser.SetHostCount(this->members.size());
   Actions actions;
   for (auto& [id, service] : this->services) {
     service.route.SetRanking(RendezvousRank(RawId(id), this->members));
@@ -134,22 +88,6 @@
   return actions;
 }
 
-std::vector<TargetView> HostDispatcher::TargetsInService(const ServiceState& service) const {
-  return service.view.InService(service.configuration,
-                                [this](TargetId target) { return this->IsLeaving(target); });
-}
-
-std::vector<TargetId> HostDispatcher::AllowedTargets(const ServiceState& service,
-                                                     const RequestDescription& description) const {
-  std::vector<TargetId> allowed;
-  for (const DispatchService::Target& target : service.configuration.targets) {
-    if (Contains(description.allowed, target.target) && !this->IsLeaving(target.target)) {
-      allowed.push_back(target.target);
-    }
-  }
-  return allowed;
-}
-
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
                                                   const RequestDescription& request) {
   Actions actions;
@@ -167,12 +105,12 @@
     this->Refuse(state, RefusalReason::kDeadline, Duration::zero(), actions);
     return;
   }
-  if (this->IsBlocked(description.fingerprint)) {
+  if (this->settings.IsBlocked(description.fingerprint)) {
     this->Refuse(state, RefusalReason::kCrashRequest, Duration::zero(), actions);
     return;
   }
-  ServiceState* service = this->FindService(description.service);
-  if (service == nullptr || this->AllowedTargets(*service, description).empty()) {
+  DispatchServiceState* service = this->FindService(description.service);
+  if (service == nullptr || this->chooser.Allowed(*service, description).empty()) {
     this->Refuse(state, RefusalReason::kNoTarget, Duration::zero(), actions);
     return;
   }
@@ -186,7 +124,7 @@
     return;
   }
   const std::optional<TargetId> target =
-      state.started == 0 ? this->OptimisticTarget(now, *broker, *service, state) : std::nullopt;
+      state.started == 0 ? this->chooser.Optimistic(now, *broker, *service, state) : std::nullopt;
   if (target) {
     this->Start(now, *service, state, this->NewAttemptId(), *target, broker, actions);
     actions.emplace_back(SendToHost{*broker, SlotClaim{.attempt = *state.running,
@@ -200,156 +138,32 @@
 }
 
 void HostDispatcher::PlaceByBaseline(TimePoint now,
-                                     ServiceState& service,
+                                     DispatchServiceState& service,
                                      RequestState& state,
                                      Actions& actions) {
   if (state.started > 0 && !service.retries.TryRetry(now)) {
     this->Refuse(state, RefusalReason::kRetryBudget, Duration::zero(), actions);
     return;
   }
-  const std::vector<TargetId> targets =
-      PreferUntried(this->AllowedTargets(service, state.description), state.excluded);
-  const TargetId target = this->settings.policy == DispatchPolicy::kRandom
-                              ? targets[this->random.Below(targets.size())]
-                              : *this->LeastOutstanding(service, targets);
+  const TargetId target = *this->chooser.Baseline(service, state);
   this->Start(now, service, state, this->NewAttemptId(), target, std::nullopt, actions);
 }
 
-std::optional<TargetId> HostDispatcher::OptimisticTarget(TimePoint now,
-                                                         HostId broker,
-                                                         const ServiceState& service,
-                                                         const RequestState& state) {
-  const RequestDescription& description = state.description;
-  // Long work always asks, as only the broker knows how many slots it holds.
-  if (!this->settings.optimistic_starts || description.work_class == WorkClass::kLong ||
-      this->IsSuspect(description.fingerprint) || !service.view.IsFreshFrom(now, broker) ||
-      service.view.view()->queued > 0 || service.waiting_at_broker > 0 ||
-      service.waiting_locally.size() > 0) {
-    return std::nullopt;
-  }
-  const std::vector<TargetId> allowed = this->AllowedTargets(service, description);
-  std::uint32_t usable = 0;
-  std::uint32_t free = 0;
-  bool probation = false;
-  std::vector<TargetView> eligible;
-  for (const TargetView& target : this->TargetsInService(service)) {
-    usable += target.usable_slots;
-    free += target.free_slots;
-    if (Contains(allowed, target.target) &&
-        !Contains(target.unreachable_from, this->settings.domain)) {
-      eligible.push_back(target);
-      probation = probation || target.state == TargetState::kProbation;
-    }
-  }
-  if (free * 3 < usable || (probation && this->random.Below(kProbationSampling) == 0)) {
-    return std::nullopt;
-  }
-  return description.affinity_key != 0 ? FreePreferred(description.affinity_key, eligible)
-                                       : this->RandomFree(eligible);
-}
-
-std::optional<TargetId> HostDispatcher::RandomFree(const std::vector<TargetView>& eligible) {
-  // All hosts decide on the same view for 20 ms. If they all chose the target
-  // with the most free slots, it would get a queue while others idle.
-  std::uint64_t free = 0;
-  for (const TargetView& target : eligible) {
-    free += target.state == TargetState::kHealthy ? target.free_slots : 0;
-  }
-  if (free == 0) {
-    return std::nullopt;
-  }
-  std::uint64_t draw = this->random.Below(free);
-  for (const TargetView& target : eligible) {
-    if (target.state != TargetState::kHealthy) {
-      continue;
-    }
-    if (draw < target.free_slots) {
-      return target.target;
-    }
-    draw -= target.free_slots;
-  }
-  return std::nullopt;
-}
-
-std::optional<TargetId> HostDispatcher::LeastOutstanding(const ServiceState& service,
-                                                         const std::vector<TargetId>& targets) {
-  std::vector<TargetId> best;
-  std::uint32_t least = 0;
-  for (const TargetId target : targets) {
-    const auto count = service.outstanding.find(target);
-    const std::uint32_t outstanding = count == service.outstanding.end() ? 0 : count->second;
-    if (best.empty() || outstanding < least) {
-      best.clear();
-      least = outstanding;
-    }
-    if (outstanding == least) {
-      best.push_back(target);
-    }
-  }
-  return best.empty() ? std::nullopt : std::optional(best[this->random.Below(best.size())]);
-}
-
-std::uint32_t HostDispatcher::FallbackCap(const ServiceState& service) const {
-  std::uint32_t usable = 0;
-  for (const TargetView& target : this->TargetsInService(service)) {
-    usable += target.usable_slots;
-  }
-  const std::optional<ServiceView>& view = service.view.view();
-  const auto hosts = static_cast<std::uint32_t>(
-      std::max<std::size_t>(1, view ? view->active_hosts : this->members.size()));
-  return std::max<std::uint32_t>(1, usable / hosts);
-}
-
-std::optional<TargetId> HostDispatcher::FallbackTarget(const ServiceState& service,
-                                                       const RequestState& state) {
-  const std::vector<TargetId> allowed = this->AllowedTargets(service, state.description);
-  std::vector<TargetId> usable;
-  for (const TargetView& target : this->TargetsInService(service)) {
-    if (target.usable_slots > 0 && Contains(allowed, target.target) &&
-        !Contains(target.unreachable_from, this->settings.domain)) {
-      usable.push_back(target.target);
-    }
-  }
-  usable = PreferUntried(usable, state.excluded);
-  if (usable.empty()) {
-    return std::nullopt;
-  }
-  // Each host uses its first targets by rendezvous hashing, as many as keep the
-  // connections of all hosts within what a target accepts.
-  std::uint32_t connections = 0;
-  for (const DispatchService::Target& target : service.configuration.targets) {
-    connections += Contains(usable, target.target) ? target.connections : 0;
-  }
-  const std::optional<ServiceView>& view = service.view.view();
-  const std::size_t hosts =
-      std::max<std::size_t>(1, view ? view->active_hosts : this->members.size());
-  const std::size_t subset = std::clamp<std::size_t>(connections / hosts, 1, usable.size());
-  const std::uint64_t self = RawId(this->settings.self);
-  std::sort(usable.begin(), usable.end(), [self](TargetId left, TargetId right) {
-    return StableHash(self, RawId(left)) > StableHash(self, RawId(right));
-  });
-  usable.resize(subset);
-  if (state.description.affinity_key != 0) {
-    return PreferredFor(state.description.affinity_key, usable);
-  }
-  return this->LeastOutstanding(service, usable);
-}
-
 void HostDispatcher::PlaceLocally(TimePoint now,
-                                  ServiceState& service,
+                                  DispatchServiceState& service,
                                   RequestState& state,
                                   Actions& actions) {
   // Only a broker can keep a suspected crash request away from further targets.
-  if (this->IsSuspect(state.description.fingerprint)) {
+  if (this->settings.IsSuspect(state.description.fingerprint)) {
     this->Refuse(state, RefusalReason::kCrashRequest, kFallbackRetryAfter, actions);
     return;
   }
-  const std::optional<TargetId> target = this->FallbackTarget(service, state);
+  const std::optional<TargetId> target = this->chooser.Fallback(service, state);
   if (!target) {
     this->Refuse(state, RefusalReason::kNoTarget, kFallbackRetryAfter, actions);
     return;
   }
-  const bool full = service.outstanding_total >= this->FallbackCap(service);
+  const bool full = service.outstanding_total >= this->chooser.FallbackCap(service);
   // A held attempt occupies a slot itself, so waiting for one could never end.
   if (full && (state.held || service.waiting_locally.size() >= kMaxWaitingLocally)) {
     this->Refuse(state, RefusalReason::kOverload, kFallbackRetryAfter, actions);
@@ -373,9 +187,9 @@
                                 .deadline = state.description.deadline});
 }
 
-void HostDispatcher::PumpLocal(TimePoint now, ServiceState& service, Actions& actions) {
+void HostDispatcher::PumpLocal(TimePoint now, DispatchServiceState& service, Actions& actions) {
   while (service.waiting_locally.size() > 0 &&
-         service.outstanding_total < this->FallbackCap(service)) {
+         service.outstanding_total < this->chooser.FallbackCap(service)) {
     const AttemptId next = service.waiting_locally.All().front()->request.attempt;
     service.waiting_locally.Take(next);
     RequestState* state = this->FindAsking(next);
@@ -384,9 +198,9 @@
       continue;
     }
     state->phase = RequestPhase::kPlacing;
-    const std::optional<TargetId> target = this->FallbackTarget(service, *state);
+    const std::optional<TargetId> target = this->chooser.Fallback(service, *state);
     if (target && now < state->description.deadline &&
-        !this->IsBlocked(state->description.fingerprint)) {
+        !this->settings.IsBlocked(state->description.fingerprint)) {
       this->Start(now, service, *state, next, *target, std::nullopt, actions);
     } else {
       this->Refuse(*state, target ? RefusalReason::kDeadline : RefusalReason::kNoTarget,
@@ -396,10 +210,10 @@
 }
 
 SlotRequest HostDispatcher::RequestFor(TimePoint now,
-                                       const ServiceState& service,
+                                       const DispatchServiceState& service,
                                        const RequestState& state) const {
   const RequestDescription& description = state.description;
-  std::vector<TargetId> allowed = this->AllowedTargets(service, description);
+  std::vector<TargetId> allowed = this->chooser.Allowed(service, description);
   if (allowed.size() == service.configuration.targets.size()) {
     allowed.clear();
   }
@@ -418,7 +232,7 @@
 
 void HostDispatcher::Ask(TimePoint now,
                          HostId broker,
-                         ServiceState& service,
+                         DispatchServiceState& service,
                          RequestState& state,
                          Actions& actions) {
   if (service.reported_to != broker && service.outstanding_total > 0) {
@@ -434,7 +248,7 @@
   actions.emplace_back(SendToHost{broker, this->RequestFor(now, service, state)});
 }
 
-void HostDispatcher::Withdraw(ServiceState& service,
+void HostDispatcher::Withdraw(DispatchServiceState& service,
                               RequestState& state,
                               bool tell_broker,
                               Actions& actions) {
@@ -454,7 +268,7 @@
 }
 
 void HostDispatcher::Start(TimePoint now,
-                           ServiceState& service,
+                           DispatchServiceState& service,
                            RequestState& state,
                            AttemptId attempt,
                            TargetId target,
@@ -512,7 +326,7 @@
                                                     HostId sender,
                                                     const SlotGrant& grant) {
   Actions actions;
-  ServiceState* service = this->FindService(grant.service);
+  DispatchServiceState* service = this->FindService(grant.service);
   if (service != nullptr) {
     service->route.OnHeard(now, sender);
   }
@@ -524,19 +338,19 @@
   RequestState* state = this->FindAsking(grant.attempt);
   if (service == nullptr || state == nullptr || state->phase != RequestPhase::kWaitingAtBroker ||
       state->broker != sender) {
-    ReturnGrant(sender, grant, this->IsLeaving(grant.target), actions);
+    ReturnGrant(sender, grant, this->settings.IsLeaving(grant.target), actions);
     return actions;
   }
   this->Withdraw(*service, *state, false, actions);
   const RequestDescription& description = state->description;
   const bool late = now >= description.deadline;
-  const bool blocked = this->IsBlocked(description.fingerprint);
-  const bool usable = Contains(this->AllowedTargets(*service, description), grant.target);
+  const bool blocked = this->settings.IsBlocked(description.fingerprint);
+  const bool usable = Contains(this->chooser.Allowed(*service, description), grant.target);
   if (!late && !blocked && usable) {
     this->Start(now, *service, *state, grant.attempt, grant.target, sender, actions);
     return actions;
   }
-  ReturnGrant(sender, grant, this->IsLeaving(grant.target), actions);
+  ReturnGrant(sender, grant, this->settings.IsLeaving(grant.target), actions);
   if (late || blocked) {
     this->Refuse(*state, late ? RefusalReason::kDeadline : RefusalReason::kCrashRequest,
                  Duration::zero(), actions);
@@ -553,7 +367,7 @@
                                                       HostId sender,
                                                       const SlotRefusal& refusal) {
   Actions actions;
-  ServiceState* service = this->FindService(refusal.service);
+  DispatchServiceState* service = this->FindService(refusal.service);
   if (service != nullptr) {
     service->route.OnHeard(now, sender);
   }
@@ -573,7 +387,7 @@
 }
 
 void HostDispatcher::OnView(TimePoint now, HostId sender, const ServiceView& view) {
-  ServiceState* service = this->FindService(view.service);
+  DispatchServiceState* service = this->FindService(view.service);
   if (service == nullptr || !service->route.IsCandidate(sender)) {
     return;
   }
@@ -644,7 +458,7 @@
                             .fingerprint = attempt.fingerprint,
                             .target_draining = end.target_draining};
   // The current broker learns of the outcome even if another one granted it.
-  const ServiceState* service = this->FindService(attempt.service);
+  const DispatchServiceState* service = this->FindService(attempt.service);
   const std::optional<HostId> current = service->route.Current(now);
   if (current) {
     actions.emplace_back(SendToHost{*current, release});
@@ -664,7 +478,7 @@
   }
   const AttemptState ended = position->second;
   this->attempts.erase(position);
-  ServiceState& service = *this->FindService(ended.service);
+  DispatchServiceState& service = *this->FindService(ended.service);
   --service.outstanding_total;
   if (--service.outstanding[ended.target] == 0) {
     service.outstanding.erase(ended.target);
@@ -828,7 +642,7 @@
 }
 
 void HostDispatcher::TickWaiting(TimePoint now, RequestState& state, Actions& actions) {
-  ServiceState& service = *this->FindService(state.description.service);
+  DispatchServiceState& service = *this->FindService(state.description.service);
   if (state.held && now - state.held_at >= kHoldLimit) {
     this->Withdraw(service, state, true, actions);
     this->Refuse(state, RefusalReason::kRetryBudget, Duration::zero(), actions);
@@ -857,7 +671,7 @@
   }
 }
 
-void HostDispatcher::TickService(TimePoint now, ServiceState& service, Actions& actions) {
+void HostDispatcher::TickService(TimePoint now, DispatchServiceState& service, Actions& actions) {
   if (this->settings.policy != DispatchPolicy::kBrokered) {
     return;
   }
@@ -869,7 +683,10 @@
   }
 }
 
-void HostDispatcher::Report(TimePoint now, HostId broker, ServiceState& service, Actions& actions) {
+void HostDispatcher::Report(TimePoint now,
+                            HostId broker,
+                            DispatchServiceState& service,
+                            Actions& actions) {
   HostReport report{.service = service.configuration.service};
   for (const auto& [id, attempt] : this->attempts) {
     if (attempt.service == report.service) {
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -11,12 +11,10 @@
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/random_source.h"
 #include "Libraries/LibCore/time.h"
-#include "Libraries/LibDispatch/broker_route.h"
+#include "Libraries/LibDispatch/dispatch_service_state.h"
 #include "Libraries/LibDispatch/dispatch_types.h"
-#include "Libraries/LibDispatch/fair_queue.h"
 #include "Libraries/LibDispatch/request_state.h"
-#include "Libraries/LibDispatch/retry_budget.h"
-#include "Libraries/LibDispatch/view_state.h"
+#include "Libraries/LibDispatch/target_chooser.h"
 #include "Libraries/LibProtocol/envelope.h"
 
 namespace pimentopin {
@@ -46,62 +44,39 @@
   std::size_t requests_in_progress() const { return this->requests.size(); }
 
  private:
-  // Everything that belongs to one service.
-  struct ServiceState {
-    DispatchService configuration;
-    BrokerRoute route;
-    ViewState view;
-    // Fair queue of the requests that wait in fallback.
-    FairQueue waiting_locally;
-    RetryBudget retries;
-    std::map<TargetId, std::uint32_t> outstanding;
-    std::uint32_t outstanding_total = 0;
-    std::uint32_t waiting_at_broker = 0;
-    std::optional<HostId> reported_to;
-    TimePoint reported_at;
-  };
   using Actions = std::vector<DispatchAction>;
 
-  bool IsLeaving(TargetId target) const;
-  bool IsSuspect(Fingerprint fingerprint) const;
-  bool IsBlocked(Fingerprint fingerprint) const;
-  ServiceState* FindService(ServiceId service);
+  DispatchServiceState* FindService(ServiceId service);
   RequestState* FindRequest(RequestId request);
   RequestState* FindAsking(AttemptId attempt);
   AttemptId NewAttemptId();
-  // Targets in service as of the last view, with the floor applied.
-  std::vector<TargetView> TargetsInService(const ServiceState& service) const;
-  std::vector<TargetId> AllowedTargets(const ServiceState& service,
-                                       const RequestDescription& description) const;
 
   // Decides how the next attempt of the request comes about.
   void Place(TimePoint now, RequestState& state, Actions& actions);
-  void PlaceByBaseline(TimePoint now, ServiceState& service, RequestState& state, Actions& actions);
-  void PlaceLocally(TimePoint now, ServiceState& service, RequestState& state, Actions& actions);
-  std::optional<TargetId> OptimisticTarget(TimePoint now,
-                                           HostId broker,
-                                           const ServiceState& service,
-                                           const RequestState& state);
-  // A healthy target with free slots, at random in proportion to them.
-  std::optional<TargetId> RandomFree(const std::vector<TargetView>& eligible);
-  std::optional<TargetId> FallbackTarget(const ServiceState& service, const RequestState& state);
-  std::uint32_t FallbackCap(const ServiceState& service) const;
-  // Target with the least outstanding attempts of this host, ties at random.
-  std::optional<TargetId> LeastOutstanding(const ServiceState& service,
-                                           const std::vector<TargetId>& targets);
-  void PumpLocal(TimePoint now, ServiceState& service, Actions& actions);
+  void PlaceByBaseline(TimePoint now,
+                       DispatchServiceState& service,
+                       RequestState& state,
+                       Actions& actions);
+  void PlaceLocally(TimePoint now,
+                    DispatchServiceState& service,
+                    RequestState& state,
+                    Actions& actions);
+  void PumpLocal(TimePoint now, DispatchServiceState& service, Actions& actions);
   void Ask(TimePoint now,
            HostId broker,
-           ServiceState& service,
+           DispatchServiceState& service,
            RequestState& state,
            Actions& actions);
   SlotRequest RequestFor(TimePoint now,
-                         const ServiceState& service,
+                         const DispatchServiceState& service,
                          const RequestState& state) const;
   // Ends the waiting of a request at a broker or in the local queue.
-  void Withdraw(ServiceState& service, RequestState& state, bool tell_broker, Actions& actions);
+  void Withdraw(DispatchServiceState& service,
+                RequestState& state,
+                bool tell_broker,
+                Actions& actions);
   void Start(TimePoint now,
-             ServiceState& service,
+             DispatchServiceState& service,
              RequestState& state,
              AttemptId attempt,
              TargetId target,
@@ -133,13 +108,14 @@
                            Actions& actions);
   void TickRequest(TimePoint now, RequestState& state, Actions& actions);
   void TickWaiting(TimePoint now, RequestState& state, Actions& actions);
-  void TickService(TimePoint now, ServiceState& service, Actions& actions);
-  void Report(TimePoint now, HostId broker, ServiceState& service, Actions& actions);
+  void TickService(TimePoint now, DispatchServiceState& service, Actions& actions);
+  void Report(TimePoint now, HostId broker, DispatchServiceState& service, Actions& actions);
 
   DispatchSettings settings;
   RandomSource& random;
+  TargetChooser chooser;
   std::vector<HostId> members;
-  std::map<ServiceId, ServiceState> services;
+  std::map<ServiceId, DispatchServiceState> services;
   std::map<RequestId, RequestState> requests;
   std::map<AttemptId, AttemptState> attempts;
   // Attempts that wait for a grant.
