Host: Report every bad setting in one go

Cause: names and the platform URL were checked only once all other settings were right, so an operator saw the faults in two steps. Change: a setting may carry a check of its own; the host's names and URL use it. Conclusion: the rule of one report holds for all host settings.

--- a/Libraries/LibCore/settings.cc
+++ b/Libraries/LibCore/settings.cc
@@ -89,6 +89,11 @@
     case SettingKind::kText:
       if (value.empty()) {
         findings.Add(place, "must not be empty");
+      } else if (description.check != nullptr) {
+        const std::string fault = description.check(value);
+        if (!fault.empty()) {
+          findings.Add(place, Quoted(value) + " " + fault);
+        }
       }
       return;
     case SettingKind::kNumber:
--- a/Libraries/LibCore/settings.h
+++ b/Libraries/LibCore/settings.h
@@ -38,6 +38,8 @@
   std::int64_t minimum = 0;
   std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
   std::vector<std::string> choices;
+  // Further check of a text; returns what is wrong, or nothing.
+  std::string (*check)(const std::string& value) = nullptr;
 
   friend bool operator==(const SettingDescription&, const SettingDescription&) = default;
 };
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -8,16 +8,16 @@
 constexpr std::string_view kPlatformScheme = "http://";
 constexpr std::size_t kMaxNameBytes = 63;
 
-bool IsName(const std::string& text) {
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string::npos;
+std::string CheckName(const std::string& value) {
+  const bool is_name =
+      value.size() <= kMaxNameBytes &&
+      value.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string::npos;
+  return is_name ? "" : "is not a name of 1 to 63 lower-case letters, digits and '-'";
 }
 
-void CheckName(const Settings& settings, const std::string& name, Findings& findings) {
-  if (!IsName(settings.Text(name))) {
-    findings.Add("--" + name, "'" + settings.Text(name) +
-                                  "' is not a name of 1 to 63 lower-case letters, digits and '-'");
-  }
+std::string CheckPlatformUrl(const std::string& value) {
+  const bool is_url = value.starts_with(kPlatformScheme) && value.size() > kPlatformScheme.size();
+  return is_url ? "" : "does not start with http://";
 }
 
 LogLevel ToLogLevel(const std::string& text) {
@@ -34,8 +34,11 @@
 
 std::vector<SettingDescription> HostSettingDescriptions() {
   return {
-      {.name = "name", .help = "unique name of this host", .required = true},
-      {.name = "domain", .help = "failure domain of this host", .required = true},
+      {.name = "name", .help = "unique name of this host", .required = true, .check = CheckName},
+      {.name = "domain",
+       .help = "failure domain of this host",
+       .required = true,
+       .check = CheckName},
       {.name = "caller-address",
        .kind = SettingKind::kAddress,
        .help = "listening address for callers; port 0 lets the kernel choose",
@@ -59,7 +62,8 @@
       {.name = "platform-url",
        .help = "base URL of the platform's table, object store and host list",
        .unit = "http://IP:port",
-       .required = true},
+       .required = true,
+       .check = CheckPlatformUrl},
       {.name = "traffic-threads",
        .kind = SettingKind::kNumber,
        .help = "threads that serve callers",
@@ -95,16 +99,7 @@
   };
 }
 
-std::optional<HostSettings> ReadHostSettings(const Settings& settings, Findings& findings) {
-  CheckName(settings, "name", findings);
-  CheckName(settings, "domain", findings);
-  const std::string platform_url = settings.Text("platform-url");
-  if (!platform_url.starts_with(kPlatformScheme) || platform_url.size() == kPlatformScheme.size()) {
-    findings.Add("--platform-url", "'" + platform_url + "' does not start with http://");
-  }
-  if (!findings.empty()) {
-    return std::nullopt;
-  }
+HostSettings ReadHostSettings(const Settings& settings) {
   HostSettings result;
   result.name = settings.Text("name");
   result.domain = settings.Text("domain");
@@ -112,7 +107,7 @@
   result.operator_address = settings.Text("operator-address");
   result.peer_address = settings.Text("peer-address");
   result.seeds = settings.List("seeds");
-  result.platform_url = platform_url;
+  result.platform_url = settings.Text("platform-url");
   result.traffic_threads = static_cast<std::size_t>(settings.Number("traffic-threads"));
   result.max_body_bytes = static_cast<std::size_t>(settings.Number("max-body-bytes"));
   result.max_concurrent_requests =
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include <cstddef>
-#include <optional>
 #include <string>
 #include <vector>
 
-#include "Libraries/LibCore/findings.h"
 #include "Libraries/LibCore/json_log.h"
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibCore/time.h"
@@ -37,7 +35,7 @@
 // The flags and environment variables of the host daemon.
 std::vector<SettingDescription> HostSettingDescriptions();
 
-// Checks what single settings cannot show; all faults go to `findings`.
-std::optional<HostSettings> ReadHostSettings(const Settings& settings, Findings& findings);
+// From settings that were read by these descriptions.
+HostSettings ReadHostSettings(const Settings& settings);
 
 }  // namespace pimentopin
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -56,18 +56,15 @@
   if (!result.settings) {
     return ReportFindings(findings);
   }
-  const std::optional<HostSettings> settings = ReadHostSettings(*result.settings, findings);
-  if (!settings) {
-    return ReportFindings(findings);
-  }
+  const HostSettings settings = ReadHostSettings(*result.settings);
   if (result.action == SettingsAction::kCheck) {
     std::cout << "settings are valid\n";
     return ToInt(ExitCode::kSuccess);
   }
 
-  StartLog(settings->name, settings->log_level);
+  StartLog(settings.name, settings.log_level);
   Error error;
-  const auto host = Host::Create(*settings, error);
+  const auto host = Host::Create(settings, error);
   if (!host) {
     std::cerr << error.message << "\n";
     return ToInt(ExitCode::kInternalError);
--- /dev/null
+++ b/Tests/LibHost/host_settings_test.cc
@@ -0,0 +1,56 @@
+#include "Libraries/LibHost/host_settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentopin {
+namespace {
+
+class HostSettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HostSettingsTest);
+  CPPUNIT_TEST(TestAllFaultsAreReportedTogether);
+  CPPUNIT_TEST(TestValidSettings);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against an operator who has to start a host once for each mistake.
+  void TestAllFaultsAreReportedTogether() {
+    const Findings findings =
+        this->Read({"--name", "Bad Name", "--domain", "zone-a", "--caller-address", "nope",
+                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+                    "--platform-url", "ftp://127.0.0.1:1", "--traffic-threads", "0"});
+    const std::vector<std::string> expected = {"--name", "--caller-address", "--platform-url",
+                                               "--traffic-threads"};
+    std::vector<std::string> places;
+    for (const Finding& finding : findings.all()) {
+      places.push_back(finding.place);
+    }
+    CPPUNIT_ASSERT(expected == places);
+  }
+
+  void TestValidSettings() {
+    const Findings findings =
+        this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
+                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+                    "--platform-url", "http://127.0.0.1:1", "--seeds", "127.0.0.1:7,127.0.0.1:8"});
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    const HostSettings settings = ReadHostSettings(*this->result.settings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings.seeds.size());
+    CPPUNIT_ASSERT(settings.shutdown_delay == std::chrono::seconds(5));
+  }
+
+ private:
+  Findings Read(const std::vector<std::string>& arguments) {
+    Findings findings;
+    this->result = ReadSettings(
+        {.name = "pimentopin", .version = "0"}, HostSettingDescriptions(), arguments,
+        [](const std::string&) { return std::optional<std::string>(); }, findings);
+    return findings;
+  }
+
+  SettingsResult result;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostSettingsTest);
+
+}  // namespace
+}  // namespace pimentopin
