--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -31,10 +31,10 @@
         time.sleep(0.02)
 
 
-def http(method, url, body=None, timeout_s=5):
+def http(method, url, body=None, timeout_s=5, headers=None):
     """Returns (status, decoded JSON or text). Raises OSError if unreachable."""
     data = json.dumps(body).encode() if body is not None else None
-    request = urllib.request.Request(url, data=data, method=method)
+    request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
     try:
         with urllib.request.urlopen(request, timeout=timeout_s) as answer:
             status, text = answer.status, answer.read().decode()
