Dispatch: Share the affinity rule between hosts and brokers

Cause: a read of the whole change found the preferred target of an affinity key computed in two places that must agree, the same look-up in three files, a copy of EqualHeaderNames, and a request id that was set and then set again. Change: AffinityScore and Contains stand once in LibDispatch; AttemptTransfer uses EqualHeaderNames; ReadRequest leaves the request id to the host.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Libraries/LibCore/rendezvous.h"
+#include "Libraries/LibDispatch/contains.h"
 
 namespace pimentopin {
 namespace {
@@ -28,11 +29,6 @@
 constexpr std::size_t kMaxWaitingLocally = 64;
 constexpr Duration kFallbackRetryAfter = std::chrono::seconds(1);
 
-template <typename Id>
-bool Contains(const std::vector<Id>& ids, Id id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 }  // namespace
 
 HostDispatcher::HostDispatcher(DispatchSettings dispatch_settings, RandomSource& random_source)
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "Libraries/LibDispatch/affinity.h"
+#include "Libraries/LibDispatch/contains.h"
+
 namespace pimentopin {
 namespace {
 
@@ -22,11 +25,6 @@
 // arrived meanwhile are not processed yet.
 constexpr Duration kPause = std::chrono::milliseconds(200);
 
-template <typename Id>
-bool Contains(const std::vector<Id>& ids, Id id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 }  // namespace
 
 SlotBroker::SlotBroker(BrokerConfiguration initial, BrokerPolicy broker_policy)
@@ -141,7 +139,7 @@
   if (key != 0 && !usable.empty() && now - entry.arrived < kAffinityWait) {
     const auto preferred = std::max_element(
         usable.begin(), usable.end(), [key](const Candidate* left, const Candidate* right) {
-          return StableHash(key, RawId(left->target)) < StableHash(key, RawId(right->target));
+          return AffinityScore(key, left->target) < AffinityScore(key, right->target);
         });
     usable = {*preferred};
   }
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "Libraries/LibDispatch/affinity.h"
+#include "Libraries/LibDispatch/contains.h"
+
 namespace pimentopin {
 namespace {
 
@@ -9,15 +12,10 @@
 // optimistic starts use healthy targets only.
 constexpr std::uint64_t kProbationSampling = 10;
 
-template <typename Id>
-bool Contains(const std::vector<Id>& ids, Id id) {
-  return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 std::optional<TargetId> PreferredFor(std::uint64_t key, const std::vector<TargetId>& targets) {
   const auto best =
       std::max_element(targets.begin(), targets.end(), [key](TargetId left, TargetId right) {
-        return StableHash(key, RawId(left)) < StableHash(key, RawId(right));
+        return AffinityScore(key, left) < AffinityScore(key, right);
       });
   return best == targets.end() ? std::nullopt : std::optional(*best);
 }
--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -1,7 +1,6 @@
 #include "Libraries/LibHost/attempt_transfer.h"
 
 #include <fmt/format.h>
-#include <strings.h>
 
 #include <algorithm>
 #include <array>
@@ -16,10 +15,6 @@
 constexpr std::size_t kPauseBytes = 256 * 1024;
 constexpr std::size_t kResumeBytes = 64 * 1024;
 
-bool EqualsIgnoringCase(std::string_view left, std::string_view right) {
-  return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 // Fields that belong to one connection, or that this host sets itself.
 bool IsOwnField(std::string_view name) {
   constexpr std::array<std::string_view, 10> kOwn = {
@@ -27,8 +22,8 @@
       "upgrade",    "content-length", "proxy-connection",  "expect", "host"};
   constexpr std::string_view kPrefix = "pimentopin-";
   return std::any_of(kOwn.begin(), kOwn.end(),
-                     [&](std::string_view own) { return EqualsIgnoringCase(own, name); }) ||
-         EqualsIgnoringCase(name.substr(0, kPrefix.size()), kPrefix);
+                     [&](std::string_view own) { return EqualHeaderNames(own, name); }) ||
+         EqualHeaderNames(name.substr(0, kPrefix.size()), kPrefix);
 }
 
 HttpHeaders PassedOn(const HttpHeaders& headers) {
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -115,7 +115,6 @@
   }
 
   Exchange exchange;
-  exchange.request_id = request_id;
   exchange.service = service->name;
   exchange.caller = caller->name;
   exchange.organisation = caller->organisation;
--- a/Libraries/LibHost/request_reader.h
+++ b/Libraries/LibHost/request_reader.h
@@ -10,7 +10,7 @@
 namespace pimentopin {
 
 // Checks a caller's request against the configuration and fills in everything
-// but `responder`, the request id number and the arrival time. On failure
+// but `responder` and the request ids. On failure
 // returns nothing and sets `refusal`.
 std::optional<Exchange> ReadRequest(const Configuration& configuration,
                                     HttpServerRequest request,
