Dispatch: Find hanging and recovered targets sooner

Change: brokers and readers run on hosts with at least half of the largest capacity (--cores); a start logs one line for all targets; each trusted target is visited every 1.2 s, and idempotent work visits distrusted ones as well; retries choose the safest target; several overdue attempts count as evidence; a host that waits gets a sign of life without the targets' state.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -398,6 +398,10 @@
     return;
   }
   service->route.OnHeard(now, sender);
+  // A sign of life for waiting requests, without the state of the targets.
+  if (view.targets.empty()) {
+    return;
+  }
   service->view.Accept(now, sender, service->route.Current(now) == sender, view);
 }
 
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -40,6 +40,19 @@
 constexpr double kForeignDomainBulkCost = 0.5;
 // A target that has not served yet gets a request soon, to become known.
 constexpr double kUnknownTargetBonus = 0.3;
+// A target gets a request at least this often, unless it is likely to fail it.
+// Without it, work gathers at the targets that served last, and of a large
+// service less than the floor is in use within any 2 s. Idempotent work can be
+// repeated, so it also finds out which targets have recovered.
+constexpr Duration kRevisitInterval = std::chrono::milliseconds(1200);
+constexpr double kNeglectedTargetBonus = 0.3;
+constexpr double kRevisitBound = 0.33;
+constexpr double kIdempotentRevisitBound = 0.6;
+// An attempt is overdue after this many times the usual service time. Work with
+// a long tail takes longer in about 3 of 100 cases.
+constexpr Duration::rep kOverdueFactor = 4;
+constexpr Duration kLeastOverdue = std::chrono::milliseconds(300);
+constexpr Duration kOverdueInterval = std::chrono::milliseconds(50);
 // Probability of failure above which a request waits for another target.
 constexpr double kDistrust = 0.35;
 constexpr double kIdempotentDistrust = 0.6;
@@ -48,6 +61,12 @@
 constexpr Duration kTrustPatience = std::chrono::milliseconds(300);
 constexpr Duration::rep kTrustBudgetPart = 5;
 
+// A failure of this attempt can be made good by another one. Most routes allow
+// two, so that a retry is the last.
+bool IsExpendable(const SlotRequest& request) {
+  return request.idempotent && !request.is_retry;
+}
+
 }  // namespace
 
 SlotBroker::SlotBroker(BrokerConfiguration initial, BrokerPolicy broker_policy)
@@ -64,11 +83,13 @@
     return std::none_of(this->configuration.targets.begin(), this->configuration.targets.end(),
                         [target](const BrokerTarget& item) { return item.target == target; });
   });
-  std::erase_if(this->odds, [this](const auto& item) {
+  const auto is_gone = [this](const auto& item) {
     return std::none_of(
         this->configuration.targets.begin(), this->configuration.targets.end(),
         [&item](const BrokerTarget& target) { return target.target == item.first; });
-  });
+  };
+  std::erase_if(this->odds, is_gone);
+  std::erase_if(this->last_starts, is_gone);
   this->ConfigureHealth(now);
   Messages messages;
   this->RefuseExpired(now, messages);
@@ -104,6 +125,7 @@
 }
 
 void SlotBroker::RefreshCandidates() {
+  this->odds_at.reset();
   this->candidates.clear();
   for (const BrokerTarget& target : this->configuration.targets) {
     HealthVerdict verdict = this->health.Verdict(target.target);
@@ -174,7 +196,8 @@
              candidate.verdict.usable_slots + this->policy.ahead_per_target;
 }
 
-std::optional<TargetId> SlotBroker::ChooseTarget(TimePoint now, const QueueEntry& entry) const {
+std::optional<TargetId> SlotBroker::ChooseTarget(TimePoint now, const QueueEntry& entry) {
+  this->RefreshOdds(now);
   std::vector<const Candidate*> usable = this->CandidatesFor(entry);
   const std::uint64_t key = entry.request.affinity_key;
   if (key != 0 && !usable.empty() && now - entry.arrived < kAffinityWait) {
@@ -190,7 +213,7 @@
   const Candidate* best = nullptr;
   std::pair<double, std::uint64_t> best_score;
   for (const Candidate* candidate : usable) {
-    const bool distrusted = may_wait && this->IsDistrusted(now, entry, *candidate);
+    const bool distrusted = may_wait && this->IsDistrusted(entry, *candidate);
     any_trusted = any_trusted || !distrusted;
     if (!this->HasRoom(*candidate, entry.request.work_class)) {
       continue;
@@ -202,15 +225,48 @@
       best_score = score;
     }
   }
-  if (best != nullptr && any_trusted && may_wait && this->IsDistrusted(now, entry, *best)) {
+  if (best != nullptr && any_trusted && may_wait && this->IsDistrusted(entry, *best)) {
     best = nullptr;
   }
   return best != nullptr ? std::optional(best->target) : this->ChooseAhead(entry, usable);
 }
 
-double SlotBroker::FailureProbability(TimePoint now, TargetId target) const {
-  const auto known = this->odds.find(target);
-  return (known == this->odds.end() ? FailureOdds() : known->second).FailureProbability(now);
+void SlotBroker::ObserveOverdue(TimePoint now) {
+  if (now - this->overdue_checked_at < kOverdueInterval) {
+    return;
+  }
+  this->overdue_checked_at = now;
+  const auto limit = [this](WorkClass work_class) {
+    const Duration mean = this->estimate.Mean(work_class);
+    return mean == Duration::zero() ? Duration::max()
+                                    : std::max<Duration>(mean * kOverdueFactor, kLeastOverdue);
+  };
+  for (const TargetId target :
+       this->table.TakeOverdue(now, limit(WorkClass::kShort), limit(WorkClass::kLong))) {
+    this->odds[target].Observe(now, FailureOdds::Outcome::kSilence);
+    this->odds_at.reset();
+  }
+}
+
+void SlotBroker::RefreshOdds(TimePoint now) {
+  this->ObserveOverdue(now);
+  if (this->odds_at == now) {
+    return;
+  }
+  this->odds_at = now;
+  for (Candidate& candidate : this->candidates) {
+    const auto known = this->odds.find(candidate.target);
+    candidate.observed = known != this->odds.end();
+    candidate.failure_probability =
+        (candidate.observed ? known->second : FailureOdds()).FailureProbability(now);
+    const auto started = this->last_starts.find(candidate.target);
+    candidate.last_start = started == this->last_starts.end() ? TimePoint() : started->second;
+  }
+}
+
+void SlotBroker::RecordStart(TimePoint now, TargetId target) {
+  this->last_starts[target] = now;
+  this->odds_at.reset();
 }
 
 double SlotBroker::CostOf(TimePoint now,
@@ -222,18 +278,20 @@
   const double distance = candidate.domain == entry.domain ? 0.0
                           : request.bulk                   ? kForeignDomainBulkCost
                                                            : kForeignDomainCost;
-  const bool unknown =
-      !this->odds.contains(candidate.target) && this->table.CountAt(candidate.target) == 0;
-  return this->FailureProbability(now, candidate.target) *
-             (request.idempotent ? kIdempotentFailureCost : kFailureCost) +
-         kLoadCost * load + distance - (unknown ? kUnknownTargetBonus : 0.0);
+  const bool idle = this->table.CountAt(candidate.target) == 0;
+  const bool unknown = !candidate.observed && idle;
+  const bool neglected = idle && now - candidate.last_start >= kRevisitInterval &&
+                         candidate.failure_probability <
+                             (IsExpendable(request) ? kIdempotentRevisitBound : kRevisitBound);
+  return candidate.failure_probability *
+             (IsExpendable(request) ? kIdempotentFailureCost : kFailureCost) +
+         kLoadCost * load + distance - (unknown ? kUnknownTargetBonus : 0.0) -
+         (neglected ? kNeglectedTargetBonus : 0.0);
 }
 
-bool SlotBroker::IsDistrusted(TimePoint now,
-                              const QueueEntry& entry,
-                              const Candidate& candidate) const {
-  return this->FailureProbability(now, candidate.target) >
-         (entry.request.idempotent ? kIdempotentDistrust : kDistrust);
+bool SlotBroker::IsDistrusted(const QueueEntry& entry, const Candidate& candidate) const {
+  return candidate.failure_probability >
+         (IsExpendable(entry.request) ? kIdempotentDistrust : kDistrust);
 }
 
 std::optional<TargetId> SlotBroker::ChooseAhead(const QueueEntry& entry,
@@ -254,7 +312,7 @@
   return best != nullptr ? std::optional(best->target) : std::nullopt;
 }
 
-bool SlotBroker::CanStartAtOnce(TimePoint now, const QueueEntry& entry) const {
+bool SlotBroker::CanStartAtOnce(TimePoint now, const QueueEntry& entry) {
   return this->queue.SizeOf(entry.request.work_class) == 0 &&
          this->ChooseTarget(now, entry).has_value();
 }
@@ -372,7 +430,18 @@
   use.view_sent_at = now;
   ServiceView view = this->View(now);
   view.sequence = this->NextSequence(now);
-  messages.push_back({host, this->ViewFor(host, use, std::move(view))});
+  messages.push_back(this->ViewMessage(now, host, use, std::move(view)));
+}
+
+SendToHost SlotBroker::ViewMessage(TimePoint now,
+                                   HostId host,
+                                   const HostUse& use,
+                                   ServiceView view) const {
+  if (!this->ReceivesViews(now, use)) {
+    view.targets.clear();
+    return {host, std::move(view)};
+  }
+  return {host, this->ViewFor(host, use, std::move(view))};
 }
 
 std::vector<SendToHost> SlotBroker::OnCancel(TimePoint now,
@@ -400,6 +469,7 @@
                        .work_class = claim.work_class,
                        .queue_factor = this->QueueFactor(claim.target, claim.work_class)});
   if (added) {
+    this->RecordStart(now, claim.target);
     this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
     if (claim.is_retry) {
       this->retries.RecordRetry(now);
@@ -446,6 +516,7 @@
 }
 
 void SlotBroker::ObserveOutcome(TimePoint now, const SlotRelease& release) {
+  this->odds_at.reset();
   switch (release.result) {
     case AttemptResult::kSuccess:
       this->odds[release.target].Observe(now, FailureOdds::Outcome::kSuccess);
@@ -509,6 +580,7 @@
                    .target = target,
                    .work_class = request.work_class,
                    .queue_factor = this->QueueFactor(target, request.work_class)});
+  this->RecordStart(now, target);
   if (!request.is_retry) {
     this->retries.RecordFirstAttempt(now);
   }
@@ -667,7 +739,7 @@
     if (use.view_owed || now - use.view_sent_at >= repeat) {
       use.view_owed = false;
       use.view_sent_at = now;
-      messages.push_back({host, this->ViewFor(host, use, view)});
+      messages.push_back(this->ViewMessage(now, host, use, view));
     }
   }
 }
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -97,6 +97,11 @@
     DomainId domain{};
     std::uint32_t slots = 0;
     HealthVerdict verdict;
+    // As of `odds_at`.
+    double failure_probability = 0;
+    // False before its first outcome.
+    bool observed = false;
+    TimePoint last_start;
   };
   using Messages = std::vector<SendToHost>;
 
@@ -107,11 +112,16 @@
   // True if the host uses the service often enough to be sent views.
   bool ReceivesViews(TimePoint now, const HostUse& use) const;
   void ObserveOutcome(TimePoint now, const SlotRelease& release);
-  double FailureProbability(TimePoint now, TargetId target) const;
+  void RecordStart(TimePoint now, TargetId target);
+  // Takes attempts that last much longer than usual for evidence of a target
+  // that hangs, long before their deadlines tell.
+  void ObserveOverdue(TimePoint now);
+  // Brings the candidates' probabilities of failure up to `now`.
+  void RefreshOdds(TimePoint now);
   // Expected harm of sending the request to the target; the least is chosen.
   double CostOf(TimePoint now, const QueueEntry& entry, const Candidate& candidate) const;
   // True if the request had better wait for another target than use this one.
-  bool IsDistrusted(TimePoint now, const QueueEntry& entry, const Candidate& candidate) const;
+  bool IsDistrusted(const QueueEntry& entry, const Candidate& candidate) const;
   // The view with the targets that this one host cannot reach marked as
   // unreachable from its domain.
   ServiceView ViewFor(HostId host, const HostUse& use, ServiceView view) const;
@@ -121,10 +131,10 @@
   std::vector<const Candidate*> CandidatesFor(const QueueEntry& entry) const;
   bool HasRoom(const Candidate& candidate, WorkClass work_class) const;
   bool HasRoomAhead(const Candidate& candidate, WorkClass work_class) const;
-  std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry) const;
+  std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry);
   std::optional<TargetId> ChooseAhead(const QueueEntry& entry,
                                       const std::vector<const Candidate*>& candidates) const;
-  bool CanStartAtOnce(TimePoint now, const QueueEntry& entry) const;
+  bool CanStartAtOnce(TimePoint now, const QueueEntry& entry);
   bool QueueIsFull(WorkClass work_class) const;
   Duration PredictedWait(const SlotRequest& request) const;
   bool BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const;
@@ -140,12 +150,17 @@
   void RefuseExpired(TimePoint now, Messages& messages);
   void PushViews(TimePoint now, Messages& messages);
   void AcknowledgeQueued(TimePoint now, HostId host, Messages& messages);
+  // A sign of life, with the state of the targets if the host receives views.
+  SendToHost ViewMessage(TimePoint now, HostId host, const HostUse& use, ServiceView view) const;
   std::uint64_t NextSequence(TimePoint now);
 
   BrokerConfiguration configuration;
   BrokerPolicy policy;
   ServiceHealth health;
   std::map<TargetId, FailureOdds> odds;
+  std::map<TargetId, TimePoint> last_starts;
+  std::optional<TimePoint> odds_at;
+  TimePoint overdue_checked_at;
   SlotTable table;
   FairQueue queue;
   RetryBudget retries;
--- a/Libraries/LibDispatch/slot_table.cc
+++ b/Libraries/LibDispatch/slot_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace pimentopin {
 
@@ -122,6 +123,31 @@
   }
 }
 
+std::vector<TargetId> SlotTable::TakeOverdue(TimePoint now,
+                                             Duration short_limit,
+                                             Duration long_limit) {
+  std::map<TargetId, std::vector<SlotHolder*>> overdue;
+  for (auto& [attempt, holder] : this->holders) {
+    const Duration limit = holder.work_class == WorkClass::kLong ? long_limit : short_limit;
+    // An attempt that joined the target's queue is expected to take longer.
+    if (holder.queue_factor == 1.0 && now - holder.since > limit) {
+      overdue[holder.target].push_back(&holder);
+    }
+  }
+  std::vector<TargetId> targets;
+  for (const auto& [target, attempts] : overdue) {
+    if (attempts.size() < kOverdueTogether) {
+      continue;
+    }
+    for (SlotHolder* const holder : attempts) {
+      if (!std::exchange(holder->overdue, true)) {
+        targets.push_back(target);
+      }
+    }
+  }
+  return targets;
+}
+
 const SlotHolder* SlotTable::Find(AttemptId attempt) const {
   const auto position = this->holders.find(attempt);
   return position == this->holders.end() ? nullptr : &position->second;
--- a/Libraries/LibDispatch/slot_table.h
+++ b/Libraries/LibDispatch/slot_table.h
@@ -22,6 +22,8 @@
   TimePoint since;
   // See HealthEvidence.
   double queue_factor = 1.0;
+  // Reported by TakeOverdue.
+  bool overdue = false;
 
   friend bool operator==(const SlotHolder&, const SlotHolder&) = default;
 };
@@ -35,6 +37,9 @@
   static constexpr Duration kReportGrace = std::chrono::seconds(1);
   // All slots of a host are freed when its reports stop for this long.
   static constexpr Duration kReportTimeout = std::chrono::seconds(2);
+  // One slow attempt is usual where service times vary. Taken as evidence, it
+  // kept work from good targets in saturation (5 of 314 long requests starved).
+  static constexpr std::size_t kOverdueTogether = 2;
 
   // Ignored if the attempt is known or has been freed within kReportTimeout.
   bool Add(TimePoint now, AttemptId attempt, SlotHolder holder);
@@ -47,6 +52,11 @@
   // Excludes a pause of the own process from all time-outs.
   void ExtendTimeouts(Duration pause);
 
+  // Targets of the attempts that have lasted longer than the limit of their
+  // class without having joined a queue, where several have at a time; each
+  // attempt is reported once.
+  std::vector<TargetId> TakeOverdue(TimePoint now, Duration short_limit, Duration long_limit);
+
   const SlotHolder* Find(AttemptId attempt) const;
   // True if the attempt was freed within kReportTimeout.
   bool HasEnded(AttemptId attempt) const { return this->ended.contains(attempt); }
--- a/Libraries/LibHost/blackboard.h
+++ b/Libraries/LibHost/blackboard.h
@@ -15,11 +15,15 @@
 // Whether the load balancer should send callers to this host.
 struct Readiness {
   bool has_configuration = false;
+  // The registered targets are known, if there are any.
+  bool has_targets = false;
   // Neither a peer nor the store was heard of late.
   bool isolated = false;
   bool shutting_down = false;
 
-  bool ready() const { return this->has_configuration && !this->isolated && !this->shutting_down; }
+  bool ready() const {
+    return this->has_configuration && this->has_targets && !this->isolated && !this->shutting_down;
+  }
   friend bool operator==(const Readiness&, const Readiness&) = default;
 };
 
@@ -33,7 +37,8 @@
   // The audit data and text of the configuration in force.
   Snapshot<ConfigurationDocument> document;
   Snapshot<std::vector<MemberRecord>> members;
-  Snapshot<std::vector<HostId>> usable_hosts;
+  // Hosts that may be brokers.
+  Snapshot<std::vector<HostId>> duty_hosts;
   // Last view of each service that this host used.
   Snapshot<std::vector<ServiceView>> views;
   Snapshot<Readiness> readiness;
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -144,6 +144,10 @@
   this->Register();
 }
 
+bool DirectoryController::HasTargets() const {
+  return this->settings.target_table.empty() || this->relay.Loaded(this->settings.target_table);
+}
+
 bool DirectoryController::HeardWithin(Duration window) const {
   const TimePoint now = SteadyNow();
   return this->relay.HeardStoreWithin(now, window) ||
@@ -215,6 +219,9 @@
 }
 
 void DirectoryController::OnTargetRows(const std::vector<FeedRow>& rows) {
+  // The first listing is one decision; a line for each target would take a
+  // starting host longer than its other work.
+  const bool is_first = this->targets.empty();
   for (const FeedRow& row : rows) {
     Error error;
     const auto target =
@@ -222,7 +229,9 @@
     const auto known = this->targets.find(row.key);
     const RegisteredTarget* const before = known == this->targets.end() ? nullptr : &known->second;
     if (target) {
-      this->LogTarget(before, *target, row);
+      if (!is_first) {
+        this->LogTarget(before, *target, row);
+      }
       this->targets[row.key] = *target;
       continue;
     }
@@ -236,11 +245,15 @@
       this->targets.erase(known);
     }
   }
+  if (is_first) {
+    Log(LogLevel::kInfo, "targets_loaded", {{"targets", this->targets.size()}});
+  }
   std::vector<RegisteredTarget> registered;
   for (const auto& [name, target] : this->targets) {
     registered.push_back(target);
   }
   this->board.registered_targets.Write(std::move(registered));
+  this->settings.on_targets();
 }
 
 void DirectoryController::LogTarget(const RegisteredTarget* before,
@@ -356,7 +369,7 @@
   }
   this->relay.SetHosts(this->settings.self.domain, this->directory.UsableHostsByDomain());
   this->board.members.Write(std::move(members));
-  this->board.usable_hosts.Write(this->directory.UsableHosts());
+  this->board.duty_hosts.Write(this->directory.DutyHosts());
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -36,6 +36,8 @@
     std::function<void(std::function<void(bool)>)> read_configuration;
     // A host has this revision of the configuration.
     std::function<void(HostId, std::uint64_t)> on_revision_seen;
+    // The registered targets were read or have changed.
+    std::function<void()> on_targets;
     // New leaving targets or fingerprints are on the blackboard.
     std::function<void()> on_notices;
   };
@@ -53,6 +55,8 @@
   // Tells all hosts of new leaving targets and fingerprints.
   void SpreadNotices();
   void SetLeaving();
+  // The table of targets, if there is one, has been read.
+  bool HasTargets() const;
   // A peer or the store was heard within the window.
   bool HeardWithin(Duration window) const;
 
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -93,12 +93,11 @@
       alarm(loop.NewAlarm([this] { this->Tick(); })) {
   board.configuration.Observe(
       [this](const Configuration& configuration) { this->Configure(configuration); });
-  board.usable_hosts.Observe(
-      [this](const std::vector<HostId>& hosts) { this->OnUsableHosts(hosts); });
+  board.duty_hosts.Observe([this](const std::vector<HostId>& hosts) { this->OnDutyHosts(hosts); });
   board.members.Observe(
       [this](const std::vector<MemberRecord>& members) { this->OnMembers(members); });
-  if (const auto hosts = board.usable_hosts.Read()) {
-    this->OnUsableHosts(*hosts);
+  if (const auto hosts = board.duty_hosts.Read()) {
+    this->OnDutyHosts(*hosts);
   }
 }
 
@@ -144,7 +143,7 @@
   this->Reschedule();
 }
 
-void DispatchController::OnUsableHosts(const std::vector<HostId>& hosts) {
+void DispatchController::OnDutyHosts(const std::vector<HostId>& hosts) {
   this->Execute(this->dispatcher.SetMembers(this->Now(), hosts));
 }
 
@@ -291,7 +290,7 @@
 }
 
 void DispatchController::OnProbe(ServiceId service, const HealthEvidence& evidence) {
-  const auto hosts = this->board.usable_hosts.Read();
+  const auto hosts = this->board.duty_hosts.Read();
   if (!hosts || hosts->empty()) {
     return;
   }
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -110,7 +110,7 @@
   // Sets the alarm for what is due next.
   void Reschedule();
   void PublishViews();
-  void OnUsableHosts(const std::vector<HostId>& hosts);
+  void OnDutyHosts(const std::vector<HostId>& hosts);
   void OnMembers(const std::vector<MemberRecord>& members);
 
   void Claim(const std::shared_ptr<Exchange>& exchange);
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -197,7 +197,8 @@
                .name = this->settings.name,
                .address = this->peers->address(),
                .domain = this->domain,
-               .incarnation = this->incarnation},
+               .incarnation = this->incarnation,
+               .capacity = this->settings.capacity},
       .target_table = from_platform ? this->adapter.target_table : "",
       .read_target = this->adapter.read_target,
       .configuration_polled = !from_platform,
@@ -209,6 +210,7 @@
           [this](HostId host, std::uint64_t revision) {
             this->configuration->OnRevisionSeen(host, revision);
           },
+      .on_targets = [this] { this->UpdateReadiness(); },
       .on_notices = [this] { this->dispatch->RefreshLeavingTargets(); }};
   this->directory = std::make_unique<DirectoryController>(
       this->loop, this->board, *this->peers, *this->store, std::move(directory_settings));
@@ -402,12 +404,14 @@
 void HostProcess::UpdateReadiness() {
   const auto configuration_in_force = this->board.configuration.Read();
   const Readiness next{.has_configuration = configuration_in_force != nullptr,
+                       .has_targets = this->directory->HasTargets(),
                        .isolated = !this->directory->HeardWithin(kIsolationWindow),
                        .shutting_down = this->shutting_down};
   const auto before = this->board.readiness.Read();
   if (before && before->ready() != next.ready()) {
     Log(LogLevel::kInfo, next.ready() ? "host_ready" : "host_not_ready",
         {{"has_configuration", next.has_configuration},
+         {"has_targets", next.has_targets},
          {"isolated", next.isolated},
          {"shutting_down", next.shutting_down}});
   }
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -1,6 +1,8 @@
 #include "Libraries/LibHost/host_settings.h"
 
 #include <algorithm>
+#include <charconv>
+#include <string>
 
 namespace pimentopin {
 namespace {
@@ -8,6 +10,8 @@
 constexpr std::string_view kPlatformScheme = "http://";
 constexpr std::size_t kMaxNameBytes = 63;
 constexpr double kPercent = 100.0;
+constexpr double kMaxCores = 1024.0;
+constexpr double kThousandths = 1000.0;
 
 std::string CheckName(const std::string& value) {
   const bool is_name =
@@ -21,6 +25,14 @@
   return is_url ? "" : "does not start with http://";
 }
 
+std::string CheckCores(const std::string& value) {
+  double cores = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), cores);
+  const bool valid =
+      error == std::errc() && end == value.data() + value.size() && cores > 0 && cores <= kMaxCores;
+  return valid ? "" : "is not a number of cores above 0";
+}
+
 LogLevel ToLogLevel(const std::string& text) {
   if (text == "debug") {
     return LogLevel::kDebug;
@@ -117,6 +129,11 @@
        .unit = "percent",
        .default_value = "0",
        .maximum = 100},
+      {.name = "cores",
+       .help = "processor time that this host may use; hosts with little are no brokers",
+       .unit = "cores",
+       .default_value = "1",
+       .check = CheckCores},
       {.name = "configuration",
        .kind = SettingKind::kChoice,
        .help = "who writes the configuration: the operators of the hosts or the platform's",
@@ -147,6 +164,7 @@
   result.view_rate = static_cast<double>(settings.Number("view-rate"));
   result.retry_fraction = static_cast<double>(settings.Number("retry-percent")) / kPercent;
   result.retry_extra = static_cast<double>(settings.Number("retry-extra"));
+  result.capacity = static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kThousandths);
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercent;
   result.platform_configuration = settings.Text("configuration") == "platform";
   result.log_level = ToLogLevel(settings.Text("log-level"));
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,9 @@
   // Retries of a service within 10 s: per first attempt, and in addition.
   double retry_fraction = 0.08;
   double retry_extra = 0;
+  // Processor time that this host may use, in thousandths of a core. Hosts with
+  // less than half of the largest take no duties for others.
+  std::uint32_t capacity = 1000;
   // Part of a service's slots that ejection leaves in use, unless its
   // configuration names slots.
   double floor_share = 0;
--- a/Libraries/LibHost/operator_endpoint.cc
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -220,6 +220,7 @@
   AnswerJson(responder, current.ready() ? 200 : 503,
              {{"ready", current.ready()},
               {"has_configuration", current.has_configuration},
+              {"has_targets", current.has_targets},
               {"isolated", current.isolated},
               {"shutting_down", current.shutting_down}});
 }
--- a/Libraries/LibMembership/host_directory.cc
+++ b/Libraries/LibMembership/host_directory.cc
@@ -1,5 +1,6 @@
 #include "Libraries/LibMembership/host_directory.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -14,6 +15,7 @@
   return json{{"address", record.address},
               {"domain", RawId(record.domain)},
               {"incarnation", record.incarnation},
+              {"capacity", record.capacity},
               {"leaving", record.state == MemberState::kLeaving}}
       .dump();
 }
@@ -38,7 +40,8 @@
       .address = row["address"].get<std::string>(),
       .domain = DomainId{row["domain"].get<std::uint64_t>()},
       .incarnation = row["incarnation"].get<std::uint64_t>(),
-      .state = row["leaving"].get<bool>() ? MemberState::kLeaving : MemberState::kAlive};
+      .state = row["leaving"].get<bool>() ? MemberState::kLeaving : MemberState::kAlive,
+      .capacity = row["capacity"].get<std::uint32_t>()};
 }
 
 HostDirectory::HostDirectory(MemberRecord self) : own_record(std::move(self)) {}
@@ -97,6 +100,21 @@
   return hosts;
 }
 
+std::vector<HostId> HostDirectory::DutyHosts() const {
+  const std::vector<MemberRecord> members = this->Members();
+  std::uint32_t largest = 0;
+  for (const MemberRecord& member : members) {
+    largest = std::max(largest, member.state == MemberState::kAlive ? member.capacity : 0);
+  }
+  std::vector<HostId> hosts;
+  for (const MemberRecord& member : members) {
+    if (member.state == MemberState::kAlive && member.capacity * 2 >= largest) {
+      hosts.push_back(member.host);
+    }
+  }
+  return hosts;
+}
+
 std::map<DomainId, std::vector<HostId>> HostDirectory::UsableHostsByDomain() const {
   std::map<DomainId, std::vector<HostId>> hosts;
   for (const MemberRecord& member : this->Members()) {
@@ -108,7 +126,12 @@
 }
 
 bool HostDirectory::IsRegistered() const {
-  return this->registered_self == this->own_record;
+  if (!this->registered_self) {
+    return false;
+  }
+  MemberRecord registered = *this->registered_self;
+  registered.incarnation = this->own_record.incarnation;
+  return registered == this->own_record;
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibMembership/host_directory.h
+++ b/Libraries/LibMembership/host_directory.h
@@ -35,10 +35,14 @@
   const MemberRecord& self() const { return this->own_record; }
   // The own record first.
   std::vector<MemberRecord> Members() const;
-  // Hosts that may take duties for others: reachable and not leaving.
+  // Hosts that are reachable and not leaving.
   std::vector<HostId> UsableHosts() const;
+  // The usable hosts that may take duties for others: those with at least half
+  // of the largest capacity.
+  std::vector<HostId> DutyHosts() const;
   std::map<DomainId, std::vector<HostId>> UsableHostsByDomain() const;
-  // True if the store holds this incarnation of the own host in its present state.
+  // True if the store holds the own host as it is now. An earlier incarnation
+  // at the same address needs no other row.
   bool IsRegistered() const;
 
  private:
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -29,6 +29,8 @@
   // Drawn at start from the wall clock in milliseconds; a restart is newer.
   std::uint64_t incarnation = 0;
   MemberState state = MemberState::kAlive;
+  // Processor time that the host may use, in thousandths of a core.
+  std::uint32_t capacity = 0;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -166,7 +166,8 @@
   friend bool operator==(const TargetView&, const TargetView&) = default;
 };
 
-// Broker's view of a service, pushed to hosts that use it.
+// Broker's view of a service, pushed to hosts that use it often. Without targets
+// it only tells a host whose requests wait that the broker is alive.
 struct ServiceView {
   ServiceId service{};
   // Rises with every view of one broker incarnation; older ones are ignored.
--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -106,7 +106,7 @@
 class Host(Process):
     """One pimentopin host process."""
 
-    def __init__(self, name, domain, platform_url, binary, directory, shutdown_delay_ms):
+    def __init__(self, name, domain, platform_url, binary, directory, shutdown_delay_ms, extra=()):
         super().__init__(
             name,
             [
@@ -118,6 +118,7 @@
                 "--peer-address", "127.0.0.1:0",
                 "--platform-url", platform_url,
                 "--shutdown-delay-ms", str(shutdown_delay_ms),
+                *extra,
             ],
             directory,
         )
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -38,6 +38,9 @@
   CPPUNIT_TEST(TestWorkLeavesATargetAfterItsFirstFailure);
   CPPUNIT_TEST(TestNonIdempotentWorkWaitsForATrustedTarget);
   CPPUNIT_TEST(TestNewTargetGetsARequest);
+  CPPUNIT_TEST(TestRetryChoosesTheSafestTarget);
+  CPPUNIT_TEST(TestEveryTrustedTargetIsRevisited);
+  CPPUNIT_TEST(TestOverdueAttemptsMoveWorkAway);
   CPPUNIT_TEST(TestBulkWorkStaysInItsFailureDomain);
   CPPUNIT_TEST(TestOccasionalHostsGetNoViews);
   CPPUNIT_TEST(TestIdleBrokerNeedsNoTick);
@@ -416,6 +419,72 @@
     CPPUNIT_ASSERT_EQUAL(1, granted[TargetId{3}]);
   }
 
+  // Guards against a retry, often the last attempt, that explores.
+  void TestRetryChoosesTheSafestTarget() {
+    SlotBroker broker(Configuration(3, 3));
+    for (std::uint64_t attempt = 1; attempt <= 8; ++attempt) {
+      this->Finish(broker, attempt, TargetId{1}, AttemptResult::kSuccess);
+    }
+    this->Finish(broker, 20, TargetId{2}, AttemptResult::kServerError);
+    this->now += seconds(2);
+    SlotRequest retry = Short(30);
+    retry.idempotent = true;
+    retry.is_retry = true;
+    std::map<TargetId, int> granted;
+    this->Request(broker, retry, granted);
+    CPPUNIT_ASSERT_EQUAL(0, granted[TargetId{2}]);
+    SlotRequest first = Short(31);
+    first.idempotent = true;
+    this->Request(broker, first, granted);
+    CPPUNIT_ASSERT_EQUAL(1, granted[TargetId{2}] + granted[TargetId{3}]);
+  }
+
+  // Guards against work that gathers at a few targets of a large service, so
+  // that less than the floor is in use.
+  void TestEveryTrustedTargetIsRevisited() {
+    SlotBroker broker(Configuration(30, 3));
+    std::map<TargetId, int> granted;
+    std::uint64_t attempt = 0;
+    const auto run = [&](Duration period) {
+      granted.clear();
+      for (const TimePoint end = this->now + period; this->now < end;
+           this->now += milliseconds(20)) {
+        std::map<TargetId, int> one;
+        this->Request(broker, Short(++attempt), one);
+        const TargetId target = one.begin()->first;
+        ++granted[target];
+        broker.OnRelease(this->now, kHost, kDomain,
+                         {.attempt = AttemptId{attempt},
+                          .service = kService,
+                          .target = target,
+                          .service_time = milliseconds(20)});
+      }
+    };
+    run(seconds(4));
+    run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{30}, granted.size());
+  }
+
+  // Guards against requests that follow each other into a target that hangs,
+  // until the deadline of the first one tells.
+  void TestOverdueAttemptsMoveWorkAway() {
+    SlotBroker broker(Configuration(2, 3));
+    for (std::uint64_t attempt = 1; attempt <= 40; ++attempt) {
+      this->Finish(broker, attempt, TargetId{1 + attempt % 2}, AttemptResult::kSuccess);
+      this->now += milliseconds(10);
+    }
+    for (std::uint64_t attempt = 50; attempt < 52; ++attempt) {
+      broker.OnClaim(this->now, kHost, kDomain,
+                     {.attempt = AttemptId{attempt}, .service = kService, .target = TargetId{1}});
+    }
+    this->now += milliseconds(400);
+    std::map<TargetId, int> granted;
+    for (std::uint64_t attempt = 60; attempt < 63; ++attempt) {
+      this->Request(broker, Short(attempt), granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(3, granted[TargetId{2}]);
+  }
+
   // Guards against large answers that cross failure domains without need, and
   // against ones that stay although the only near target fails.
   void TestBulkWorkStaysInItsFailureDomain() {
--- /dev/null
+++ b/Tests/LibHost/operator_row_source_test.cc
@@ -0,0 +1,94 @@
+#include "Libraries/LibHost/operator_row_source.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <charconv>
+
+namespace pimentopin {
+namespace {
+
+// Answers each call at once with what the test has set.
+class FakeFeed : public RowFeed {
+ public:
+  void List(const std::string&, Callback callback) override {
+    ++this->lists;
+    callback(this->batch, this->error);
+  }
+  void Changes(const std::string&, std::uint64_t version, Duration, Callback callback) override {
+    this->asked_version = version;
+    callback(this->batch, this->error);
+  }
+
+  std::optional<FeedBatch> batch;
+  Error error;
+  int lists = 0;
+  std::uint64_t asked_version = 0;
+};
+
+class OperatorRowSourceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OperatorRowSourceTest);
+  CPPUNIT_TEST(TestReadsOnlyNewerRevisions);
+  CPPUNIT_TEST(TestUnreadableRowKeepsTheLastOne);
+  CPPUNIT_TEST(TestLostHistoryLeadsToListing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TestReadsOnlyNewerRevisions() {
+    this->feed.batch = FeedBatch{{{"other", 3, "9", false}, {"config", 4, "7", false}}, 5};
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, this->Read(0)->revision);
+    CPPUNIT_ASSERT(!this->Read(7));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, this->feed.asked_version);
+    CPPUNIT_ASSERT_EQUAL(1, this->feed.lists);
+  }
+
+  // Guards against a host without configuration because of one bad write.
+  void TestUnreadableRowKeepsTheLastOne() {
+    this->feed.batch = FeedBatch{{{"config", 4, "not a number", false}}, 5};
+    CPPUNIT_ASSERT(!this->Read(3));
+    CPPUNIT_ASSERT(this->last_error.code == ErrorCode::kNone);
+  }
+
+  // Guards against changes that are missed because the store forgot them.
+  void TestLostHistoryLeadsToListing() {
+    this->feed.batch = FeedBatch{{{"config", 4, "7", false}}, 5};
+    this->Read(0);
+    this->feed.batch.reset();
+    this->feed.error = {ErrorCode::kNotFound, "gone"};
+    CPPUNIT_ASSERT(!this->Read(7));
+    CPPUNIT_ASSERT(this->last_error.code == ErrorCode::kNone);
+    this->feed.error = {};
+    this->feed.batch = FeedBatch{{{"config", 9, "8", false}}, 10};
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, this->Read(7)->revision);
+    CPPUNIT_ASSERT_EQUAL(2, this->feed.lists);
+  }
+
+ private:
+  std::optional<ConfigurationDocument> Read(std::uint64_t known) {
+    std::optional<ConfigurationDocument> read;
+    this->source.ReadNewest(known, [&](const auto& document, const Error& error) {
+      read = document;
+      this->last_error = error;
+    });
+    return read;
+  }
+
+  static std::optional<Configuration> Parse(std::string_view text, Findings& findings) {
+    Configuration configuration;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), configuration.revision);
+    if (error != std::errc()) {
+      findings.Add("", "not a number");
+      return std::nullopt;
+    }
+    return configuration;
+  }
+
+  FakeFeed feed;
+  OperatorRowSource source{this->feed, "op", "config", Parse, std::chrono::seconds(1)};
+  Error last_error;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorRowSourceTest);
+
+}  // namespace
+}  // namespace pimentopin
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(TestShortBodyIsTruncated);
   CPPUNIT_TEST(TestChunkedBodyWithoutEndIsTruncated);
   CPPUNIT_TEST(TestBodyWithoutMarkedEndIsTruncated);
+  CPPUNIT_TEST(TestUnmarkedEndIsAcceptedOnRequest);
   CPPUNIT_TEST(TestResetInBodyIsTruncated);
   CPPUNIT_TEST(TestCloseBeforeAnswerIsConnectionLost);
   CPPUNIT_TEST(TestCloseInHeaderIsConnectionLost);
@@ -183,6 +184,30 @@
     this->CheckError(record, TransferError::kTruncated, true);
   }
 
+  // Guards against whole answers that are given up where the peer is known to
+  // end them with the connection, and against cut ones that pass for whole.
+  void TestUnmarkedEndIsAcceptedOnRequest() {
+    for (const bool is_reset : {false, true}) {
+      RawServer server(this->context);
+      TransferRecord record;
+      this->client->Start({.method = "GET",
+                           .url = server.url("/"),
+                           .timeout = kLongTimeout,
+                           .accept_unmarked_end = true},
+                          record.Hooks());
+      {
+        RawConnection connection = server.Accept();
+        connection.ReadUntil("\r\n\r\n");
+        connection.Send("HTTP/1.1 200 OK\r\n\r\nwhole");
+        CPPUNIT_ASSERT(Eventually([&] { return record.body_size() == 5; }));
+        if (is_reset) {
+          connection.Reset();
+        }
+      }
+      CPPUNIT_ASSERT(record.Wait());
+      this->CheckError(record, is_reset ? TransferError::kTruncated : TransferError::kNone, true);
+    }
+  }
   void TestResetInBodyIsTruncated() {
     RawServer server(this->context);
     TransferRecord& record = this->Get(server.url("/"));
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(TestPipelinedAnswersKeepOrder);
   CPPUNIT_TEST(TestMalformedPipelinedRequestCannotBeTakenForAnswer);
   CPPUNIT_TEST(TestStopListeningLetsRequestsEnd);
+  CPPUNIT_TEST(TestAnnounceCloseEndsConnectionsWithTheirAnswers);
   CPPUNIT_TEST(TestStopListeningClosesIdleConnections);
   CPPUNIT_TEST(TestResponderOutlivesServer);
   CPPUNIT_TEST(TestUnusableAddressIsReported);
@@ -355,6 +356,21 @@
     CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
   }
 
+  // Guards against callers that stay with a host that is about to stop, and
+  // against a host that turns callers away before the load balancer does.
+  void TestAnnounceCloseEndsConnectionsWithTheirAnswers() {
+    this->StartRecordingServer();
+    RawConnection kept = this->Connect();
+    this->server->AnnounceClose();
+    kept.Send(Get("/1"));
+    this->TakeResponder()->Respond(200, {}, "one");
+    CPPUNIT_ASSERT(kept.ReadUntilClosed().find("Connection: close\r\n") != std::string::npos);
+    RawConnection later = this->Connect();
+    later.Send(Get("/2"));
+    this->TakeResponder()->Respond(200, {}, "two");
+    CPPUNIT_ASSERT(later.ReadUntilClosed().ends_with("two"));
+  }
+
   // Guards against a stop that waits for connections without requests, and against one that closes
   // a connection whose request is on its way.
   void TestStopListeningClosesIdleConnections() {
--- a/Tests/StandIns/Target/main.cc
+++ b/Tests/StandIns/Target/main.cc
@@ -31,7 +31,8 @@
           .cold_start = Milliseconds(flags, "cold-start-ms"),
           .jitter = flags["jitter"].as<double>(),
           .seed = flags["seed"].as<std::uint64_t>(),
-          .print_runs = flags["print-runs"].as<bool>()};
+          .print_runs = flags["print-runs"].as<bool>(),
+          .speaks_platform = flags["platform"].as<bool>()};
 }
 
 int Serve(const std::string& address, TargetSettings settings) {
@@ -94,6 +95,8 @@
       cxxopts::value<double>()->default_value("0.2"))(
       "seed", "seed of jitter and faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "print-runs", "print a line at the start of each run",
+      cxxopts::value<bool>()->default_value("false"))(
+      "platform", "speak the headers of the platform's backends",
       cxxopts::value<bool>()->default_value("false"))("help", "print this help");
   try {
     const cxxopts::ParseResult flags = options.parse(argc, argv);
--- a/Tests/StandIns/Target/target.cc
+++ b/Tests/StandIns/Target/target.cc
@@ -144,7 +144,14 @@
 
 void Target::Work(HttpServerRequest request, std::shared_ptr<HttpResponder> responder) {
   const auto job = std::make_shared<Job>(this->context, std::move(request), std::move(responder));
-  if (const auto budget = ParseNumber(job->Header("Pimentopin-Deadline-Ms"))) {
+  const std::string expected = job->Header("X-Pimentopin-Expect-Instance");
+  if (this->settings.speaks_platform && !expected.empty() && expected != this->settings.name) {
+    job->responder->Respond(421, {{"X-Pimentopin-Instance-Id", this->settings.name}}, "");
+    return;
+  }
+  if (const auto budget =
+          ParseNumber(job->Header(this->settings.speaks_platform ? "X-Pimentopin-Deadline-Ms"
+                                                                 : "Pimentopin-Deadline-Ms"))) {
     job->deadline = SteadyNow() + std::chrono::milliseconds(*budget);
   }
   const bool must_wait = this->running >= this->settings.slots;
@@ -168,6 +175,9 @@
   HttpHeaders headers = this->StateHeaders();
   headers.push_back({"Pimentopin-Attempt-Id", job.Header("Pimentopin-Attempt-Id")});
   headers.push_back({"Target-Outcome", "not-run"});
+  if (this->settings.speaks_platform) {
+    headers.push_back({"X-Pimentopin-Not-Executed", "1"});
+  }
   job.responder->Respond(503, headers, Dump({{"reason", reason}}));
 }
 
@@ -201,7 +211,7 @@
   ++this->running;
   job->run = this->ledger.size();
   this->ledger.push_back({.attempt_id = job->Header("Pimentopin-Attempt-Id"),
-                          .request_id = job->Header("Pimentopin-Request-Id"),
+                          .request_id = this->RequestId(*job),
                           .idempotency_key = job->Header("Idempotency-Key"),
                           .method = job->request.method,
                           .path = job->request.path,
@@ -251,8 +261,8 @@
 void Target::Answer(Job& job) {
   const auto hits = [this](double rate) { return this->random.Unit() < rate; };
   const std::size_t size = ParseNumber(QueryValue(job.request.query, "size")).value_or(0);
-  std::string body = MakeAnswerBody(this->settings.service, job.request.path,
-                                    job.Header("Pimentopin-Request-Id"), size);
+  std::string body =
+      MakeAnswerBody(this->settings.service, job.request.path, this->RequestId(job), size);
   const bool is_error = hits(this->mode.error_rate);
   const bool is_wrong = hits(this->mode.wrong_rate);
   const bool wrong_id = is_wrong && this->random.Below(2) == 0;
@@ -261,6 +271,10 @@
   headers.push_back(
       {"Pimentopin-Attempt-Id", job.Header("Pimentopin-Attempt-Id") + (wrong_id ? "0" : "")});
   headers.push_back({"Content-Digest", ContentDigest(is_wrong && !wrong_id ? "other" : body)});
+  if (this->settings.speaks_platform) {
+    headers.push_back({"X-Pimentopin-Attempt-Id", this->RequestId(job) + (is_wrong ? "0" : "")});
+    headers.push_back({"X-Pimentopin-Response-Seal", "seal." + this->RequestId(job)});
+  }
   if (hits(this->mode.truncate_rate)) {
     const std::shared_ptr<HttpResponder> responder = job.responder;
     responder->Start(200, headers);
@@ -285,6 +299,11 @@
   this->StartJobs();
 }
 
+std::string Target::RequestId(const Job& job) const {
+  return job.Header(this->settings.speaks_platform ? "X-Pimentopin-Attempt-Id"
+                                                   : "Pimentopin-Request-Id");
+}
+
 HttpHeaders Target::StateHeaders() const {
   return {
       {"Target-Load", std::to_string(this->running) + "/" + std::to_string(this->settings.slots)},
--- a/Tests/StandIns/Target/target.h
+++ b/Tests/StandIns/Target/target.h
@@ -35,6 +35,8 @@
   std::uint64_t seed = 1;
   // Prints one line to standard output at the start of each run.
   bool print_runs = false;
+  // Speaks the headers of the platform's backends, see docs/platform.md.
+  bool speaks_platform = false;
 };
 
 // One run of a request.
@@ -81,6 +83,7 @@
   void Cancel(const std::shared_ptr<Job>& job);
   Duration ServiceTime(const Job& job);
   HttpHeaders StateHeaders() const;
+  std::string RequestId(const Job& job) const;
 
   asio::io_context& context;
   const TargetSettings settings;
