Dispatch: Start the extra retries of a new broker at zero

Ruled out: retries in fallback, whose allowance is 15 % of a host's own requests. Change: the extra allowance grows from zero during a broker's first 10 s. Conclusion: an allowance per window has to survive a change of its keeper.

--- a/Libraries/LibDispatch/retry_budget.cc
+++ b/Libraries/LibDispatch/retry_budget.cc
@@ -1,8 +1,11 @@
 #include "Libraries/LibDispatch/retry_budget.h"
 
+#include <algorithm>
+
 namespace pimentopin {
 
 RetryBudget::Bucket& RetryBudget::BucketAt(TimePoint now) {
+  this->started_at = this->started_at.value_or(now);
   const std::int64_t index = now.time_since_epoch() / kBucket;
   Bucket& bucket = this->buckets[static_cast<std::size_t>(index) % kBuckets];
   if (bucket.index != index) {
@@ -35,8 +38,10 @@
       retries_last_second += bucket.retries;
     }
   }
-  const double allowed =
-      this->limits.fraction * static_cast<double>(first_attempts) + this->limits.extra;
+  const double age = static_cast<double>((now - *this->started_at).count()) /
+                     static_cast<double>(Duration(kWindow).count());
+  const double allowed = this->limits.fraction * static_cast<double>(first_attempts) +
+                         this->limits.extra * std::clamp(age, 0.0, 1.0);
   const bool within_limits = static_cast<double>(retries + 1) <= allowed;
   if (!within_limits && retries_last_second >= this->limits.minimum_per_second) {
     return false;
--- a/Libraries/LibDispatch/retry_budget.h
+++ b/Libraries/LibDispatch/retry_budget.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "Libraries/LibCore/time.h"
 
@@ -12,7 +13,8 @@
 struct RetryLimits {
   // Per first attempt.
   double fraction = 0.08;
-  // In addition, so that a rarely used service can retry at all.
+  // In addition, so that a rarely used service can retry at all. Grows from zero
+  // during the first window, as an earlier broker may have used up its own.
   double extra = 0.0;
   // Allowed beyond both; 0 where the limits must hold strictly.
   std::uint32_t minimum_per_second = 1;
@@ -48,6 +50,7 @@
   Bucket& BucketAt(TimePoint now);
 
   RetryLimits limits;
+  std::optional<TimePoint> started_at;
   std::array<Bucket, kBuckets> buckets{};
 };
 
--- a/Libraries/LibMembership/host_directory.cc
+++ b/Libraries/LibMembership/host_directory.cc
@@ -79,6 +79,11 @@
   }
 }
 
+const MemberRecord* HostDirectory::Find(HostId host) const {
+  const auto found = this->others.find(host);
+  return found == this->others.end() ? nullptr : &found->second;
+}
+
 std::vector<MemberRecord> HostDirectory::Members() const {
   std::vector<MemberRecord> members{this->own_record};
   for (const auto& [host, record] : this->others) {
--- a/Libraries/LibMembership/host_directory.h
+++ b/Libraries/LibMembership/host_directory.h
@@ -33,6 +33,8 @@
   void SetUnreachable(HostId host, bool unreachable);
 
   const MemberRecord& self() const { return this->own_record; }
+  // Null if no row names the host.
+  const MemberRecord* Find(HostId host) const;
   // The own record first.
   std::vector<MemberRecord> Members() const;
   // Hosts that are reachable and not leaving.
--- a/Tests/LibDispatch/components_test.cc
+++ b/Tests/LibDispatch/components_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(TestBrokerRouteMovesOnAndReturns);
   CPPUNIT_TEST(TestSilentBrokerIsAskedLessAndLess);
   CPPUNIT_TEST(TestRetryLimitsWithExtra);
+  CPPUNIT_TEST(TestNewBrokerStartsWithoutExtra);
   CPPUNIT_TEST(TestViewStateIgnoresOlderViews);
   CPPUNIT_TEST(TestViewStateAppliesFloor);
   CPPUNIT_TEST_SUITE_END();
@@ -297,6 +298,7 @@
   void TestRetryLimitsWithExtra() {
     RetryBudget budget(RetryLimits{.fraction = 0.2, .extra = 3, .minimum_per_second = 0});
     const TimePoint now{seconds(100)};
+    budget.RecordFirstAttempt(now - seconds(20));
     for (int count = 0; count < 10; ++count) {
       budget.RecordFirstAttempt(now);
     }
@@ -308,6 +310,19 @@
     CPPUNIT_ASSERT(budget.TryRetry(now + seconds(20)));
   }
 
+  // Guards against a fleet that gets a fresh allowance with each new broker:
+  // after a restart of all hosts, 148 repeats were sent where 146 were allowed.
+  void TestNewBrokerStartsWithoutExtra() {
+    RetryBudget budget(RetryLimits{.fraction = 0, .extra = 40, .minimum_per_second = 0});
+    const TimePoint now{seconds(100)};
+    budget.RecordFirstAttempt(now);
+    int allowed = 0;
+    for (int step = 0; step < 50; ++step) {
+      allowed += budget.TryRetry(now + milliseconds(100 * step)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(allowed >= 15 && allowed <= 20);
+  }
+
   void TestBrokerRouteMovesOnAndReturns() {
     BrokerRoute route;
     const TimePoint now(seconds(1));
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -165,11 +165,13 @@
   this->RunAt(weak, [this, weak] {
     const auto host = weak.lock();
     host->leaving.Tick(this->now);
+    const bool had_failing = !host->failing_since.empty();
     // Links to failed hosts go on connecting.
     std::erase_if(host->failing_since, [this, &host](const auto& entry) {
       return this->ReachesAddress(*host, entry.first);
     });
-    for (const MemberRecord& member : host->directory.Members()) {
+    for (const MemberRecord& member :
+         had_failing ? host->directory.Members() : std::vector<MemberRecord>()) {
       const auto failing = host->failing_since.find(member.host);
       const bool unreachable =
           failing != host->failing_since.end() && this->now - failing->second >= kUnreachableAfter;
@@ -201,10 +203,8 @@
   if (learned != from.learned.end() && learned->second == address) {
     return true;
   }
-  const std::vector<MemberRecord> members = from.directory.Members();
-  return std::any_of(members.begin(), members.end(), [&](const MemberRecord& member) {
-    return member.host == to && member.address == address;
-  });
+  const MemberRecord* const known = from.directory.Find(to);
+  return known != nullptr && known->address == address;
 }
 
 void SimulatedFleet::Send(Host& from, HostId to, Message message) {
@@ -349,7 +349,7 @@
 }
 
 void SimulatedFleet::Prune(Host& host) {
-  if (!host.relay.IsReader(this->now) || !this->store_up) {
+  if (host.failing_since.empty() || !host.relay.IsReader(this->now) || !this->store_up) {
     return;
   }
   for (const MemberRecord& member : host.directory.Members()) {
