--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -45,15 +45,16 @@
 // service less than the floor is in use within any 2 s. Idempotent work can be
 // repeated, so it also finds out which targets have recovered.
 constexpr Duration kRevisitInterval = std::chrono::milliseconds(1200);
-constexpr double kNeglectedTargetBonus = 0.45;
+constexpr double kNeglectedTargetBonus = 0.3;
+constexpr double kRevisitBound = 0.33;
+constexpr double kIdempotentRevisitBound = 0.6;
 // An attempt is overdue after this many times the usual service time. Work with
 // a long tail takes longer in about 3 of 100 cases.
 constexpr Duration::rep kOverdueFactor = 4;
 constexpr Duration kLeastOverdue = std::chrono::milliseconds(300);
 constexpr Duration kOverdueInterval = std::chrono::milliseconds(50);
-// Probability of failure above which a request waits for another target. A
-// target that failed falls below it after about 4 s.
-constexpr double kDistrust = 0.45;
+// Probability of failure above which a request waits for another target.
+constexpr double kDistrust = 0.35;
 constexpr double kIdempotentDistrust = 0.6;
 // A request waits for a trusted target for at most this time and part of its
 // time budget.
@@ -280,7 +281,8 @@
   const bool idle = this->table.CountAt(candidate.target) == 0;
   const bool unknown = !candidate.observed && idle;
   const bool neglected = idle && now - candidate.last_start >= kRevisitInterval &&
-                         !this->IsDistrusted(entry, candidate);
+                         candidate.failure_probability <
+                             (IsExpendable(request) ? kIdempotentRevisitBound : kRevisitBound);
   return candidate.failure_probability *
              (IsExpendable(request) ? kIdempotentFailureCost : kFailureCost) +
          kLoadCost * load + distance - (unknown ? kUnknownTargetBonus : 0.0) -
