Membership: Reject host rows without a capacity

DecodeHostRow checked every field but the capacity. A row whose capacity was missing or a string made the JSON library throw on the control thread, which ends each host that reads the table.

TestRowWithoutAFieldNamesNoHost failed before with 'type must be number'.

--- a/Libraries/LibMembership/host_directory.cc
+++ b/Libraries/LibMembership/host_directory.cc
@@ -30,7 +30,7 @@
   };
   if (!row.is_object() || !has("address", &json::is_string) ||
       !has("domain", &json::is_number_unsigned) || !has("incarnation", &json::is_number_unsigned) ||
-      !has("leaving", &json::is_boolean)) {
+      !has("capacity", &json::is_number_unsigned) || !has("leaving", &json::is_boolean)) {
     error = {ErrorCode::kProtocol, "not the row of a host"};
     return std::nullopt;
   }
--- a/Tests/LibMembership/host_directory_test.cc
+++ b/Tests/LibMembership/host_directory_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST_SUITE(HostDirectoryTest);
   CPPUNIT_TEST(TestRowsComeAndGo);
   CPPUNIT_TEST(TestUnreadableRowNamesNoHost);
+  CPPUNIT_TEST(TestRowWithoutAFieldNamesNoHost);
   CPPUNIT_TEST(TestWeakHostsTakeNoDuties);
   CPPUNIT_TEST(TestRegistrationIsNoticed);
   CPPUNIT_TEST_SUITE_END();
@@ -53,6 +54,25 @@
     }
   }
 
+  // Guards against a row that stops every host which reads it.
+  void TestRowWithoutAFieldNamesNoHost() {
+    const std::string whole = EncodeHostRow(Record("b", 100));
+    const std::vector<std::pair<std::string, std::string>> changes = {
+        {"\"capacity\":100,", ""},
+        {"\"capacity\":100", "\"capacity\":\"100\""},
+        {"\"capacity\":100", "\"capacity\":-1"},
+        {"\"incarnation\":5", "\"incarnation\":5.5"},
+        {"\"leaving\":false", "\"leaving\":0"}};
+    for (const auto& [from, to] : changes) {
+      std::string forged = whole;
+      CPPUNIT_ASSERT(forged.find(from) != std::string::npos);
+      forged.replace(forged.find(from), from.size(), to);
+      Error error;
+      CPPUNIT_ASSERT_MESSAGE(forged, !DecodeHostRow("b", forged, error));
+      CPPUNIT_ASSERT(!error.message.empty());
+    }
+  }
+
   // Guards against a broker on a host with a tenth of a core, which would make
   // the callers of all hosts wait.
   void TestWeakHostsTakeNoDuties() {
