Dispatch, Membership: Merge parallel state and repeated lookups

- Contains moves to LibCore; BrokerRoute, StoreRelay and ConfigurationTracker use it instead of their own searches.
- SlotBroker keeps one history for each target instead of two maps, and decays a host's requests in one place.
The unused parameter of View goes.
- HostDispatcher computes in one place when a broker counts as silent, for the tick and for the next deadline.
- StoreRelay finds a watched table in one place.
A host looks up the version of one row instead of copying its whole table of hosts.

Callers of View in tests are adapted; no assertion is.

--- a/Bench/Runner/gray_experiment.cc
+++ b/Bench/Runner/gray_experiment.cc
@@ -63,7 +63,7 @@
       return;
     }
     std::uint32_t usable = 0;
-    for (const TargetView& target : broker->View(this->cluster.events().now()).targets) {
+    for (const TargetView& target : broker->View().targets) {
       usable += target.usable_slots;
     }
     this->below += usable < this->floor ? 1 : 0;
--- a/Libraries/LibDispatch/broker_route.cc
+++ b/Libraries/LibDispatch/broker_route.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Libraries/LibCore/contains.h"
+
 namespace pimentopin {
 
 void BrokerRoute::SetRanking(std::vector<HostId> ranked_hosts) {
@@ -45,7 +47,7 @@
 }
 
 bool BrokerRoute::IsCandidate(HostId host) const {
-  return std::find(this->ranking.begin(), this->ranking.end(), host) != this->ranking.end();
+  return Contains(this->ranking, host);
 }
 
 std::optional<TimePoint> BrokerRoute::HeardAt(HostId host) const {
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Libraries/LibCore/contains.h"
 #include "Libraries/LibCore/rendezvous.h"
-#include "Libraries/LibDispatch/contains.h"
 
 namespace pimentopin {
 namespace {
@@ -32,6 +32,13 @@
 constexpr std::size_t kMaxScannedRequests = 64;
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 
+// When the broker that the request waits for counts as silent.
+TimePoint BrokerSilentAt(const BrokerRoute& route, const RequestState& state) {
+  const std::optional<TimePoint> heard = route.HeardAt(state.broker);
+  return heard && *heard > state.asked_at ? *heard + kBrokerSilence
+                                          : state.asked_at + kBrokerTimeout;
+}
+
 }  // namespace
 
 HostDispatcher::HostDispatcher(DispatchSettings dispatch_settings, RandomSource& random_source)
@@ -667,9 +674,7 @@
     return std::min(next, state.asked_at + kRepeatInterval);
   }
   const DispatchServiceState& service = this->services.at(state.description.service);
-  const std::optional<TimePoint> heard = service.route.HeardAt(state.broker);
-  const bool heard_since = heard && *heard > state.asked_at;
-  next = std::min(next, heard_since ? *heard + kBrokerSilence : state.asked_at + kBrokerTimeout);
+  next = std::min(next, BrokerSilentAt(service.route, state));
   return std::min(next, state.repeated_at + kRepeatInterval);
 }
 
@@ -708,11 +713,7 @@
     }
     return;
   }
-  const std::optional<TimePoint> heard = service.route.HeardAt(state.broker);
-  const bool heard_since = heard && *heard > state.asked_at;
-  const Duration silence = now - (heard_since ? *heard : state.asked_at);
-  const bool candidate = service.route.IsCandidate(state.broker);
-  if (!candidate || silence >= (heard_since ? kBrokerSilence : kBrokerTimeout)) {
+  if (!service.route.IsCandidate(state.broker) || now >= BrokerSilentAt(service.route, state)) {
     service.route.OnSilent(now, state.broker);
     this->Withdraw(service, state, true, actions);
     this->Place(now, state, actions);
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -4,8 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "Libraries/LibCore/contains.h"
 #include "Libraries/LibDispatch/affinity.h"
-#include "Libraries/LibDispatch/contains.h"
 
 namespace pimentopin {
 namespace {
@@ -56,6 +56,8 @@
 // Probability of failure above which a request waits for another target.
 constexpr double kDistrust = 0.35;
 constexpr double kIdempotentDistrust = 0.6;
+// Added to the cost of such a target, so that trusted ones come first.
+constexpr double kDistrustCost = 1.0;
 // A request waits for a trusted target for at most this time and part of its
 // time budget.
 constexpr Duration kTrustPatience = std::chrono::milliseconds(300);
@@ -79,17 +81,12 @@
 
 std::vector<SendToHost> SlotBroker::Configure(TimePoint now, BrokerConfiguration changed) {
   this->configuration = std::move(changed);
-  std::erase_if(this->draining, [this](TargetId target) {
+  const auto is_gone = [this](TargetId target) {
     return std::none_of(this->configuration.targets.begin(), this->configuration.targets.end(),
                         [target](const BrokerTarget& item) { return item.target == target; });
-  });
-  const auto is_gone = [this](const auto& item) {
-    return std::none_of(
-        this->configuration.targets.begin(), this->configuration.targets.end(),
-        [&item](const BrokerTarget& target) { return target.target == item.first; });
   };
-  std::erase_if(this->odds, is_gone);
-  std::erase_if(this->last_starts, is_gone);
+  std::erase_if(this->draining, is_gone);
+  std::erase_if(this->histories, [&is_gone](const auto& item) { return is_gone(item.first); });
   this->ConfigureHealth(now);
   Messages messages;
   this->RefuseExpired(now, messages);
@@ -112,16 +109,19 @@
                                            HostId host,
                                            std::optional<DomainId> domain) {
   HostUse& use = this->hosts[host];
-  const double age = std::chrono::duration<double>(now - use.used_at).count();
-  use.recent_requests *= std::exp(-std::max(0.0, age));
+  use.recent_requests = RecentRequests(now, use);
   use.used_at = now;
   use.domain = domain.value_or(use.domain);
   return use;
 }
 
-bool SlotBroker::ReceivesViews(TimePoint now, const HostUse& use) const {
+double SlotBroker::RecentRequests(TimePoint now, const HostUse& use) {
   const double age = std::chrono::duration<double>(now - use.used_at).count();
-  return use.recent_requests * std::exp(-std::max(0.0, age)) >= this->policy.view_rate;
+  return use.recent_requests * std::exp(-std::max(0.0, age));
+}
+
+bool SlotBroker::ReceivesViews(TimePoint now, const HostUse& use) const {
+  return RecentRequests(now, use) >= this->policy.view_rate;
 }
 
 void SlotBroker::RefreshCandidates() {
@@ -211,6 +211,7 @@
                         std::min<Duration>(kTrustPatience, entry.request.budget / kTrustBudgetPart);
   bool any_trusted = false;
   const Candidate* best = nullptr;
+  bool best_distrusted = false;
   std::pair<double, std::uint64_t> best_score;
   for (const Candidate* candidate : usable) {
     const bool distrusted = may_wait && this->IsDistrusted(entry, *candidate);
@@ -218,17 +219,17 @@
     if (!this->HasRoom(*candidate, entry.request.work_class)) {
       continue;
     }
-    const std::pair score(this->CostOf(now, entry, *candidate) + (distrusted ? 1.0 : 0.0),
+    const std::pair score(this->CostOf(now, entry, *candidate) + (distrusted ? kDistrustCost : 0.0),
                           StableHash(RawId(entry.request.attempt), RawId(candidate->target)));
     if (best == nullptr || score < best_score) {
       best = candidate;
+      best_distrusted = distrusted;
       best_score = score;
     }
   }
-  if (best != nullptr && any_trusted && may_wait && this->IsDistrusted(entry, *best)) {
-    best = nullptr;
-  }
-  return best != nullptr ? std::optional(best->target) : this->ChooseAhead(entry, usable);
+  const bool worth_waiting = any_trusted && best_distrusted;
+  return best != nullptr && !worth_waiting ? std::optional(best->target)
+                                           : this->ChooseAhead(entry, usable);
 }
 
 void SlotBroker::ObserveOverdue(TimePoint now) {
@@ -243,7 +244,7 @@
   };
   for (const TargetId target :
        this->table.TakeOverdue(now, limit(WorkClass::kShort), limit(WorkClass::kLong))) {
-    this->odds[target].Observe(now, FailureOdds::Outcome::kSilence);
+    this->histories[target].odds.Observe(now, FailureOdds::Outcome::kSilence);
     this->odds_at.reset();
   }
 }
@@ -255,17 +256,15 @@
   }
   this->odds_at = now;
   for (Candidate& candidate : this->candidates) {
-    const auto known = this->odds.find(candidate.target);
-    candidate.observed = known != this->odds.end();
-    candidate.failure_probability =
-        (candidate.observed ? known->second : FailureOdds()).FailureProbability(now);
-    const auto started = this->last_starts.find(candidate.target);
-    candidate.last_start = started == this->last_starts.end() ? TimePoint() : started->second;
+    const TargetHistory& history = this->histories[candidate.target];
+    candidate.observed = history.odds.observed();
+    candidate.failure_probability = history.odds.FailureProbability(now);
+    candidate.last_start = history.last_start;
   }
 }
 
 void SlotBroker::RecordStart(TimePoint now, TargetId target) {
-  this->last_starts[target] = now;
+  this->histories[target].last_start = now;
   this->odds_at.reset();
 }
 
@@ -428,7 +427,7 @@
 void SlotBroker::AcknowledgeQueued(TimePoint now, HostId host, Messages& messages) {
   HostUse& use = this->hosts[host];
   use.view_sent_at = now;
-  ServiceView view = this->View(now);
+  ServiceView view = this->View();
   view.sequence = this->NextSequence(now);
   messages.push_back(this->ViewMessage(now, host, use, std::move(view)));
 }
@@ -516,20 +515,20 @@
 }
 
 void SlotBroker::ObserveOutcome(TimePoint now, const SlotRelease& release) {
-  this->odds_at.reset();
+  FailureOdds& odds = this->histories[release.target].odds;
   switch (release.result) {
     case AttemptResult::kSuccess:
-      this->odds[release.target].Observe(now, FailureOdds::Outcome::kSuccess);
+      odds.Observe(now, FailureOdds::Outcome::kSuccess);
       return;
     case AttemptResult::kServerError:
     case AttemptResult::kWrongAnswer:
     case AttemptResult::kConnectionLost:
     case AttemptResult::kTruncated:
-      this->odds[release.target].Observe(now, FailureOdds::Outcome::kFailure);
+      odds.Observe(now, FailureOdds::Outcome::kFailure);
       return;
     case AttemptResult::kConnectFailure:
     case AttemptResult::kTimeout:
-      this->odds[release.target].Observe(now, FailureOdds::Outcome::kSilence);
+      odds.Observe(now, FailureOdds::Outcome::kSilence);
       return;
     case AttemptResult::kShed:
     case AttemptResult::kCancelled:
@@ -714,7 +713,7 @@
 }
 
 void SlotBroker::PushViews(TimePoint now, Messages& messages) {
-  ServiceView view = this->View(now);
+  ServiceView view = this->View();
   view.sequence = 0;
   const bool changed = view != this->pushed && now - this->pushed_at >= kViewInterval;
   if (changed) {
@@ -757,7 +756,7 @@
   return this->health.TakeEvents();
 }
 
-ServiceView SlotBroker::View(TimePoint /*now*/) const {
+ServiceView SlotBroker::View() const {
   ServiceView view{.service = this->configuration.service,
                    .sequence = this->sequence,
                    .queued = static_cast<std::uint32_t>(this->queue.size()),
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -74,7 +74,7 @@
   TimePoint NextDeadline(TimePoint now);
 
   std::vector<HealthEvent> TakeHealthEvents();
-  ServiceView View(TimePoint now) const;
+  ServiceView View() const;
 
   std::size_t queued() const { return this->queue.size(); }
   // Attempts that hold a slot as far as the broker knows.
@@ -91,6 +91,11 @@
     // Requests and claims, each weighing less by its age.
     double recent_requests = 0;
   };
+  // What became of the starts on a target.
+  struct TargetHistory {
+    FailureOdds odds;
+    TimePoint last_start;
+  };
   // A target with its verdict, limited by the configuration.
   struct Candidate {
     TargetId target{};
@@ -109,6 +114,7 @@
   // Takes over the verdicts of the health component.
   void RefreshCandidates();
   HostUse& TouchHost(TimePoint now, HostId host, std::optional<DomainId> domain);
+  static double RecentRequests(TimePoint now, const HostUse& use);
   // True if the host uses the service often enough to be sent views.
   bool ReceivesViews(TimePoint now, const HostUse& use) const;
   void ObserveOutcome(TimePoint now, const SlotRelease& release);
@@ -157,8 +163,7 @@
   BrokerConfiguration configuration;
   BrokerPolicy policy;
   ServiceHealth health;
-  std::map<TargetId, FailureOdds> odds;
-  std::map<TargetId, TimePoint> last_starts;
+  std::map<TargetId, TargetHistory> histories;
   std::optional<TimePoint> odds_at;
   TimePoint overdue_checked_at;
   SlotTable table;
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "Libraries/LibCore/contains.h"
 #include "Libraries/LibDispatch/affinity.h"
-#include "Libraries/LibDispatch/contains.h"
 
 namespace pimentopin {
 namespace {
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -177,7 +177,7 @@
 
 void DirectoryController::Execute(const ReadNewestConfiguration& /*action*/) {
   this->settings.read_configuration([this](bool answered) {
-    this->Execute(this->relay.OnConfigurationRead(SteadyNow(), answered));
+    this->relay.OnConfigurationRead(SteadyNow(), answered);
     this->Wake();
   });
 }
@@ -294,15 +294,6 @@
   }
 }
 
-std::uint64_t DirectoryController::HostRowVersion(const std::string& name) const {
-  for (const FeedRow& row : this->relay.Rows(kHostTable)) {
-    if (row.key == name) {
-      return row.version;
-    }
-  }
-  return 0;
-}
-
 void DirectoryController::Register() {
   const TimePoint now = SteadyNow();
   if (this->registering || now < this->registration_due || this->directory.IsRegistered() ||
@@ -313,7 +304,8 @@
   const MemberRecord& self = this->directory.self();
   this->store.Write(
       {{.key = std::string(kHostTable) + "/" + self.name,
-        .expected_version = this->own_row_version.value_or(this->HostRowVersion(self.name)),
+        .expected_version =
+            this->own_row_version.value_or(this->relay.RowVersion(kHostTable, self.name)),
         .value = EncodeHostRow(self)}},
       [this](const std::optional<std::vector<WriteResult>>& results, const Error& error) {
         this->registering = false;
@@ -348,7 +340,7 @@
     Log(LogLevel::kInfo, "host_row_removed", {{"host", member.name}});
     this->store.Write(
         {{.key = std::string(kHostTable) + "/" + member.name,
-          .expected_version = this->HostRowVersion(member.name),
+          .expected_version = this->relay.RowVersion(kHostTable, member.name),
           .remove = true}},
         [this](const auto& results, const Error& error) {
           this->pruning = false;
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -79,7 +79,6 @@
   // Removes rows of hosts of the own failure domain that are gone.
   void PruneHosts();
   void Publish();
-  std::uint64_t HostRowVersion(const std::string& name) const;
 
   ControlLoop& loop;
   Blackboard& board;
--- a/Libraries/LibMembership/configuration_tracker.cc
+++ b/Libraries/LibMembership/configuration_tracker.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Libraries/LibCore/contains.h"
 #include "Libraries/LibMembership/store_relay.h"
 
 namespace pimentopin {
@@ -52,9 +53,8 @@
   this->candidate_due.reset();
   this->pulled_at.clear();
   std::vector<ConfigurationAction> actions{AdoptConfiguration{document}};
-  const std::vector<HostId> relays = this->RelaysOf(this->domain);
-  const bool passes_on = source == DocumentSource::kStore ||
-                         std::find(relays.begin(), relays.end(), this->self) != relays.end();
+  const bool passes_on =
+      source == DocumentSource::kStore || Contains(this->RelaysOf(this->domain), this->self);
   if (!passes_on) {
     return actions;
   }
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Libraries/LibCore/contains.h"
 #include "Libraries/LibCore/rendezvous.h"
 
 namespace pimentopin {
@@ -66,31 +67,32 @@
     ranked.resize(std::min(ranked.size(), kForeignReaders));
     this->foreign_readers.insert(this->foreign_readers.end(), ranked.begin(), ranked.end());
   }
-  std::erase_if(this->digests, [this](const auto& entry) {
-    return std::find(this->ranking.begin(), this->ranking.end(), entry.first) ==
-           this->ranking.end();
-  });
+  std::erase_if(this->digests,
+                [this](const auto& entry) { return !Contains(this->ranking, entry.first); });
 }
 
-StoreRelay::Watch* StoreRelay::FindWatch(const std::string& table) {
+const StoreRelay::Watch* StoreRelay::FindWatch(const std::string& table) const {
   const auto found =
       std::find_if(this->watches.begin(), this->watches.end(),
                    [&table](const Watch& watch) { return watch.table.name == table; });
   return found == this->watches.end() ? nullptr : &*found;
 }
 
-std::size_t StoreRelay::Rank() const {
-  const auto position = std::find(this->ranking.begin(), this->ranking.end(), this->self);
+StoreRelay::Watch* StoreRelay::FindWatch(const std::string& table) {
+  return const_cast<Watch*>(std::as_const(*this).FindWatch(table));
+}
+
+std::size_t StoreRelay::RankOf(HostId host) const {
+  const auto position = std::find(this->ranking.begin(), this->ranking.end(), host);
   return static_cast<std::size_t>(position - this->ranking.begin());
 }
 
 bool StoreRelay::Precedes(HostId host) const {
-  const auto position = std::find(this->ranking.begin(), this->ranking.end(), host);
-  return static_cast<std::size_t>(position - this->ranking.begin()) < this->Rank();
+  return this->RankOf(host) < this->RankOf(this->self);
 }
 
 TimePoint StoreRelay::TakeoverTime() const {
-  const std::size_t rank = this->Rank();
+  const std::size_t rank = this->RankOf(this->self);
   std::optional<TimePoint> last;
   for (std::size_t index = 0; index < rank && index < this->ranking.size(); ++index) {
     const auto digest = this->digests.find(this->ranking[index]);
@@ -170,7 +172,7 @@
   return actions;
 }
 
-std::vector<RelayAction> StoreRelay::OnConfigurationRead(TimePoint now, bool answered) {
+void StoreRelay::OnConfigurationRead(TimePoint now, bool answered) {
   this->reading_configuration = false;
   this->NoteStore(now, answered);
   if (answered) {
@@ -179,15 +181,13 @@
   this->next_configuration_read = now + (!answered                    ? kRetryInterval
                                          : this->configuration_polled ? kPollInterval
                                                                       : kMinimumGap);
-  return {};
 }
 
 std::vector<RelayAction> StoreRelay::OnDigest(TimePoint now,
                                               HostId sender,
                                               const StoreDigest& digest) {
   Actions actions;
-  const bool same_domain =
-      std::find(this->ranking.begin(), this->ranking.end(), sender) != this->ranking.end();
+  const bool same_domain = Contains(this->ranking, sender);
   if (same_domain && digest.store_answered) {
     this->digests[sender] = now;
     this->NoteStore(now, true);
@@ -220,9 +220,8 @@
     return true;
   }
   return std::any_of(digest.tables.begin(), digest.tables.end(), [this](const auto& entry) {
-    return std::any_of(this->watches.begin(), this->watches.end(), [&entry](const Watch& watch) {
-      return watch.table.name == entry.table && entry.version < watch.mirror.content_version();
-    });
+    const Watch* const watch = this->FindWatch(entry.table);
+    return watch != nullptr && entry.version < watch->mirror.content_version();
   });
 }
 
@@ -256,15 +255,14 @@
 
 std::vector<RelayAction> StoreRelay::OnRelayRequest(HostId sender,
                                                     const RowRelayRequest& request) const {
-  for (const Watch& watch : this->watches) {
-    if (watch.table.name == request.table && watch.mirror.loaded()) {
-      return {SendToHost{sender, RowRelay{.table = request.table,
-                                          .base_version = 0,
-                                          .version = watch.mirror.content_version(),
-                                          .rows = ToRelayed(watch.mirror.Rows())}}};
-    }
-  }
-  return {};
+  const Watch* const watch = this->FindWatch(request.table);
+  if (watch == nullptr || !watch->mirror.loaded()) {
+    return {};
+  }
+  return {SendToHost{sender, RowRelay{.table = request.table,
+                                      .base_version = 0,
+                                      .version = watch->mirror.content_version(),
+                                      .rows = ToRelayed(watch->mirror.Rows())}}};
 }
 
 void StoreRelay::AskForTable(TimePoint now, HostId host, Watch& watch, Actions& actions) {
@@ -333,7 +331,7 @@
   StoreDigest digest = this->Digest(now);
   digest.store_answered = false;
   // The next ones in rank may reach the store.
-  const std::size_t rank = this->Rank();
+  const std::size_t rank = this->RankOf(this->self);
   for (std::size_t next = rank + 1; next < std::min(this->ranking.size(), rank + kStaggeredRanks);
        ++next) {
     actions.emplace_back(SendToHost{this->ranking[next], digest});
@@ -399,19 +397,13 @@
 }
 
 bool StoreRelay::Loaded(const std::string& table) const {
-  const auto found =
-      std::find_if(this->watches.begin(), this->watches.end(),
-                   [&table](const Watch& watch) { return watch.table.name == table; });
-  return found != this->watches.end() && found->mirror.loaded();
+  const Watch* const watch = this->FindWatch(table);
+  return watch != nullptr && watch->mirror.loaded();
 }
 
-std::vector<FeedRow> StoreRelay::Rows(const std::string& table) const {
-  for (const Watch& watch : this->watches) {
-    if (watch.table.name == table) {
-      return watch.mirror.Rows();
-    }
-  }
-  return {};
+std::uint64_t StoreRelay::RowVersion(const std::string& table, const std::string& key) const {
+  const Watch* const watch = this->FindWatch(table);
+  return watch == nullptr ? 0 : watch->mirror.RowVersion(key);
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -124,7 +124,7 @@
                                   const std::optional<FeedBatch>& batch,
                                   const Error& error);
   // `answered`: the store gave an answer.
-  std::vector<RelayAction> OnConfigurationRead(TimePoint now, bool answered);
+  void OnConfigurationRead(TimePoint now, bool answered);
   std::vector<RelayAction> OnDigest(TimePoint now, HostId sender, const StoreDigest& digest);
   std::vector<RelayAction> OnRelay(TimePoint now, HostId sender, const RowRelay& relay);
   std::vector<RelayAction> OnRelayRequest(HostId sender, const RowRelayRequest& request) const;
@@ -138,7 +138,8 @@
   // The store answered this host, or the one that reads for it, within `window`.
   bool HeardStoreWithin(TimePoint now, Duration window) const;
   bool Loaded(const std::string& table) const;
-  std::vector<FeedRow> Rows(const std::string& table) const;
+  // 0 if the table has no such row.
+  std::uint64_t RowVersion(const std::string& table, const std::string& key) const;
 
  private:
   using Actions = std::vector<RelayAction>;
@@ -153,11 +154,12 @@
     std::optional<TimePoint> asked_at;
   };
 
+  const Watch* FindWatch(const std::string& table) const;
   Watch* FindWatch(const std::string& table);
   // The store answered, or did not answer, this host or the one that reads for it.
   void NoteStore(TimePoint now, bool answered);
-  // Rank of the own host among the readers of the domain.
-  std::size_t Rank() const;
+  // Rank among the readers of the domain; their number if the host is not one.
+  std::size_t RankOf(HostId host) const;
   TimePoint TakeoverTime() const;
   void Read(TimePoint now, Watch& watch, Actions& actions);
   void Relay(TimePoint now,
--- a/Libraries/LibMembership/table_mirror.cc
+++ b/Libraries/LibMembership/table_mirror.cc
@@ -87,4 +87,9 @@
   return all;
 }
 
+std::uint64_t TableMirror::RowVersion(const std::string& key) const {
+  const auto found = this->rows.find(key);
+  return found == this->rows.end() ? 0 : found->second.version;
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibMembership/table_mirror.h
+++ b/Libraries/LibMembership/table_mirror.h
@@ -46,6 +46,8 @@
   // Version of the last change that ApplyListing or ApplyChanges returned.
   std::uint64_t content_version() const { return this->last_change; }
   std::vector<FeedRow> Rows() const;
+  // 0 if there is no such row.
+  std::uint64_t RowVersion(const std::string& key) const;
 
  private:
   // Null if the change means nothing.
--- a/Tests/BenchSimulation/cluster_test.cc
+++ b/Tests/BenchSimulation/cluster_test.cc
@@ -212,7 +212,7 @@
   }
 
   static TargetView ViewOf(Cluster& cluster, std::size_t index) {
-    return cluster.broker(0)->View(cluster.events().now()).targets[index];
+    return cluster.broker(0)->View().targets[index];
   }
 };
 
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -122,7 +122,7 @@
       broker.OnClaim(this->now, kHost, kDomain,
                      {.attempt = AttemptId{index}, .service = kService, .target = TargetId{1}});
     }
-    CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, broker.View(this->now).targets[0].free_slots);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, broker.View().targets[0].free_slots);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, broker.outstanding());
   }
 
@@ -274,7 +274,7 @@
     }
     CPPUNIT_ASSERT_EQUAL(0, granted[TargetId{1}]);
     CPPUNIT_ASSERT_EQUAL(5, granted[TargetId{2}]);
-    CPPUNIT_ASSERT(broker.View(this->now).targets[0].state == TargetState::kLeaving);
+    CPPUNIT_ASSERT(broker.View().targets[0].state == TargetState::kLeaving);
   }
 
   // Guards against slots and queue entries of a host that failed.
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -427,8 +427,8 @@
       const auto time = fleet.RunUntil(
           [&] {
             const auto running = fleet.Running();
-            return std::all_of(running.begin(), running.end(), [&](HostId host) {
-              return fleet.At(host).leaving.IsLeaving(target);
+            return std::all_of(running.begin(), running.end(), [&](HostId other) {
+              return fleet.At(other).leaving.IsLeaving(target);
             });
           },
           seconds(3));
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -304,7 +304,7 @@
         this->Perform(reader, reader.tracker.OnDocument(this->now, *this->stored_document,
                                                         DocumentSource::kStore));
       }
-      this->Perform(reader, reader.relay.OnConfigurationRead(this->now, answered));
+      reader.relay.OnConfigurationRead(this->now, answered);
     });
   }
 }
