Host: Send own answers in one place and set the alarm after each decision

Three places mapped the status of an answer and composed it; ErrorAnswer::Send does so now.

Three callers of the dispatcher did not set the alarm afterwards: the attempt whose target is gone, new duty hosts and dead hosts. A request that was placed again this way noticed a silent broker only at the next alarm of something else. Found by reading; it was not seen in a run, and no test shows it.

--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -145,6 +145,7 @@
 
 void DispatchController::OnDutyHosts(const std::vector<HostId>& hosts) {
   this->Execute(this->dispatcher.SetMembers(this->Now(), hosts));
+  this->Reschedule();
 }
 
 void DispatchController::OnMembers(const std::vector<MemberRecord>& members) {
@@ -156,6 +157,7 @@
       this->Execute(broker->OnHostDead(this->Now(), member.host));
     }
   }
+  this->Reschedule();
 }
 
 void DispatchController::Submit(std::shared_ptr<Exchange> exchange) {
@@ -375,6 +377,7 @@
     this->loop.Post([this, action] {
       this->Execute(this->dispatcher.OnAttemptEnd(this->Now(), action.attempt,
                                                   {.result = AttemptResult::kConnectFailure}));
+      this->Reschedule();
     });
     return;
   }
@@ -494,14 +497,11 @@
     return;
   }
   const ErrorAnswer answer = AnswerFor(action);
-  facts.status =
-      this->settings.dialect->OwnStatus(answer.status, answer.outcome == Outcome::kNotRun);
+  facts.status = answer.StatusIn(*this->settings.dialect);
   if (action.abort_connection) {
     exchange.responder->Abort();
   } else {
-    exchange.responder->Respond(facts.status,
-                                answer.Headers(exchange.request_id, *this->settings.dialect),
-                                answer.Body(exchange.request_id));
+    answer.Send(*exchange.responder, exchange.request_id, *this->settings.dialect);
   }
   facts.reason = request.caller_gone ? "caller-gone" : answer.reason;
   facts.target = request.target;
@@ -522,11 +522,10 @@
 }
 
 void DispatchController::Answer(const Exchange& exchange, const ErrorAnswer& answer) {
-  const int status =
-      this->settings.dialect->OwnStatus(answer.status, answer.outcome == Outcome::kNotRun);
-  exchange.responder->Respond(status, answer.Headers(exchange.request_id, *this->settings.dialect),
-                              answer.Body(exchange.request_id));
-  this->Report(exchange, {.outcome = answer.outcome, .reason = answer.reason, .status = status});
+  answer.Send(*exchange.responder, exchange.request_id, *this->settings.dialect);
+  this->Report(exchange, {.outcome = answer.outcome,
+                          .reason = answer.reason,
+                          .status = answer.StatusIn(*this->settings.dialect)});
 }
 
 bool DispatchController::HasLongWork(ServiceId service) const {
--- a/Libraries/LibHost/error_answer.cc
+++ b/Libraries/LibHost/error_answer.cc
@@ -55,6 +55,17 @@
   return "unknown";
 }
 
+int ErrorAnswer::StatusIn(const MessageDialect& dialect) const {
+  return dialect.OwnStatus(this->status, this->outcome == Outcome::kNotRun);
+}
+
+void ErrorAnswer::Send(HttpResponder& responder,
+                       std::string_view request_id,
+                       const MessageDialect& dialect) const {
+  responder.Respond(this->StatusIn(dialect), this->Headers(request_id, dialect),
+                    this->Body(request_id));
+}
+
 HttpHeaders ErrorAnswer::Headers(std::string_view request_id, const MessageDialect& dialect) const {
   HttpHeaders headers = {
       {"Content-Type", "application/json"},
--- a/Libraries/LibHost/error_answer.h
+++ b/Libraries/LibHost/error_answer.h
@@ -7,6 +7,7 @@
 #include "Libraries/LibDispatch/host_dispatcher.h"
 #include "Libraries/LibHost/message_dialect.h"
 #include "Libraries/LibHttp/http_message.h"
+#include "Libraries/LibHttp/http_server.h"
 
 namespace pimentopin {
 
@@ -30,10 +31,17 @@
   std::string message;
   Duration retry_after{};
 
-  HttpHeaders Headers(std::string_view request_id, const MessageDialect& dialect) const;
-  std::string Body(std::string_view request_id) const;
+  // The status that callers of the dialect get.
+  int StatusIn(const MessageDialect& dialect) const;
+  void Send(HttpResponder& responder,
+            std::string_view request_id,
+            const MessageDialect& dialect) const;
 
   friend bool operator==(const ErrorAnswer&, const ErrorAnswer&) = default;
+
+ private:
+  HttpHeaders Headers(std::string_view request_id, const MessageDialect& dialect) const;
+  std::string Body(std::string_view request_id) const;
 };
 
 // The answer for a request that ended without a target's answer.
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -338,9 +338,7 @@
          {"reason", refusal.reason},
          {"message", refusal.message},
          {"revision", configuration_in_force ? configuration_in_force->revision : 0}});
-    responder->Respond(
-        this->adapter.dialect->OwnStatus(refusal.status, refusal.outcome == Outcome::kNotRun),
-        refusal.Headers(request_id, *this->adapter.dialect), refusal.Body(request_id));
+    refusal.Send(*responder, request_id, *this->adapter.dialect);
     return;
   }
   exchange->request_id = std::move(request_id);
