Config: Share the reader of JSON objects with the platform adapter

The adapter had a reader of its own for texts and counts. ObjectReader is now a file of LibConfig, which also takes 190 lines out of configuration_reader.cc. Findings in the operator's document name the type that was found; their places are the same.

--- a/Libraries/LibConfig/configuration_reader.cc
+++ b/Libraries/LibConfig/configuration_reader.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Libraries/LibConfig/document_scanner.h"
+#include "Libraries/LibConfig/object_reader.h"
 #include "Libraries/LibCore/socket_address.h"
 
 namespace pimentopin {
@@ -15,7 +16,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMaxNameBytes = 63;
 constexpr std::size_t kMaxPathPrefixBytes = 1024;
 constexpr std::int64_t kMaxSlots = 1024;
 constexpr std::int64_t kMaxConnections = 65535;
@@ -28,200 +28,12 @@
 // Key under which a caller carries the name of its organisation.
 constexpr std::string_view kOrganisationLabel = "organisation";
 
-enum class Presence { kRequired, kOptional };
-
-bool IsLowerOrDigit(char byte) {
-  return (byte >= 'a' && byte <= 'z') || (byte >= '0' && byte <= '9');
-}
-
-bool IsName(std::string_view text) {
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         std::all_of(text.begin(), text.end(),
-                     [](char byte) { return IsLowerOrDigit(byte) || byte == '-'; });
-}
-
-bool IsLabelText(std::string_view text) {
-  return text.size() <= kMaxNameBytes && std::all_of(text.begin(), text.end(), [](char byte) {
-           return IsLowerOrDigit(byte) || (byte >= 'A' && byte <= 'Z') || byte == '-' ||
-                  byte == '_' || byte == '.' || byte == '/';
-         });
-}
-
 bool IsMethod(std::string_view text) {
   return !text.empty() && text.size() <= kMaxNameBytes &&
          std::all_of(text.begin(), text.end(),
                      [](char byte) { return (byte >= 'A' && byte <= 'Z') || byte == '-'; });
 }
 
-std::string_view TypeName(const json& value) {
-  return value.type_name();
-}
-
-// One JSON object with its place. Each read reports its own faults and returns
-// a neutral value after one, so that reading goes on to the next fault.
-class ObjectReader {
- public:
-  ObjectReader(const json& object, std::string place, const FaultReporter& reporter)
-      : value(object), location(std::move(place)), report(reporter) {
-    if (!this->value.is_object()) {
-      this->report(this->location, "must be an object, not " + std::string(TypeName(this->value)));
-    }
-  }
-
-  const std::string& place() const { return this->location; }
-  std::string PlaceOf(std::string_view field) const { return ChildPointer(this->location, field); }
-  void Report(std::string_view field, std::string message) const {
-    this->report(this->PlaceOf(field), std::move(message));
-  }
-
-  void AllowOnly(std::initializer_list<std::string_view> fields) const {
-    if (!this->value.is_object()) {
-      return;
-    }
-    for (const auto& item : this->value.items()) {
-      if (std::find(fields.begin(), fields.end(), item.key()) == fields.end()) {
-        this->Report(item.key(), "unknown field");
-      }
-    }
-  }
-
-  // Null if absent; absence of a required field is a fault.
-  const json* Field(std::string_view field, Presence presence) const {
-    if (!this->value.is_object()) {
-      return nullptr;
-    }
-    const auto found = this->value.find(field);
-    if (found != this->value.end()) {
-      return &*found;
-    }
-    if (presence == Presence::kRequired) {
-      this->Report(field, "required field is missing");
-    }
-    return nullptr;
-  }
-
-  std::optional<std::string> Text(std::string_view field, Presence presence) const {
-    const json* const found = this->Field(field, presence);
-    if (found == nullptr || !this->HasType(field, *found, found->is_string(), "a string")) {
-      return std::nullopt;
-    }
-    return found->get<std::string>();
-  }
-
-  std::string Name(std::string_view field) const {
-    const std::optional<std::string> text = this->Text(field, Presence::kRequired);
-    if (text && !IsName(*text)) {
-      this->Report(field, "'" + Shortened(*text) + "' must match [a-z0-9-]{1,63}");
-    }
-    return text.value_or("");
-  }
-
-  std::optional<std::int64_t> Integer(std::string_view field,
-                                      std::int64_t minimum,
-                                      std::int64_t maximum,
-                                      Presence presence) const {
-    const json* const found = this->Field(field, presence);
-    if (found == nullptr ||
-        !this->HasType(field, *found, found->is_number_integer(), "an integer")) {
-      return std::nullopt;
-    }
-    const bool above_signed = found->is_number_unsigned() &&
-                              found->get<std::uint64_t>() > static_cast<std::uint64_t>(maximum);
-    if (above_signed || found->get<std::int64_t>() < minimum ||
-        found->get<std::int64_t>() > maximum) {
-      this->Report(field, found->dump() + " is outside " + std::to_string(minimum) + " to " +
-                              std::to_string(maximum));
-      return std::nullopt;
-    }
-    return found->get<std::int64_t>();
-  }
-
-  std::uint32_t Count(std::string_view field, std::int64_t minimum, std::int64_t maximum) const {
-    return static_cast<std::uint32_t>(
-        this->Integer(field, minimum, maximum, Presence::kRequired).value_or(minimum));
-  }
-
-  bool Boolean(std::string_view field, Presence presence) const {
-    const json* const found = this->Field(field, presence);
-    return found != nullptr && this->HasType(field, *found, found->is_boolean(), "true or false") &&
-           found->get<bool>();
-  }
-
-  // Calls `visit` with each element of an array and its place.
-  void Elements(std::string_view field,
-                Presence presence,
-                const std::function<void(const json&, const std::string&)>& visit) const {
-    const json* const found = this->Field(field, presence);
-    if (found == nullptr || !this->HasType(field, *found, found->is_array(), "an array")) {
-      return;
-    }
-    const std::string array_place = this->PlaceOf(field);
-    for (std::size_t index = 0; index < found->size(); ++index) {
-      visit((*found)[index], ChildPointer(array_place, std::to_string(index)));
-    }
-  }
-
-  // A list of distinct strings. An empty list is a fault: absence means "all",
-  // and a template that lost its entries must not widen a rule.
-  std::vector<std::string> DistinctStrings(
-      std::string_view field,
-      const std::function<void(const std::string&, const std::string&)>& check) const {
-    std::vector<std::string> strings;
-    std::set<std::string> seen;
-    this->Elements(field, Presence::kOptional, [&](const json& element, const std::string& place) {
-      if (!element.is_string()) {
-        this->report(place, "must be a string, not " + std::string(TypeName(element)));
-        return;
-      }
-      strings.push_back(element.get<std::string>());
-      if (!seen.insert(strings.back()).second) {
-        this->report(place, "'" + Shortened(strings.back()) + "' is listed more than once");
-      }
-      check(strings.back(), place);
-    });
-    const json* const found = this->Field(field, Presence::kOptional);
-    if (found != nullptr && found->is_array() && found->empty()) {
-      this->Report(field, "must not be empty; leave the field out to mean all");
-    }
-    return strings;
-  }
-
-  Labels LabelMap(std::string_view field) const {
-    Labels labels;
-    const json* const found = this->Field(field, Presence::kOptional);
-    if (found == nullptr || !this->HasType(field, *found, found->is_object(), "an object")) {
-      return labels;
-    }
-    for (const auto& item : found->items()) {
-      const std::string place = ChildPointer(this->PlaceOf(field), item.key());
-      if (item.key().empty() || !IsLabelText(item.key())) {
-        this->report(place, "label key must match [A-Za-z0-9._/-]{1,63}");
-      }
-      if (!item.value().is_string()) {
-        this->report(place, "must be a string, not " + std::string(TypeName(item.value())));
-      } else if (!IsLabelText(item.value().get_ref<const std::string&>())) {
-        this->report(place, "label value must match [A-Za-z0-9._/-]{0,63}");
-      } else {
-        labels.emplace(item.key(), item.value().get<std::string>());
-      }
-    }
-    return labels;
-  }
-
- private:
-  bool HasType(std::string_view field, const json& found, bool matches, const char* wanted) const {
-    if (!matches) {
-      this->Report(field,
-                   "must be " + std::string(wanted) + ", not " + std::string(TypeName(found)));
-    }
-    return matches;
-  }
-
-  const json& value;
-  std::string location;
-  const FaultReporter& report;
-};
-
 // Names seen so far of one kind of entry.
 class NameRegister {
  public:
@@ -509,7 +321,7 @@
     reader.Elements(
         "values", Presence::kOptional, [&](const json& value, const std::string& place) {
           if (!value.is_string()) {
-            this->report(place, "must be a string, not " + std::string(TypeName(value)));
+            this->report(place, "must be a string, not " + std::string(value.type_name()));
           } else if (!IsLabelText(value.get_ref<const std::string&>())) {
             this->report(place, "label value must match [A-Za-z0-9._/-]{0,63}");
           } else if (!seen.insert(value.get<std::string>()).second) {
