--- a/Tests/StandIns/Platform/platform.cc
+++ b/Tests/StandIns/Platform/platform.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <string_view>
 
+#include "Libraries/LibHost/query_parameters.h"
 #include "Libraries/LibPlatform/url_encoding.h"
 #include "platform/base64.h"
 
@@ -56,18 +57,6 @@
   return DecodeUrlPart(path.substr(prefix.size()));
 }
 
-std::map<std::string, std::string> ReadParameters(std::string_view query) {
-  std::map<std::string, std::string> parameters;
-  while (!query.empty()) {
-    const std::string_view pair = query.substr(0, query.find('&'));
-    query.remove_prefix(std::min(pair.size() + 1, query.size()));
-    const std::size_t equals = std::min(pair.find('='), pair.size());
-    const auto value = DecodeUrlPart(pair.substr(std::min(equals + 1, pair.size())));
-    parameters[std::string(pair.substr(0, equals))] = value.value_or("");
-  }
-  return parameters;
-}
-
 std::uint64_t NumberIn(const std::map<std::string, std::string>& parameters,
                        const std::string& name,
                        std::uint64_t otherwise) {
@@ -105,10 +94,10 @@
                 [this, request = std::move(request)] { return this->Transact(request.body); });
   } else if (path == "/-/rows-get") {
     this->Serve(table, std::move(responder), [this, request = std::move(request)] {
-      return this->ListRows(ReadParameters(request.query));
+      return this->ListRows(ParseQuery(request.query));
     });
   } else if (path == "/-/rows-feed" && table == PartState::kUp) {
-    this->Feed(ReadParameters(request.query), responder);
+    this->Feed(ParseQuery(request.query), responder);
   } else if (path == "/-/rows-feed") {
     this->Serve(table, std::move(responder), [] { return Answer{503, ""}; });
   } else if (path.starts_with("/-/blob-")) {
@@ -290,7 +279,7 @@
 
 Platform::Answer Platform::Objects(const HttpServerRequest& request) {
   if (request.path == "/-/blob-list" && request.method == "GET") {
-    const Parameters parameters = ReadParameters(request.query);
+    const Parameters parameters = ParseQuery(request.query);
     const auto prefix = parameters.find("prefix");
     const std::string start = prefix == parameters.end() ? "" : prefix->second;
     json names = json::array();
