Docs: Replace mentions of gossip

Leaving targets and crash fingerprints spread with the hosts' notices since the member table was replaced. LeavingTargets::Tick is not called every 100 ms.

--- a/Libraries/LibHealth/fingerprint_ledger.cc
+++ b/Libraries/LibHealth/fingerprint_ledger.cc
@@ -5,7 +5,7 @@
 namespace pimentopin {
 namespace {
 
-// Gossip spreads a report to all hosts well within this time, so two reports
+// Notices spread a report to all hosts well within this time, so two reports
 // about one target that are further apart mean two deaths.
 constexpr Duration kSameDeathPeriod = std::chrono::seconds(10);
 // Bounds the memory when many targets die at once.
--- a/Libraries/LibHealth/fingerprint_ledger.h
+++ b/Libraries/LibHealth/fingerprint_ledger.h
@@ -11,7 +11,7 @@
 namespace pimentopin {
 
 // Fingerprints of requests whose targets died while running them. Every host
-// has one; records are merged by gossip and forgotten after kRetention.
+// has one; records spread with the hosts' notices and are forgotten after kRetention.
 class FingerprintLedger {
  public:
   static constexpr Duration kRetention = std::chrono::minutes(10);
@@ -32,7 +32,7 @@
 
   bool IsSuspect(Fingerprint fingerprint) const;
   bool IsBlocked(Fingerprint fingerprint) const;
-  // Records for gossip, newest first.
+  // Records for a notice, newest first.
   std::vector<FingerprintRecord> Records(TimePoint now, std::size_t limit) const;
 
  private:
--- a/Libraries/LibMembership/leaving_targets.h
+++ b/Libraries/LibMembership/leaving_targets.h
@@ -26,9 +26,9 @@
   // Returns true if any target was not known to be leaving.
   bool Merge(TimePoint now, const std::vector<LeavingTarget>& notices);
   // The target itself states that it serves again, for example after a restart.
-  // Notices from before that other hosts still gossip are ignored from then on.
+  // Notices from before that other hosts still send are ignored from then on.
   void Clear(TargetId target);
-  // Call every 100 ms; drops expired notices.
+  // Drops expired notices.
   void Tick(TimePoint now);
 
   bool IsLeaving(TargetId target) const;
