Http, Host: Record every refused request with its status and target

Seen: a refusal by the HTTP server itself (400, 408, 413, 431, 501) left no line in the log and no count, and request_refused had neither status nor Host header nor path, so that a 404 for a route that exists could not be told from one for a route that does not.

Change: HttpServerSettings::on_refusal reports each refusal with the number of earlier requests of the connection; the host logs it as request_refused and counts it. The line for other refusals gains status, host and path (128 bytes at most). ReadRequest leaves the request with the caller if it refuses it.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -40,6 +40,8 @@
 // Claims that arrive within this time are sent in one batch.
 constexpr Duration kClaimBatchDelay = std::chrono::milliseconds(5);
 constexpr Duration kCommitRetryDelay = std::chrono::milliseconds(300);
+// Longer texts from a request are cut in log lines.
+constexpr std::size_t kMaxLoggedTextBytes = 128;
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
 // Limits how long pending writes to the platform delay the exit.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
@@ -76,6 +78,8 @@
   void WaitForSignals();
   void OnPeerMessage(const Envelope& envelope);
   void OnCallerRequest(HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder);
+  // Records a request that the server refused itself.
+  void OnServerRefusal(const RefusedRequest& refused);
   // Unique within the fleet. Callable from any thread.
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
@@ -290,7 +294,8 @@
       {.address = this->settings.caller_address,
        .threads = this->settings.traffic_threads,
        .limits = this->DefaultRequestLimits(),
-       .max_concurrent_requests = this->settings.max_concurrent_requests},
+       .max_concurrent_requests = this->settings.max_concurrent_requests,
+       .on_refusal = [this](const RefusedRequest& refused) { this->OnServerRefusal(refused); }},
       [this](HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder) {
         this->OnCallerRequest(std::move(request), responder);
       },
@@ -337,8 +342,8 @@
                         "this host has no configuration yet"};
   std::optional<Exchange> exchange;
   if (active_configuration) {
-    exchange = ReadRequest(*active_configuration, *this->adapter.dialect, std::move(request),
-                           request_id, SteadyNow(), refusal);
+    exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
+                           SteadyNow(), refusal);
   }
   if (!exchange) {
     this->metrics.IncrementCounter("pimentopin_refused_requests_total",
@@ -347,6 +352,9 @@
         {{"request_id", request_id},
          {"reason", refusal.reason},
          {"message", refusal.message},
+         {"status", refusal.StatusFor(*this->adapter.dialect)},
+         {"host", FindHeader(request.headers, "Host").substr(0, kMaxLoggedTextBytes)},
+         {"path", request.path.substr(0, kMaxLoggedTextBytes)},
          {"revision", active_configuration ? active_configuration->revision : 0}});
     refusal.Send(*responder, request_id, *this->adapter.dialect);
     return;
@@ -362,6 +370,17 @@
   });
 }
 
+void HostProcess::OnServerRefusal(const RefusedRequest& refused) {
+  this->metrics.IncrementCounter("pimentopin_refused_requests_total",
+                                 "reason=\"" + refused.refusal.reason + "\"");
+  Log(LogLevel::kInfo, "request_refused",
+      {{"reason", refused.refusal.reason},
+       {"message", refused.refusal.message},
+       {"status", refused.refusal.status},
+       {"earlier_requests", refused.earlier_requests},
+       {"response_sent", refused.response_sent}});
+}
+
 std::string HostProcess::NewRequestId() {
   return fmt::format("{}-{:x}-{}", this->settings.name, this->incarnation,
                      this->next_request_number.fetch_add(1));
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -140,7 +140,7 @@
 
 std::optional<Exchange> ReadRequest(const Configuration& configuration,
                                     const HttpDialect& dialect,
-                                    HttpServerRequest request,
+                                    HttpServerRequest& request,
                                     const std::string& request_id,
                                     TimePoint now,
                                     ErrorResponse& refusal) {
--- a/Libraries/LibHost/request_reader.h
+++ b/Libraries/LibHost/request_reader.h
@@ -14,10 +14,11 @@
 // Validates a caller's request against the configuration and fills in everything except
 // `responder` and the request ids. A matching route takes precedence; otherwise the first
 // segment of the path names the service. `request_id` selects the service of a route with
-// weighted services. Returns no value and sets `refusal` on failure.
+// weighted services. Moves `request` into the result; on failure leaves it unchanged, sets
+// `refusal` and returns no value.
 std::optional<Exchange> ReadRequest(const Configuration& configuration,
                                     const HttpDialect& dialect,
-                                    HttpServerRequest request,
+                                    HttpServerRequest& request,
                                     const std::string& request_id,
                                     TimePoint now,
                                     ErrorResponse& refusal);
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -112,6 +112,7 @@
   const Strand& strand() const { return this->connection_strand; }
   bool closed() const { return this->is_closed; }
   bool has_pending_responses() const { return !this->pending_responses.empty(); }
+  void ReportRefusal(const RequestRefusal& refusal, bool response_sent) const;
 
   // Starts enforcing the time limits of the connection.
   void StartTimer();
@@ -215,6 +216,8 @@
     this->limits = new_limits;
   }
 
+  // Set before the server listens.
+  std::function<void(const RefusedRequest&)> on_refusal;
   // Set by StopListening; idle connections are closed from then on.
   std::atomic<bool> listening_stopped = false;
   // Every response closes its connection.
@@ -290,10 +293,12 @@
   // `restinio_connection` keeps the socket alive until then.
   void RefuseTimedOutRequest(std::shared_ptr<void> restinio_connection) {
     this->refusing = true;
-    auto response = std::make_shared<std::string>(
-        FormatRefusal({.status = 408,
-                       .reason = "request-timeout",
-                       .message = "the request was not received completely before the timeout"}));
+    const RequestRefusal refusal{
+        .status = 408,
+        .reason = "request-timeout",
+        .message = "the request was not received completely before the timeout"};
+    this->connection->ReportRefusal(refusal, true);
+    auto response = std::make_shared<std::string>(FormatRefusal(refusal));
     asio::async_write(
         static_cast<Base&>(*this), asio::buffer(*response),
         asio::bind_executor(
@@ -350,10 +355,14 @@
     if (!this->connection || this->connection->has_pending_responses()) {
       // An error response must not be sent before the responses to earlier requests on the
       // connection.
+      if (this->connection) {
+        this->connection->ReportRefusal(refusal, false);
+      }
       handler(asio::error::connection_reset, 0);
       return;
     }
     this->refusing = true;
+    this->connection->ReportRefusal(refusal, true);
     const auto executor = asio::get_associated_executor(handler);
     auto response = std::make_shared<std::string>(FormatRefusal(refusal));
     auto timer = std::make_shared<asio::steady_timer>(this->get_executor(), kRefusalDrainTime);
@@ -709,6 +718,10 @@
   bool removed_from_count = false;
 };
 
+void ServerConnection::ReportRefusal(const RequestRefusal& refusal, bool response_sent) const {
+  this->registry.on_refusal({refusal, this->requests_handled, response_sent});
+}
+
 void ServerConnection::Reset() {
   this->socket.Reset();
   this->OnClosed();
@@ -878,6 +891,7 @@
         state(std::make_shared<ServerState>()),
         work_guard(asio::make_work_guard(this->state->context)) {
     this->state->context.registry.SetLimits(this->settings.limits);
+    this->state->context.registry.on_refusal = this->settings.on_refusal;
   }
   ~RestinioServer() override {
     if (this->threads.empty()) {
@@ -996,24 +1010,27 @@
     const auto writer = std::make_shared<ResponseWriter>(
         this->state, connection, restinio_request.create_response<SerialisedResponse>(),
         request.method == "HEAD");
-    connection->AddResponse(writer);
     auto responder = std::make_shared<Responder>(writer);
+    std::optional<RequestRefusal> refusal;
     if (!has_path) {
-      Refuse(*responder,
-             {.reason = "malformed-request", .message = "the request target has no path"});
+      refusal = {.reason = "malformed-request", .message = "the request target has no path"};
     } else if (overloaded) {
-      Refuse(*responder, {.status = 503,
-                          .reason = "too-many-requests-in-progress",
-                          .message = "the server has reached its limit of concurrent requests"});
+      refusal = {.status = 503,
+                 .reason = "too-many-requests-in-progress",
+                 .message = "the server has reached its limit of concurrent requests"};
+    }
+    if (refusal) {
+      connection->ReportRefusal(*refusal, true);
+    }
+    connection->AddResponse(writer);
+    if (refusal) {
+      responder->Respond(refusal->status, ErrorResponseHeaders(*refusal),
+                         ErrorResponseBody(*refusal));
     } else {
       this->handler(std::move(request), std::move(responder));
     }
   }
 
-  static void Refuse(HttpResponder& responder, const RequestRefusal& refusal) {
-    responder.Respond(refusal.status, ErrorResponseHeaders(refusal), ErrorResponseBody(refusal));
-  }
-
   HttpServerSettings settings;
   Handler handler;
   std::string bound_address;
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -9,6 +9,7 @@
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/request_limits.h"
 #include "Libraries/LibHttp/http_message.h"
+#include "Libraries/LibHttp/request_inspector.h"
 
 namespace pimentopin {
 
@@ -44,6 +45,17 @@
   virtual void OnCallerDisconnect(std::function<void()> callback) = 0;
 };
 
+// A request that the server refused without calling the handler.
+struct RefusedRequest {
+  RequestRefusal refusal;
+  // Complete requests that the connection had carried before.
+  std::uint64_t earlier_requests = 0;
+  // False if the connection was reset, because responses to earlier requests were outstanding.
+  bool response_sent = true;
+
+  friend bool operator==(const RefusedRequest&, const RefusedRequest&) = default;
+};
+
 struct HttpServerSettings {
   // IP:port; with port 0 the kernel assigns a port.
   std::string address;
@@ -51,6 +63,8 @@
   RequestLimits limits;
   // Maximum number of concurrent requests; further requests receive status 503.
   std::size_t max_concurrent_requests = 4096;
+  // Called on a server thread.
+  std::function<void(const RefusedRequest&)> on_refusal = [](const RefusedRequest&) {};
 };
 
 // HTTP/1.1 server based on RESTinio with its own threads.
--- a/Tests/LibHost/request_reader_test.cc
+++ b/Tests/LibHost/request_reader_test.cc
@@ -195,7 +195,7 @@
   std::optional<Exchange> Read(const HttpServerRequest& request) {
     return this->ReadFrom(this->configuration, request);
   }
-  std::optional<Exchange> ReadFrom(const Configuration& from, const HttpServerRequest& request) {
+  std::optional<Exchange> ReadFrom(const Configuration& from, HttpServerRequest request) {
     return ReadRequest(from, this->dialect, request, this->dialect.CallerRequestId(request.headers),
                        kNow, this->refusal);
   }
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(TestLongRequestIsNotIdle);
   CPPUNIT_TEST(TestLargeHeaderGets431);
   CPPUNIT_TEST(TestUnusableAddressIsReported);
+  CPPUNIT_TEST(TestRefusalsOfTheServerAreReported);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -503,6 +504,31 @@
     CPPUNIT_ASSERT(!this->HasReceivedRequest());
   }
 
+  // Guards against requests that the server refuses without a trace in log and metrics.
+  void TestRefusalsOfTheServerAreReported() {
+    this->StartRecordingServer();
+    RawConnection first = this->Connect();
+    first.Send(Get("/1"));
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    this->TakeResponder()->Respond(200, {}, "one");
+    first.ReadUntil("one");
+    first.Send("nonsense\r\n\r\n");
+    first.ReadUntilClosed();
+    RawConnection second = this->Connect();
+    second.Send(Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    second.Send("nonsense\r\n\r\n");
+    second.ReadUntilClosed();
+
+    const std::scoped_lock lock(this->mutex);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->refused.size());
+    CPPUNIT_ASSERT_EQUAL(400, this->refused[0].refusal.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("malformed-request"), this->refused[0].refusal.reason);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, this->refused[0].earlier_requests);
+    CPPUNIT_ASSERT(this->refused[0].response_sent);
+    CPPUNIT_ASSERT(!this->refused[1].response_sent);
+  }
+
   // Guards against reporting a successful start on an address that cannot be used.
   void TestUnusableAddressIsReported() {
     this->StartRecordingServer();
@@ -522,7 +548,12 @@
     this->server = HttpServer::Create({.address = "127.0.0.1:0",
                                        .threads = 2,
                                        .limits = {.max_body_bytes = kMaxBodyBytes},
-                                       .max_concurrent_requests = max_concurrent_requests},
+                                       .max_concurrent_requests = max_concurrent_requests,
+                                       .on_refusal =
+                                           [this](const RefusedRequest& refused_request) {
+                                             const std::scoped_lock lock(this->mutex);
+                                             this->refused.push_back(refused_request);
+                                           }},
                                       std::move(handler), error);
     CPPUNIT_ASSERT_MESSAGE(error.message, this->server != nullptr);
   }
@@ -597,6 +628,7 @@
   std::vector<HttpServerRequest> requests;
   std::vector<std::shared_ptr<HttpResponder>> responders;
   std::size_t taken_responders = 0;
+  std::vector<RefusedRequest> refused;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
