Membership: Let hosts with larger capacity read and relay the store

Callers saw: 404 for routes that exist, on up to 130 of 136 hosts for five seconds.

Cause: in each failure domain one host sends every configuration document to all others. It was chosen by rendezvous hashing alone, so it was one of the 45 hosts with a link of 10 Mbit/s. 45 copies of a document with 1,400 routes (280 KB) take ten seconds there. Slot brokers already avoided small hosts; the readers of the store and the relays did not.

Change: RankMembers ranks the hosts with at least half of the largest capacity of the domain first. StoreRelay and ConfigurationTracker use this order.

--- a/Bench/Runner/membership_slopes.cc
+++ b/Bench/Runner/membership_slopes.cc
@@ -52,11 +52,11 @@
 // domain sends.
 DirectoryCost MeasureDirectory(std::size_t hosts) {
   std::vector<FeedRow> rows;
-  std::map<DomainId, std::vector<HostId>> by_domain;
+  std::map<DomainId, std::vector<MemberRecord>> members;
   for (std::size_t index = 0; index < hosts; ++index) {
     const MemberRecord record = MemberRecordAt(index);
     rows.push_back({record.name, index + 1, EncodeHostRow(record), false});
-    by_domain[record.domain].push_back(record.host);
+    members[record.domain].push_back(record);
   }
   const double heap_before = HeapBytes();
   HostDirectory directory(MemberRecordAt(0));
@@ -66,9 +66,13 @@
                          (HeapBytes() - heap_before) / static_cast<double>(hosts)};
 
   const DomainId domain = MemberRecordAt(0).domain;
-  const HostId reader = RankHosts(by_domain[domain]).front();
+  std::map<DomainId, std::vector<HostId>> ranked_hosts;
+  for (const auto& [member_domain, domain_members] : members) {
+    ranked_hosts[member_domain] = RankMembers(domain_members);
+  }
+  const HostId reader = ranked_hosts[domain].front();
   StoreRelay relay(reader, MemberRecordAt(0).address, {{.name = "hosts", .polled = true}}, true);
-  relay.SetHosts(domain, by_domain);
+  relay.SetHosts(domain, ranked_hosts);
   double bytes = 0;
   for (TimePoint now = kStart; now < kStart + kMeasuredTime; now += kTickInterval) {
     for (const RelayAction& action : relay.Tick(now)) {
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -363,7 +363,7 @@
       this->peers.SetPeer(member.host, member.address);
     }
   }
-  this->relay.SetHosts(this->settings.self.domain, this->directory.UsableHostsByDomain());
+  this->relay.SetHosts(this->settings.self.domain, this->directory.RankedHostsByDomain());
   this->shared_state.members.Write(std::move(members));
   this->shared_state.broker_candidates.Write(this->directory.BrokerCandidates());
 }
--- a/Libraries/LibMembership/configuration_tracker.cc
+++ b/Libraries/LibMembership/configuration_tracker.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "Libraries/LibCore/contains.h"
-#include "Libraries/LibMembership/store_relay.h"
+#include "Libraries/LibMembership/host_directory.h"
 
 namespace pimentopin {
 namespace {
@@ -18,10 +18,10 @@
     : self(host), domain(host_domain) {}
 
 void ConfigurationTracker::SetMembers(const std::vector<MemberRecord>& members) {
-  this->hosts_by_domain.clear();
+  this->members_by_domain.clear();
   for (const MemberRecord& member : members) {
-    if (member.host != this->self && member.state != MemberState::kUnreachable) {
-      this->hosts_by_domain[member.domain].push_back(member.host);
+    if (member.state != MemberState::kUnreachable) {
+      this->members_by_domain[member.domain].push_back(member);
     }
   }
 }
@@ -58,10 +58,12 @@
   if (!forwards) {
     return actions;
   }
-  for (const auto& [other, hosts] : this->hosts_by_domain) {
+  for (const auto& [other, members] : this->members_by_domain) {
     if (other == this->domain) {
-      for (const HostId host : hosts) {
-        actions.emplace_back(SendToHost{host, this->DocumentOrOffer()});
+      for (const MemberRecord& member : members) {
+        if (member.host != this->self) {
+          actions.emplace_back(SendToHost{member.host, this->DocumentOrOffer()});
+        }
       }
     } else if (source == DocumentSource::kStore) {
       for (const HostId host : this->RelayHosts(other)) {
@@ -73,13 +75,11 @@
 }
 
 std::vector<HostId> ConfigurationTracker::RelayHosts(DomainId relay_domain) const {
-  const auto found = this->hosts_by_domain.find(relay_domain);
-  std::vector<HostId> hosts =
-      found == this->hosts_by_domain.end() ? std::vector<HostId>() : found->second;
-  if (relay_domain == this->domain) {
-    hosts.push_back(this->self);
+  const auto found = this->members_by_domain.find(relay_domain);
+  if (found == this->members_by_domain.end()) {
+    return {};
   }
-  hosts = RankHosts(std::move(hosts));
+  std::vector<HostId> hosts = RankMembers(found->second);
   hosts.resize(std::min(hosts.size(), kRelaysPerDomain));
   return hosts;
 }
--- a/Libraries/LibMembership/configuration_tracker.h
+++ b/Libraries/LibMembership/configuration_tracker.h
@@ -44,6 +44,7 @@
 
   ConfigurationTracker(HostId self, DomainId domain);
 
+  // Sets all known hosts, this one included.
   void SetMembers(const std::vector<MemberRecord>& members);
   // Handles a committed document. Lower or equal revisions are ignored.
   std::vector<ConfigurationAction> OnDocument(TimePoint now,
@@ -76,7 +77,8 @@
 
   HostId self;
   DomainId domain;
-  std::map<DomainId, std::vector<HostId>> hosts_by_domain;
+  // Reachable hosts, this one included.
+  std::map<DomainId, std::vector<MemberRecord>> members_by_domain;
   std::optional<ConfigurationDocument> current;
   // Document with the highest revision received in the startup window.
   std::optional<ConfigurationDocument> candidate;
--- a/Libraries/LibMembership/host_directory.cc
+++ b/Libraries/LibMembership/host_directory.cc
@@ -4,13 +4,38 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "Libraries/LibCore/rendezvous.h"
+
 namespace pimentopin {
 namespace {
 
 using nlohmann::json;
 
+// Key of the rendezvous hashing of hosts. All hosts must use the same one.
+constexpr std::string_view kRankHashKey = "store-reader";
+
 }  // namespace
 
+bool IsLargeEnoughToServe(std::uint32_t capacity, std::uint32_t largest) {
+  return capacity * 2 >= largest;
+}
+
+std::vector<HostId> RankMembers(const std::vector<MemberRecord>& members) {
+  std::uint32_t largest = 0;
+  for (const MemberRecord& member : members) {
+    largest = std::max(largest, member.capacity);
+  }
+  std::vector<HostId> large;
+  std::vector<HostId> small;
+  for (const MemberRecord& member : members) {
+    (IsLargeEnoughToServe(member.capacity, largest) ? large : small).push_back(member.host);
+  }
+  std::vector<HostId> ranked = RendezvousRank(StableHash(kRankHashKey), std::move(large));
+  const std::vector<HostId> last = RendezvousRank(StableHash(kRankHashKey), std::move(small));
+  ranked.insert(ranked.end(), last.begin(), last.end());
+  return ranked;
+}
+
 std::string EncodeHostRow(const MemberRecord& record) {
   return json{{"address", record.address},
               {"domain", RawId(record.domain)},
@@ -113,21 +138,25 @@
   }
   std::vector<HostId> hosts;
   for (const MemberRecord& member : members) {
-    if (member.state == MemberState::kAlive && member.capacity * 2 >= largest) {
+    if (member.state == MemberState::kAlive && IsLargeEnoughToServe(member.capacity, largest)) {
       hosts.push_back(member.host);
     }
   }
   return hosts;
 }
 
-std::map<DomainId, std::vector<HostId>> HostDirectory::UsableHostsByDomain() const {
-  std::map<DomainId, std::vector<HostId>> hosts;
+std::map<DomainId, std::vector<HostId>> HostDirectory::RankedHostsByDomain() const {
+  std::map<DomainId, std::vector<MemberRecord>> members;
   for (const MemberRecord& member : this->Members()) {
     if (member.state == MemberState::kAlive) {
-      hosts[member.domain].push_back(member.host);
+      members[member.domain].push_back(member);
     }
   }
-  return hosts;
+  std::map<DomainId, std::vector<HostId>> ranked;
+  for (const auto& [domain, domain_members] : members) {
+    ranked[domain] = RankMembers(domain_members);
+  }
+  return ranked;
 }
 
 bool HostDirectory::IsRegistered() const {
--- a/Libraries/LibMembership/host_directory.h
+++ b/Libraries/LibMembership/host_directory.h
@@ -22,6 +22,15 @@
                                           std::string_view value,
                                           Error& error);
 
+// True if a host of `capacity` may do work for other hosts in a group whose largest
+// host has the capacity `largest`. Smaller hosts would delay the others.
+bool IsLargeEnoughToServe(std::uint32_t capacity, std::uint32_t largest);
+
+// Ranks the hosts of a failure domain for work that one of them does for all, such
+// as reading the store: large hosts first, in the order of rendezvous hashing.
+// All hosts that know the same members return the same order.
+std::vector<HostId> RankMembers(const std::vector<MemberRecord>& members);
+
 // The hosts registered in the platform's store, with their reachability from
 // this host.
 class HostDirectory {
@@ -45,7 +54,8 @@
   // Usable hosts that may work as slot brokers: those with at least half of the
   // largest capacity among the usable hosts.
   std::vector<HostId> BrokerCandidates() const;
-  std::map<DomainId, std::vector<HostId>> UsableHostsByDomain() const;
+  // Usable hosts of each failure domain, ranked by RankMembers.
+  std::map<DomainId, std::vector<HostId>> RankedHostsByDomain() const;
   // True if the store holds the current record of this host. The incarnation is
   // not compared: a restart at the same address needs no new row.
   bool IsRegistered() const;
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -9,9 +9,6 @@
 namespace pimentopin {
 namespace {
 
-// Key of the rendezvous hashing of readers. All hosts must use the same one.
-constexpr std::string_view kReaderHashKey = "store-reader";
-
 std::vector<RelayedRow> ToRelayedRows(const std::vector<FeedRow>& rows) {
   std::vector<RelayedRow> relayed;
   for (const FeedRow& row : rows) {
@@ -30,10 +27,6 @@
 
 }  // namespace
 
-std::vector<HostId> RankHosts(std::vector<HostId> hosts) {
-  return RendezvousRank(StableHash(kReaderHashKey), std::move(hosts));
-}
-
 StoreRelay::StoreRelay(HostId self,
                        std::string address,
                        std::vector<Table> tables,
@@ -50,23 +43,23 @@
 }
 
 void StoreRelay::SetHosts(DomainId own_domain,
-                          const std::map<DomainId, std::vector<HostId>>& hosts) {
+                          const std::map<DomainId, std::vector<HostId>>& ranked_hosts) {
   this->ranking = {this->self};
   this->remote_readers.clear();
   this->other_hosts.clear();
-  for (const auto& [domain, members] : hosts) {
-    for (const HostId host : members) {
+  for (const auto& [domain, ranked] : ranked_hosts) {
+    for (const HostId host : ranked) {
       if (host != this->self) {
         this->other_hosts.push_back(host);
       }
     }
-    std::vector<HostId> ranked = RankHosts(members);
     if (domain == own_domain) {
-      this->ranking = std::move(ranked);
+      this->ranking = ranked;
       continue;
     }
-    ranked.resize(std::min(ranked.size(), kRemoteReadersPerDomain));
-    this->remote_readers.insert(this->remote_readers.end(), ranked.begin(), ranked.end());
+    const std::size_t readers = std::min(ranked.size(), kRemoteReadersPerDomain);
+    this->remote_readers.insert(this->remote_readers.end(), ranked.begin(),
+                                ranked.begin() + static_cast<std::ptrdiff_t>(readers));
   }
   std::erase_if(this->last_digest_at,
                 [this](const auto& entry) { return !Contains(this->ranking, entry.first); });
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -62,10 +62,6 @@
                                  RowsChanged,
                                  SendToHost>;
 
-// Ranks the hosts of a failure domain by rendezvous hashing. The first one reads the
-// store, and the next ones take over in this order.
-std::vector<HostId> RankHosts(std::vector<HostId> hosts);
-
 // Replicates the store's tables to every host with few reads. In each failure
 // domain one host, the reader, reads the changes and relays them to the others.
 // The next host in rank takes over when the reader's digests stop or report an
@@ -120,8 +116,10 @@
              std::vector<Table> tables,
              bool configuration_polled);
 
-  // Sets the usable hosts by failure domain, this host and its domain included.
-  void SetHosts(DomainId own_domain, const std::map<DomainId, std::vector<HostId>>& hosts);
+  // Sets the usable hosts by failure domain, this host and its domain included, in
+  // the order of RankMembers. The first one reads the store, and the next ones take
+  // over in this order.
+  void SetHosts(DomainId own_domain, const std::map<DomainId, std::vector<HostId>>& ranked_hosts);
   void SetConfigurationRevision(std::uint64_t revision) { this->revision = revision; }
 
   std::vector<RelayAction> OnRows(TimePoint now,
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -70,7 +70,7 @@
                                    [](SimulatedFleet& fleet) {
                                      fleet.store_up = false;
                                      fleet.loss_rate = 0.05;
-                                     fleet.document_bytes = 100'000;
+                                     fleet.document_content = std::string(100'000, 'x');
                                    });
   }
 
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -50,8 +50,9 @@
   record.address = !address.empty() ? std::move(address)
                                     : "10.20.130." + std::to_string(this->start_count % 250) + ":" +
                                           std::to_string(20000 + this->start_count);
-  record.domain = DomainId{1 + StableHash(name) % 3};
+  record.domain = DomainId{DomainOf(name)};
   record.incarnation = incarnation;
+  record.capacity = this->capacity_of(name);
   ++this->start_count;
   const auto host = std::make_shared<Host>(record);
   this->hosts[record.host] = host;
@@ -197,7 +198,7 @@
 }
 
 void SimulatedFleet::UpdateDirectory(Host& host) {
-  host.relay.SetHosts(host.directory.self().domain, host.directory.UsableHostsByDomain());
+  host.relay.SetHosts(host.directory.self().domain, host.directory.RankedHostsByDomain());
   host.tracker.SetMembers(host.directory.Members());
 }
 
@@ -217,10 +218,12 @@
 
 void SimulatedFleet::Send(Host& from, HostId to, Message message) {
   const HostId sender = from.directory.self().host;
-  if (this->use_codec) {
+  std::size_t frame_bytes = 0;
+  if (this->use_codec || this->link_bytes_per_second) {
     const std::string frame =
         EncodeFrame({sender, from.directory.self().domain, std::move(message)});
-    from.bytes_sent += frame.size();
+    frame_bytes = frame.size();
+    from.bytes_sent += frame_bytes;
     Error error;
     const auto decoded = DecodeFrame(std::string_view(frame).substr(kFramePrefixBytes), error);
     if (!decoded) {
@@ -239,8 +242,11 @@
   }
   const auto delay =
       500 + this->random.Below(static_cast<std::uint64_t>(this->max_latency.count()));
+  const TimePoint sent_at = this->TransferOver(sender, from.upload_free_at, frame_bytes);
+  const TimePoint received_at =
+      std::max(sent_at, this->TransferOver(to, receiver->second->download_free_at, frame_bytes));
   this->Schedule(
-      this->now + Duration(static_cast<Duration::rep>(delay)),
+      received_at + Duration(static_cast<Duration::rep>(delay)),
       [this, sender, weak_host = std::weak_ptr(receiver->second), message = std::move(message)] {
         this->RunOnHost(weak_host, [this, sender, weak_host, message] {
           this->Deliver(*weak_host.lock(), sender, message);
@@ -248,6 +254,18 @@
       });
 }
 
+TimePoint SimulatedFleet::TransferOver(HostId host,
+                                       TimePoint& link_free_at,
+                                       std::size_t bytes) const {
+  if (!this->link_bytes_per_second) {
+    return this->now;
+  }
+  const double seconds = static_cast<double>(bytes) / this->link_bytes_per_second(host);
+  link_free_at =
+      std::max(this->now, link_free_at) + Duration(static_cast<Duration::rep>(seconds * 1e6));
+  return link_free_at;
+}
+
 void SimulatedFleet::Deliver(Host& host, HostId sender, const Message& message) {
   if (const auto* digest = std::get_if<StoreDigest>(&message)) {
     host.learned_addresses[sender] = digest->address;
@@ -310,22 +328,30 @@
                                                 answered ? Error{} : no_answer));
     });
   } else if (std::holds_alternative<ReadNewestConfiguration>(action)) {
-    this->CallStore(host, [this](Host& reader, bool answered) {
-      if (answered && this->stored_document) {
-        this->Execute(reader, reader.tracker.OnDocument(this->now, *this->stored_document,
-                                                        DocumentSource::kStore));
-      }
-      reader.relay.OnConfigurationRead(this->now, answered);
-    });
+    const bool has_newer =
+        this->stored_document && this->stored_document->revision > host.tracker.revision();
+    this->CallStore(
+        host,
+        [this](Host& reader, bool answered) {
+          if (answered && this->stored_document) {
+            this->Execute(reader, reader.tracker.OnDocument(this->now, *this->stored_document,
+                                                            DocumentSource::kStore));
+          }
+          reader.relay.OnConfigurationRead(this->now, answered);
+        },
+        has_newer ? this->stored_document->content.size() : 0);
   }
 }
 
-void SimulatedFleet::CallStore(Host& host, std::function<void(Host&, bool)> on_result) {
+void SimulatedFleet::CallStore(Host& host,
+                               std::function<void(Host&, bool)> on_result,
+                               std::size_t response_bytes) {
   ++host.store_calls;
   const HostId id = host.directory.self().host;
   const std::weak_ptr<Host> weak_host = this->hosts.at(id);
   const auto delay = static_cast<Duration::rep>(2000 + this->random.Below(20'000));
-  this->Schedule(this->now + Duration(delay),
+  const TimePoint received_at = this->TransferOver(id, host.download_free_at, response_bytes);
+  this->Schedule(received_at + Duration(delay),
                  [this, id, weak_host, on_result = std::move(on_result)] {
                    const bool answered = this->store_up && !this->unanswered_hosts.contains(id);
                    this->RunOnHost(weak_host, [weak_host, answered, on_result] {
@@ -398,12 +424,16 @@
   }
 }
 
-ConfigurationDocument SimulatedFleet::Document(std::uint64_t revision, std::size_t size) {
-  return {.revision = revision, .base_revision = revision - 1, .content = std::string(size, 'x')};
+ConfigurationDocument SimulatedFleet::Document(std::uint64_t revision) const {
+  return {.revision = revision, .base_revision = revision - 1, .content = this->document_content};
+}
+
+void SimulatedFleet::CommitToStore(std::uint64_t revision) {
+  this->stored_document = this->Document(revision);
 }
 
 void SimulatedFleet::Commit(HostId host, std::uint64_t revision) {
-  const ConfigurationDocument document = Document(revision, this->document_bytes);
+  const ConfigurationDocument document = this->Document(revision);
   if (this->store_up) {
     this->stored_document = document;
   }
@@ -414,8 +444,8 @@
 
 void SimulatedFleet::DeliverDocument(HostId host, std::uint64_t revision) {
   Host& receiver = *this->hosts.at(host);
-  const ConfigurationDocument document = Document(revision, this->document_bytes);
-  this->Execute(receiver, receiver.tracker.OnDocument(this->now, document, DocumentSource::kPeer));
+  this->Execute(receiver, receiver.tracker.OnDocument(this->now, this->Document(revision),
+                                                      DocumentSource::kPeer));
 }
 
 bool SimulatedFleet::HasAdopted(HostId host, std::uint64_t revision) const {
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -44,10 +44,16 @@
     std::vector<std::function<void()>> deferred_events;
     std::uint64_t bytes_sent = 0;
     std::uint64_t store_calls = 0;
+    // Times at which the link has transferred everything that waits for it.
+    TimePoint upload_free_at;
+    TimePoint download_free_at;
   };
 
   explicit SimulatedFleet(std::uint64_t seed);
 
+  // Number of the failure domain of a host.
+  static std::uint64_t DomainOf(const std::string& name) { return 1 + StableHash(name) % 3; }
+
   // Starts `count` hosts with consecutive names and incarnations.
   void StartHosts(std::size_t count);
   // Starts a host. Starting the same name again is a restart, at a new address
@@ -70,11 +76,13 @@
 
   // Commits a document at a host, and writes it to the store if the store is up.
   void Commit(HostId host, std::uint64_t revision);
+  // Writes a document to the store as the platform's operator does.
+  void CommitToStore(std::uint64_t revision);
   bool HasAdopted(HostId host, std::uint64_t revision) const;
   bool AdoptedEverywhere(std::uint64_t revision) const;
   // Delivers a delayed copy of a document to a host.
   void DeliverDocument(HostId host, std::uint64_t revision);
-  static ConfigurationDocument Document(std::uint64_t revision, std::size_t size);
+  ConfigurationDocument Document(std::uint64_t revision) const;
 
   Host& GetHost(HostId host) { return *this->hosts.at(host); }
   std::vector<HostId> RunningHosts() const;
@@ -90,7 +98,13 @@
   bool store_up = true;
   // Hosts that the store does not answer.
   std::set<HostId> unanswered_hosts;
-  std::size_t document_bytes = 500;
+  std::string document_content = std::string(500, 'x');
+  // Capacity of a host that starts, in thousandths of a core.
+  std::function<std::uint32_t(const std::string& name)> capacity_of =
+      [](const std::string& /*name*/) { return 1000; };
+  // If set, the rate of a host's link in each direction. Messages and responses of the store wait
+  // for the link in order.
+  std::function<double(HostId host)> link_bytes_per_second;
   // Pairs of sender and receiver whose messages are all lost.
   std::set<std::pair<HostId, HostId>> cut_paths;
   // If set, each message is encoded and decoded, and its bytes are counted.
@@ -132,7 +146,12 @@
   void Execute(Host& host, const std::vector<RelayAction>& actions);
   void Execute(Host& host, const RelayAction& action);
   // Calls the store. `on_result` runs at the host after a delay.
-  void CallStore(Host& host, std::function<void(Host&, bool answered)> on_result);
+  // `response_bytes` is the size of the response.
+  void CallStore(Host& host,
+                 std::function<void(Host&, bool answered)> on_result,
+                 std::size_t response_bytes = 0);
+  // Returns when a host's link has transferred `bytes` more, and occupies the link until then.
+  TimePoint TransferOver(HostId host, TimePoint& link_free_at, std::size_t bytes) const;
   FeedBatch ReadRows(const std::string& table, std::uint64_t after, bool with_removed) const;
   void WriteRow(const std::string& table, const std::string& key, std::optional<std::string> value);
   void Register(Host& host);
