Protocol, Membership: Send large configuration documents compressed

Callers would see: 404 for routes that exist where all hosts of a failure domain have thin links, and documents above the frame limit of 1 MiB would never reach a host that does not read the store. A document of 280 KB also exceeds the backlog of a peer link (256 KB), so that the next frame to this peer dropped it.

Cause: documents were sent as text, one copy to each host of the domain.

Change: A host answers a request for a document above 4 KB with a CompressedConfigurationDocument (zlib). It compresses each revision once. ConfigurationRequest::accepts_compressed keeps hosts of earlier versions working: they neither set the flag nor receive the new message.

--- a/Libraries/LibHost/configuration_controller.cc
+++ b/Libraries/LibHost/configuration_controller.cc
@@ -5,6 +5,7 @@
 
 #include "Libraries/LibConfig/registered_target.h"
 #include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibProtocol/document_compression.h"
 
 namespace pimentopin {
 
@@ -37,6 +38,22 @@
   this->Execute(this->tracker.OnDocument(this->settings.clock(), document, document_source));
 }
 
+void ConfigurationController::OnCompressedDocument(
+    const CompressedConfigurationDocument& compressed) {
+  // Hosts offer a document repeatedly, and one with a known revision need not be decompressed.
+  if (compressed.document.revision <= this->tracker.revision()) {
+    return;
+  }
+  Error error;
+  const std::optional<ConfigurationDocument> document = Decompress(compressed, error);
+  if (!document) {
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"revision", compressed.document.revision}, {"findings", error.message}});
+    return;
+  }
+  this->OnDocument(*document, DocumentSource::kPeer);
+}
+
 void ConfigurationController::OnRevisionSeen(HostId host, std::uint64_t revision) {
   this->Execute(this->tracker.OnRevisionSeen(this->settings.clock(), host, revision));
 }
--- a/Libraries/LibHost/configuration_controller.h
+++ b/Libraries/LibHost/configuration_controller.h
@@ -47,6 +47,7 @@
   void OnRequest(HostId sender, const ConfigurationRequest& request);
   void OnDocument(const ConfigurationDocument& document, DocumentSource source);
   // Call when `host` is known to have `revision`.
+  void OnCompressedDocument(const CompressedConfigurationDocument& compressed);
   void OnRevisionSeen(HostId host, std::uint64_t revision);
   // Reads the newest configuration. `done` receives whether the store answered.
   void ReadNewest(std::function<void(bool responded)> done);
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -326,6 +326,9 @@
     this->configuration->OnRequest(envelope.sender, *request);
   } else if (const auto* document = std::get_if<ConfigurationDocument>(&envelope.message)) {
     this->configuration->OnDocument(*document, DocumentSource::kPeer);
+  } else if (const auto* compressed =
+                 std::get_if<CompressedConfigurationDocument>(&envelope.message)) {
+    this->configuration->OnCompressedDocument(*compressed);
   } else {
     this->dispatch->OnMessage(envelope);
   }
--- a/Libraries/LibMembership/configuration_tracker.cc
+++ b/Libraries/LibMembership/configuration_tracker.cc
@@ -5,6 +5,7 @@
 
 #include "Libraries/LibCore/contains.h"
 #include "Libraries/LibMembership/host_directory.h"
+#include "Libraries/LibProtocol/document_compression.h"
 
 namespace pimentopin {
 namespace {
@@ -49,6 +50,7 @@
   // Copied because `adopted` may refer to the candidate, which is reset below.
   const ConfigurationDocument document = adopted;
   this->current = document;
+  this->compressed_current.reset();
   this->candidate.reset();
   this->candidate_deadline.reset();
   this->requested_at.clear();
@@ -108,10 +110,18 @@
 
 std::vector<ConfigurationAction> ConfigurationTracker::OnRequest(
     HostId sender,
-    const ConfigurationRequest& request) const {
+    const ConfigurationRequest& request) {
   if (!this->current || request.known_revision >= this->current->revision) {
     return {};
   }
+  if (request.accepts_compressed && this->current->content.size() > kMaxPushedContentBytes) {
+    if (!this->compressed_current) {
+      this->compressed_current = Compress(*this->current);
+    }
+    if (this->compressed_current) {
+      return {SendToHost{sender, *this->compressed_current}};
+    }
+  }
   return {SendToHost{sender, *this->current}};
 }
 
--- a/Libraries/LibMembership/configuration_tracker.h
+++ b/Libraries/LibMembership/configuration_tracker.h
@@ -54,8 +54,7 @@
   std::vector<ConfigurationAction> OnRevisionSeen(TimePoint now,
                                                   HostId host,
                                                   std::uint64_t revision);
-  std::vector<ConfigurationAction> OnRequest(HostId sender,
-                                             const ConfigurationRequest& request) const;
+  std::vector<ConfigurationAction> OnRequest(HostId sender, const ConfigurationRequest& request);
   // Adopts the best document of the startup window once the window has ended.
   std::vector<ConfigurationAction> Tick(TimePoint now);
   // Time of the next required Tick; std::nullopt if none is required.
@@ -80,6 +79,8 @@
   // Reachable hosts, this one included.
   std::map<DomainId, std::vector<MemberRecord>> members_by_domain;
   std::optional<ConfigurationDocument> current;
+  // `current` with compressed content, once a host has requested it.
+  std::optional<CompressedConfigurationDocument> compressed_current;
   // Document with the highest revision received in the startup window.
   std::optional<ConfigurationDocument> candidate;
   std::optional<TimePoint> candidate_deadline;
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -53,6 +53,13 @@
     return static_cast<std::uint8_t>(value);
   }
 
+  Offset<flatbuffers::Vector<std::uint8_t>> EncodeBytes(const std::string& bytes) {
+    this->CheckLimit(bytes.size() <= kMaxFramePayloadBytes);
+    return bytes.empty() ? Offset<flatbuffers::Vector<std::uint8_t>>()
+                         : this->builder.CreateVector(
+                               reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+  }
+
   // Empty strings and lists are omitted; the decoder reads absent ones as empty.
   Offset<flatbuffers::String> EncodeString(const std::string& text, std::size_t limit) {
     this->CheckLimit(text.size() <= limit);
@@ -210,12 +217,7 @@
     std::vector<Offset<wire::RelayedRow>> rows;
     for (const RelayedRow& row : value.rows) {
       const auto key = this->EncodeString(row.key, kMaxWireNameBytes);
-      this->CheckLimit(row.value.size() <= kMaxFramePayloadBytes);
-      const auto bytes =
-          row.value.empty()
-              ? Offset<flatbuffers::Vector<std::uint8_t>>()
-              : this->builder.CreateVector(reinterpret_cast<const std::uint8_t*>(row.value.data()),
-                                           row.value.size());
+      const auto bytes = this->EncodeBytes(row.value);
       rows.push_back(wire::CreateRelayedRow(this->builder, key, row.version, bytes, row.removed));
     }
     const auto list = this->EncodeTables(rows);
@@ -237,17 +239,30 @@
 
   TypedMessage EncodeMessage(const ConfigurationRequest& value) {
     return {wire::Message::ConfigurationRequest,
-            wire::CreateConfigurationRequest(this->builder, value.known_revision).Union()};
+            wire::CreateConfigurationRequest(this->builder, value.known_revision,
+                                             value.accepts_compressed)
+                .Union()};
   }
 
   TypedMessage EncodeMessage(const ConfigurationDocument& value) {
+    return {wire::Message::ConfigurationDocument, this->EncodeDocument(value).Union()};
+  }
+
+  TypedMessage EncodeMessage(const CompressedConfigurationDocument& value) {
+    const auto document = this->EncodeDocument(value.document);
+    const auto content = this->EncodeBytes(value.compressed_content);
+    return {wire::Message::CompressedConfigurationDocument,
+            wire::CreateCompressedConfigurationDocument(this->builder, document,
+                                                        value.content_bytes, content)
+                .Union()};
+  }
+
+  Offset<wire::ConfigurationDocument> EncodeDocument(const ConfigurationDocument& value) {
     const auto change_id = this->EncodeString(value.change_id, kMaxWireNameBytes);
     const auto author = this->EncodeString(value.author, kMaxWireNameBytes);
     const auto content = this->EncodeString(value.content, kMaxFramePayloadBytes);
-    return {wire::Message::ConfigurationDocument,
-            wire::CreateConfigurationDocument(this->builder, value.revision, value.base_revision,
-                                              change_id, author, value.committed_at_ms, content)
-                .Union()};
+    return wire::CreateConfigurationDocument(this->builder, value.revision, value.base_revision,
+                                             change_id, author, value.committed_at_ms, content);
   }
 
   FlatBufferBuilder builder;
@@ -309,11 +324,16 @@
         break;
       case wire::Message::ConfigurationRequest:
         result.message =
-            ConfigurationRequest{envelope.message_as_ConfigurationRequest()->known_revision()};
+            ConfigurationRequest{envelope.message_as_ConfigurationRequest()->known_revision(),
+                                 envelope.message_as_ConfigurationRequest()->accepts_compressed()};
         break;
       case wire::Message::ConfigurationDocument:
         result.message = this->DecodeMessage(*envelope.message_as_ConfigurationDocument());
         break;
+      case wire::Message::CompressedConfigurationDocument:
+        result.message =
+            this->DecodeMessage(*envelope.message_as_CompressedConfigurationDocument());
+        break;
       case wire::Message::ProbeReport:
         result.message = this->DecodeMessage(*envelope.message_as_ProbeReport());
         break;
@@ -364,6 +384,13 @@
     return this->ConsumeBytes(text->size()) ? text->str() : std::string();
   }
 
+  std::string DecodeBytes(const flatbuffers::Vector<std::uint8_t>* bytes) {
+    if (bytes == nullptr || !this->ConsumeBytes(bytes->size())) {
+      return {};
+    }
+    return {reinterpret_cast<const char*>(bytes->Data()), bytes->size()};
+  }
+
   // Returns the number of elements to read, 0 for an absent or invalid list.
   template <typename Vector>
   std::uint32_t ElementCount(const Vector* list) {
@@ -536,9 +563,7 @@
       RelayedRow read{.key = this->DecodeString(row.key(), kMaxWireNameBytes),
                       .version = row.version(),
                       .removed = row.removed()};
-      if (row.value() != nullptr && this->ConsumeBytes(row.value()->size())) {
-        read.value.assign(reinterpret_cast<const char*>(row.value()->Data()), row.value()->size());
-      }
+      read.value = this->DecodeBytes(row.value());
       relay.rows.push_back(std::move(read));
     }
     return relay;
@@ -553,6 +578,17 @@
             .content = this->DecodeString(value.content(), kMaxFramePayloadBytes)};
   }
 
+  CompressedConfigurationDocument DecodeMessage(
+      const wire::CompressedConfigurationDocument& value) {
+    if (value.document() == nullptr) {
+      this->Reject("compressed document has no metadata");
+      return {};
+    }
+    return {.document = this->DecodeMessage(*value.document()),
+            .content_bytes = value.content_bytes(),
+            .compressed_content = this->DecodeBytes(value.compressed_content())};
+  }
+
   Error& error;
   // Number of bytes of lists and strings that may still be decoded.
   std::size_t remaining_bytes;
--- a/Libraries/LibProtocol/envelope.h
+++ b/Libraries/LibProtocol/envelope.h
@@ -23,7 +23,8 @@
                              ConfigurationOffer,
                              ConfigurationRequest,
                              ConfigurationDocument,
-                             ProbeReport>;
+                             ProbeReport,
+                             CompressedConfigurationDocument>;
 
 // A message with its sender's host and failure domain.
 struct Envelope {
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -128,6 +128,9 @@
 // `known_revision`.
 struct ConfigurationRequest {
   std::uint64_t known_revision = 0;
+  // True if the response may be a CompressedConfigurationDocument. Hosts of earlier versions do not
+  // set it.
+  bool accepts_compressed = true;
 
   friend bool operator==(const ConfigurationRequest&, const ConfigurationRequest&) = default;
 };
@@ -146,4 +149,16 @@
   friend bool operator==(const ConfigurationDocument&, const ConfigurationDocument&) = default;
 };
 
+// A document with compressed content, see document_compression.h.
+struct CompressedConfigurationDocument {
+  // Its content is empty.
+  ConfigurationDocument document;
+  // Size of the content before compression.
+  std::uint32_t content_bytes = 0;
+  std::string compressed_content;
+
+  friend bool operator==(const CompressedConfigurationDocument&,
+                         const CompressedConfigurationDocument&) = default;
+};
+
 }  // namespace pimentopin
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -78,6 +78,9 @@
 struct ConfigurationDocument;
 struct ConfigurationDocumentBuilder;
 
+struct CompressedConfigurationDocument;
+struct CompressedConfigurationDocumentBuilder;
+
 struct ProbeReport;
 struct ProbeReportBuilder;
 
@@ -102,11 +105,12 @@
   ConfigurationRequest = 14,
   ConfigurationDocument = 15,
   ProbeReport = 16,
+  CompressedConfigurationDocument = 17,
   MIN = NONE,
-  MAX = ProbeReport
+  MAX = CompressedConfigurationDocument
 };
 
-inline const Message (&EnumValuesMessage())[17] {
+inline const Message (&EnumValuesMessage())[18] {
   static const Message values[] = {
     Message::NONE,
     Message::SlotRequest,
@@ -124,13 +128,14 @@
     Message::ConfigurationOffer,
     Message::ConfigurationRequest,
     Message::ConfigurationDocument,
-    Message::ProbeReport
+    Message::ProbeReport,
+    Message::CompressedConfigurationDocument
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[18] = {
+  static const char * const names[19] = {
     "NONE",
     "SlotRequest",
     "SlotCancel",
@@ -148,13 +153,14 @@
     "ConfigurationRequest",
     "ConfigurationDocument",
     "ProbeReport",
+    "CompressedConfigurationDocument",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ProbeReport)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CompressedConfigurationDocument)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -227,6 +233,10 @@
   static const Message enum_value = Message::ProbeReport;
 };
 
+template<> struct MessageTraits<pimentopin::wire::CompressedConfigurationDocument> {
+  static const Message enum_value = Message::CompressedConfigurationDocument;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -1842,14 +1852,19 @@
   typedef ConfigurationRequestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KNOWN_REVISION = 4
+    VT_KNOWN_REVISION = 4,
+    VT_ACCEPTS_COMPRESSED = 6
   };
   uint64_t known_revision() const {
     return GetField<uint64_t>(VT_KNOWN_REVISION, 0);
   }
+  bool accepts_compressed() const {
+    return GetField<uint8_t>(VT_ACCEPTS_COMPRESSED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_KNOWN_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_COMPRESSED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1861,6 +1876,9 @@
   void add_known_revision(uint64_t known_revision) {
     fbb_.AddElement<uint64_t>(ConfigurationRequest::VT_KNOWN_REVISION, known_revision, 0);
   }
+  void add_accepts_compressed(bool accepts_compressed) {
+    fbb_.AddElement<uint8_t>(ConfigurationRequest::VT_ACCEPTS_COMPRESSED, static_cast<uint8_t>(accepts_compressed), 0);
+  }
   explicit ConfigurationRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1874,9 +1892,11 @@
 
 inline flatbuffers::Offset<ConfigurationRequest> CreateConfigurationRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t known_revision = 0) {
+    uint64_t known_revision = 0,
+    bool accepts_compressed = false) {
   ConfigurationRequestBuilder builder_(_fbb);
   builder_.add_known_revision(known_revision);
+  builder_.add_accepts_compressed(accepts_compressed);
   return builder_.Finish();
 }
 
@@ -2006,6 +2026,88 @@
       content__);
 }
 
+struct CompressedConfigurationDocument FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CompressedConfigurationDocumentBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DOCUMENT = 4,
+    VT_CONTENT_BYTES = 6,
+    VT_COMPRESSED_CONTENT = 8
+  };
+  const pimentopin::wire::ConfigurationDocument *document() const {
+    return GetPointer<const pimentopin::wire::ConfigurationDocument *>(VT_DOCUMENT);
+  }
+  uint32_t content_bytes() const {
+    return GetField<uint32_t>(VT_CONTENT_BYTES, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *compressed_content() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COMPRESSED_CONTENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyTable(document()) &&
+           VerifyField<uint32_t>(verifier, VT_CONTENT_BYTES, 4) &&
+           VerifyOffset(verifier, VT_COMPRESSED_CONTENT) &&
+           verifier.VerifyVector(compressed_content()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CompressedConfigurationDocumentBuilder {
+  typedef CompressedConfigurationDocument Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_document(flatbuffers::Offset<pimentopin::wire::ConfigurationDocument> document) {
+    fbb_.AddOffset(CompressedConfigurationDocument::VT_DOCUMENT, document);
+  }
+  void add_content_bytes(uint32_t content_bytes) {
+    fbb_.AddElement<uint32_t>(CompressedConfigurationDocument::VT_CONTENT_BYTES, content_bytes, 0);
+  }
+  void add_compressed_content(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed_content) {
+    fbb_.AddOffset(CompressedConfigurationDocument::VT_COMPRESSED_CONTENT, compressed_content);
+  }
+  explicit CompressedConfigurationDocumentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CompressedConfigurationDocument> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CompressedConfigurationDocument>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CompressedConfigurationDocument> CreateCompressedConfigurationDocument(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<pimentopin::wire::ConfigurationDocument> document = 0,
+    uint32_t content_bytes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> compressed_content = 0) {
+  CompressedConfigurationDocumentBuilder builder_(_fbb);
+  builder_.add_compressed_content(compressed_content);
+  builder_.add_content_bytes(content_bytes);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+struct CompressedConfigurationDocument::Traits {
+  using type = CompressedConfigurationDocument;
+  static auto constexpr Create = CreateCompressedConfigurationDocument;
+};
+
+inline flatbuffers::Offset<CompressedConfigurationDocument> CreateCompressedConfigurationDocumentDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<pimentopin::wire::ConfigurationDocument> document = 0,
+    uint32_t content_bytes = 0,
+    const std::vector<uint8_t> *compressed_content = nullptr) {
+  auto compressed_content__ = compressed_content ? _fbb.CreateVector<uint8_t>(*compressed_content) : 0;
+  return pimentopin::wire::CreateCompressedConfigurationDocument(
+      _fbb,
+      document,
+      content_bytes,
+      compressed_content__);
+}
+
 struct ProbeReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ProbeReportBuilder Builder;
   struct Traits;
@@ -2153,6 +2255,9 @@
   const pimentopin::wire::ProbeReport *message_as_ProbeReport() const {
     return message_type() == pimentopin::wire::Message::ProbeReport ? static_cast<const pimentopin::wire::ProbeReport *>(message()) : nullptr;
   }
+  const pimentopin::wire::CompressedConfigurationDocument *message_as_CompressedConfigurationDocument() const {
+    return message_type() == pimentopin::wire::Message::CompressedConfigurationDocument ? static_cast<const pimentopin::wire::CompressedConfigurationDocument *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SENDER, 8) &&
@@ -2228,6 +2333,10 @@
   return message_as_ProbeReport();
 }
 
+template<> inline const pimentopin::wire::CompressedConfigurationDocument *Envelope::message_as<pimentopin::wire::CompressedConfigurationDocument>() const {
+  return message_as_CompressedConfigurationDocument();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2343,6 +2452,10 @@
       auto ptr = reinterpret_cast<const pimentopin::wire::ProbeReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::CompressedConfigurationDocument: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::CompressedConfigurationDocument *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "Libraries/LibProtocol/codec.h"
+#include "Libraries/LibProtocol/document_compression.h"
 
 namespace pimentopin {
 namespace {
@@ -282,6 +283,13 @@
     this->Execute(host, host.tracker.OnRequest(sender, *request));
   } else if (const auto* document = std::get_if<ConfigurationDocument>(&message)) {
     this->Execute(host, host.tracker.OnDocument(this->now, *document, DocumentSource::kPeer));
+  } else if (const auto* compressed = std::get_if<CompressedConfigurationDocument>(&message)) {
+    Error error;
+    const auto restored = Decompress(*compressed, error);
+    if (!restored) {
+      throw std::runtime_error(error.message);
+    }
+    this->Execute(host, host.tracker.OnDocument(this->now, *restored, DocumentSource::kPeer));
   }
 }
 
--- a/Tests/LibMembership/thin_link_test.cc
+++ b/Tests/LibMembership/thin_link_test.cc
@@ -51,6 +51,7 @@
 class ThinLinkTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ThinLinkTest);
   CPPUNIT_TEST(TestLargeDocumentReachesHostsOfUnequalSizeInTime);
+  CPPUNIT_TEST(TestLargeDocumentReachesThinHostsInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,6 +61,9 @@
     ExpectAdoptionInTime(kLargeHostsPerDomain);
   }
 
+  // Guards against documents that fill the link of their sender where all links are thin.
+  void TestLargeDocumentReachesThinHostsInTime() { ExpectAdoptionInTime(0); }
+
  private:
   static void ExpectAdoptionInTime(std::size_t large_hosts_per_domain) {
     Duration worst{};
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -178,7 +178,8 @@
 
 inline rc::Gen<ConfigurationRequest> AnyConfigurationRequest() {
   return rc::gen::build<ConfigurationRequest>(
-      rc::gen::set(&ConfigurationRequest::known_revision, AnyInteger()));
+      rc::gen::set(&ConfigurationRequest::known_revision, AnyInteger()),
+      rc::gen::set(&ConfigurationRequest::accepts_compressed));
 }
 
 inline rc::Gen<ConfigurationDocument> AnyConfigurationDocument() {
@@ -191,6 +192,14 @@
       rc::gen::set(&ConfigurationDocument::content, rc::gen::arbitrary<std::string>()));
 }
 
+inline rc::Gen<CompressedConfigurationDocument> AnyCompressedConfigurationDocument() {
+  return rc::gen::build<CompressedConfigurationDocument>(
+      rc::gen::set(&CompressedConfigurationDocument::document, AnyConfigurationDocument()),
+      rc::gen::set(&CompressedConfigurationDocument::content_bytes),
+      rc::gen::set(&CompressedConfigurationDocument::compressed_content,
+                   rc::gen::arbitrary<std::string>()));
+}
+
 inline rc::Gen<ProbeReport> AnyProbeReport() {
   return rc::gen::build<ProbeReport>(
       rc::gen::set(&ProbeReport::service, AnyId<ServiceId>()),
@@ -226,7 +235,8 @@
           EnvelopeOf(AnyConfigurationOffer()),
           EnvelopeOf(AnyConfigurationRequest()),
           EnvelopeOf(AnyConfigurationDocument()),
-          EnvelopeOf(AnyProbeReport())};
+          EnvelopeOf(AnyProbeReport()),
+          EnvelopeOf(AnyCompressedConfigurationDocument())};
 }
 
 }  // namespace pimentopin
