--- a/Libraries/LibMembership/configuration_tracker.cc
+++ b/Libraries/LibMembership/configuration_tracker.cc
@@ -4,7 +4,8 @@
 #include <utility>
 
 #include "Libraries/LibCore/contains.h"
-#include "Libraries/LibMembership/store_relay.h"
+#include "Libraries/LibMembership/host_directory.h"
+#include "Libraries/LibProtocol/document_compression.h"
 
 namespace pimentopin {
 namespace {
@@ -18,10 +19,10 @@
     : self(host), domain(host_domain) {}
 
 void ConfigurationTracker::SetMembers(const std::vector<MemberRecord>& members) {
-  this->hosts_by_domain.clear();
+  this->members_by_domain.clear();
   for (const MemberRecord& member : members) {
-    if (member.host != this->self && member.state != MemberState::kUnreachable) {
-      this->hosts_by_domain[member.domain].push_back(member.host);
+    if (member.state != MemberState::kUnreachable) {
+      this->members_by_domain[member.domain].push_back(member);
     }
   }
 }
@@ -49,6 +50,7 @@
   // Copied because `adopted` may refer to the candidate, which is reset below.
   const ConfigurationDocument document = adopted;
   this->current = document;
+  this->compressed_current.reset();
   this->candidate.reset();
   this->candidate_deadline.reset();
   this->requested_at.clear();
@@ -58,10 +60,12 @@
   if (!forwards) {
     return actions;
   }
-  for (const auto& [other, hosts] : this->hosts_by_domain) {
+  for (const auto& [other, members] : this->members_by_domain) {
     if (other == this->domain) {
-      for (const HostId host : hosts) {
-        actions.emplace_back(SendToHost{host, this->DocumentOrOffer()});
+      for (const MemberRecord& member : members) {
+        if (member.host != this->self) {
+          actions.emplace_back(SendToHost{member.host, this->DocumentOrOffer()});
+        }
       }
     } else if (source == DocumentSource::kStore) {
       for (const HostId host : this->RelayHosts(other)) {
@@ -73,13 +77,11 @@
 }
 
 std::vector<HostId> ConfigurationTracker::RelayHosts(DomainId relay_domain) const {
-  const auto found = this->hosts_by_domain.find(relay_domain);
-  std::vector<HostId> hosts =
-      found == this->hosts_by_domain.end() ? std::vector<HostId>() : found->second;
-  if (relay_domain == this->domain) {
-    hosts.push_back(this->self);
+  const auto found = this->members_by_domain.find(relay_domain);
+  if (found == this->members_by_domain.end()) {
+    return {};
   }
-  hosts = RankHosts(std::move(hosts));
+  std::vector<HostId> hosts = RankMembers(found->second);
   hosts.resize(std::min(hosts.size(), kRelaysPerDomain));
   return hosts;
 }
@@ -108,10 +110,18 @@
 
 std::vector<ConfigurationAction> ConfigurationTracker::OnRequest(
     HostId sender,
-    const ConfigurationRequest& request) const {
+    const ConfigurationRequest& request) {
   if (!this->current || request.known_revision >= this->current->revision) {
     return {};
   }
+  if (request.accepts_compressed && this->current->content.size() > kMaxPushedContentBytes) {
+    if (!this->compressed_current) {
+      this->compressed_current = Compress(*this->current);
+    }
+    if (this->compressed_current) {
+      return {SendToHost{sender, *this->compressed_current}};
+    }
+  }
   return {SendToHost{sender, *this->current}};
 }
 
--- a/Libraries/LibMembership/configuration_tracker.h
+++ b/Libraries/LibMembership/configuration_tracker.h
@@ -44,6 +44,7 @@
 
   ConfigurationTracker(HostId self, DomainId domain);
 
+  // Sets all known hosts, this one included.
   void SetMembers(const std::vector<MemberRecord>& members);
   // Handles a committed document. Lower or equal revisions are ignored.
   std::vector<ConfigurationAction> OnDocument(TimePoint now,
@@ -53,8 +54,7 @@
   std::vector<ConfigurationAction> OnRevisionSeen(TimePoint now,
                                                   HostId host,
                                                   std::uint64_t revision);
-  std::vector<ConfigurationAction> OnRequest(HostId sender,
-                                             const ConfigurationRequest& request) const;
+  std::vector<ConfigurationAction> OnRequest(HostId sender, const ConfigurationRequest& request);
   // Adopts the best document of the startup window once the window has ended.
   std::vector<ConfigurationAction> Tick(TimePoint now);
   // Time of the next required Tick; std::nullopt if none is required.
@@ -76,8 +76,11 @@
 
   HostId self;
   DomainId domain;
-  std::map<DomainId, std::vector<HostId>> hosts_by_domain;
+  // Reachable hosts, this one included.
+  std::map<DomainId, std::vector<MemberRecord>> members_by_domain;
   std::optional<ConfigurationDocument> current;
+  // `current` with compressed content, once a host has requested it.
+  std::optional<CompressedConfigurationDocument> compressed_current;
   // Document with the highest revision received in the startup window.
   std::optional<ConfigurationDocument> candidate;
   std::optional<TimePoint> candidate_deadline;
