Idempotency: Store the last response of an idle host

Seen: a caller sent three keyed requests in sequence to one host and later the same keys to another one. The first two responses were replayed; the last key got 409 in-progress-or-lost, for as long as the first host received no other keyed request, and for ever after a graceful stop of that host. A released key also stayed claimed for that time. No request ran twice.

Cause: the host process set the alarm of ClaimStore::Tick only when a keyed request arrived, and Tick repeated only while writes were pending. Between the claim and the end of the request nothing is pending, so the alarm was off when Complete or Release scheduled its write. The flush of a graceful stop waited 2 s for that write without a Tick and logged unconfirmed_writes 1. The tests called Tick every 5 ms by themselves.

Change: ClaimStore takes a TickScheduler and requests Tick in Claim, Complete and Release, and in Tick while writes are pending. The host process only passes the requests to its alarm; the batch delay moves into ClaimStore. The tests call Tick only on request, as the host does.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -37,8 +37,6 @@
 constexpr Duration kIsolationWindow = std::chrono::seconds(4);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 constexpr Duration kProbeTickInterval = std::chrono::milliseconds(100);
-// Claims that arrive within this time are sent in one batch.
-constexpr Duration kClaimBatchDelay = std::chrono::milliseconds(5);
 constexpr Duration kCommitRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
 // Limits how long pending writes to the platform delay the exit.
@@ -71,8 +69,6 @@
   // Limits that apply unless the configuration sets its own.
   RequestLimits DefaultRequestLimits() const;
   void ScheduleTasks();
-  // Runs the claim store and repeats while writes are pending.
-  void TickClaims();
   void WaitForSignals();
   void OnPeerMessage(const Envelope& envelope);
   void OnCallerRequest(HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder);
@@ -158,15 +154,9 @@
         *this->store, this->adapter.configuration_table, this->adapter.configuration_key,
         this->adapter.read_configuration, StoreRelay::kLongPollTimeout);
   }
-  this->claims = std::make_unique<ClaimStore>(*this->store);
-  this->claims_alarm = this->loop.CreateAlarm([this] { this->TickClaims(); });
-}
-
-void HostProcess::TickClaims() {
-  this->claims->Tick(SteadyNow());
-  if (this->claims->pending_writes() > 0) {
-    this->claims_alarm->Set(SteadyNow() + kClaimBatchDelay);
-  }
+  this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
+  this->claims = std::make_unique<ClaimStore>(
+      *this->store, [this](TimePoint when) { this->claims_alarm->Set(when); });
 }
 
 bool HostProcess::CreatePeers(Error& error) {
@@ -354,12 +344,7 @@
   exchange->request_id = std::move(request_id);
   exchange->responder = responder;
   auto shared = std::make_shared<Exchange>(std::move(*exchange));
-  this->loop.Post([this, shared] {
-    this->dispatch->Submit(shared);
-    if (shared->claim_key) {
-      this->claims_alarm->Set(SteadyNow() + kClaimBatchDelay);
-    }
-  });
+  this->loop.Post([this, shared] { this->dispatch->Submit(shared); });
 }
 
 std::string HostProcess::NewRequestId() {
--- a/Libraries/LibIdempotency/claim_store.cc
+++ b/Libraries/LibIdempotency/claim_store.cc
@@ -21,8 +21,10 @@
 
 }  // namespace
 
-ClaimStore::ClaimStore(TableStore& store)
-    : table(store), alive(std::make_shared<ClaimStore*>(this)) {}
+ClaimStore::ClaimStore(TableStore& store, TickScheduler tick_scheduler)
+    : table(store),
+      schedule_tick(std::move(tick_scheduler)),
+      alive(std::make_shared<ClaimStore*>(this)) {}
 
 void ClaimStore::Claim(TimePoint now,
                        const ClaimKey& key,
@@ -40,6 +42,7 @@
   entry.callback = std::move(callback);
   entry.started_at = now;
   this->StartStep(entry, Phase::kClaiming, Step::kWrite, now);
+  this->schedule_tick(now + kBatchDelay);
 }
 
 void ClaimStore::Complete(TimePoint now, AttemptId attempt, StoredResponse response) {
@@ -53,6 +56,7 @@
   }
   found->second.response = std::move(response);
   this->StartStep(found->second, Phase::kCompleting, Step::kWrite, now);
+  this->schedule_tick(now + kBatchDelay);
 }
 
 void ClaimStore::Release(TimePoint now, AttemptId attempt) {
@@ -60,6 +64,7 @@
   const auto found = this->entries.find(attempt);
   if (found != this->entries.end() && found->second.phase == Phase::kHeld) {
     this->StartStep(found->second, Phase::kReleasing, Step::kWrite, now);
+    this->schedule_tick(now + kBatchDelay);
   }
 }
 
@@ -110,6 +115,9 @@
       this->SendRead(now, attempt, found->second);
     }
   }
+  if (this->pending_writes() > 0) {
+    this->schedule_tick(now + kBatchDelay);
+  }
 }
 
 void ClaimStore::SendWrites(TimePoint now) {
--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -73,8 +73,14 @@
   // Limits on the number of writes and the bytes of values in one call of the table.
   static constexpr std::size_t kMaxBatchWrites = 128;
   static constexpr std::size_t kMaxBatchBytes = 512 * 1024;
+  // Claims that arrive within this time are sent in one batch.
+  static constexpr Duration kBatchDelay = std::chrono::milliseconds(5);
 
-  explicit ClaimStore(TableStore& table);
+  // Arranges a call of Tick at `when` or soon after. Of several times requested before that
+  // call, only the earliest counts. Must not call Tick itself.
+  using TickScheduler = std::function<void(TimePoint when)>;
+
+  ClaimStore(TableStore& table, TickScheduler schedule_tick);
 
   // Claims the key and calls `callback` once. After kRun, the claim must be ended with
   // Complete, Release or Abandon. `attempt` must be unique over the fleet.
@@ -92,7 +98,8 @@
   // Drops a request that was sent and whose result is unknown: the row stays claimed
   // forever. No effect unless the claim is held.
   void Abandon(AttemptId attempt);
-  // Sends batched writes and retries. Must be called every 5 ms.
+  // Sends batched writes and retries. While writes are pending, the TickScheduler is asked for
+  // the next call, which is every kBatchDelay.
   void Tick(TimePoint now);
   // Number of unconfirmed writes; must be zero before a clean exit.
   std::size_t pending_writes() const;
@@ -133,6 +140,7 @@
   Entry* Find(AttemptId attempt, std::uint64_t operation_id);
 
   TableStore& table;
+  const TickScheduler schedule_tick;
   std::map<AttemptId, Entry> entries;
   // Time of the last call; replies of the table carry no time.
   TimePoint last_call_at{};
--- a/Tests/LibIdempotency/claim_store_test.cc
+++ b/Tests/LibIdempotency/claim_store_test.cc
@@ -19,7 +19,8 @@
 constexpr std::uint64_t kSeeds = 1000;
 constexpr Fingerprint kFingerprint{42};
 
-// A host with a claim store that can be paused and restarted.
+// A host with a claim store that can be paused and restarted. It calls Tick only when the claim
+// store asks for it, as the host process does.
 struct SimulatedHost {
   explicit SimulatedHost(FaultyDatabase& shared_database)
       : database(shared_database),
@@ -31,17 +32,30 @@
                   action();
                 }
               }),
-        claim_store(std::make_unique<ClaimStore>(this->table)) {
-    this->Tick();
-  }
+        claim_store(this->CreateClaimStore()) {}
 
-  void Tick() {
-    this->database.ScheduleAt(this->database.now + milliseconds(5), [this] {
-      if (!this->paused) {
-        this->claim_store->Tick(this->database.now);
-      }
-      this->Tick();
-    });
+  std::unique_ptr<ClaimStore> CreateClaimStore() {
+    return std::make_unique<ClaimStore>(this->table,
+                                        [this](TimePoint when) { this->ScheduleTick(when); });
+  }
+  // Keeps the earliest requested time only.
+  void ScheduleTick(TimePoint when) {
+    if (this->next_tick && *this->next_tick <= when) {
+      return;
+    }
+    this->next_tick = when;
+    this->database.ScheduleAt(when, [this, when] { this->OnTickDue(when); });
+  }
+  void OnTickDue(TimePoint when) {
+    if (this->next_tick != when) {
+      return;
+    }
+    if (this->paused) {
+      this->queued_callbacks.push_back([this, when] { this->OnTickDue(when); });
+      return;
+    }
+    this->next_tick.reset();
+    this->claim_store->Tick(this->database.now);
   }
   void Pause(Duration duration) {
     this->paused = true;
@@ -56,12 +70,15 @@
   void Restart() {
     ++this->restart_count;
     this->queued_callbacks.clear();
-    this->claim_store = std::make_unique<ClaimStore>(this->table);
+    this->next_tick.reset();
+    this->claim_store = this->CreateClaimStore();
   }
 
   FaultyDatabase& database;
   FaultyTable table;
   std::unique_ptr<ClaimStore> claim_store;
+  // Time of the earliest requested call of Tick.
+  std::optional<TimePoint> next_tick;
   bool paused = false;
   std::uint64_t restart_count = 0;
   std::vector<std::function<void()>> queued_callbacks;
@@ -185,6 +202,9 @@
   CPPUNIT_TEST(TestTableDownMeansNotRun);
   CPPUNIT_TEST(TestLateClaimCannotApplyAfterTimeout);
   CPPUNIT_TEST(TestDecisionsByRow);
+  CPPUNIT_TEST(TestLastResponseOfIdleHostIsStored);
+  CPPUNIT_TEST(TestLastClaimOfIdleHostIsReleased);
+  CPPUNIT_TEST(TestIdleStoreRequestsNoTick);
   CPPUNIT_TEST(TestCompletionIsRetriedWhileTableIsDown);
   CPPUNIT_TEST(TestLargeBodyIsNotStored);
   CPPUNIT_TEST(TestWritesAreBatched);
@@ -335,6 +355,51 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
   }
 
+  // Guards against a response that stays unwritten until the next keyed request arrives.
+  void TestLastResponseOfIdleHostIsStored() {
+    FaultyDatabase database(9);
+    SimulatedHost host(database);
+    SimulatedHost other(database);
+    std::uint64_t attempt = 0;
+    for (const std::string key : {"a", "b", "c"}) {
+      const AttemptId attempt_id{++attempt};
+      CPPUNIT_ASSERT(Claim(host, key, attempt_id).decision == ClaimDecision::kRun);
+      host.claim_store->Complete(database.now, attempt_id, {200, {}, key});
+    }
+    database.RunUntil(database.now + milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
+    for (const std::string key : {"a", "b", "c"}) {
+      const ClaimResult repeated = Claim(other, key, AttemptId{++attempt});
+      CPPUNIT_ASSERT_MESSAGE(key, repeated.decision == ClaimDecision::kReplay);
+      CPPUNIT_ASSERT(repeated.response->body == key);
+    }
+  }
+
+  // Guards against the key of a request that was not run staying claimed until the next keyed
+  // request arrives.
+  void TestLastClaimOfIdleHostIsReleased() {
+    FaultyDatabase database(10);
+    SimulatedHost host(database);
+    SimulatedHost other(database);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}).decision == ClaimDecision::kRun);
+    host.claim_store->Release(database.now, AttemptId{1});
+    database.RunUntil(database.now + milliseconds(200));
+    CPPUNIT_ASSERT(Claim(other, "a", AttemptId{2}).decision == ClaimDecision::kRun);
+  }
+
+  // Guards against an idle host that wakes up every 5 ms, also while it holds a claim.
+  void TestIdleStoreRequestsNoTick() {
+    FaultyDatabase database(11);
+    SimulatedHost host(database);
+    CPPUNIT_ASSERT(!host.next_tick);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}).decision == ClaimDecision::kRun);
+    CPPUNIT_ASSERT(!host.next_tick);
+    host.claim_store->Complete(database.now, AttemptId{1}, {200, {}, "x"});
+    CPPUNIT_ASSERT(host.next_tick);
+    database.RunUntil(database.now + seconds(1));
+    CPPUNIT_ASSERT(!host.next_tick);
+  }
+
   // Guards against losing a response because the table was unavailable when the run
   // ended, and against a clean exit before it is stored.
   void TestCompletionIsRetriedWhileTableIsDown() {
