--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -32,6 +33,8 @@
   CPPUNIT_TEST(TestRefusedConnectionDoesNotApplyWrites);
   CPPUNIT_TEST(TestSlowWriteIsUnknownOutcomeAfterTimeout);
   CPPUNIT_TEST(TestMalformedWriteResponsesAreUnknownOutcome);
+  CPPUNIT_TEST(TestErrorAfterAppliedTransactionIsUnknownOutcome);
+  CPPUNIT_TEST(TestErrorAfterRefusedTransactionMeansNotApplied);
   CPPUNIT_TEST(TestInvalidKeyIsRefused);
   CPPUNIT_TEST(TestObjects);
   CPPUNIT_TEST(TestObjectStoreFaults);
@@ -188,6 +191,33 @@
     }
   }
 
+  // Guards against reporting a call of several transactions as not applied after the first one took
+  // effect.
+  void TestErrorAfterAppliedTransactionIsUnknownOutcome() {
+    for (const int status : {503, 429, 400, 413, 412}) {
+      const std::string table = "t" + std::to_string(status);
+      const auto other = this->StartServerFailingFrom(2, status);
+      this->CreateStore("http://" + other->address());
+      const auto written = this->Write(MakeWrites(table, 51));
+      CPPUNIT_ASSERT(!written.value);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("status " + std::to_string(status),
+                                   static_cast<int>(ErrorCode::kUnknownOutcome),
+                                   static_cast<int>(written.error.code));
+      this->CreateStore("http://" + this->server->address());
+      CPPUNIT_ASSERT_EQUAL(std::string("x"), this->Read(table + "/0").value->value);
+      CPPUNIT_ASSERT(TableRow{} == *this->Read(table + "/50").value);
+    }
+  }
+
+  // Guards against reporting an unknown outcome if the first transaction wrote nothing because all
+  // of its rows conflicted.
+  void TestErrorAfterRefusedTransactionMeansNotApplied() {
+    CPPUNIT_ASSERT(this->Write(MakeWrites("t", 50)).value);
+    const auto other = this->StartServerFailingFrom(2, 503);
+    this->CreateStore("http://" + other->address());
+    CPPUNIT_ASSERT(this->Write(MakeWrites("t", 51)).error.code == ErrorCode::kUnreachable);
+  }
+
   // Guards against writing a row without a valid table name, and against keys that the platform
   // refuses.
   void TestInvalidKeyIsRefused() {
@@ -295,6 +325,31 @@
     return created;
   }
 
+  // Forwards calls to the platform, and answers each from number `first_failure` on with `status`.
+  std::unique_ptr<HttpServer> StartServerFailingFrom(int first_failure, int status) {
+    auto calls = std::make_shared<std::atomic<int>>(0);
+    return this->StartServer([this, first_failure, status, calls](HttpServerRequest request,
+                                                                  auto responder) {
+      if (++*calls >= first_failure) {
+        responder->Respond(status, {}, R"({"rows": [], "ver": 1})");
+        return;
+      }
+      asio::post(this->control,
+                 [this, request = std::move(request), responder = std::move(responder)]() mutable {
+                   this->platform->Handle(std::move(request), std::move(responder));
+                 });
+    });
+  }
+
+  // Creates rows 0 to `count` - 1 of the table. A transaction holds 50 writes.
+  static std::vector<ConditionalWrite> MakeWrites(const std::string& table, int count) {
+    std::vector<ConditionalWrite> writes;
+    for (int index = 0; index < count; ++index) {
+      writes.push_back({table + "/" + std::to_string(index), 0, "x"});
+    }
+    return writes;
+  }
+
   void CreateStore(const std::string& url, Duration timeout = std::chrono::seconds(20)) {
     const PlatformHttpClientSettings settings{
         .base_url = url, .timeout = timeout, .post = [this](std::function<void()> function) {
