--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(TestMalformedWriteResponsesAreUnknownOutcome);
   CPPUNIT_TEST(TestErrorAfterAppliedTransactionIsUnknownOutcome);
   CPPUNIT_TEST(TestErrorAfterRefusedTransactionMeansNotApplied);
+  CPPUNIT_TEST(TestConflictOfRowsWithEqualKeysInTwoTables);
   CPPUNIT_TEST(TestInvalidKeyIsRefused);
   CPPUNIT_TEST(TestObjects);
   CPPUNIT_TEST(TestObjectStoreFaults);
@@ -218,6 +219,17 @@
     CPPUNIT_ASSERT(this->Write(MakeWrites("t", 51)).error.code == ErrorCode::kUnreachable);
   }
 
+  // Guards against judging a write by the version of a row with the same key in another table.
+  void TestConflictOfRowsWithEqualKeysInTwoTables() {
+    const std::uint64_t first = this->Write({{"a/k", 0, "1"}}).value->front().version;
+    const std::uint64_t second = this->Write({{"b/k", 0, "1"}}).value->front().version;
+    CPPUNIT_ASSERT(first != second);
+    const auto written = this->Write({{"a/k", first, "2"}, {"b/k", first, "2"}});
+    CPPUNIT_ASSERT_EQUAL(std::string(), written.error.message);
+    CPPUNIT_ASSERT(written.value->front().applied);
+    CPPUNIT_ASSERT((WriteResult{false, second} == written.value->back()));
+  }
+
   // Guards against writing a row without a valid table name, and against keys that the platform
   // refuses.
   void TestInvalidKeyIsRefused() {
