Host: State the table's error when a configuration commit fails

Would be seen: an operator whose commit the table refused, for example with status 400 because of the row, was told "the table is unreachable" after five attempts and looked for an outage. The outcome not-run was right.

Cause: RetryCreateRow had no reason and assumed the most frequent one.

Change: the message is "the table did not accept the write: " and the error of the last write, or of the last read if the row could not be read after a conflict. The number of attempts and the outcomes stay.

Tests: TestFailedCommitStatesLastError and TestFailedReadBackStatesLastError failed before the change, both with "the table is unreachable". FakeTable takes the error of its failing calls.

--- a/Libraries/LibHost/configuration_store.cc
+++ b/Libraries/LibHost/configuration_store.cc
@@ -151,7 +151,7 @@
       state->may_be_committed = true;
     }
     if (!results && error.code != ErrorCode::kUnknownOutcome) {
-      this->RetryCreateRow(state);
+      this->RetryCreateRow(state, error.message);
       return;
     }
     this->ResolveWrite(state);
@@ -159,22 +159,24 @@
 }
 
 void ConfigurationStore::ResolveWrite(const std::shared_ptr<CommitState>& state) {
-  this->table.Read(RowKey(state->document.revision), [this, state](const auto& row, const Error&) {
-    // Retry also if the row is absent: the unconfirmed write may still take effect, and
-    // creating the same row again is harmless.
-    if (!row || row->version == 0) {
-      this->RetryCreateRow(state);
-      return;
-    }
-    if (row->value == state->document.change_id) {
-      this->ReportCommitted(state);
-      return;
-    }
-    this->ReportConflict(state, row->value);
-  });
+  this->table.Read(
+      RowKey(state->document.revision), [this, state](const auto& row, const Error& error) {
+        // Retry also if the row is absent: the unconfirmed write may still take effect, and
+        // creating the same row again is harmless.
+        if (!row || row->version == 0) {
+          this->RetryCreateRow(state, row ? "the row is absent after the write" : error.message);
+          return;
+        }
+        if (row->value == state->document.change_id) {
+          this->ReportCommitted(state);
+          return;
+        }
+        this->ReportConflict(state, row->value);
+      });
 }
 
-void ConfigurationStore::RetryCreateRow(const std::shared_ptr<CommitState>& state) {
+void ConfigurationStore::RetryCreateRow(const std::shared_ptr<CommitState>& state,
+                                        const std::string& reason) {
   if (state->write_attempts < kMaxWriteAttempts) {
     this->schedule_retry([this, state] { this->CreateRow(state); });
     return;
@@ -184,7 +186,8 @@
                      "the table did not confirm the write; query the outcome by change id"});
     return;
   }
-  state->callback({CommitStatus::kNotCommitted, std::nullopt, "the table is unreachable"});
+  state->callback(
+      {CommitStatus::kNotCommitted, std::nullopt, "the table did not accept the write: " + reason});
 }
 
 void ConfigurationStore::ReportConflict(const std::shared_ptr<CommitState>& state,
--- a/Libraries/LibHost/configuration_store.h
+++ b/Libraries/LibHost/configuration_store.h
@@ -65,7 +65,8 @@
   void StoreObject(const std::shared_ptr<CommitState>& state);
   void CreateRow(const std::shared_ptr<CommitState>& state);
   void ResolveWrite(const std::shared_ptr<CommitState>& state);
-  void RetryCreateRow(const std::shared_ptr<CommitState>& state);
+  // `reason` is reported if no attempt is left.
+  void RetryCreateRow(const std::shared_ptr<CommitState>& state, const std::string& reason);
   void ReportConflict(const std::shared_ptr<CommitState>& state, const std::string& change_id);
   void ReportCommitted(const std::shared_ptr<CommitState>& state);
   void AdvanceHint(std::uint64_t revision);
--- a/Tests/LibHost/configuration_store_test.cc
+++ b/Tests/LibHost/configuration_store_test.cc
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(TestMissingBaseIsRefused);
   CPPUNIT_TEST(TestLaggingReaderGetsNewestRevision);
   CPPUNIT_TEST(TestObjectStoreOutageWritesNoRow);
+  CPPUNIT_TEST(TestFailedCommitStatesLastError);
+  CPPUNIT_TEST(TestFailedReadBackStatesLastError);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,6 +185,41 @@
     CPPUNIT_ASSERT(result.status == CommitStatus::kNotCommitted);
     CPPUNIT_ASSERT(platform.table.history.empty());
   }
+
+  // Guards against telling an operator that the table is unreachable although it refused the
+  // write.
+  void TestFailedCommitStatesLastError() {
+    for (const Error& failure : {Error{ErrorCode::kInvalidArgument, "platform: status 400"},
+                                 Error{ErrorCode::kUnreachable, "platform: connection refused"}}) {
+      FakePlatform platform(1);
+      platform.table.rates.write_failure = 1;
+      platform.table.failure = failure;
+      ConfigurationStore store = platform.NewStore();
+      CommitResult result;
+      store.Commit(MakeChange(0, "a"), [&](const CommitResult& last) { result = last; });
+      platform.queue.RunAll();
+      CPPUNIT_ASSERT(result.status == CommitStatus::kNotCommitted);
+      CPPUNIT_ASSERT_EQUAL("the table did not accept the write: " + failure.message,
+                           result.message);
+    }
+  }
+
+  // Guards against a failed read-back whose reason is not reported.
+  void TestFailedReadBackStatesLastError() {
+    FakePlatform platform(1);
+    ConfigurationStore store = platform.NewStore();
+    store.Commit(MakeChange(0, "a"), [](const CommitResult&) {});
+    platform.queue.RunAll();
+    platform.table.rates.read_failure = 1;
+    platform.table.failure = {ErrorCode::kProtocol, "platform: unexpected response body"};
+    CommitResult result;
+    store.Commit(MakeChange(0, "b"), [&](const CommitResult& last) { result = last; });
+    platform.queue.RunAll();
+    CPPUNIT_ASSERT(result.status == CommitStatus::kNotCommitted);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("the table did not accept the write: platform: unexpected response body"),
+        result.message);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationStoreTest);
--- a/Tests/LibHost/fake_platform.h
+++ b/Tests/LibHost/fake_platform.h
@@ -60,7 +60,7 @@
   void Read(const std::string& key, ReadCallback callback) override {
     this->queue.Post([this, key, callback = std::move(callback)] {
       if (this->random.Unit() < this->rates.read_failure) {
-        callback(std::nullopt, {ErrorCode::kUnreachable, "table down"});
+        callback(std::nullopt, this->failure);
         return;
       }
       callback(this->rows[key], Error{});
@@ -72,7 +72,7 @@
       const double fault = this->random.Unit();
       double bound = this->rates.write_failure;
       if (fault < bound) {
-        callback(std::nullopt, {ErrorCode::kUnreachable, "table down"});
+        callback(std::nullopt, this->failure);
         return;
       }
       if (fault < (bound += this->rates.response_lost)) {
@@ -90,6 +90,8 @@
   }
 
   FaultRates rates;
+  // Error of reads and writes that fail without an effect.
+  Error failure{ErrorCode::kUnreachable, "table down"};
   std::map<std::string, TableRow> rows;
   // All values that each row has had, oldest first.
   std::map<std::string, std::vector<std::string>> history;
