Report: Log and count dropped summaries

Would be seen: counts missing from the monthly report without a trace. The writer drops a summary when more than 60 wait for the object store and no two neighbours are of one month, so it takes a clock that jumps between months or an outage of years; it has not been observed.

Cause: SummaryWriter counted dropped summaries, but nothing read the count.

Change: SummaryWriter passes each dropped summary to a DropHandler in place of the count.

Test: TestDroppedSummaryIsReported failed with the call of the handler left out (0 dropped instead of 1). TestWriterMergesBeyondItsLimit asserts by the handler, instead of the count, that nothing is dropped. The log line and the counter of the host process have no test.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -76,6 +76,7 @@
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(ServiceId service, const HealthEvent& event);
+  void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
   void BeginShutdown();
   void StopListening();
@@ -207,8 +208,9 @@
       .on_notices_changed = [this] { this->dispatch->RefreshLeavingTargets(); }};
   this->directory = std::make_unique<DirectoryController>(
       this->loop, this->shared_state, *this->peers, *this->store, std::move(directory_settings));
-  this->reports =
-      std::make_unique<ReportController>(*this->store, this->settings.name, this->incarnation);
+  this->reports = std::make_unique<ReportController>(
+      *this->store, this->settings.name, this->incarnation,
+      [this](const HostSummary& summary) { this->OnSummaryDropped(summary); });
 }
 
 void HostProcess::CreateDispatch() {
@@ -395,6 +397,12 @@
   this->reports->OnHealthEvent(configured_service->name, event);
 }
 
+void HostProcess::OnSummaryDropped(const HostSummary& summary) {
+  const std::uint64_t periods = summary.sequence - summary.first_sequence + 1;
+  this->metrics.IncrementCounter("pimentopin_dropped_report_periods_total", "", periods);
+  Log(LogLevel::kWarning, "summary_dropped", {{"key", summary.Key()}, {"periods", periods}});
+}
+
 void HostProcess::UpdateReadiness() {
   const auto active_configuration = this->shared_state.configuration.Read();
   const Readiness next{.has_configuration = active_configuration != nullptr,
--- a/Libraries/LibHost/report_controller.cc
+++ b/Libraries/LibHost/report_controller.cc
@@ -13,9 +13,10 @@
 
 ReportController::ReportController(ObjectStore& objects,
                                    const std::string& host_name,
-                                   std::uint64_t incarnation)
+                                   std::uint64_t incarnation,
+                                   SummaryWriter::DropHandler on_dropped)
     : recorder(host_name, incarnation, WallClockMs()),
-      writer(objects),
+      writer(objects, std::move(on_dropped)),
       period_end(SteadyNow() + kSummaryPeriod) {}
 
 void ReportController::OnFinished(const FinishedRequest& finished) {
--- a/Libraries/LibHost/report_controller.h
+++ b/Libraries/LibHost/report_controller.h
@@ -15,7 +15,11 @@
 // Counts outcomes and writes a summary of each period to the object store.
 class ReportController {
  public:
-  ReportController(ObjectStore& objects, const std::string& host_name, std::uint64_t incarnation);
+  // `on_dropped` receives each summary that is discarded because too many wait for the store.
+  ReportController(ObjectStore& objects,
+                   const std::string& host_name,
+                   std::uint64_t incarnation,
+                   SummaryWriter::DropHandler on_dropped);
 
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(const std::string& service, const HealthEvent& event);
--- a/Libraries/LibReport/summary_writer.cc
+++ b/Libraries/LibReport/summary_writer.cc
@@ -4,12 +4,13 @@
 
 namespace pimentopin {
 
-SummaryWriter::SummaryWriter(ObjectStore& object_store) : store(object_store) {}
+SummaryWriter::SummaryWriter(ObjectStore& object_store, DropHandler on_dropped)
+    : store(object_store), on_dropped(std::move(on_dropped)) {}
 
 void SummaryWriter::Add(HostSummary summary) {
   this->state->summaries.push_back(std::move(summary));
   if (this->state->summaries.size() > kMaxPendingWrites) {
-    MergeOldest(*this->state);
+    this->MergeOldest();
   }
 }
 
@@ -41,9 +42,9 @@
                           });
 }
 
-void SummaryWriter::MergeOldest(State& state) {
-  std::deque<HostSummary>& summaries = state.summaries;
-  const std::size_t first_mergeable = state.first_write_started ? 1 : 0;
+void SummaryWriter::MergeOldest() {
+  std::deque<HostSummary>& summaries = this->state->summaries;
+  const std::size_t first_mergeable = this->state->first_write_started ? 1 : 0;
   for (std::size_t position = first_mergeable; position + 1 < summaries.size(); ++position) {
     // The key of a merged summary names one month, so both must be of that month.
     if (summaries[position].Month() == summaries[position + 1].Month()) {
@@ -52,8 +53,12 @@
       return;
     }
   }
-  summaries.erase(summaries.begin() + static_cast<std::ptrdiff_t>(first_mergeable));
-  ++state.dropped;
+  const auto oldest = summaries.begin() + static_cast<std::ptrdiff_t>(first_mergeable);
+  const HostSummary dropped = std::move(*oldest);
+  summaries.erase(oldest);
+  if (this->on_dropped) {
+    this->on_dropped(dropped);
+  }
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibReport/summary_writer.h
+++ b/Libraries/LibReport/summary_writer.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 
 #include "Libraries/LibCore/time.h"
@@ -20,8 +20,11 @@
   static constexpr std::size_t kMaxPendingWrites = 60;
   static constexpr Duration kRetryInterval = std::chrono::seconds(5);
 
+  // Receives each summary that is discarded because no two could be merged.
+  using DropHandler = std::function<void(const HostSummary&)>;
+
   // The store must outlive the writer.
-  explicit SummaryWriter(ObjectStore& object_store);
+  explicit SummaryWriter(ObjectStore& object_store, DropHandler on_dropped = nullptr);
 
   void Add(HostSummary summary);
   // Call every 100 ms. Starts to write the oldest summary unless a write is in
@@ -30,8 +33,6 @@
 
   // Number of summaries that are not yet stored; zero before a clean exit.
   std::size_t pending_writes() const { return this->state->summaries.size(); }
-  // Number of summaries discarded because no two could be merged.
-  std::uint64_t dropped() const { return this->state->dropped; }
   const Error& last_error() const { return this->state->last_error; }
 
  private:
@@ -45,13 +46,13 @@
     bool first_write_started = false;
     bool last_write_failed = false;
     TimePoint last_write_started_at;
-    std::uint64_t dropped = 0;
     Error last_error;
   };
 
-  static void MergeOldest(State& state);
+  void MergeOldest();
 
   ObjectStore& store;
+  const DropHandler on_dropped;
   std::shared_ptr<State> state = std::make_shared<State>();
 };
 
--- a/Tests/LibReport/summary_test.cc
+++ b/Tests/LibReport/summary_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(TestReportStatesWhatItDoesNotCover);
   CPPUNIT_TEST(TestWriterKeepsSummariesDuringOutage);
   CPPUNIT_TEST(TestWriterMergesBeyondItsLimit);
+  CPPUNIT_TEST(TestDroppedSummaryIsReported);
   CPPUNIT_TEST(TestSummaryWithLostResponseIsNotMerged);
   CPPUNIT_TEST(TestWriterRetryInterval);
   CPPUNIT_TEST(TestLateResponseAfterWriterIsDestroyed);
@@ -279,7 +280,8 @@
   void TestWriterMergesBeyondItsLimit() {
     MockObjectStore store;
     store.is_down = true;
-    SummaryWriter writer(store);
+    int dropped = 0;
+    SummaryWriter writer(store, [&](const HostSummary&) { ++dropped; });
     constexpr std::uint64_t kPeriodCount = 500;
     for (std::uint64_t sequence = 0; sequence < kPeriodCount; ++sequence) {
       writer.Add(MakeSummary(sequence));
@@ -292,7 +294,28 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{60}, store.objects.size());
     CPPUNIT_ASSERT_EQUAL(kPeriodCount * MakeSummary(0).services[0].requests, CountRequests(store));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, writer.dropped());
+    CPPUNIT_ASSERT_EQUAL(0, dropped);
+  }
+
+  // Guards against counts that are missing from the report without a trace: summaries of different
+  // months cannot be merged.
+  void TestDroppedSummaryIsReported() {
+    MockObjectStore store;
+    store.is_down = true;
+    std::vector<HostSummary> dropped;
+    SummaryWriter writer(store, [&](const HostSummary& summary) { dropped.push_back(summary); });
+    constexpr std::uint64_t kMonthMs = 31ULL * 24 * 3600 * 1000;
+    for (std::uint64_t sequence = 0; sequence <= SummaryWriter::kMaxPendingWrites; ++sequence) {
+      HostSummary summary = MakeSummary(sequence);
+      summary.started_at_ms = kStartMs + sequence * kMonthMs;
+      writer.Add(summary);
+      writer.Tick(AtSecond(static_cast<std::int64_t>(60 * sequence)));
+    }
+    CPPUNIT_ASSERT_EQUAL(SummaryWriter::kMaxPendingWrites, writer.pending_writes());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dropped.size());
+    // The write of summary 0 was started, so it may be stored.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, dropped[0].sequence);
+    CPPUNIT_ASSERT(dropped[0].services == MakeSummary(1).services);
   }
 
   // Guards against requests that are counted twice because a summary was stored,
