Idempotency: Report a claim that another attempt holds at the end

Would be seen: the monthly report states that "doubled" also counts a run whose claim row names another attempt when the outcome is stored, but no host counted it. This happens only if the platform lost or replaced a committed row, so that a second attempt could claim the key.

Cause: SummaryRecorder::OnClaimByOtherAttempt had no caller. ClaimStore found the other claim when it read the row back, and dropped its entry silently.

Change: ClaimStore passes the key and the attempt to a ClaimLossHandler. A row that the other attempt released is not reported, since that attempt sent nothing.

Tests: TestLostClaimIsReported failed with the call of the handler left out. TestReleasedClaimIsNotReportedAsLost guards against counting too much, and TestAllClaimsAreResolved now asserts that lost replies, late writes and pauses report no lost claim. The counts and the log line of the host process have no test.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -76,6 +76,7 @@
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(ServiceId service, const HealthEvent& event);
+  void OnClaimLost(const ClaimKey& key, AttemptId attempt);
   void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
   void BeginShutdown();
@@ -157,7 +158,8 @@
   }
   this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
   this->claims = std::make_unique<ClaimStore>(
-      *this->store, [this](TimePoint when) { this->claims_alarm->Set(when); });
+      *this->store, [this](TimePoint when) { this->claims_alarm->Set(when); },
+      [this](const ClaimKey& key, AttemptId attempt) { this->OnClaimLost(key, attempt); });
 }
 
 bool HostProcess::CreatePeers(Error& error) {
@@ -397,6 +399,16 @@
   this->reports->OnHealthEvent(configured_service->name, event);
 }
 
+void HostProcess::OnClaimLost(const ClaimKey& key, AttemptId attempt) {
+  this->metrics.IncrementCounter("pimentopin_lost_claims_total", "service=\"" + key.service + "\"");
+  this->reports->OnClaimByOtherAttempt(key.service);
+  Log(LogLevel::kWarning, "claim_lost",
+      {{"service", key.service},
+       {"organisation", key.organisation},
+       {"key", key.key},
+       {"attempt", static_cast<std::uint64_t>(attempt)}});
+}
+
 void HostProcess::OnSummaryDropped(const HostSummary& summary) {
   const std::uint64_t periods = summary.sequence - summary.first_sequence + 1;
   this->metrics.IncrementCounter("pimentopin_dropped_report_periods_total", "", periods);
--- a/Libraries/LibHost/report_controller.cc
+++ b/Libraries/LibHost/report_controller.cc
@@ -38,6 +38,10 @@
   this->recorder.OnHealthEvent(service, event);
 }
 
+void ReportController::OnClaimByOtherAttempt(const std::string& service) {
+  this->recorder.OnClaimByOtherAttempt(service);
+}
+
 void ReportController::Tick(TimePoint now) {
   if (now >= this->period_end) {
     this->Close(now);
--- a/Libraries/LibHost/report_controller.h
+++ b/Libraries/LibHost/report_controller.h
@@ -23,6 +23,8 @@
 
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(const std::string& service, const HealthEvent& event);
+  // Counts a keyed request whose claim was held by another attempt when its outcome was stored.
+  void OnClaimByOtherAttempt(const std::string& service);
   // Call every second.
   void Tick(TimePoint now);
   // Ends the current period early. Call before the host exits.
--- a/Libraries/LibIdempotency/claim_store.cc
+++ b/Libraries/LibIdempotency/claim_store.cc
@@ -21,9 +21,12 @@
 
 }  // namespace
 
-ClaimStore::ClaimStore(TableStore& store, TickScheduler tick_scheduler)
+ClaimStore::ClaimStore(TableStore& store,
+                       TickScheduler tick_scheduler,
+                       ClaimLossHandler claim_loss_handler)
     : table(store),
       schedule_tick(std::move(tick_scheduler)),
+      on_claim_lost(std::move(claim_loss_handler)),
       alive(std::make_shared<ClaimStore*>(this)) {}
 
 void ClaimStore::Claim(TimePoint now,
@@ -37,6 +40,7 @@
     return;
   }
   Entry& entry = this->entries[attempt];
+  entry.key = key;
   entry.row_key = RowKey(key);
   entry.fingerprint = fingerprint;
   entry.callback = std::move(callback);
@@ -236,8 +240,16 @@
     this->StartStep(*entry, entry->phase, Step::kWrite, this->last_call_at);
     return;
   }
-  // An earlier write stored or released the row, or it was never claimed.
+  // An earlier write stored or released the row, or it was never claimed, or the table lost the
+  // claim.
+  const bool other_may_have_run = entry->phase == Phase::kCompleting && stored_row &&
+                                  stored_row->attempt != attempt &&
+                                  stored_row->state != ClaimState::kReleased;
+  const ClaimKey key = std::move(entry->key);
   this->entries.erase(attempt);
+  if (other_may_have_run) {
+    this->on_claim_lost(key, attempt);
+  }
 }
 
 void ClaimStore::OnReadWhileClaiming(AttemptId attempt, const TableRow& row) {
--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -80,7 +80,11 @@
   // call, only the earliest counts. Must not call Tick itself.
   using TickScheduler = std::function<void(TimePoint when)>;
 
-  ClaimStore(TableStore& table, TickScheduler schedule_tick);
+  // Called when the row of a request that ran names another attempt that may have run it, too.
+  // The table has then lost or replaced the claim.
+  using ClaimLossHandler = std::function<void(const ClaimKey& key, AttemptId attempt)>;
+
+  ClaimStore(TableStore& table, TickScheduler schedule_tick, ClaimLossHandler on_claim_lost);
 
   // Claims the key and calls `callback` once. After kRun, the claim must be ended with
   // Complete, Release or Abandon. `attempt` must be unique over the fleet.
@@ -109,6 +113,7 @@
   enum class Step { kWrite, kRead, kWaiting };
 
   struct Entry {
+    ClaimKey key;
     std::string row_key;
     Fingerprint fingerprint{};
     std::function<void(const ClaimResult&)> callback;
@@ -141,6 +146,7 @@
 
   TableStore& table;
   const TickScheduler schedule_tick;
+  const ClaimLossHandler on_claim_lost;
   std::map<AttemptId, Entry> entries;
   // Time of the last call; replies of the table carry no time.
   TimePoint last_call_at{};
--- a/Tests/LibIdempotency/claim_store_test.cc
+++ b/Tests/LibIdempotency/claim_store_test.cc
@@ -35,8 +35,9 @@
         claim_store(this->CreateClaimStore()) {}
 
   std::unique_ptr<ClaimStore> CreateClaimStore() {
-    return std::make_unique<ClaimStore>(this->table,
-                                        [this](TimePoint when) { this->ScheduleTick(when); });
+    return std::make_unique<ClaimStore>(
+        this->table, [this](TimePoint when) { this->ScheduleTick(when); },
+        [this](const ClaimKey& key, AttemptId) { this->lost_claims.push_back(key); });
   }
   // Keeps the earliest requested time only.
   void ScheduleTick(TimePoint when) {
@@ -79,6 +80,7 @@
   std::unique_ptr<ClaimStore> claim_store;
   // Time of the earliest requested call of Tick.
   std::optional<TimePoint> next_tick;
+  std::vector<ClaimKey> lost_claims;
   bool paused = false;
   std::uint64_t restart_count = 0;
   std::vector<std::function<void()>> queued_callbacks;
@@ -205,6 +207,8 @@
   CPPUNIT_TEST(TestLastResponseOfIdleHostIsStored);
   CPPUNIT_TEST(TestLastClaimOfIdleHostIsReleased);
   CPPUNIT_TEST(TestIdleStoreRequestsNoTick);
+  CPPUNIT_TEST(TestLostClaimIsReported);
+  CPPUNIT_TEST(TestReleasedClaimIsNotReportedAsLost);
   CPPUNIT_TEST(TestCompletionIsRetriedWhileTableIsDown);
   CPPUNIT_TEST(TestLargeBodyIsNotStored);
   CPPUNIT_TEST(TestWritesAreBatched);
@@ -247,6 +251,7 @@
       for (const auto& host : scenario.hosts) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE("write pending" + label, std::size_t{0},
                                      host->claim_store->pending_writes());
+        CPPUNIT_ASSERT_MESSAGE("claim lost" + label, host->lost_claims.empty());
       }
       for (std::size_t key = 0; key < 4; ++key) {
         const KeyHistory before = scenario.key_histories[key];
@@ -400,6 +405,47 @@
     CPPUNIT_ASSERT(!host.next_tick);
   }
 
+  // Guards against a second run, after the table lost a claim, that the report does not count. The
+  // other attempt may still run or may have stored its response.
+  void TestLostClaimIsReported() {
+    for (const bool other_is_done : {false, true}) {
+      FaultyDatabase database(12);
+      SimulatedHost host(database);
+      SimulatedHost other(database);
+      CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}).decision == ClaimDecision::kRun);
+      database.rows["claim/booking/wheels/a"] = {};
+      CPPUNIT_ASSERT(Claim(other, "a", AttemptId{2}).decision == ClaimDecision::kRun);
+      if (other_is_done) {
+        other.claim_store->Complete(database.now, AttemptId{2}, {200, {}, "x"});
+        database.RunUntil(database.now + seconds(1));
+      } else {
+        // The table counts the versions of all rows, so the new claim has a higher one.
+        ++database.rows["claim/booking/wheels/a"].version;
+      }
+      host.claim_store->Complete(database.now, AttemptId{1}, {200, {}, "x"});
+      database.RunUntil(database.now + seconds(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
+      CPPUNIT_ASSERT((host.lost_claims == std::vector<ClaimKey>{{"booking", "wheels", "a"}}));
+      CPPUNIT_ASSERT(other.lost_claims.empty());
+    }
+  }
+
+  // Guards against counting a request as run twice whose other attempt sent nothing.
+  void TestReleasedClaimIsNotReportedAsLost() {
+    FaultyDatabase database(13);
+    SimulatedHost host(database);
+    SimulatedHost other(database);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}).decision == ClaimDecision::kRun);
+    database.rows["claim/booking/wheels/a"] = {};
+    CPPUNIT_ASSERT(Claim(other, "a", AttemptId{2}).decision == ClaimDecision::kRun);
+    other.claim_store->Release(database.now, AttemptId{2});
+    database.RunUntil(database.now + seconds(1));
+    host.claim_store->Complete(database.now, AttemptId{1}, {200, {}, "x"});
+    database.RunUntil(database.now + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
+    CPPUNIT_ASSERT(host.lost_claims.empty());
+  }
+
   // Guards against losing a response because the table was unavailable when the run
   // ended, and against a clean exit before it is stored.
   void TestCompletionIsRetriedWhileTableIsDown() {
