--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -37,8 +37,6 @@
 constexpr Duration kIsolationWindow = std::chrono::seconds(4);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 constexpr Duration kProbeTickInterval = std::chrono::milliseconds(100);
-// Claims that arrive within this time are sent in one batch.
-constexpr Duration kClaimBatchDelay = std::chrono::milliseconds(5);
 constexpr Duration kCommitRetryDelay = std::chrono::milliseconds(300);
 // Longer texts from a request are cut in log lines.
 constexpr std::size_t kMaxLoggedTextBytes = 128;
@@ -73,8 +71,6 @@
   // Limits that apply unless the configuration sets its own.
   RequestLimits DefaultRequestLimits() const;
   void ScheduleTasks();
-  // Runs the claim store and repeats while writes are pending.
-  void TickClaims();
   void WaitForSignals();
   void OnPeerMessage(const Envelope& envelope);
   void OnCallerRequest(HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder);
@@ -84,6 +80,8 @@
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(ServiceId service, const HealthEvent& event);
+  void OnClaimLost(const ClaimKey& key, AttemptId attempt);
+  void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
   void BeginShutdown();
   void StopListening();
@@ -162,15 +160,10 @@
         *this->store, this->adapter.configuration_table, this->adapter.configuration_key,
         this->adapter.read_configuration, StoreRelay::kLongPollTimeout);
   }
-  this->claims = std::make_unique<ClaimStore>(*this->store);
-  this->claims_alarm = this->loop.CreateAlarm([this] { this->TickClaims(); });
-}
-
-void HostProcess::TickClaims() {
-  this->claims->Tick(SteadyNow());
-  if (this->claims->pending_writes() > 0) {
-    this->claims_alarm->Set(SteadyNow() + kClaimBatchDelay);
-  }
+  this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
+  this->claims = std::make_unique<ClaimStore>(
+      *this->store, [this](TimePoint when) { this->claims_alarm->Set(when); },
+      [this](const ClaimKey& key, AttemptId attempt) { this->OnClaimLost(key, attempt); });
 }
 
 bool HostProcess::CreatePeers(Error& error) {
@@ -221,8 +214,9 @@
       .on_notices_changed = [this] { this->dispatch->RefreshLeavingTargets(); }};
   this->directory = std::make_unique<DirectoryController>(
       this->loop, this->shared_state, *this->peers, *this->store, std::move(directory_settings));
-  this->reports =
-      std::make_unique<ReportController>(*this->store, this->settings.name, this->incarnation);
+  this->reports = std::make_unique<ReportController>(
+      *this->store, this->settings.name, this->incarnation,
+      [this](const HostSummary& summary) { this->OnSummaryDropped(summary); });
 }
 
 void HostProcess::CreateDispatch() {
@@ -365,12 +359,7 @@
   exchange->request_id = std::move(request_id);
   exchange->responder = responder;
   auto shared = std::make_shared<Exchange>(std::move(*exchange));
-  this->loop.Post([this, shared] {
-    this->dispatch->Submit(shared);
-    if (shared->claim_key) {
-      this->claims_alarm->Set(SteadyNow() + kClaimBatchDelay);
-    }
-  });
+  this->loop.Post([this, shared] { this->dispatch->Submit(shared); });
 }
 
 void HostProcess::OnServerRefusal(const RefusedRequest& refused) {
@@ -432,6 +421,22 @@
   this->reports->OnHealthEvent(configured_service->name, event);
 }
 
+void HostProcess::OnClaimLost(const ClaimKey& key, AttemptId attempt) {
+  this->metrics.IncrementCounter("pimentopin_lost_claims_total", "service=\"" + key.service + "\"");
+  this->reports->OnClaimByOtherAttempt(key.service);
+  Log(LogLevel::kWarning, "claim_lost",
+      {{"service", key.service},
+       {"organisation", key.organisation},
+       {"key", key.key},
+       {"attempt", static_cast<std::uint64_t>(attempt)}});
+}
+
+void HostProcess::OnSummaryDropped(const HostSummary& summary) {
+  const std::uint64_t periods = summary.sequence - summary.first_sequence + 1;
+  this->metrics.IncrementCounter("pimentopin_dropped_report_periods_total", "", periods);
+  Log(LogLevel::kWarning, "summary_dropped", {{"key", summary.Key()}, {"periods", periods}});
+}
+
 void HostProcess::UpdateReadiness() {
   const auto active_configuration = this->shared_state.configuration.Read();
   const Readiness next{.has_configuration = active_configuration != nullptr,
--- a/Libraries/LibIdempotency/claim_store.cc
+++ b/Libraries/LibIdempotency/claim_store.cc
@@ -21,8 +21,13 @@
 
 }  // namespace
 
-ClaimStore::ClaimStore(TableStore& store)
-    : table(store), alive(std::make_shared<ClaimStore*>(this)) {}
+ClaimStore::ClaimStore(TableStore& store,
+                       TickScheduler tick_scheduler,
+                       ClaimLossHandler claim_loss_handler)
+    : table(store),
+      schedule_tick(std::move(tick_scheduler)),
+      on_claim_lost(std::move(claim_loss_handler)),
+      alive(std::make_shared<ClaimStore*>(this)) {}
 
 void ClaimStore::Claim(TimePoint now,
                        const ClaimKey& key,
@@ -35,11 +40,13 @@
     return;
   }
   Entry& entry = this->entries[attempt];
+  entry.key = key;
   entry.row_key = RowKey(key);
   entry.fingerprint = fingerprint;
   entry.callback = std::move(callback);
   entry.started_at = now;
   this->StartStep(entry, Phase::kClaiming, Step::kWrite, now);
+  this->schedule_tick(now + kBatchDelay);
 }
 
 void ClaimStore::Complete(TimePoint now, AttemptId attempt, StoredResponse response) {
@@ -53,6 +60,7 @@
   }
   found->second.response = std::move(response);
   this->StartStep(found->second, Phase::kCompleting, Step::kWrite, now);
+  this->schedule_tick(now + kBatchDelay);
 }
 
 void ClaimStore::Release(TimePoint now, AttemptId attempt) {
@@ -60,6 +68,7 @@
   const auto found = this->entries.find(attempt);
   if (found != this->entries.end() && found->second.phase == Phase::kHeld) {
     this->StartStep(found->second, Phase::kReleasing, Step::kWrite, now);
+    this->schedule_tick(now + kBatchDelay);
   }
 }
 
@@ -110,6 +119,9 @@
       this->SendRead(now, attempt, found->second);
     }
   }
+  if (this->pending_writes() > 0) {
+    this->schedule_tick(now + kBatchDelay);
+  }
 }
 
 void ClaimStore::SendWrites(TimePoint now) {
@@ -228,8 +240,16 @@
     this->StartStep(*entry, entry->phase, Step::kWrite, this->last_call_at);
     return;
   }
-  // An earlier write stored or released the row, or it was never claimed.
+  // An earlier write stored or released the row, or it was never claimed, or the table lost the
+  // claim.
+  const bool other_may_have_run = entry->phase == Phase::kCompleting && stored_row &&
+                                  stored_row->attempt != attempt &&
+                                  stored_row->state != ClaimState::kReleased;
+  const ClaimKey key = std::move(entry->key);
   this->entries.erase(attempt);
+  if (other_may_have_run) {
+    this->on_claim_lost(key, attempt);
+  }
 }
 
 void ClaimStore::OnReadWhileClaiming(AttemptId attempt, const TableRow& row) {
