Config: Compare all fields in a configuration difference

`diff`, the dry run and the audit trail reported no difference when a change concerned only floor_share, target_connections or health_path of a service, the instance or incarnation of a target, or less than a millisecond of a duration. Operators would see an empty list although the change has an effect.

EntryJson(Service) and EntryJson(Target) listed only some of the fields, and durations were cut to whole milliseconds. All fields are listed now; durations that are no whole milliseconds appear as fractions. The other entries were complete already.

--- a/Libraries/LibConfig/configuration_difference.cc
+++ b/Libraries/LibConfig/configuration_difference.cc
@@ -25,8 +25,13 @@
   return kKindNames[static_cast<std::size_t>(kind)].second;
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+// An integer if possible; documents of other formats may state fractions of a millisecond.
+json Milliseconds(Duration duration) {
+  const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  if (whole == duration) {
+    return whole.count();
+  }
+  return std::chrono::duration<double, std::milli>(duration).count();
 }
 
 std::string_view OperatorName(SelectorOperator op) {
@@ -64,15 +69,19 @@
 
 json EntryJson(const Service& service) {
   return {{"floor_slots", service.floor_slots},
+          {"floor_share", service.floor_share},
           {"deadline_ms", Milliseconds(service.deadline)},
-          {"queue_limit", service.queue_limit}};
+          {"queue_limit", service.queue_limit},
+          {"target_connections", service.target_connections},
+          {"health_path", service.health_path}};
 }
 
 json EntryJson(const Target& target) {
   return {{"service", target.service},         {"address", target.address},
           {"domain", target.domain},           {"slots", target.slots},
           {"connections", target.connections}, {"labels", target.labels},
-          {"leaving", target.leaving}};
+          {"leaving", target.leaving},         {"instance", target.instance},
+          {"incarnation", target.incarnation}};
 }
 
 json EntryJson(const AccessRule& rule) {
