Membership: Remove MarkServing of leaving targets

LeavingTargets::MarkServing was called by one test only. A notice of a leaving target is sticky until the configuration removes the target or 10 minutes pass (docs/design.md, section 4), so no caller is missing.

With it go the times and the flag that only it used, and its test, TestOldNoticeDoesNotOverrideServingTarget. Callers see no difference.

--- a/Libraries/LibMembership/leaving_targets.h
+++ b/Libraries/LibMembership/leaving_targets.h
@@ -15,9 +15,6 @@
 class LeavingTargets {
  public:
   static constexpr Duration kRetention = std::chrono::minutes(10);
-  // MarkServing ignores calls within this time after a notice: a response that was
-  // in transit when the target began to leave may still say that it serves.
-  static constexpr Duration kStaleResponseWindow = std::chrono::seconds(5);
 
   LeavingTargets() = default;
 
@@ -25,9 +22,6 @@
   bool MarkLeaving(TimePoint now, TargetId target);
   // Returns true if any target was not known to be leaving.
   bool Merge(TimePoint now, const std::vector<LeavingTarget>& notices);
-  // Records that the target itself reported to serve again, for example after a
-  // restart. Older notices that other hosts still send are ignored from then on.
-  void MarkServing(TargetId target);
   // Removes expired notices.
   void Tick(TimePoint now);
 
@@ -36,18 +30,8 @@
   std::vector<LeavingTarget> Notices(TimePoint now, std::size_t limit) const;
 
  private:
-  struct Notice {
-    TimePoint expires_at{};
-    TimePoint received_at{};
-    bool serving_again = false;
-  };
-
-  void AdvanceClock(TimePoint now);
-
-  std::map<TargetId, Notice> notices;
-  // The latest time passed to MarkLeaving, Merge or Tick. MarkServing uses it as the
-  // current time.
-  TimePoint latest_time{};
+  // Expiry of the notice of each target.
+  std::map<TargetId, TimePoint> expiries;
 };
 
 }  // namespace pimentopin
--- a/Tests/LibMembership/membership_test.cc
+++ b/Tests/LibMembership/membership_test.cc
@@ -17,7 +17,6 @@
 class MembershipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MembershipTest);
   CPPUNIT_TEST(TestExchangedNoticeExpires);
-  CPPUNIT_TEST(TestOldNoticeDoesNotOverrideServingTarget);
   CPPUNIT_TEST(TestStartupWindowAdoptsHighestRevision);
   CPPUNIT_TEST(TestFirstListingIsNotRelayed);
   CPPUNIT_TEST_SUITE_END();
@@ -43,26 +42,6 @@
     CPPUNIT_ASSERT(!second.IsLeaving(kTarget));
   }
 
-  // Guards against notices from before a restart that mark the target as leaving
-  // again, and against a response that clears the notice although it was sent just
-  // before the target began to leave.
-  void TestOldNoticeDoesNotOverrideServingTarget() {
-    LeavingTargets targets;
-    TimePoint now{};
-    targets.MarkLeaving(now, kTarget);
-    const auto notices = targets.Notices(now, 8);
-    targets.MarkServing(kTarget);
-    CPPUNIT_ASSERT(targets.IsLeaving(kTarget));
-    now += seconds(20);
-    targets.Tick(now);
-    targets.MarkServing(kTarget);
-    CPPUNIT_ASSERT(!targets.IsLeaving(kTarget));
-    CPPUNIT_ASSERT(!targets.Merge(now, notices));
-    CPPUNIT_ASSERT(!targets.IsLeaving(kTarget));
-    CPPUNIT_ASSERT(targets.MarkLeaving(now, kTarget));
-    CPPUNIT_ASSERT(targets.IsLeaving(kTarget));
-  }
-
   // Guards against a starting host that adopts the outdated document of one peer
   // although another peer sends a newer one within the same second.
   void TestStartupWindowAdoptsHighestRevision() {
