--- a/Tests/LibHealth/service_health_test.cc
+++ b/Tests/LibHealth/service_health_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TestIdleDownTargetIsFoundByProbes);
   CPPUNIT_TEST(TestProbationRampAndReturn);
   CPPUNIT_TEST(TestFaultyTargetFailsProbationAndIsEjectedLonger);
+  CPPUNIT_TEST(TestAlternatingFailuresEndProbation);
   CPPUNIT_TEST(TestFloorKeepsLeastSevereTargets);
   CPPUNIT_TEST(TestDrainReinstatesLeastSevereTarget);
   CPPUNIT_TEST(TestInterruptedEjectionIsNoRepeat);
@@ -417,6 +418,27 @@
     CPPUNIT_ASSERT(fleet.request_count(0) < 500);
   }
 
+  // Guards against a target that fails every second request and stays in probation forever: it has
+  // neither five passes nor two failures in a row.
+  void TestAlternatingFailuresEndProbation() {
+    SimulatedFleet fleet(6, 3, 9, 30);
+    fleet.Run(5s);
+    fleet.targets[0].slow_factor = 10.0;
+    CPPUNIT_ASSERT(fleet.RunUntilEjected(0, 5s) < 5s);
+    fleet.targets[0].slow_factor = 1.0;
+    // Requests of the simulation would add outcomes of their own.
+    fleet.targets[0].busy = 1000;
+    fleet.Run(10s + 200ms);
+    CPPUNIT_ASSERT(fleet.Status(0).state == TargetState::kProbation);
+    for (const AttemptResult result :
+         {AttemptResult::kSuccess, AttemptResult::kServerError, AttemptResult::kSuccess}) {
+      fleet.health.Observe(fleet.now, this->Observation(fleet, 0, result));
+      CPPUNIT_ASSERT(fleet.Status(0).state == TargetState::kProbation);
+    }
+    fleet.health.Observe(fleet.now, this->Observation(fleet, 0, AttemptResult::kServerError));
+    CPPUNIT_ASSERT(fleet.Status(0).state == TargetState::kEjected);
+  }
+
   // Property P1: guards against the most severe targets being kept in service to meet
   // the floor.
   void TestFloorKeepsLeastSevereTargets() {
