Load: Do not throw on a body whose fields are no strings

pimentopin-load ended with an exception when a target answered with a first line such as {"service": 7}, instead of counting the response as wrong. IsExpectedBody read the fields with json::value, which throws if the type differs (json.exception.type_error.302).

A field that is no string counts as missing now.

--- a/Bench/Load/body_check.cc
+++ b/Bench/Load/body_check.cc
@@ -20,6 +20,12 @@
   return true;
 }
 
+// Returns an empty string if the field is missing or is no string.
+std::string StringField(const nlohmann::json& line, const char* name) {
+  const auto field = line.find(name);
+  return field != line.end() && field->is_string() ? field->get<std::string>() : std::string();
+}
+
 }  // namespace
 
 bool IsExpectedBody(std::string_view body, const ExpectedBody& expected) {
@@ -28,10 +34,10 @@
     return false;
   }
   const auto line = nlohmann::json::parse(body.substr(0, line_end), nullptr, false);
-  if (!line.is_object() || line.value("service", "") != expected.service) {
+  if (!line.is_object() || StringField(line, "service") != expected.service) {
     return false;
   }
-  const std::string request_id = line.value("request_id", "");
+  const std::string request_id = StringField(line, "request_id");
   return request_id.starts_with(expected.id_prefix) &&
          IsExpectedFiller(body.substr(line_end + 1), request_id);
 }
