Core: Report log lines lost by a full queue

If the reader of standard output falls behind by more than the 512 lines of the queue, spdlog drops the oldest ones. Nothing said so: neither the log nor the metrics page gave a number.

LostLogLines() returns the total, which /metrics shows as pimentopin_log_lines_lost_total.

--- a/Libraries/LibHost/metrics.cc
+++ b/Libraries/LibHost/metrics.cc
@@ -25,6 +25,11 @@
   this->counters[{std::string(name), std::string(labels)}] += increment;
 }
 
+void Metrics::SetCounter(std::string_view name, std::string_view labels, std::uint64_t value) {
+  const std::lock_guard lock(this->mutex);
+  this->counters[{std::string(name), std::string(labels)}] = value;
+}
+
 void Metrics::SetGauge(std::string_view name, std::string_view labels, double value) {
   const std::lock_guard lock(this->mutex);
   this->gauges[{std::string(name), std::string(labels)}] = value;
--- a/Libraries/LibHost/metrics.h
+++ b/Libraries/LibHost/metrics.h
@@ -21,6 +21,8 @@
   void IncrementCounter(std::string_view name,
                         std::string_view labels,
                         std::uint64_t increment = 1);
+  // Sets a counter whose value is kept elsewhere.
+  void SetCounter(std::string_view name, std::string_view labels, std::uint64_t value);
   void SetGauge(std::string_view name, std::string_view labels, double value);
   void ObserveLatency(std::string_view name, std::string_view labels, Duration latency);
 
--- a/Libraries/LibHost/operator_endpoint.cc
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -184,6 +184,7 @@
   } else if (request.path == "/readyz") {
     this->SendReadiness(responder);
   } else if (request.path == "/metrics") {
+    this->metrics.SetCounter("pimentopin_log_lines_lost_total", "", LostLogLines());
     responder->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                        this->metrics.ToText());
   } else {
