Host: Name the route's caller in the refusal

A request without the header Pimentopin-Caller whose route names an unknown caller was refused with "unknown caller ''", which hides what is wrong in the configuration. ResolveByRoute looked up the route's caller but printed the header. It prints the name that it looked up now.

--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -72,8 +72,9 @@
                                               const std::string& request_id,
                                               ErrorResponse& refusal) {
   ResolvedRequest resolved{.route = &route, .target_path = request.path};
-  const std::string_view caller_name = FindHeader(request.headers, kCallerHeader);
-  resolved.caller = configuration.FindCaller(caller_name.empty() ? route.caller : caller_name);
+  const std::string_view stated_caller = FindHeader(request.headers, kCallerHeader);
+  const std::string_view caller_name = stated_caller.empty() ? route.caller : stated_caller;
+  resolved.caller = configuration.FindCaller(caller_name);
   resolved.service = configuration.FindService(route.SelectService(StableHash(request_id)));
   if (resolved.caller == nullptr) {
     refusal =
--- a/Tests/LibHost/request_reader_test.cc
+++ b/Tests/LibHost/request_reader_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(TestLongestPrefixRouteApplies);
   CPPUNIT_TEST(TestEarlierOfDeadlineAndTimeoutApplies);
   CPPUNIT_TEST(TestSplitFollowsWeights);
+  CPPUNIT_TEST(TestRefusalNamesCallerOfRoute);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -182,6 +183,20 @@
     CPPUNIT_ASSERT(pages > 150 && pages < 250);
   }
 
+  // Guards against a refusal that names an empty caller although the caller that the route names is
+  // unknown.
+  void TestRefusalNamesCallerOfRoute() {
+    Configuration routed = RoutedConfiguration();
+    routed.routes[0].caller = "nobody";
+    HttpServerRequest request = RoutedRequest("/x");
+    CPPUNIT_ASSERT(!this->ReadFrom(routed.WithIndex(), request));
+    CPPUNIT_ASSERT_EQUAL(403, this->refusal.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown caller 'nobody'"), this->refusal.message);
+    request.headers.push_back({"Pimentopin-Caller", "stranger"});
+    CPPUNIT_ASSERT(!this->ReadFrom(routed.WithIndex(), request));
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown caller 'stranger'"), this->refusal.message);
+  }
+
   // Guards against writing a claim for a request that is idempotent anyway.
   void TestSafeMethodIgnoresKey() {
     HttpServerRequest request = SampleRequest();
