Runner: Fail the gray command if its records cannot be written

The command had its own code for the output; it uses WriteJsonLines now, as the blocking and crest commands do, and exits with 2.

--- a/Bench/Runner/gray_failure_command.cc
+++ b/Bench/Runner/gray_failure_command.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -13,6 +12,7 @@
 
 #include "Bench/Runner/command.h"
 #include "Bench/Runner/gray_failure_experiment.h"
+#include "Bench/Runner/json_lines.h"
 #include "Bench/Runner/parallel.h"
 
 namespace pimentopin::bench {
@@ -270,16 +270,9 @@
   if (options->run_healthy_hour) {
     met = RunHealthyHours(*options, lines) && met;
   }
-  std::ofstream file;
-  if (!options->json_path.empty()) {
-    file.open(options->json_path);
-  }
-  for (const std::string& line : lines) {
-    if (file.is_open()) {
-      file << line << '\n';
-    } else {
-      fmt::print("{}\n", line);
-    }
+  if (!WriteJsonLines(options->json_path, lines)) {
+    fmt::print(stderr, "cannot write {}\n", options->json_path);
+    return kExitUsage;
   }
   fmt::print("{}\n", met ? "all stated bounds met" : "stated bounds MISSED, see above");
   return met ? kExitSuccess : kExitFailure;
