Health: Let a target on probation replace a more severe one

Cause: at the floor, a suspect is ejected only if a less severe target takes over its slots, and only ejected targets were considered. A target on probation or in ramp-up, of which the floor counts one slot, was passed over, so the more severe target kept all of its slots and callers went on receiving its failures. Change: a less severe target with unused slots is returned to full service, whether it is ejected, on probation or in ramp-up. Result: TestTargetOnProbationReplacesMoreSevereTarget fails before and passes after. TestLibHealth: no other failure.

--- a/Libraries/LibHealth/ejection_policy.cc
+++ b/Libraries/LibHealth/ejection_policy.cc
@@ -78,9 +78,11 @@
       Eject(candidates, index, decisions);
       continue;
     }
+    // A less severe target that is ejected, on probation or in ramp-up has slots to spare.
     const auto substitute = LeastSevere(candidates, [&](const EjectionCandidate& candidate) {
-      return candidate.ejected && candidate.severity + kSwapSeverityMargin < suspect.severity &&
-             remaining_slots + candidate.slots >= this->floor_slots;
+      return candidate.usable_slots < candidate.slots &&
+             candidate.severity + kSwapSeverityMargin < suspect.severity &&
+             remaining_slots - candidate.usable_slots + candidate.slots >= this->floor_slots;
     });
     if (substitute) {
       Reinstate(candidates, *substitute, decisions);
--- a/Tests/LibHealth/ejection_policy_test.cc
+++ b/Tests/LibHealth/ejection_policy_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TestNeverEjectsBelowFloor);
   CPPUNIT_TEST(TestLeastSevereTargetsStayInService);
   CPPUNIT_TEST(TestDecisionsAreStable);
+  CPPUNIT_TEST(TestTargetOnProbationReplacesMoreSevereTarget);
   CPPUNIT_TEST(TestKeepsOneSlotWithoutFloor);
   CPPUNIT_TEST_SUITE_END();
 
@@ -104,6 +105,17 @@
     }));
   }
 
+  // Guards against a failing target that keeps its slots because the floor counts only the
+  // one slot of a less severe target on probation.
+  void TestTargetOnProbationReplacesMoreSevereTarget() {
+    const EjectionCandidate healthy{3, 3, false, false, 0.0};
+    const EjectionCandidate on_probation{3, 1, false, false, 0.5};
+    const EjectionCandidate failing{3, 3, false, true, 4.5};
+    const std::vector<EjectionDecision> expected = {{1, EjectionChange::kReinstate},
+                                                    {2, EjectionChange::kEject}};
+    CPPUNIT_ASSERT(EjectionPolicy(6).Decide({healthy, on_probation, failing}) == expected);
+  }
+
   // Guards against a service without a configured floor losing all of its targets.
   void TestKeepsOneSlotWithoutFloor() {
     const EjectionCandidate suspect{3, 3, false, true, 2.0};
