Health: Ignore attempts that began before probation

Cause: outcomes during an ejection are ignored because the attempts began before it, but those that end after the ejection counted as outcomes of probation. Two late failures, for example of a target that hung, failed the probation and doubled the ejection of a target that works again. This needs attempts that outlast the ejection: long time budgets, or ejections that the floor interrupted and that are resumed for their rest. Change: an outcome counts in probation only if its attempt began after the ejection. Result: TestAttemptsFromBeforeProbationDoNotFailIt fails before and passes after.

--- a/Libraries/LibHealth/service_health.cc
+++ b/Libraries/LibHealth/service_health.cc
@@ -112,9 +112,10 @@
   } else {
     record->last_outcome = now;
   }
-  // Attempts that end during an ejection began before it, so their outcomes do not show
-  // whether the target has recovered. Probation tests that after the ejection.
-  if (record->phase == Phase::kEjected) {
+  // Attempts that began before probation do not show whether the target has recovered.
+  const TimePoint started_at = now - observation.service_time;
+  if (record->phase == Phase::kEjected ||
+      (record->phase == Phase::kProbation && started_at < record->phase_boundary)) {
     return;
   }
 
--- a/Tests/LibHealth/service_health_test.cc
+++ b/Tests/LibHealth/service_health_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TestIdleDownTargetIsFoundByProbes);
   CPPUNIT_TEST(TestProbationRampAndReturn);
   CPPUNIT_TEST(TestFaultyTargetFailsProbationAndIsEjectedLonger);
+  CPPUNIT_TEST(TestAttemptsFromBeforeProbationDoNotFailIt);
   CPPUNIT_TEST(TestFloorKeepsLeastSevereTargets);
   CPPUNIT_TEST(TestDrainReinstatesLeastSevereTarget);
   CPPUNIT_TEST(TestInterruptedEjectionIsNoRepeat);
@@ -417,6 +418,27 @@
     CPPUNIT_ASSERT(fleet.request_count(0) < 500);
   }
 
+  // Guards against attempts that began before probation and end during it, such as those
+  // of a target that hung, prolonging the ejection.
+  void TestAttemptsFromBeforeProbationDoNotFailIt() {
+    SimulatedFleet fleet(6, 3, 9, 29);
+    fleet.Run(5s);
+    fleet.targets[0].slow_factor = 10.0;
+    CPPUNIT_ASSERT(fleet.RunUntilEjected(0, 5s) < 5s);
+    fleet.targets[0].slow_factor = 1.0;
+    while (fleet.Status(0).state == TargetState::kEjected) {
+      fleet.Run(10ms);
+    }
+    HealthObservation late = Observation(fleet, 0, AttemptResult::kWrongAnswer);
+    late.service_time = 12s;
+    for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+      late.fingerprint = Fingerprint{attempt};
+      fleet.health.Observe(fleet.now, late);
+    }
+    fleet.Run(200ms);
+    CPPUNIT_ASSERT(fleet.Status(0).state == TargetState::kProbation);
+  }
+
   // Property P1: guards against the most severe targets being kept in service to meet
   // the floor.
   void TestFloorKeepsLeastSevereTargets() {
