Http: Limit the header of a response

Callers saw, or would see, a request refused as a suspected crash request after two targets sent header fields, one header line or interim responses without end. Other targets were marked with its fingerprint.

Cause: only libcurl limited the header (300 KB in all, 100 KB for a line). It reports its limits as a failed read or a failed allocation, which the client mapped to kConnectionLost like a closed connection. The dispatch controller takes that for a crash of the target.

Evidence: with a loopback server that writes until its peer closes, TestEndlessHeaderFieldsAreMalformed, TestEndlessHeaderLineIsMalformed and TestEndlessInterimResponsesAreMalformed failed before the change: expected 5 (kMalformed), actual 2 (kConnectionLost). Bytes without a status line were already kMalformed; TestEndlessBytesWithoutStatusLineAreMalformed passed before.

Change: the client counts the bytes of the header, those of interim responses included, and ends the transfer as kMalformed above kMaxResponseHeadBytes (128 KiB). libcurl's limit on a line ends it as kMalformed too.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -38,6 +38,10 @@
 // the connection is lost, so connections idle for longer are not reused.
 constexpr long kMaxConnectionIdleSeconds = 8;
 
+// Limit on the status lines and header fields of a response, those of interim responses included.
+// Above libcurl's limit on a single line, which is 100 KiB.
+constexpr std::size_t kMaxResponseHeadBytes = 128 * 1024;
+
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
 };
@@ -164,6 +168,10 @@
   EasyHandle easy;
   HeaderList header_list;
   ResponseHeaderParser response;
+  // Bytes of the response before its body.
+  std::size_t head_bytes = 0;
+  // The peer sends bytes that are no response. The connection is closed and the transfer ends.
+  bool malformed = false;
   int send_count = 0;
   bool paused_by_curl = false;
   bool ended = false;
@@ -173,6 +181,13 @@
 
 std::size_t OnHeaderLine(char* bytes, std::size_t size, std::size_t count, void* data) {
   auto& transfer = *static_cast<CurlTransfer*>(data);
+  if (!transfer.response.complete()) {
+    transfer.head_bytes += size * count;
+    if (transfer.head_bytes > kMaxResponseHeadBytes) {
+      transfer.malformed = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
+  }
   if (transfer.response.AddLine({bytes, size * count}) && transfer.callbacks.on_headers) {
     transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
   }
@@ -210,6 +225,9 @@
 TransferError ErrorFromCurl(CURLcode code, const CurlTransfer& transfer) {
   const bool request_sent = transfer.send_count > 0;
   const bool header_complete = transfer.response.complete();
+  if (transfer.malformed) {
+    return TransferError::kMalformed;
+  }
   switch (code) {
     case CURLE_OK:
       if (!header_complete) {
@@ -228,6 +246,12 @@
     case CURLE_BAD_CONTENT_ENCODING:
     case CURLE_HTTP2:
       return TransferError::kMalformed;
+    case CURLE_OUT_OF_MEMORY:
+      // libcurl 7.88 reports a header line above its limit like a failed allocation.
+      if (request_sent && !header_complete) {
+        return TransferError::kMalformed;
+      }
+      [[fallthrough]];
     default:
       if (!request_sent) {
         return TransferError::kConnectFailure;
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration kLongTimeout = std::chrono::seconds(20);
+// A response without end that the client does not recognise as malformed ends with kTimeout.
+constexpr Duration kEndlessResponseTimeout = std::chrono::seconds(5);
 const std::string kSmallResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 class HttpClientTest : public CppUnit::TestFixture {
@@ -35,6 +37,10 @@
   CPPUNIT_TEST(TestCloseBeforeResponseIsConnectionLost);
   CPPUNIT_TEST(TestCloseInHeaderIsConnectionLost);
   CPPUNIT_TEST(TestMalformedResponse);
+  CPPUNIT_TEST(TestEndlessHeaderFieldsAreMalformed);
+  CPPUNIT_TEST(TestEndlessHeaderLineIsMalformed);
+  CPPUNIT_TEST(TestEndlessInterimResponsesAreMalformed);
+  CPPUNIT_TEST(TestEndlessBytesWithoutStatusLineAreMalformed);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -244,6 +250,28 @@
     this->CheckError(this->Exchange("SSH-2.0-test\r\n\r\n", true), TransferError::kMalformed, true);
   }
 
+  // This test and the next three guard against reading a head without end until the timeout, and
+  // against reporting the connection that the client closes as a crash of the peer.
+  void TestEndlessHeaderFieldsAreMalformed() {
+    this->CheckEndlessHead("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n");
+  }
+
+  void TestEndlessHeaderLineIsMalformed() {
+    this->CheckEndlessHead("HTTP/1.1 200 OK\r\nX-Field: ", "value");
+    this->CheckEndlessHead("HTTP/1.1 200 ", "reason");
+  }
+
+  void TestEndlessInterimResponsesAreMalformed() {
+    this->CheckEndlessHead("", "HTTP/1.1 100 Continue\r\n\r\n");
+    this->CheckEndlessHead("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+  }
+
+  void TestEndlessBytesWithoutStatusLineAreMalformed() {
+    this->CheckEndlessHead("", "no response\r\n");
+    this->CheckEndlessHead("", "\r\n");
+    this->CheckEndlessHead("", std::string(1000, '\0'));
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
@@ -568,6 +596,26 @@
     return record;
   }
 
+  // Responds with `start` and then with `repeated` until the client closes the connection.
+  TransferRecorder& ExchangeWithoutEnd(const std::string& start, const std::string& repeated) {
+    RawServer server(this->context);
+    TransferRecorder& record =
+        this->Start({.method = "GET", .url = server.url("/"), .timeout = kEndlessResponseTimeout});
+    RawConnection connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send(start);
+    CPPUNIT_ASSERT(connection.SendUntilClosed(repeated));
+    CPPUNIT_ASSERT(record.Wait());
+    return record;
+  }
+
+  void CheckEndlessHead(const std::string& start, const std::string& repeated) {
+    TransferRecorder& record = this->ExchangeWithoutEnd(start, repeated);
+    this->CheckError(record, TransferError::kMalformed, true);
+    CPPUNIT_ASSERT_EQUAL(0, record.on_headers_calls);
+    CPPUNIT_ASSERT_EQUAL(std::string(), record.body);
+  }
+
   // Returns a connection that the client has used once and keeps for its next request.
   RawConnection OpenReusableConnection(RawServer& server) {
     TransferRecorder& record = this->Get(server.url("/first"));
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -51,6 +51,21 @@
 
   void Send(const std::string& bytes) { asio::write(this->socket, asio::buffer(bytes)); }
 
+  // Sends the bytes again and again until the peer closes the connection; false if it does not
+  // within kTestTimeout.
+  bool SendUntilClosed(const std::string& bytes) {
+    this->socket.non_blocking(true);
+    std::size_t sent = 0;
+    asio::error_code error;
+    return Eventually([&] {
+      do {
+        sent += this->socket.write_some(asio::buffer(bytes) + sent, error);
+        sent = sent == bytes.size() ? 0 : sent;
+      } while (!error);
+      return error != asio::error::would_block;
+    });
+  }
+
   // Reads until the text has been received or the connection has ended; returns all bytes not
   // returned before.
   std::string ReadUntil(const std::string& text) {
