Http: End a transfer at a status that no request asks for

Callers waited until their deadline for a target that sends 101 Switching Protocols, or a status below 100, and then other bytes without end.

Cause: libcurl takes such a status for a final one and passes what follows to the body callback, without a call of on_headers. The attempt buffers up to its pause threshold and waits for the timeout.

Evidence: TestEndlessBytesAfterSwitchingProtocolsAreMalformed failed before the change: expected 5 (kMalformed), actual 4 (kTimeout).

Change: a header that ends with status 101 or one below 100 ends the transfer as kMalformed. Upgrade is not forwarded to targets, so that no request asks for another protocol.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -104,6 +104,7 @@
     if (line.starts_with("HTTP/")) {
       this->header_fields.clear();
       this->status_code = 0;
+      this->has_ended = false;
       const std::size_t space = line.find(' ');
       if (space != std::string_view::npos) {
         std::from_chars(line.data() + space + 1, line.data() + line.size(), this->status_code);
@@ -111,6 +112,7 @@
       return false;
     }
     if (line.empty()) {
+      this->has_ended = true;
       this->is_complete = this->status_code >= 200;
       return this->is_complete;
     }
@@ -125,6 +127,11 @@
   }
 
   bool complete() const { return this->is_complete; }
+  // True if the header section has ended and is neither that of an interim nor of a final response.
+  // libcurl takes what follows 101 for a body, although no request asks for another protocol.
+  bool has_unexpected_status() const {
+    return this->has_ended && (this->status_code < 100 || this->status_code == 101);
+  }
   int status() const { return this->status_code; }
   const HttpHeaders& fields() const { return this->header_fields; }
   // True if a truncated response can be distinguished from a complete one.
@@ -137,6 +144,7 @@
  private:
   HttpHeaders header_fields;
   int status_code = 0;
+  bool has_ended = false;
   bool is_complete = false;
 };
 
@@ -188,7 +196,12 @@
       return CURL_WRITEFUNC_ERROR;
     }
   }
-  if (transfer.response.AddLine({bytes, size * count}) && transfer.callbacks.on_headers) {
+  const bool is_end_of_head = transfer.response.AddLine({bytes, size * count});
+  if (transfer.response.has_unexpected_status()) {
+    transfer.malformed = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
+  if (is_end_of_head && transfer.callbacks.on_headers) {
     transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
   }
   return size * count;
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(TestEndlessHeaderLineIsMalformed);
   CPPUNIT_TEST(TestEndlessInterimResponsesAreMalformed);
   CPPUNIT_TEST(TestEndlessBytesWithoutStatusLineAreMalformed);
+  CPPUNIT_TEST(TestEndlessBytesAfterSwitchingProtocolsAreMalformed);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -272,6 +273,12 @@
     this->CheckEndlessHead("", std::string(1000, '\0'));
   }
 
+  // Guards against passing on bytes of another protocol as a body without a header.
+  void TestEndlessBytesAfterSwitchingProtocolsAreMalformed() {
+    this->CheckEndlessHead("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "bytes");
+    this->CheckEndlessHead("HTTP/1.1 099 Unknown\r\n\r\n", "bytes");
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
