Http: Limit chunk extensions and trailers of a response

Callers waited until their deadline for a target that sends a chunk extension or trailers without end after part of a body.

Cause: libcurl skips chunk extensions of any length and passes trailers to the header callback, which ignores them after the header.

Evidence: TestEndlessChunkExtensionIsMalformed and TestEndlessTrailersAreMalformed failed before the change: expected 5 (kMalformed), actual 4 (kTimeout).

Change: for a response with Transfer-Encoding, the client counts the bytes that arrive without a byte of the body in between, and ends the transfer as kMalformed above kMaxChunkFramingBytes (128 KiB). Bytes of the body reset the count, so that the length of a sound body is not limited. libcurl reports undecoded bytes only to its debug callback, which is set for these responses after their header. libcurl's own limit on one trailer line ends the transfer as kTruncated, as before.

The cost of the debug callback was not measured.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -41,6 +41,8 @@
 // Limit on the status lines and header fields of a response, those of interim responses included.
 // Above libcurl's limit on a single line, which is 100 KiB.
 constexpr std::size_t kMaxResponseHeadBytes = 128 * 1024;
+// Limit on the chunk extensions and trailers that follow each other without a byte of the body.
+constexpr std::size_t kMaxChunkFramingBytes = 128 * 1024;
 
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -160,11 +162,13 @@
         callbacks(std::move(callbacks)),
         start(SteadyNow()) {}
 
-  void Cancel() override;
+  void Cancel() override { this->EndAfterCallbacks(TransferError::kCancelled); }
   // Refuses the next received bytes, so that no callback starts after this call except one that is
   // already running.
   void Pause() override { this->paused = true; }
   void Resume() override;
+  // Ends the transfer once the callbacks that run now have returned.
+  void EndAfterCallbacks(TransferError error);
 
   const std::weak_ptr<TransferManager> manager;
   const HttpClientRequest request;
@@ -178,6 +182,8 @@
   ResponseHeaderParser response;
   // Bytes of the response before its body.
   std::size_t head_bytes = 0;
+  // Bytes of a chunked body, with its framing, received since the last byte of its content.
+  std::size_t chunk_framing_bytes = 0;
   // The peer sends bytes that are no response. The connection is closed and the transfer ends.
   bool malformed = false;
   int send_count = 0;
@@ -201,18 +207,39 @@
     transfer.malformed = true;
     return CURL_WRITEFUNC_ERROR;
   }
-  if (is_end_of_head && transfer.callbacks.on_headers) {
-    transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
+  if (is_end_of_head) {
+    if (!FindHeader(transfer.response.fields(), "Transfer-Encoding").empty()) {
+      // Reports the received bytes to OnDebugData().
+      curl_easy_setopt(transfer.easy.get(), CURLOPT_VERBOSE, 1L);
+    }
+    if (transfer.callbacks.on_headers) {
+      transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
+    }
   }
   return size * count;
 }
 
+// Counts the received bytes of a chunked body, which libcurl reports before it decodes them. It
+// skips chunk extensions of any length without another call.
+int OnDebugData(CURL*, curl_infotype type, char*, std::size_t size, void* data) {
+  if (type == CURLINFO_DATA_IN) {
+    auto& transfer = *static_cast<CurlTransfer*>(data);
+    transfer.chunk_framing_bytes += size;
+    if (transfer.chunk_framing_bytes > kMaxChunkFramingBytes && !transfer.malformed) {
+      transfer.malformed = true;
+      transfer.EndAfterCallbacks(TransferError::kMalformed);
+    }
+  }
+  return 0;
+}
+
 std::size_t OnBodyBytes(char* bytes, std::size_t size, std::size_t count, void* data) {
   auto& transfer = *static_cast<CurlTransfer*>(data);
   if (transfer.paused) {
     transfer.paused_by_curl = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  transfer.chunk_framing_bytes = 0;
   if (transfer.callbacks.on_body) {
     transfer.callbacks.on_body(std::string(bytes, size * count));
   }
@@ -420,6 +447,8 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &OnDebugData);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBodyBytes);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     return true;
@@ -544,13 +573,14 @@
   std::unordered_set<std::shared_ptr<CurlTransfer>> active_transfers;
 };
 
-void CurlTransfer::Cancel() {
+void CurlTransfer::EndAfterCallbacks(TransferError error) {
   if (const auto live_manager = this->manager.lock()) {
-    asio::post(live_manager->event_loop(), [self = this->shared_from_this(), weak = this->manager] {
-      if (const auto owner = weak.lock()) {
-        owner->EndTransfer(self, TransferError::kCancelled);
-      }
-    });
+    asio::post(live_manager->event_loop(),
+               [self = this->shared_from_this(), weak = this->manager, error] {
+                 if (const auto owner = weak.lock()) {
+                   owner->EndTransfer(self, error);
+                 }
+               });
   }
 }
 
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(TestEndlessInterimResponsesAreMalformed);
   CPPUNIT_TEST(TestEndlessBytesWithoutStatusLineAreMalformed);
   CPPUNIT_TEST(TestEndlessBytesAfterSwitchingProtocolsAreMalformed);
+  CPPUNIT_TEST(TestEndlessChunkExtensionIsMalformed);
+  CPPUNIT_TEST(TestEndlessTrailersAreMalformed);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -279,6 +281,19 @@
     this->CheckEndlessHead("HTTP/1.1 099 Unknown\r\n\r\n", "bytes");
   }
 
+  // Guards against reading a chunk extension without end until the timeout.
+  void TestEndlessChunkExtensionIsMalformed() {
+    this->CheckEndlessChunkFraming("4;name=", "value");
+    this->CheckEndlessChunkFraming("0;name=", "value");
+  }
+
+  // Guards against reading trailers without end until the timeout.
+  void TestEndlessTrailersAreMalformed() {
+    this->CheckEndlessChunkFraming("0\r\n", "X-Trailer: value\r\n");
+    // libcurl's limit on a trailer line is reported like a reset of the connection.
+    this->CheckEndlessChunkFraming("0\r\nX-Trailer: ", "value", TransferError::kTruncated);
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
@@ -623,6 +638,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), record.body);
   }
 
+  void CheckEndlessChunkFraming(const std::string& start,
+                                const std::string& repeated,
+                                TransferError error = TransferError::kMalformed) {
+    TransferRecorder& record = this->ExchangeWithoutEnd(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n" + start, repeated);
+    this->CheckError(record, error, true);
+    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), record.body);
+  }
+
   // Returns a connection that the client has used once and keeps for its next request.
   RawConnection OpenReusableConnection(RawServer& server) {
     TransferRecorder& record = this->Get(server.url("/first"));
