Http: Replace an idle connection on which bytes arrived

A caller could receive the second response to another caller's request, and a target could send on an idle connection until the connection was replaced.

Cause: libcurl drops additional bytes only if it reads them together with the end of a response. It takes an idle connection with unread bytes, or one that was reset, for usable. Bytes that arrived after the end of a response became the start of the response to the next request.

Evidence: before the change, TestLateAdditionalResponseBelongsToNoRequest failed: the next request received "wrong", the body of the additional response. TestEndlessBytesAfterCompleteResponseCloseConnection failed: the connection stayed open for 20 s.

Change: the client watches the connections that libcurl keeps. When bytes arrive, it resets the connection. Before it sends a request on a kept connection, it checks that the connection is open and has no unread bytes; otherwise it closes it and starts the transfer on another one. Nothing has been sent then, so that the request is still sent once.

Each request on a kept connection costs a few more system calls; their time was not measured.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -12,10 +13,13 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <charconv>
+#include <map>
 #include <mutex>
 #include <string_view>
 #include <thread>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -152,6 +156,9 @@
 
 class TransferManager;
 
+// Local port, remote address and remote port.
+using ConnectionKey = std::tuple<long, std::string, long>;
+
 class CurlTransfer : public Transfer, public std::enable_shared_from_this<CurlTransfer> {
  public:
   CurlTransfer(std::weak_ptr<TransferManager> manager,
@@ -187,6 +194,11 @@
   // The peer sends bytes that are no response. The connection is closed and the transfer ends.
   bool malformed = false;
   int send_count = 0;
+  // The idle connection that libcurl chose was closed, or bytes that belong to no request arrived
+  // on it, before the request was sent.
+  bool needs_other_connection = false;
+  // The connection on which the request was sent.
+  ConnectionKey connection;
   bool paused_by_curl = false;
   bool ended = false;
 
@@ -246,13 +258,23 @@
   return size * count;
 }
 
-// Called after a connection is established and before the first byte is written. libcurl resends a
-// request on a new connection if a reused one was closed without a response. The first copy may
-// have been executed, so the second is refused.
-int OnBeforeSend(void* data, char*, char*, int, int) {
-  auto& transfer = *static_cast<CurlTransfer*>(data);
-  ++transfer.send_count;
-  return transfer.send_count == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+bool HasUnreadBytes(curl_socket_t socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
+// True if the connection is open and its peer has sent nothing on it.
+bool IsOpenAndSilent(curl_socket_t socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+// Resets a connection and drops its unread bytes without closing the socket, which libcurl owns. It
+// closes the socket when it next looks for an idle connection. shutdown() would leave a peer that
+// has filled the receive buffer waiting for space in it.
+void ResetConnection(curl_socket_t socket) {
+  const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
+  connect(socket, &unspecified, sizeof(unspecified));
 }
 
 // Sets TCP_USER_TIMEOUT; without it, the kernel retransmits for minutes to a peer behind a network
@@ -362,6 +384,15 @@
     transfer->timer.reset();
     this->active_transfers.erase(transfer);
     if (transfer->easy) {
+      // libcurl may have started the next transfer on the connection before it reported the end of
+      // this one.
+      const auto user = this->connection_users.find(transfer->connection);
+      if (user != this->connection_users.end() && user->second == transfer.get()) {
+        this->connection_users.erase(user);
+        if (error == TransferError::kNone) {
+          this->WatchIdleConnection(*transfer);
+        }
+      }
       // Closes the connection if the response is incomplete.
       curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
       this->RecycleHandle(std::move(transfer->easy));
@@ -403,6 +434,83 @@
     bool waiting_for_write = false;
   };
 
+  struct IdleConnection {
+    IdleConnection(ConnectionKey key, asio::io_context& context, curl_socket_t socket)
+        : key(std::move(key)), watch(context, socket) {}
+
+    const ConnectionKey key;
+    SocketWatch watch;
+  };
+
+  // Called after a connection is established and before the first byte is written. libcurl resends
+  // a request on a new connection if a reused one was closed without a response. The first copy may
+  // have been executed, so the second is refused. Bytes that arrived before the request is sent are
+  // no response to it, but libcurl would take them for one.
+  static int OnBeforeSend(void* data,
+                          char* remote_address,
+                          char* /*local_address*/,
+                          int remote_port,
+                          int local_port) {
+    auto& transfer = *static_cast<CurlTransfer*>(data);
+    const auto self = transfer.manager.lock();
+    const auto idle = self->idle_sockets.find({local_port, remote_address, remote_port});
+    if (idle != self->idle_sockets.end()) {
+      const curl_socket_t socket = idle->second;
+      self->StopWatchingIdleConnection(socket);
+      if (transfer.send_count == 0 && !IsOpenAndSilent(socket)) {
+        transfer.needs_other_connection = true;
+        return CURL_PREREQFUNC_ABORT;
+      }
+    }
+    ++transfer.send_count;
+    if (transfer.send_count > 1) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.connection = {local_port, remote_address, remote_port};
+    self->connection_users[transfer.connection] = &transfer;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  // Watches the connection that libcurl keeps after a transfer. libcurl does not poll it, so a peer
+  // could send on it for as long as it is idle.
+  void WatchIdleConnection(const CurlTransfer& transfer) {
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    // libcurl tells the socket after a transfer, but not in OnBeforeSend().
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_ACTIVESOCKET, &socket);
+    if (socket == CURL_SOCKET_BAD) {
+      return;
+    }
+    const auto idle = std::make_shared<IdleConnection>(transfer.connection, this->context, socket);
+    this->idle_sockets[idle->key] = socket;
+    this->idle_connections[socket] = idle;
+    idle->watch.descriptor.async_wait(
+        asio::posix::descriptor_base::wait_read, [idle](const asio::error_code& error) {
+          if (!error && idle->watch.descriptor.is_open()) {
+            const curl_socket_t readable = idle->watch.descriptor.native_handle();
+            if (HasUnreadBytes(readable)) {
+              ResetConnection(readable);
+            }
+          }
+        });
+  }
+
+  // Has no effect on a socket that is not watched as idle.
+  void StopWatchingIdleConnection(curl_socket_t socket) {
+    const auto found = this->idle_connections.find(socket);
+    if (found == this->idle_connections.end()) {
+      return;
+    }
+    found->second->watch.descriptor.release();
+    this->idle_sockets.erase(found->second->key);
+    this->idle_connections.erase(found);
+  }
+
+  // libcurl 7.88 skips this call when a connection attempt times out; such a socket is never idle.
+  static int OnCloseSocket(void* data, curl_socket_t socket) {
+    static_cast<TransferManager*>(data)->StopWatchingIdleConnection(socket);
+    return close(socket);
+  }
+
   bool PrepareHandle(CurlTransfer& transfer) {
     const HttpClientRequest& request = transfer.request;
     for (const HttpHeader& header : request.headers) {
@@ -437,13 +545,15 @@
                      static_cast<long>(this->settings.keep_alive_idle_time.count()));
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &TransferManager::OnCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxConnectionIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                            this->settings.connect_timeout)
                                            .count()));
     this->SetMethod(easy, request);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &TransferManager::OnBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
@@ -492,6 +602,13 @@
       char* data = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &data);
       const auto transfer = reinterpret_cast<CurlTransfer*>(data)->shared_from_this();
+      if (std::exchange(transfer->needs_other_connection, false)) {
+        curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
+        if (curl_multi_add_handle(this->multi.get(), transfer->easy.get()) != CURLM_OK) {
+          this->EndTransfer(transfer, TransferError::kConnectFailure);
+        }
+        continue;
+      }
       this->EndTransfer(transfer, ErrorFromCurl(message->data.result, *transfer));
     }
   }
@@ -502,6 +619,7 @@
   // connection attempt times out.
   static int OnSocket(CURL*, curl_socket_t socket, int poll_events, void* data, void*) {
     auto& self = *static_cast<TransferManager*>(data);
+    self.StopWatchingIdleConnection(socket);
     std::shared_ptr<SocketWatch>& watch = self.watches[socket];
     if (poll_events == CURL_POLL_REMOVE) {
       if (watch) {
@@ -569,6 +687,9 @@
   asio::steady_timer curl_timer;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches;
   std::vector<EasyHandle> idle_handles;
+  std::map<ConnectionKey, const CurlTransfer*> connection_users;
+  std::map<ConnectionKey, curl_socket_t> idle_sockets;
+  std::unordered_map<curl_socket_t, std::shared_ptr<IdleConnection>> idle_connections;
   MultiHandle multi;
   std::unordered_set<std::shared_ptr<CurlTransfer>> active_transfers;
 };
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -20,6 +20,8 @@
 constexpr Duration kEndlessResponseTimeout = std::chrono::seconds(5);
 const std::string kSmallResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+const std::string kAdditionalResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+
 class HttpClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(TestCompleteResponseAndConnectionReuse);
@@ -44,6 +46,8 @@
   CPPUNIT_TEST(TestEndlessBytesAfterSwitchingProtocolsAreMalformed);
   CPPUNIT_TEST(TestEndlessChunkExtensionIsMalformed);
   CPPUNIT_TEST(TestEndlessTrailersAreMalformed);
+  CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
+  CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -294,6 +298,44 @@
     this->CheckEndlessChunkFraming("0\r\nX-Trailer: ", "value", TransferError::kTruncated);
   }
 
+  // Guards against keeping a connection on which a peer sends bytes that belong to no request.
+  void TestEndlessBytesAfterCompleteResponseCloseConnection() {
+    for (const std::string method : {"GET", "HEAD"}) {
+      for (const std::string& response :
+           {kSmallResponse, std::string("HTTP/1.1 204 No Content\r\n\r\n"),
+            std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")}) {
+        RawServer server(this->context);
+        TransferRecorder& record =
+            this->Start({.method = method, .url = server.url("/"), .timeout = kLongTimeout});
+        RawConnection connection = server.Accept();
+        connection.ReadUntil("\r\n\r\n");
+        connection.Send(response + kAdditionalResponse);
+        CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
+        CPPUNIT_ASSERT(record.Wait());
+        this->CheckError(record, TransferError::kNone, true);
+        CPPUNIT_ASSERT(record.body == "" || record.body == "ok");
+      }
+    }
+  }
+
+  // Property P2 (docs/design.md): a second response that arrives after the end of the first must
+  // not be taken for the response to the next request on that connection.
+  void TestLateAdditionalResponseBelongsToNoRequest() {
+    RawServer server(this->context);
+    RawConnection connection = this->OpenReusableConnection(server);
+    connection.Send(kAdditionalResponse);
+    TransferRecorder& next = this->Post(server.url("/next"));
+    CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection() || next.has_headers(); }));
+    CPPUNIT_ASSERT(!next.has_headers());
+    RawConnection replacement = server.Accept();
+    CPPUNIT_ASSERT(replacement.ReadUntil("\r\n\r\n").starts_with("POST /next "));
+    replacement.Send(kSmallResponse);
+    CPPUNIT_ASSERT(next.Wait());
+    this->CheckError(next, TransferError::kNone, true);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), next.body);
+    CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <poll.h>
+
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -113,6 +115,11 @@
   explicit RawServer(asio::io_context& context)
       : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}) {}
   RawConnection Accept() { return RawConnection(this->acceptor.accept()); }
+  // True if Accept() returns without waiting for a connection.
+  bool HasPendingConnection() {
+    pollfd poll_entry{.fd = this->acceptor.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&poll_entry, 1, 0) == 1;
+  }
   std::string address() const {
     std::ostringstream text;
     text << this->acceptor.local_endpoint();
