Host: Let the header decide the result of a shed attempt

Logs and reports would count a shed request as one that may have run, and a non-idempotent request would end as unknown instead of not-run, when the body of the shed response was cut off, malformed or not read to its end.

Cause: the result of the transfer took precedence over the header.

Evidence: TestHeaderDecidesResultOfCancelledBody failed before the change: the result was not kShed.

Change: once the header says that the response is shed or unusable, that is the result, however the body ends.

--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -192,6 +192,13 @@
 }
 
 AttemptResult AttemptTransfer::ResultLocked(const TransferResult& result) {
+  // The header has decided these, however the body ends.
+  if (this->response_info.shed) {
+    return AttemptResult::kShed;
+  }
+  if (this->response_info.unusable) {
+    return AttemptResult::kWrongAnswer;
+  }
   switch (result.error) {
     case TransferError::kConnectFailure:
       return AttemptResult::kConnectFailure;
@@ -208,10 +215,7 @@
     case TransferError::kNone:
       break;
   }
-  if (this->response_info.shed) {
-    return AttemptResult::kShed;
-  }
-  if (this->response_info.unusable || (this->digest && !this->digest->Matches())) {
+  if (this->digest && !this->digest->Matches()) {
     return AttemptResult::kWrongAnswer;
   }
   return this->status >= 500 ? AttemptResult::kServerError : AttemptResult::kSuccess;
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(TestDigestMismatchIsRejected);
   CPPUNIT_TEST(TestMismatchedAttemptIdIsRejected);
   CPPUNIT_TEST(TestShedResponseIsRecognised);
+  CPPUNIT_TEST(TestHeaderDecidesResultOfCancelledBody);
   CPPUNIT_TEST(TestErrorsReportWhetherRequestWasSent);
   CPPUNIT_TEST(TestHopByHopHeadersAreNotForwarded);
   CPPUNIT_TEST(TestResponseWithoutBody);
@@ -183,6 +184,21 @@
     CPPUNIT_ASSERT(this->end.result == AttemptResult::kServerError);
   }
 
+  // Guards against counting a shed request as a possible run because its body was not read.
+  void TestHeaderDecidesResultOfCancelledBody() {
+    for (const TransferError error : {TransferError::kCancelled, TransferError::kMalformed,
+                                      TransferError::kTruncated, TransferError::kTimeout}) {
+      this->StartTransfer();
+      this->Callbacks().on_headers(503, {{"Target-Outcome", "not-run"}});
+      this->Callbacks().on_end({.error = error, .may_have_been_sent = true});
+      CPPUNIT_ASSERT(this->end.result == AttemptResult::kShed);
+      this->StartTransfer();
+      this->Callbacks().on_headers(200, {{"Pimentopin-Attempt-Id", "0000000000000008"}});
+      this->Callbacks().on_end({.error = error, .may_have_been_sent = true});
+      CPPUNIT_ASSERT(this->end.result == AttemptResult::kWrongAnswer);
+    }
+  }
+
   // Guards against reporting a request as not run although it may have been sent.
   void TestErrorsReportWhetherRequestWasSent() {
     this->Callbacks().on_end({.error = TransferError::kConnectFailure});
