Dispatch: Cancel a shed attempt at its header

A retry or a refusal waited for the end of the body of a shed response; with a body without end, until the caller's deadline.

Cause: OnHeader ignored the header of a shed response, and the attempt went on until its transfer ended.

Evidence: TestShedAttemptIsCancelledAtHeader failed before the change: there was no CancelAttempt.

Change: the attempt is cancelled, which closes the connection, as for a response with the wrong attempt id, and ends as kShed. A complete short response usually ends before the cancellation arrives, so that its connection is kept. TestShedIsNotRun required that the header causes no action at all; it now requires exactly the cancellation.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -444,12 +444,13 @@
       position->second.forwarded) {
     return actions;
   }
-  if (header.wrong_attempt_id) {
-    this->Cancel(attempt, CancelReason::kWrongAnswer, actions);
+  // The body of such a response is not forwarded and may never end.
+  if (header.wrong_attempt_id || header.shed) {
+    this->Cancel(attempt, header.shed ? CancelReason::kShed : CancelReason::kWrongAnswer, actions);
     return actions;
   }
   RequestState* state = this->FindRequest(position->second.request);
-  if (header.shed || state == nullptr || state->running_attempt != attempt) {
+  if (state == nullptr || state->running_attempt != attempt) {
     return actions;
   }
   const bool server_error = header.status >= 500;
@@ -523,6 +524,8 @@
   AttemptEnd corrected_end = end;
   if (ended.cancel_reason == CancelReason::kWrongAnswer) {
     corrected_end.result = AttemptResult::kWrongAnswer;
+  } else if (ended.cancel_reason == CancelReason::kShed) {
+    corrected_end.result = AttemptResult::kShed;
   } else if (end.result == AttemptResult::kCancelled) {
     if (ended.cancel_reason == CancelReason::kDeadline) {
       corrected_end.result = AttemptResult::kTimeout;
--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -64,7 +64,8 @@
   kCallerDisconnected,
   kDeadline,
   kReplaced,
-  kWrongAnswer
+  kWrongAnswer,
+  kShed
 };
 
 // An attempt between its start and its end; may outlive its request.
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(TestUnsentNonIdempotentWorkIsRetried);
   CPPUNIT_TEST(TestNotRunOnlyIfNothingWasSent);
   CPPUNIT_TEST(TestShedIsNotRun);
+  CPPUNIT_TEST(TestShedAttemptIsCancelledAtHeader);
   CPPUNIT_TEST(TestServerErrorIsHeldUntilRetryIsDecided);
   CPPUNIT_TEST(TestHeldResponseIsForwardedAfterLimit);
   CPPUNIT_TEST(TestTruncationAfterForwardingAbortsConnection);
@@ -292,13 +293,34 @@
   // not run the request.
   void TestShedIsNotRun() {
     const AttemptId attempt = this->Start(1, false);
-    CPPUNIT_ASSERT(
-        this->dispatcher->OnHeader(this->now, attempt, {.status = 503, .shed = true}).empty());
+    const std::vector<DispatchAction> cancel{CancelAttempt{attempt}};
+    CPPUNIT_ASSERT(this->dispatcher->OnHeader(this->now, attempt, {.status = 503, .shed = true}) ==
+                   cancel);
     const auto actions = this->dispatcher->OnAttemptEnd(
         this->now, attempt, {.result = AttemptResult::kShed, .may_have_been_sent = true});
     CPPUNIT_ASSERT(ActionsOf<FinishRequest>(actions).at(0).outcome == Outcome::kNotRun);
   }
 
+  // Guards against a retry or refusal that waits for the body of a shed
+  // response, which may never end.
+  void TestShedAttemptIsCancelledAtHeader() {
+    AttemptId attempt = this->Start(1, true);
+    const std::vector<DispatchAction> cancel{CancelAttempt{attempt}};
+    CPPUNIT_ASSERT(this->dispatcher->OnHeader(this->now, attempt, {.status = 503, .shed = true}) ==
+                   cancel);
+    const AttemptEnd end{.result = AttemptResult::kCancelled, .may_have_been_sent = true};
+    auto actions = this->dispatcher->OnAttemptEnd(this->now, attempt, end);
+    CPPUNIT_ASSERT(MessagesOf<SlotRelease>(actions).at(0).second.result == AttemptResult::kShed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, MessagesOf<SlotRequest>(actions).size());
+
+    attempt = this->Start(2, false);
+    this->dispatcher->OnHeader(this->now, attempt, {.status = 503, .shed = true});
+    actions = this->dispatcher->OnAttemptEnd(this->now, attempt, end);
+    const auto finish = ActionsOf<FinishRequest>(actions).at(0);
+    CPPUNIT_ASSERT(finish.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(finish.refusal == RefusalReason::kOverload);
+  }
+
   // Guards against forwarding a server error that a retry could replace, and
   // against losing it if no retry is allowed.
   void TestServerErrorIsHeldUntilRetryIsDecided() {
