Host: Report the header of a short shed response at once

A retry or a refusal waited for the body of a shed response with a status below 500, such as 429 with the not-executed header, and a Content-Length of at most 256 KiB.

Cause: the header of a short response is held back until the response is complete, so that a retry can replace a truncated one. This included shed responses, which are never forwarded.

Evidence: TestShedShortResponseIsReportedAtHeader failed before the change: no header was reported.

Change: the header of a shed response is reported at once, like that of an unusable one.

--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -139,8 +139,10 @@
               .shed = this->response_info.shed,
               .wrong_attempt_id = this->response_info.unusable && !this->response_info.shed};
     // The header of a short response is reported only once the response is complete, so
-    // that a retry can still replace a truncated one.
-    header_deferred = code < 500 && !header.wrong_attempt_id && this->BuffersUntilComplete();
+    // that a retry can still replace a truncated one. The body of a response that is not
+    // forwarded has no effect.
+    header_deferred =
+        code < 500 && !header.shed && !header.wrong_attempt_id && this->BuffersUntilComplete();
   }
   if (!header_deferred) {
     this->callbacks.on_header(header);
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -66,6 +66,17 @@
   bool aborted = false;
 };
 
+// Takes every response for a shed one.
+class SheddingDialect : public NativeDialect {
+ public:
+  TargetResponseInfo InterpretResponse(const Exchange& /*exchange*/,
+                                       const TargetAttempt& /*attempt*/,
+                                       int /*status*/,
+                                       const HttpHeaders& /*headers*/) const override {
+    return {.shed = true};
+  }
+};
+
 class AttemptTransferTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AttemptTransferTest);
   CPPUNIT_TEST(TestBuffersBytesUntilForwarded);
@@ -75,6 +86,7 @@
   CPPUNIT_TEST(TestDigestMismatchIsRejected);
   CPPUNIT_TEST(TestMismatchedAttemptIdIsRejected);
   CPPUNIT_TEST(TestShedResponseIsRecognised);
+  CPPUNIT_TEST(TestShedShortResponseIsReportedAtHeader);
   CPPUNIT_TEST(TestHeaderDecidesResultOfCancelledBody);
   CPPUNIT_TEST(TestErrorsReportWhetherRequestWasSent);
   CPPUNIT_TEST(TestHopByHopHeadersAreNotForwarded);
@@ -184,6 +196,15 @@
     CPPUNIT_ASSERT(this->end.result == AttemptResult::kServerError);
   }
 
+  // Guards against a retry that waits for the body of a response that is not forwarded.
+  void TestShedShortResponseIsReportedAtHeader() {
+    const SheddingDialect shedding_dialect;
+    this->StartTransfer(shedding_dialect);
+    this->Callbacks().on_headers(429, {{"Content-Length", "5"}});
+    CPPUNIT_ASSERT(this->header.has_value());
+    CPPUNIT_ASSERT(this->header->shed);
+  }
+
   // Guards against counting a shed request as a possible run because its body was not read.
   void TestHeaderDecidesResultOfCancelledBody() {
     for (const TransferError error : {TransferError::kCancelled, TransferError::kMalformed,
@@ -244,12 +265,13 @@
   }
 
  private:
-  void StartTransfer() {
+  void StartTransfer() { this->StartTransfer(this->dialect); }
+  void StartTransfer(const HttpDialect& transfer_dialect) {
     this->header.reset();
     this->transfer = std::make_shared<AttemptTransfer>(
         this->exchange,
         TargetAttempt{.attempt_id = AttemptId{7}, .remaining = std::chrono::milliseconds(1500)},
-        this->dialect,
+        transfer_dialect,
         AttemptTransfer::Callbacks{[this](const AttemptHeader& last) { this->header = last; },
                                    [this](const AttemptEnd& last) { this->end = last; }});
     this->transfer->Start(this->client, "127.0.0.1:1");
