Host: Test bodies without end that are held or discarded

The body of a held server error pauses the transfer at its limit, a discarded body is neither buffered nor stored, and a malformed response is a wrong answer and not a lost connection, which counts as a crash of the target.

--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -88,6 +88,9 @@
   CPPUNIT_TEST(TestShedResponseIsRecognised);
   CPPUNIT_TEST(TestShedShortResponseIsReportedAtHeader);
   CPPUNIT_TEST(TestHeaderDecidesResultOfCancelledBody);
+  CPPUNIT_TEST(TestHeldBodyWithoutEndIsPaused);
+  CPPUNIT_TEST(TestDiscardedBodyWithoutEndIsNotStored);
+  CPPUNIT_TEST(TestMalformedResponseIsNoCrash);
   CPPUNIT_TEST(TestErrorsReportWhetherRequestWasSent);
   CPPUNIT_TEST(TestHopByHopHeadersAreNotForwarded);
   CPPUNIT_TEST(TestResponseWithoutBody);
@@ -220,6 +223,43 @@
     }
   }
 
+  // Guards against unbounded buffering of a server error that is held while a retry is placed.
+  void TestHeldBodyWithoutEndIsPaused() {
+    this->Callbacks().on_headers(500, {});
+    for (int chunk = 0; chunk < 3; ++chunk) {
+      CPPUNIT_ASSERT(!this->client.transfer->paused);
+      this->Callbacks().on_body(std::string(kChunkBytes, 'x'));
+    }
+    CPPUNIT_ASSERT(this->client.transfer->paused);
+    CPPUNIT_ASSERT_EQUAL(0, this->responder->status);
+  }
+
+  // Guards against unbounded buffering after the caller has left, and against a transfer that
+  // stays paused then.
+  void TestDiscardedBodyWithoutEndIsNotStored() {
+    this->Callbacks().on_headers(200, {});
+    for (int chunk = 0; chunk < 3; ++chunk) {
+      this->Callbacks().on_body(std::string(kChunkBytes, 'x'));
+    }
+    this->transfer->DiscardBody();
+    CPPUNIT_ASSERT(!this->client.transfer->paused);
+    for (std::size_t size = 0; size <= ClaimStore::kMaxStoredBodyBytes; size += kChunkBytes) {
+      this->Callbacks().on_body(std::string(kChunkBytes, 'x'));
+    }
+    CPPUNIT_ASSERT(!this->client.transfer->paused);
+    CPPUNIT_ASSERT(this->responder->body.empty());
+    this->Callbacks().on_end({.error = TransferError::kTimeout, .may_have_been_sent = true});
+    CPPUNIT_ASSERT(this->end.result == AttemptResult::kTimeout);
+    CPPUNIT_ASSERT(!this->transfer->TakeStoredResponse().body.has_value());
+  }
+
+  // Guards against taking a target that sends bytes that are no response for one that the request
+  // has crashed.
+  void TestMalformedResponseIsNoCrash() {
+    this->Callbacks().on_end({.error = TransferError::kMalformed, .may_have_been_sent = true});
+    CPPUNIT_ASSERT(this->end.result == AttemptResult::kWrongAnswer);
+  }
+
   // Guards against reporting a request as not run although it may have been sent.
   void TestErrorsReportWhetherRequestWasSent() {
     this->Callbacks().on_end({.error = TransferError::kConnectFailure});
