--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -139,8 +139,10 @@
               .shed = this->response_info.shed,
               .wrong_attempt_id = this->response_info.unusable && !this->response_info.shed};
     // The header of a short response is reported only once the response is complete, so
-    // that a retry can still replace a truncated one.
-    header_deferred = code < 500 && !header.wrong_attempt_id && this->BuffersUntilComplete();
+    // that a retry can still replace a truncated one. The body of a response that is not
+    // forwarded has no effect.
+    header_deferred =
+        code < 500 && !header.shed && !header.wrong_attempt_id && this->BuffersUntilComplete();
   }
   if (!header_deferred) {
     this->callbacks.on_header(header);
@@ -192,6 +194,13 @@
 }
 
 AttemptResult AttemptTransfer::ResultLocked(const TransferResult& result) {
+  // The header has decided these, however the body ends.
+  if (this->response_info.shed) {
+    return AttemptResult::kShed;
+  }
+  if (this->response_info.unusable) {
+    return AttemptResult::kWrongAnswer;
+  }
   switch (result.error) {
     case TransferError::kConnectFailure:
       return AttemptResult::kConnectFailure;
@@ -208,10 +217,7 @@
     case TransferError::kNone:
       break;
   }
-  if (this->response_info.shed) {
-    return AttemptResult::kShed;
-  }
-  if (this->response_info.unusable || (this->digest && !this->digest->Matches())) {
+  if (this->digest && !this->digest->Matches()) {
     return AttemptResult::kWrongAnswer;
   }
   return this->status >= 500 ? AttemptResult::kServerError : AttemptResult::kSuccess;
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -12,10 +13,13 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <charconv>
+#include <map>
 #include <mutex>
 #include <string_view>
 #include <thread>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -38,6 +42,12 @@
 // the connection is lost, so connections idle for longer are not reused.
 constexpr long kMaxConnectionIdleSeconds = 8;
 
+// Limit on the status lines and header fields of a response, those of interim responses included.
+// Above libcurl's limit on a single line, which is 100 KiB.
+constexpr std::size_t kMaxResponseHeadBytes = 128 * 1024;
+// Limit on the chunk extensions and trailers that follow each other without a byte of the body.
+constexpr std::size_t kMaxChunkFramingBytes = 128 * 1024;
+
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
 };
@@ -100,6 +110,7 @@
     if (line.starts_with("HTTP/")) {
       this->header_fields.clear();
       this->status_code = 0;
+      this->has_ended = false;
       const std::size_t space = line.find(' ');
       if (space != std::string_view::npos) {
         std::from_chars(line.data() + space + 1, line.data() + line.size(), this->status_code);
@@ -107,6 +118,7 @@
       return false;
     }
     if (line.empty()) {
+      this->has_ended = true;
       this->is_complete = this->status_code >= 200;
       return this->is_complete;
     }
@@ -121,6 +133,11 @@
   }
 
   bool complete() const { return this->is_complete; }
+  // True if the header section has ended and is neither that of an interim nor of a final response.
+  // libcurl takes what follows 101 for a body, although no request asks for another protocol.
+  bool has_unexpected_status() const {
+    return this->has_ended && (this->status_code < 100 || this->status_code == 101);
+  }
   int status() const { return this->status_code; }
   const HttpHeaders& fields() const { return this->header_fields; }
   // True if a truncated response can be distinguished from a complete one.
@@ -133,11 +150,15 @@
  private:
   HttpHeaders header_fields;
   int status_code = 0;
+  bool has_ended = false;
   bool is_complete = false;
 };
 
 class TransferManager;
 
+// Local port, remote address and remote port.
+using ConnectionKey = std::tuple<long, std::string, long>;
+
 class CurlTransfer : public Transfer, public std::enable_shared_from_this<CurlTransfer> {
  public:
   CurlTransfer(std::weak_ptr<TransferManager> manager,
@@ -148,11 +169,13 @@
         callbacks(std::move(callbacks)),
         start(SteadyNow()) {}
 
-  void Cancel() override;
+  void Cancel() override { this->EndAfterCallbacks(TransferError::kCancelled); }
   // Refuses the next received bytes, so that no callback starts after this call except one that is
   // already running.
   void Pause() override { this->paused = true; }
   void Resume() override;
+  // Ends the transfer once the callbacks that run now have returned.
+  void EndAfterCallbacks(TransferError error);
 
   const std::weak_ptr<TransferManager> manager;
   const HttpClientRequest request;
@@ -164,7 +187,18 @@
   EasyHandle easy;
   HeaderList header_list;
   ResponseHeaderParser response;
+  // Bytes of the response before its body.
+  std::size_t head_bytes = 0;
+  // Bytes of a chunked body, with its framing, received since the last byte of its content.
+  std::size_t chunk_framing_bytes = 0;
+  // The peer sends bytes that are no response. The connection is closed and the transfer ends.
+  bool malformed = false;
   int send_count = 0;
+  // The idle connection that libcurl chose was closed, or bytes that belong to no request arrived
+  // on it, before the request was sent.
+  bool needs_other_connection = false;
+  // The connection on which the request was sent.
+  ConnectionKey connection;
   bool paused_by_curl = false;
   bool ended = false;
 
@@ -173,31 +207,74 @@
 
 std::size_t OnHeaderLine(char* bytes, std::size_t size, std::size_t count, void* data) {
   auto& transfer = *static_cast<CurlTransfer*>(data);
-  if (transfer.response.AddLine({bytes, size * count}) && transfer.callbacks.on_headers) {
-    transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
+  if (!transfer.response.complete()) {
+    transfer.head_bytes += size * count;
+    if (transfer.head_bytes > kMaxResponseHeadBytes) {
+      transfer.malformed = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
+  }
+  const bool is_end_of_head = transfer.response.AddLine({bytes, size * count});
+  if (transfer.response.has_unexpected_status()) {
+    transfer.malformed = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
+  if (is_end_of_head) {
+    if (!FindHeader(transfer.response.fields(), "Transfer-Encoding").empty()) {
+      // Reports the received bytes to OnDebugData().
+      curl_easy_setopt(transfer.easy.get(), CURLOPT_VERBOSE, 1L);
+    }
+    if (transfer.callbacks.on_headers) {
+      transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
+    }
   }
   return size * count;
 }
 
+// Counts the received bytes of a chunked body, which libcurl reports before it decodes them. It
+// skips chunk extensions of any length without another call.
+int OnDebugData(CURL*, curl_infotype type, char*, std::size_t size, void* data) {
+  if (type == CURLINFO_DATA_IN) {
+    auto& transfer = *static_cast<CurlTransfer*>(data);
+    transfer.chunk_framing_bytes += size;
+    if (transfer.chunk_framing_bytes > kMaxChunkFramingBytes && !transfer.malformed) {
+      transfer.malformed = true;
+      transfer.EndAfterCallbacks(TransferError::kMalformed);
+    }
+  }
+  return 0;
+}
+
 std::size_t OnBodyBytes(char* bytes, std::size_t size, std::size_t count, void* data) {
   auto& transfer = *static_cast<CurlTransfer*>(data);
   if (transfer.paused) {
     transfer.paused_by_curl = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  transfer.chunk_framing_bytes = 0;
   if (transfer.callbacks.on_body) {
     transfer.callbacks.on_body(std::string(bytes, size * count));
   }
   return size * count;
 }
 
-// Called after a connection is established and before the first byte is written. libcurl resends a
-// request on a new connection if a reused one was closed without a response. The first copy may
-// have been executed, so the second is refused.
-int OnBeforeSend(void* data, char*, char*, int, int) {
-  auto& transfer = *static_cast<CurlTransfer*>(data);
-  ++transfer.send_count;
-  return transfer.send_count == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+bool HasUnreadBytes(curl_socket_t socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+}
+
+// True if the connection is open and its peer has sent nothing on it.
+bool IsOpenAndSilent(curl_socket_t socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+// Resets a connection and drops its unread bytes without closing the socket, which libcurl owns. It
+// closes the socket when it next looks for an idle connection. shutdown() would leave a peer that
+// has filled the receive buffer waiting for space in it.
+void ResetConnection(curl_socket_t socket) {
+  const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
+  connect(socket, &unspecified, sizeof(unspecified));
 }
 
 // Sets TCP_USER_TIMEOUT; without it, the kernel retransmits for minutes to a peer behind a network
@@ -210,6 +287,9 @@
 TransferError ErrorFromCurl(CURLcode code, const CurlTransfer& transfer) {
   const bool request_sent = transfer.send_count > 0;
   const bool header_complete = transfer.response.complete();
+  if (transfer.malformed) {
+    return TransferError::kMalformed;
+  }
   switch (code) {
     case CURLE_OK:
       if (!header_complete) {
@@ -228,6 +308,12 @@
     case CURLE_BAD_CONTENT_ENCODING:
     case CURLE_HTTP2:
       return TransferError::kMalformed;
+    case CURLE_OUT_OF_MEMORY:
+      // libcurl 7.88 reports a header line above its limit like a failed allocation.
+      if (request_sent && !header_complete) {
+        return TransferError::kMalformed;
+      }
+      [[fallthrough]];
     default:
       if (!request_sent) {
         return TransferError::kConnectFailure;
@@ -298,6 +384,15 @@
     transfer->timer.reset();
     this->active_transfers.erase(transfer);
     if (transfer->easy) {
+      // libcurl may have started the next transfer on the connection before it reported the end of
+      // this one.
+      const auto user = this->connection_users.find(transfer->connection);
+      if (user != this->connection_users.end() && user->second == transfer.get()) {
+        this->connection_users.erase(user);
+        if (error == TransferError::kNone) {
+          this->WatchIdleConnection(*transfer);
+        }
+      }
       // Closes the connection if the response is incomplete.
       curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
       this->RecycleHandle(std::move(transfer->easy));
@@ -339,6 +434,83 @@
     bool waiting_for_write = false;
   };
 
+  struct IdleConnection {
+    IdleConnection(ConnectionKey key, asio::io_context& context, curl_socket_t socket)
+        : key(std::move(key)), watch(context, socket) {}
+
+    const ConnectionKey key;
+    SocketWatch watch;
+  };
+
+  // Called after a connection is established and before the first byte is written. libcurl resends
+  // a request on a new connection if a reused one was closed without a response. The first copy may
+  // have been executed, so the second is refused. Bytes that arrived before the request is sent are
+  // no response to it, but libcurl would take them for one.
+  static int OnBeforeSend(void* data,
+                          char* remote_address,
+                          char* /*local_address*/,
+                          int remote_port,
+                          int local_port) {
+    auto& transfer = *static_cast<CurlTransfer*>(data);
+    const auto self = transfer.manager.lock();
+    const auto idle = self->idle_sockets.find({local_port, remote_address, remote_port});
+    if (idle != self->idle_sockets.end()) {
+      const curl_socket_t socket = idle->second;
+      self->StopWatchingIdleConnection(socket);
+      if (transfer.send_count == 0 && !IsOpenAndSilent(socket)) {
+        transfer.needs_other_connection = true;
+        return CURL_PREREQFUNC_ABORT;
+      }
+    }
+    ++transfer.send_count;
+    if (transfer.send_count > 1) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.connection = {local_port, remote_address, remote_port};
+    self->connection_users[transfer.connection] = &transfer;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  // Watches the connection that libcurl keeps after a transfer. libcurl does not poll it, so a peer
+  // could send on it for as long as it is idle.
+  void WatchIdleConnection(const CurlTransfer& transfer) {
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    // libcurl tells the socket after a transfer, but not in OnBeforeSend().
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_ACTIVESOCKET, &socket);
+    if (socket == CURL_SOCKET_BAD) {
+      return;
+    }
+    const auto idle = std::make_shared<IdleConnection>(transfer.connection, this->context, socket);
+    this->idle_sockets[idle->key] = socket;
+    this->idle_connections[socket] = idle;
+    idle->watch.descriptor.async_wait(
+        asio::posix::descriptor_base::wait_read, [idle](const asio::error_code& error) {
+          if (!error && idle->watch.descriptor.is_open()) {
+            const curl_socket_t readable = idle->watch.descriptor.native_handle();
+            if (HasUnreadBytes(readable)) {
+              ResetConnection(readable);
+            }
+          }
+        });
+  }
+
+  // Has no effect on a socket that is not watched as idle.
+  void StopWatchingIdleConnection(curl_socket_t socket) {
+    const auto found = this->idle_connections.find(socket);
+    if (found == this->idle_connections.end()) {
+      return;
+    }
+    found->second->watch.descriptor.release();
+    this->idle_sockets.erase(found->second->key);
+    this->idle_connections.erase(found);
+  }
+
+  // libcurl 7.88 skips this call when a connection attempt times out; such a socket is never idle.
+  static int OnCloseSocket(void* data, curl_socket_t socket) {
+    static_cast<TransferManager*>(data)->StopWatchingIdleConnection(socket);
+    return close(socket);
+  }
+
   bool PrepareHandle(CurlTransfer& transfer) {
     const HttpClientRequest& request = transfer.request;
     for (const HttpHeader& header : request.headers) {
@@ -373,16 +545,20 @@
                      static_cast<long>(this->settings.keep_alive_idle_time.count()));
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &TransferManager::OnCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxConnectionIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                            this->settings.connect_timeout)
                                            .count()));
     this->SetMethod(easy, request);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &TransferManager::OnBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &OnDebugData);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBodyBytes);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     return true;
@@ -426,6 +602,13 @@
       char* data = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &data);
       const auto transfer = reinterpret_cast<CurlTransfer*>(data)->shared_from_this();
+      if (std::exchange(transfer->needs_other_connection, false)) {
+        curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
+        if (curl_multi_add_handle(this->multi.get(), transfer->easy.get()) != CURLM_OK) {
+          this->EndTransfer(transfer, TransferError::kConnectFailure);
+        }
+        continue;
+      }
       this->EndTransfer(transfer, ErrorFromCurl(message->data.result, *transfer));
     }
   }
@@ -436,6 +619,7 @@
   // connection attempt times out.
   static int OnSocket(CURL*, curl_socket_t socket, int poll_events, void* data, void*) {
     auto& self = *static_cast<TransferManager*>(data);
+    self.StopWatchingIdleConnection(socket);
     std::shared_ptr<SocketWatch>& watch = self.watches[socket];
     if (poll_events == CURL_POLL_REMOVE) {
       if (watch) {
@@ -503,17 +687,21 @@
   asio::steady_timer curl_timer;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches;
   std::vector<EasyHandle> idle_handles;
+  std::map<ConnectionKey, const CurlTransfer*> connection_users;
+  std::map<ConnectionKey, curl_socket_t> idle_sockets;
+  std::unordered_map<curl_socket_t, std::shared_ptr<IdleConnection>> idle_connections;
   MultiHandle multi;
   std::unordered_set<std::shared_ptr<CurlTransfer>> active_transfers;
 };
 
-void CurlTransfer::Cancel() {
+void CurlTransfer::EndAfterCallbacks(TransferError error) {
   if (const auto live_manager = this->manager.lock()) {
-    asio::post(live_manager->event_loop(), [self = this->shared_from_this(), weak = this->manager] {
-      if (const auto owner = weak.lock()) {
-        owner->EndTransfer(self, TransferError::kCancelled);
-      }
-    });
+    asio::post(live_manager->event_loop(),
+               [self = this->shared_from_this(), weak = this->manager, error] {
+                 if (const auto owner = weak.lock()) {
+                   owner->EndTransfer(self, error);
+                 }
+               });
   }
 }
 
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -66,6 +66,17 @@
   bool aborted = false;
 };
 
+// Takes every response for a shed one.
+class SheddingDialect : public NativeDialect {
+ public:
+  TargetResponseInfo InterpretResponse(const Exchange& /*exchange*/,
+                                       const TargetAttempt& /*attempt*/,
+                                       int /*status*/,
+                                       const HttpHeaders& /*headers*/) const override {
+    return {.shed = true};
+  }
+};
+
 class AttemptTransferTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AttemptTransferTest);
   CPPUNIT_TEST(TestBuffersBytesUntilForwarded);
@@ -75,6 +86,11 @@
   CPPUNIT_TEST(TestDigestMismatchIsRejected);
   CPPUNIT_TEST(TestMismatchedAttemptIdIsRejected);
   CPPUNIT_TEST(TestShedResponseIsRecognised);
+  CPPUNIT_TEST(TestShedShortResponseIsReportedAtHeader);
+  CPPUNIT_TEST(TestHeaderDecidesResultOfCancelledBody);
+  CPPUNIT_TEST(TestHeldBodyWithoutEndIsPaused);
+  CPPUNIT_TEST(TestDiscardedBodyWithoutEndIsNotStored);
+  CPPUNIT_TEST(TestMalformedResponseIsNoCrash);
   CPPUNIT_TEST(TestErrorsReportWhetherRequestWasSent);
   CPPUNIT_TEST(TestHopByHopHeadersAreNotForwarded);
   CPPUNIT_TEST(TestResponseWithoutBody);
@@ -183,6 +199,67 @@
     CPPUNIT_ASSERT(this->end.result == AttemptResult::kServerError);
   }
 
+  // Guards against a retry that waits for the body of a response that is not forwarded.
+  void TestShedShortResponseIsReportedAtHeader() {
+    const SheddingDialect shedding_dialect;
+    this->StartTransfer(shedding_dialect);
+    this->Callbacks().on_headers(429, {{"Content-Length", "5"}});
+    CPPUNIT_ASSERT(this->header.has_value());
+    CPPUNIT_ASSERT(this->header->shed);
+  }
+
+  // Guards against counting a shed request as a possible run because its body was not read.
+  void TestHeaderDecidesResultOfCancelledBody() {
+    for (const TransferError error : {TransferError::kCancelled, TransferError::kMalformed,
+                                      TransferError::kTruncated, TransferError::kTimeout}) {
+      this->StartTransfer();
+      this->Callbacks().on_headers(503, {{"Target-Outcome", "not-run"}});
+      this->Callbacks().on_end({.error = error, .may_have_been_sent = true});
+      CPPUNIT_ASSERT(this->end.result == AttemptResult::kShed);
+      this->StartTransfer();
+      this->Callbacks().on_headers(200, {{"Pimentopin-Attempt-Id", "0000000000000008"}});
+      this->Callbacks().on_end({.error = error, .may_have_been_sent = true});
+      CPPUNIT_ASSERT(this->end.result == AttemptResult::kWrongAnswer);
+    }
+  }
+
+  // Guards against unbounded buffering of a server error that is held while a retry is placed.
+  void TestHeldBodyWithoutEndIsPaused() {
+    this->Callbacks().on_headers(500, {});
+    for (int chunk = 0; chunk < 3; ++chunk) {
+      CPPUNIT_ASSERT(!this->client.transfer->paused);
+      this->Callbacks().on_body(std::string(kChunkBytes, 'x'));
+    }
+    CPPUNIT_ASSERT(this->client.transfer->paused);
+    CPPUNIT_ASSERT_EQUAL(0, this->responder->status);
+  }
+
+  // Guards against unbounded buffering after the caller has left, and against a transfer that
+  // stays paused then.
+  void TestDiscardedBodyWithoutEndIsNotStored() {
+    this->Callbacks().on_headers(200, {});
+    for (int chunk = 0; chunk < 3; ++chunk) {
+      this->Callbacks().on_body(std::string(kChunkBytes, 'x'));
+    }
+    this->transfer->DiscardBody();
+    CPPUNIT_ASSERT(!this->client.transfer->paused);
+    for (std::size_t size = 0; size <= ClaimStore::kMaxStoredBodyBytes; size += kChunkBytes) {
+      this->Callbacks().on_body(std::string(kChunkBytes, 'x'));
+    }
+    CPPUNIT_ASSERT(!this->client.transfer->paused);
+    CPPUNIT_ASSERT(this->responder->body.empty());
+    this->Callbacks().on_end({.error = TransferError::kTimeout, .may_have_been_sent = true});
+    CPPUNIT_ASSERT(this->end.result == AttemptResult::kTimeout);
+    CPPUNIT_ASSERT(!this->transfer->TakeStoredResponse().body.has_value());
+  }
+
+  // Guards against taking a target that sends bytes that are no response for one that the request
+  // has crashed.
+  void TestMalformedResponseIsNoCrash() {
+    this->Callbacks().on_end({.error = TransferError::kMalformed, .may_have_been_sent = true});
+    CPPUNIT_ASSERT(this->end.result == AttemptResult::kWrongAnswer);
+  }
+
   // Guards against reporting a request as not run although it may have been sent.
   void TestErrorsReportWhetherRequestWasSent() {
     this->Callbacks().on_end({.error = TransferError::kConnectFailure});
@@ -228,12 +305,13 @@
   }
 
  private:
-  void StartTransfer() {
+  void StartTransfer() { this->StartTransfer(this->dialect); }
+  void StartTransfer(const HttpDialect& transfer_dialect) {
     this->header.reset();
     this->transfer = std::make_shared<AttemptTransfer>(
         this->exchange,
         TargetAttempt{.attempt_id = AttemptId{7}, .remaining = std::chrono::milliseconds(1500)},
-        this->dialect,
+        transfer_dialect,
         AttemptTransfer::Callbacks{[this](const AttemptHeader& last) { this->header = last; },
                                    [this](const AttemptEnd& last) { this->end = last; }});
     this->transfer->Start(this->client, "127.0.0.1:1");
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -16,8 +16,12 @@
 namespace {
 
 constexpr Duration kLongTimeout = std::chrono::seconds(20);
+// A response without end that the client does not recognise as malformed ends with kTimeout.
+constexpr Duration kEndlessResponseTimeout = std::chrono::seconds(5);
 const std::string kSmallResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+const std::string kAdditionalResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+
 class HttpClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(TestCompleteResponseAndConnectionReuse);
@@ -35,6 +39,15 @@
   CPPUNIT_TEST(TestCloseBeforeResponseIsConnectionLost);
   CPPUNIT_TEST(TestCloseInHeaderIsConnectionLost);
   CPPUNIT_TEST(TestMalformedResponse);
+  CPPUNIT_TEST(TestEndlessHeaderFieldsAreMalformed);
+  CPPUNIT_TEST(TestEndlessHeaderLineIsMalformed);
+  CPPUNIT_TEST(TestEndlessInterimResponsesAreMalformed);
+  CPPUNIT_TEST(TestEndlessBytesWithoutStatusLineAreMalformed);
+  CPPUNIT_TEST(TestEndlessBytesAfterSwitchingProtocolsAreMalformed);
+  CPPUNIT_TEST(TestEndlessChunkExtensionIsMalformed);
+  CPPUNIT_TEST(TestEndlessTrailersAreMalformed);
+  CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
+  CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -244,6 +257,85 @@
     this->CheckError(this->Exchange("SSH-2.0-test\r\n\r\n", true), TransferError::kMalformed, true);
   }
 
+  // This test and the next three guard against reading a head without end until the timeout, and
+  // against reporting the connection that the client closes as a crash of the peer.
+  void TestEndlessHeaderFieldsAreMalformed() {
+    this->CheckEndlessHead("HTTP/1.1 200 OK\r\n", "X-Field: value\r\n");
+  }
+
+  void TestEndlessHeaderLineIsMalformed() {
+    this->CheckEndlessHead("HTTP/1.1 200 OK\r\nX-Field: ", "value");
+    this->CheckEndlessHead("HTTP/1.1 200 ", "reason");
+  }
+
+  void TestEndlessInterimResponsesAreMalformed() {
+    this->CheckEndlessHead("", "HTTP/1.1 100 Continue\r\n\r\n");
+    this->CheckEndlessHead("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+  }
+
+  void TestEndlessBytesWithoutStatusLineAreMalformed() {
+    this->CheckEndlessHead("", "no response\r\n");
+    this->CheckEndlessHead("", "\r\n");
+    this->CheckEndlessHead("", std::string(1000, '\0'));
+  }
+
+  // Guards against passing on bytes of another protocol as a body without a header.
+  void TestEndlessBytesAfterSwitchingProtocolsAreMalformed() {
+    this->CheckEndlessHead("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "bytes");
+    this->CheckEndlessHead("HTTP/1.1 099 Unknown\r\n\r\n", "bytes");
+  }
+
+  // Guards against reading a chunk extension without end until the timeout.
+  void TestEndlessChunkExtensionIsMalformed() {
+    this->CheckEndlessChunkFraming("4;name=", "value");
+    this->CheckEndlessChunkFraming("0;name=", "value");
+  }
+
+  // Guards against reading trailers without end until the timeout.
+  void TestEndlessTrailersAreMalformed() {
+    this->CheckEndlessChunkFraming("0\r\n", "X-Trailer: value\r\n");
+    // libcurl's limit on a trailer line is reported like a reset of the connection.
+    this->CheckEndlessChunkFraming("0\r\nX-Trailer: ", "value", TransferError::kTruncated);
+  }
+
+  // Guards against keeping a connection on which a peer sends bytes that belong to no request.
+  void TestEndlessBytesAfterCompleteResponseCloseConnection() {
+    for (const std::string method : {"GET", "HEAD"}) {
+      for (const std::string& response :
+           {kSmallResponse, std::string("HTTP/1.1 204 No Content\r\n\r\n"),
+            std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")}) {
+        RawServer server(this->context);
+        TransferRecorder& record =
+            this->Start({.method = method, .url = server.url("/"), .timeout = kLongTimeout});
+        RawConnection connection = server.Accept();
+        connection.ReadUntil("\r\n\r\n");
+        connection.Send(response + kAdditionalResponse);
+        CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
+        CPPUNIT_ASSERT(record.Wait());
+        this->CheckError(record, TransferError::kNone, true);
+        CPPUNIT_ASSERT(record.body == "" || record.body == "ok");
+      }
+    }
+  }
+
+  // Property P2 (docs/design.md): a second response that arrives after the end of the first must
+  // not be taken for the response to the next request on that connection.
+  void TestLateAdditionalResponseBelongsToNoRequest() {
+    RawServer server(this->context);
+    RawConnection connection = this->OpenReusableConnection(server);
+    connection.Send(kAdditionalResponse);
+    TransferRecorder& next = this->Post(server.url("/next"));
+    CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection() || next.has_headers(); }));
+    CPPUNIT_ASSERT(!next.has_headers());
+    RawConnection replacement = server.Accept();
+    CPPUNIT_ASSERT(replacement.ReadUntil("\r\n\r\n").starts_with("POST /next "));
+    replacement.Send(kSmallResponse);
+    CPPUNIT_ASSERT(next.Wait());
+    this->CheckError(next, TransferError::kNone, true);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), next.body);
+    CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
@@ -568,6 +660,35 @@
     return record;
   }
 
+  // Responds with `start` and then with `repeated` until the client closes the connection.
+  TransferRecorder& ExchangeWithoutEnd(const std::string& start, const std::string& repeated) {
+    RawServer server(this->context);
+    TransferRecorder& record =
+        this->Start({.method = "GET", .url = server.url("/"), .timeout = kEndlessResponseTimeout});
+    RawConnection connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send(start);
+    CPPUNIT_ASSERT(connection.SendUntilClosed(repeated));
+    CPPUNIT_ASSERT(record.Wait());
+    return record;
+  }
+
+  void CheckEndlessHead(const std::string& start, const std::string& repeated) {
+    TransferRecorder& record = this->ExchangeWithoutEnd(start, repeated);
+    this->CheckError(record, TransferError::kMalformed, true);
+    CPPUNIT_ASSERT_EQUAL(0, record.on_headers_calls);
+    CPPUNIT_ASSERT_EQUAL(std::string(), record.body);
+  }
+
+  void CheckEndlessChunkFraming(const std::string& start,
+                                const std::string& repeated,
+                                TransferError error = TransferError::kMalformed) {
+    TransferRecorder& record = this->ExchangeWithoutEnd(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n" + start, repeated);
+    this->CheckError(record, error, true);
+    CPPUNIT_ASSERT_EQUAL(std::string("abcde"), record.body);
+  }
+
   // Returns a connection that the client has used once and keeps for its next request.
   RawConnection OpenReusableConnection(RawServer& server) {
     TransferRecorder& record = this->Get(server.url("/first"));
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <poll.h>
+
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -51,6 +53,21 @@
 
   void Send(const std::string& bytes) { asio::write(this->socket, asio::buffer(bytes)); }
 
+  // Sends the bytes again and again until the peer closes the connection; false if it does not
+  // within kTestTimeout.
+  bool SendUntilClosed(const std::string& bytes) {
+    this->socket.non_blocking(true);
+    std::size_t sent = 0;
+    asio::error_code error;
+    return Eventually([&] {
+      do {
+        sent += this->socket.write_some(asio::buffer(bytes) + sent, error);
+        sent = sent == bytes.size() ? 0 : sent;
+      } while (!error);
+      return error != asio::error::would_block;
+    });
+  }
+
   // Reads until the text has been received or the connection has ended; returns all bytes not
   // returned before.
   std::string ReadUntil(const std::string& text) {
@@ -98,6 +115,11 @@
   explicit RawServer(asio::io_context& context)
       : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}) {}
   RawConnection Accept() { return RawConnection(this->acceptor.accept()); }
+  // True if Accept() returns without waiting for a connection.
+  bool HasPendingConnection() {
+    pollfd poll_entry{.fd = this->acceptor.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&poll_entry, 1, 0) == 1;
+  }
   std::string address() const {
     std::ostringstream text;
     text << this->acceptor.local_endpoint();
