Host: Do not refuse a deadline of zero as malformed

Callers would see: 400, which they do not repeat, for a proper request whose deadline header is 0, as sent by a caller that passes on the rest of its own deadline in whole milliseconds, or above 24 h.

Longer deadlines count as 24 h; the timeout of the route or the service applies before. Negative numbers and other texts are refused with 400 as before.

Test: TestDeadlineAtItsLimitsIsNotMalformed.

--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -26,15 +26,16 @@
   return {path.substr(0, slash), path.substr(slash)};
 }
 
-// Parses a deadline in milliseconds. No value if the text is invalid or out of range.
+// Parses a deadline in milliseconds; a longer one counts as kMaxDeadlineMs. No value if the text is
+// not a whole number.
 std::optional<Duration> ParseDeadline(std::string_view text) {
   std::int64_t milliseconds = 0;
   const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
   const bool is_whole_number = status == std::errc() && end == text.data() + text.size();
-  if (!is_whole_number || milliseconds <= 0 || milliseconds > kMaxDeadlineMs) {
+  if (!is_whole_number || milliseconds < 0) {
     return std::nullopt;
   }
-  return std::chrono::milliseconds(milliseconds);
+  return std::chrono::milliseconds(std::min(milliseconds, kMaxDeadlineMs));
 }
 
 Fingerprint ComputeFingerprint(std::string_view service,
@@ -129,9 +130,14 @@
   }
   const std::optional<Duration> parsed = ParseDeadline(deadline_text);
   if (!parsed) {
-    refusal = MakeRefusal(400, "bad-deadline",
-                          "the deadline must be an integer from 1 to " +
-                              std::to_string(kMaxDeadlineMs) + " milliseconds");
+    refusal =
+        MakeRefusal(400, "bad-deadline", "the deadline must be a whole number of milliseconds");
+    return std::nullopt;
+  }
+  // A caller that passes on the rest of its own deadline, in whole milliseconds, sends 0 near its
+  // end.
+  if (*parsed == Duration::zero()) {
+    refusal = MakeRefusal(504, "deadline", "the deadline passed before a target was free");
     return std::nullopt;
   }
   return resolved.route != nullptr ? std::min(*parsed, resolved.traits.deadline) : *parsed;
--- a/Tests/LibHost/request_reader_test.cc
+++ b/Tests/LibHost/request_reader_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(TestSafeMethodIgnoresKey);
   CPPUNIT_TEST(TestLongestPrefixRouteApplies);
   CPPUNIT_TEST(TestEarlierOfDeadlineAndTimeoutApplies);
+  CPPUNIT_TEST(TestDeadlineAtItsLimitsIsNotMalformed);
   CPPUNIT_TEST(TestSplitFollowsWeights);
   CPPUNIT_TEST(TestRefusalNamesCallerOfRoute);
   CPPUNIT_TEST_SUITE_END();
@@ -114,6 +115,19 @@
     }
   }
 
+  // Guards against 400, which callers do not repeat, for a deadline that has just passed, and for
+  // one that is longer than any timeout.
+  void TestDeadlineAtItsLimitsIsNotMalformed() {
+    HttpServerRequest request = SampleRequest();
+    request.headers.push_back({"Pimentopin-Deadline-Ms", "0"});
+    CPPUNIT_ASSERT(!this->Read(request));
+    CPPUNIT_ASSERT_EQUAL(504, this->refusal.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("deadline"), this->refusal.reason);
+    CPPUNIT_ASSERT(this->refusal.outcome == Outcome::kNotRun);
+    request.headers.back().value = "9000000000";
+    CPPUNIT_ASSERT(this->Read(request)->description.deadline == kNow + std::chrono::hours(24));
+  }
+
   // Guards against access that no rule grants.
   void TestDeniedWithoutAccessRule() {
     HttpServerRequest request = SampleRequest();
