Http: Apply raised limits to open connections

Callers would see: 413 or 431 on a kept connection for a request that the current configuration allows, because a connection kept the limits that were in force when it was opened.

Change: a request is checked against the limits in force when it begins.

Test: TestRaisedLimitAppliesToOpenConnection.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -112,6 +112,7 @@
   const Strand& strand() const { return this->connection_strand; }
   bool closed() const { return this->is_closed; }
   bool has_pending_responses() const { return !this->pending_responses.empty(); }
+  RequestLimits limits() const;
   void ReportRefusal(const RequestRefusal& refusal, bool response_sent) const;
 
   // Starts enforcing the time limits of the connection.
@@ -330,6 +331,9 @@
     }
     this->last_read_at = SteadyNow();
     const bool continues_request = this->inspector->in_request();
+    if (!continues_request && this->connection) {
+      this->inspector->SetLimits(this->connection->limits());
+    }
     const std::uint64_t complete_before = this->inspector->complete_requests();
     const RequestInspector::Result result =
         this->inspector->Inspect({static_cast<const char*>(buffer.data()), length});
@@ -718,6 +722,10 @@
   bool removed_from_count = false;
 };
 
+RequestLimits ServerConnection::limits() const {
+  return this->registry.Limits();
+}
+
 void ServerConnection::ReportRefusal(const RequestRefusal& refusal, bool response_sent) const {
   this->registry.on_refusal({refusal, this->requests_handled, response_sent});
 }
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -87,7 +87,7 @@
   // Number of open caller connections. After StopListening(), each remaining one has a request in
   // progress or partly received.
   virtual std::size_t open_connections() const = 0;
-  // Replaces the limits. Size limits apply to connections opened later. max_body_bytes cannot
+  // Replaces the limits. Size limits apply to requests that begin later. max_body_bytes cannot
   // exceed the value in the server's settings.
   virtual void SetLimits(const RequestLimits& limits) = 0;
   // Closes each connection after its next response, so that callers reconnect to other hosts.
--- a/Libraries/LibHttp/request_inspector.cc
+++ b/Libraries/LibHttp/request_inspector.cc
@@ -126,6 +126,10 @@
   return {.refusal = current.refusal ? current.refusal : RefusalFromParserError(error)};
 }
 
+void RequestInspector::SetLimits(const RequestLimits& limits) {
+  this->state->limits = limits;
+}
+
 bool RequestInspector::in_request() const {
   return this->state->in_request;
 }
--- a/Libraries/LibHttp/request_inspector.h
+++ b/Libraries/LibHttp/request_inspector.h
@@ -39,6 +39,9 @@
   // refusal.
   Result Inspect(std::string_view bytes);
 
+  // Sets the limits of the requests that begin later.
+  void SetLimits(const RequestLimits& limits);
+
   // True between the first byte and the end of a request.
   bool in_request() const;
   // True between the end of the header section and the end of a request.
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(TestLargeHeaderGets431);
   CPPUNIT_TEST(TestUnusableAddressIsReported);
   CPPUNIT_TEST(TestRefusalsOfTheServerAreReported);
+  CPPUNIT_TEST(TestRaisedLimitAppliesToOpenConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -504,6 +505,22 @@
     CPPUNIT_ASSERT(!this->HasReceivedRequest());
   }
 
+  // Guards against 431 on a kept connection for a request that the current limits allow.
+  void TestRaisedLimitAppliesToOpenConnection() {
+    this->StartRecordingServer();
+    RequestLimits limits{.max_header_bytes = 100, .max_body_bytes = kMaxBodyBytes};
+    this->server->SetLimits(limits);
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1"));
+    this->TakeResponder()->Respond(200, {}, "one");
+    caller.ReadUntil("one");
+    limits.max_header_bytes = 10'000;
+    this->server->SetLimits(limits);
+    caller.Send(Get("/" + std::string(500, 'x')));
+    this->TakeResponder()->Respond(200, {}, "two");
+    CPPUNIT_ASSERT(caller.ReadUntil("two").starts_with("HTTP/1.1 200 "));
+  }
+
   // Guards against requests that the server refuses without a trace in log and metrics.
   void TestRefusalsOfTheServerAreReported() {
     this->StartRecordingServer();
