Http: Keep a connection on which a request has just arrived

Callers would see: a connection that ends without a response, during the shutdown of a host, although their request had been received before.

Cause: StopListening closes idle connections. A connection counted as idle if the socket had no unread bytes and no request was known. Between the read and the handler on the connection's strand both hold although bytes have been read.

Change: a connection is closed only if it is idle twice, 20 ms apart.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -86,6 +86,10 @@
 // refusing a request, the server therefore keeps reading for this long.
 constexpr std::chrono::seconds kRefusalDrainTime(1);
 
+// A read that has taken its bytes from the socket may still wait for the strand, so a connection
+// that seems idle is closed only if it is still idle after this time.
+constexpr std::chrono::milliseconds kIdleCloseDelay(20);
+
 thread_local bool is_server_thread = false;
 
 class ConnectionRegistry;
@@ -106,7 +110,8 @@
         connection_strand(std::move(strand)),
         restinio_connection(std::move(restinio_connection)),
         registry(registry),
-        timer(connection_strand) {}
+        timer(connection_strand),
+        idle_close_timer(connection_strand) {}
 
   std::uint64_t id() const { return this->connection_id; }
   const Strand& strand() const { return this->connection_strand; }
@@ -169,6 +174,7 @@
   asio::steady_timer timer;
   bool timer_active = false;
   TimePoint last_response_at;
+  asio::steady_timer idle_close_timer;
 };
 
 // Open connections of a server, indexed by RESTinio's connection id.
@@ -749,9 +755,17 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (this->registry.listening_stopped && this->IsIdle()) {
-    this->Close();
+  if (!this->registry.listening_stopped || !this->IsIdle()) {
+    return;
   }
+  this->idle_close_timer.expires_after(kIdleCloseDelay);
+  this->idle_close_timer.async_wait(
+      [self = this->shared_from_this()](const asio::error_code& error) {
+        const std::shared_ptr<void> live_connection = self->restinio_connection.lock();
+        if (!error && live_connection && self->IsIdle()) {
+          self->Close();
+        }
+      });
 }
 
 void ServerConnection::StartTimer() {
@@ -819,6 +833,7 @@
   const auto self = this->shared_from_this();
   this->is_closed = true;
   this->timer.cancel();
+  this->idle_close_timer.cancel();
   this->registry.Remove(this->connection_id);
   const auto responses = std::exchange(this->pending_responses, {});
   for (const auto& response : responses) {
