Membership: Request a newer revision after the document of an older one

Callers would see: 404 for new routes at a host that received two revisions in quick succession, until the next digest, up to 7.65 s later.

When the document of an older revision arrived, the announcement of a newer one was kept but not followed. Found by reading the change again.

Change: after each document the host asks for the newest revision that it knows.

--- a/Libraries/LibMembership/configuration_tracker.cc
+++ b/Libraries/LibMembership/configuration_tracker.cc
@@ -41,7 +41,11 @@
   }
   // The store always holds the newest revision, a peer may be behind.
   if (this->current || source == DocumentSource::kStore) {
-    return this->Adopt(document, source);
+    std::vector<ConfigurationAction> actions = this->Adopt(document, source);
+    // Another host may have announced a revision above this one meanwhile.
+    const std::vector<ConfigurationAction> requests = this->RequestNext(now);
+    actions.insert(actions.end(), requests.begin(), requests.end());
+    return actions;
   }
   if (!this->candidate || this->candidate->revision < document.revision) {
     this->candidate = document;
--- a/Tests/LibMembership/membership_test.cc
+++ b/Tests/LibMembership/membership_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(TestFirstListingIsNotRelayed);
   CPPUNIT_TEST(TestLostDocumentIsRequestedFromAnotherHost);
   CPPUNIT_TEST(TestOneCopyOfDocumentIsRequestedAtOnce);
+  CPPUNIT_TEST(TestNewerRevisionIsRequestedAfterDocument);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,20 @@
     CPPUNIT_ASSERT(!tracker.next_deadline());
   }
 
+  // Guards against a host that stays at a revision although it knows a host with a newer one, after
+  // changes in quick succession.
+  void TestNewerRevisionIsRequestedAfterDocument() {
+    ConfigurationTracker tracker(HostId{1}, DomainId{1});
+    tracker.OnDocument(TimePoint(), {.revision = 1}, DocumentSource::kStore);
+    const TimePoint start(seconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tracker.OnRevisionSeen(start, HostId{2}, 5).size());
+    CPPUNIT_ASSERT(tracker.OnRevisionSeen(start + milliseconds(10), HostId{3}, 7).empty());
+    const auto actions =
+        tracker.OnDocument(start + milliseconds(20), {.revision = 5}, DocumentSource::kPeer);
+    const ConfigurationAction request = SendToHost{HostId{3}, ConfigurationRequest{5}};
+    CPPUNIT_ASSERT(std::find(actions.begin(), actions.end(), request) != actions.end());
+  }
+
   // Guards against a starting host that receives a copy of the document from every host that offers
   // it, which fills its link.
   void TestOneCopyOfDocumentIsRequestedAtOnce() {
