--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -382,8 +382,8 @@
   // Guards against waiting indefinitely for an unresponsive target.
   void TestTimeoutAfterSending() {
     RawServer server(this->context);
-    TransferRecorder& record = this->Start(
-        {.method = "GET", .url = server.url("/"), .timeout = std::chrono::seconds(1)});
+    TransferRecorder& record =
+        this->Start({.method = "GET", .url = server.url("/"), .timeout = std::chrono::seconds(1)});
     RawConnection connection = server.Accept();
     connection.ReadUntil("\r\n\r\n");
     CPPUNIT_ASSERT(record.Wait());
