Platform: Accept kinds and resources that the reader does not know

An unknown kind of route counts as non-idempotent and an unknown type of resource is ignored; each adds a note, logged once per revision as configuration_partly_unknown, and the rest of the document applies. A document that cannot be parsed, or a kind that is no string, is still rejected whole.

--- a/Libraries/LibHost/configuration_controller.cc
+++ b/Libraries/LibHost/configuration_controller.cc
@@ -3,11 +3,17 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "Libraries/LibConfig/document_scanner.h"
 #include "Libraries/LibConfig/registered_target.h"
 #include "Libraries/LibCore/json_log.h"
 #include "Libraries/LibProtocol/document_compression.h"
 
 namespace pimentopin {
+namespace {
+
+constexpr std::size_t kMaxLoggedNoteBytes = 1024;
+
+}  // namespace
 
 ConfigurationController::ConfigurationController(ControlLoop& loop,
                                                  SharedState& shared_state,
@@ -110,6 +116,11 @@
         {{"revision", document.revision}, {"findings", findings.ToText()}});
     return;
   }
+  if (!findings.notes().empty()) {
+    Log(LogLevel::kWarning, "configuration_partly_unknown",
+        {{"revision", document.revision},
+         {"notes", Truncate(findings.NotesToText(), kMaxLoggedNoteBytes)}});
+  }
   const std::optional<Configuration> previous =
       std::exchange(this->adopted, std::move(configuration));
   this->shared_state.document.Write(document);
