Http: Close a connection only after its last pipelined response

Cause: callers send the requests behind a response with Connection: close again, whatever their kind. During a stop the first response that was written closed the connection, although up to 15 later requests of it could be running: these would run twice. A malformed request reset the connection under the requests before it.

Change: only the response to the last request that was handled announces the close. Requests that arrive behind such a response are discarded and reported as connection-closing. The refusal of a malformed request follows the responses to earlier ones, and the connection is read meanwhile, so that a caller that leaves is still noticed.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -140,11 +140,19 @@
     ++this->requests_handled;
     this->pending_responses.push_back(std::move(writer));
   }
-  void RemoveResponse(const ResponseWriter* writer) {
-    this->last_response_at = SteadyNow();
-    std::erase_if(this->pending_responses,
-                  [writer](const auto& entry) { return entry.get() == writer; });
-  }
+  void RemoveResponse(const ResponseWriter* writer);
+  // Callers send the requests behind a response that closes the connection again, whatever their
+  // kind. Only the response to the last request that was handled may therefore close it.
+  bool MayCloseAfter(const ResponseWriter* writer) const {
+    return this->pending_responses.empty() || this->pending_responses.back().get() == writer;
+  }
+  // Called when a response states that it closes the connection. Requests that arrive later are
+  // discarded.
+  void SetClosing() { this->is_closing = true; }
+  bool closing() const { return this->is_closing; }
+  void DiscardRequest() { ++this->requests_handled; }
+  // Runs the function when no response is outstanding, unless the connection is closed before.
+  void RunAfterResponses(std::function<void()> function);
   // Closes the connection with a reset, so that a caller that treats the end of the stream as the
   // end of the response detects an error.
   void Reset();
@@ -171,6 +179,8 @@
   std::vector<std::shared_ptr<ResponseWriter>> pending_responses;
   std::uint64_t requests_handled = 0;
   bool is_closed = false;
+  bool is_closing = false;
+  std::function<void()> after_responses;
   asio::steady_timer timer;
   bool timer_active = false;
   TimePoint last_response_at;
@@ -358,55 +368,72 @@
     }
   }
 
-  // Sends an error response, drains the connection and then lets RESTinio close it. `handler` keeps
-  // the connection alive until then.
+  // A refused request, until its connection has ended.
+  template <typename Handler>
+  struct PendingRefusal {
+    RequestRefusal refusal;
+    Handler handler;
+    std::string response;
+    asio::steady_timer timer;
+    bool sending = false;
+  };
+
+  // Sends an error response after the responses to earlier requests on the connection, drains the
+  // connection and then lets RESTinio close it. `handler` keeps the connection alive until then.
   template <typename Handler>
   void Refuse(const RequestRefusal& refusal, Handler handler) {
-    if (!this->connection || this->connection->has_pending_responses()) {
-      // An error response must not be sent before the responses to earlier requests on the
-      // connection.
-      if (this->connection) {
-        this->connection->ReportRefusal(refusal, false);
-      }
+    if (!this->connection) {
       handler(asio::error::connection_reset, 0);
       return;
     }
     this->refusing = true;
-    this->connection->ReportRefusal(refusal, true);
-    const auto executor = asio::get_associated_executor(handler);
-    auto response = std::make_shared<std::string>(FormatRefusal(refusal));
-    auto timer = std::make_shared<asio::steady_timer>(this->get_executor(), kRefusalDrainTime);
-    timer->async_wait(asio::bind_executor(executor, [this, handler](const asio::error_code& error) {
-      if (!error) {
-        this->CloseGracefully();
-      }
-    }));
-    asio::async_write(
-        static_cast<Base&>(*this), asio::buffer(*response),
-        asio::bind_executor(executor, [this, response, timer, handler = std::move(handler)](
-                                          const asio::error_code& error, std::size_t) mutable {
-          asio::error_code ignored;
-          this->shutdown(asio::socket_base::shutdown_send, ignored);
-          this->Drain(error, std::move(timer), std::move(handler));
+    const auto pending = std::make_shared<PendingRefusal<Handler>>(
+        PendingRefusal<Handler>{.refusal = refusal,
+                                .handler = std::move(handler),
+                                .response = FormatRefusal(refusal),
+                                .timer = asio::steady_timer(this->get_executor())});
+    this->Drain(pending);
+    this->connection->RunAfterResponses([this, pending] { this->SendRefusal(pending); });
+  }
+
+  template <typename Handler>
+  void SendRefusal(const std::shared_ptr<PendingRefusal<Handler>>& pending) {
+    const auto executor = asio::get_associated_executor(pending->handler);
+    pending->sending = true;
+    this->connection->ReportRefusal(pending->refusal, true);
+    pending->timer.expires_after(kRefusalDrainTime);
+    pending->timer.async_wait(
+        asio::bind_executor(executor, [this, pending](const asio::error_code& error) {
+          if (!error) {
+            this->CloseGracefully();
+          }
         }));
+    asio::async_write(
+        static_cast<Base&>(*this), asio::buffer(pending->response),
+        asio::bind_executor(executor,
+                            [this, pending](const asio::error_code& /*error*/, std::size_t) {
+                              asio::error_code ignored;
+                              this->shutdown(asio::socket_base::shutdown_send, ignored);
+                            }));
   }
 
+  // Discards received bytes until the connection ends.
   template <typename Handler>
-  void Drain(const asio::error_code& error,
-             std::shared_ptr<asio::steady_timer> timer,
-             Handler handler) {
-    if (error) {
-      timer->cancel();
-      handler(asio::error::connection_reset, 0);
-      return;
-    }
-    const auto executor = asio::get_associated_executor(handler);
+  void Drain(const std::shared_ptr<PendingRefusal<Handler>>& pending) {
     Base::async_read_some(
         asio::buffer(this->drain_buffer),
-        asio::bind_executor(executor, [this, timer, handler = std::move(handler)](
-                                          const asio::error_code& next, std::size_t) mutable {
-          this->Drain(next, std::move(timer), std::move(handler));
-        }));
+        asio::bind_executor(asio::get_associated_executor(pending->handler),
+                            [this, pending](const asio::error_code& error, std::size_t) {
+                              if (!error) {
+                                this->Drain(pending);
+                                return;
+                              }
+                              pending->timer.cancel();
+                              if (!pending->sending) {
+                                this->connection->ReportRefusal(pending->refusal, false);
+                              }
+                              pending->handler(asio::error::connection_reset, 0);
+                            }));
   }
 
   std::optional<RequestInspector> inspector;
@@ -651,8 +678,12 @@
   }
 
   void AddResponseHead(int status, const HttpHeaders& headers, ResponseFraming framing) {
-    this->keep_alive =
-        this->builder->should_keep_alive() && !this->server->context.registry.keep_alive_disabled;
+    const bool closes =
+        this->server->context.registry.keep_alive_disabled && this->connection->MayCloseAfter(this);
+    this->keep_alive = this->builder->should_keep_alive() && !closes;
+    if (!this->keep_alive) {
+      this->connection->SetClosing();
+    }
     framing.keep_alive = this->keep_alive;
     this->items.emplace_back(FormatResponseHead(status, headers, framing));
   }
@@ -736,6 +767,27 @@
   this->registry.on_refusal({refusal, this->requests_handled, response_sent});
 }
 
+void ServerConnection::RemoveResponse(const ResponseWriter* writer) {
+  this->last_response_at = SteadyNow();
+  std::erase_if(this->pending_responses,
+                [writer](const auto& entry) { return entry.get() == writer; });
+  if (this->pending_responses.empty() && this->after_responses) {
+    this->Post([](ServerConnection& self) {
+      if (const auto function = std::exchange(self.after_responses, nullptr)) {
+        function();
+      }
+    });
+  }
+}
+
+void ServerConnection::RunAfterResponses(std::function<void()> function) {
+  if (this->pending_responses.empty()) {
+    function();
+  } else {
+    this->after_responses = std::move(function);
+  }
+}
+
 void ServerConnection::Reset() {
   this->socket.Reset();
   this->OnClosed();
@@ -835,6 +887,7 @@
   this->timer.cancel();
   this->idle_close_timer.cancel();
   this->registry.Remove(this->connection_id);
+  this->after_responses = nullptr;
   const auto responses = std::exchange(this->pending_responses, {});
   for (const auto& response : responses) {
     response->OnConnectionClosed();
@@ -1020,6 +1073,15 @@
     if (!connection) {
       return;
     }
+    if (connection->closing()) {
+      connection->DiscardRequest();
+      connection->ReportRefusal(
+          {.status = 503,
+           .reason = "connection-closing",
+           .message = "an earlier response on the connection announced that it closes"},
+          false);
+      return;
+    }
     HttpServerRequest request;
     request.method = restinio_request.header().method().c_str();
     const bool has_path = SplitRequestTarget(restinio_request.header().request_target(), request);
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -50,7 +50,8 @@
   RequestRefusal refusal;
   // Complete requests that the connection had carried before.
   std::uint64_t earlier_requests = 0;
-  // False if the connection was reset, because responses to earlier requests were outstanding.
+  // False if the connection ended before the error response, which follows the responses to earlier
+  // requests.
   bool response_sent = true;
 
   friend bool operator==(const RefusedRequest&, const RefusedRequest&) = default;
@@ -90,7 +91,8 @@
   // Replaces the limits. Size limits apply to requests that begin later. max_body_bytes cannot
   // exceed the value in the server's settings.
   virtual void SetLimits(const RequestLimits& limits) = 0;
-  // Closes each connection after its next response, so that callers reconnect to other hosts.
+  // Closes each connection after the response to the last request that it has carried, so that
+  // callers reconnect to other hosts. Later requests on it are discarded without being handled.
   virtual void DisableKeepAlive() = 0;
   // Closes the listening socket and idle keep-alive connections; requests in progress continue.
   virtual void StopListening() = 0;
