--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -87,6 +88,9 @@
   // The target reports that it did not run the request.
   bool shed = false;
   bool wrong_attempt_id = false;
+  bool target_draining = false;
+  // Time for which the target wants no request from this host; zero if it states none.
+  Duration retry_after{};
 
   friend bool operator==(const AttemptHeader&, const AttemptHeader&) = default;
 };
@@ -132,11 +136,16 @@
   // These callbacks are called at each decision, so that the latest notices
   // apply.
   std::function<bool(TargetId)> is_leaving;
+  // Time until which the target asked this host to send nothing; empty if it did not.
+  std::function<std::optional<TimePoint>(TimePoint now, TargetId)> hold_off_end;
   std::function<bool(Fingerprint)> is_suspect;
   std::function<bool(Fingerprint)> is_blocked;
 
-  // The following return false if their callback is not set.
+  // The following return false or nothing if their callback is not set.
   bool IsLeaving(TargetId target) const { return this->is_leaving && this->is_leaving(target); }
+  std::optional<TimePoint> HoldOffEnd(TimePoint now, TargetId target) const {
+    return this->hold_off_end ? this->hold_off_end(now, target) : std::nullopt;
+  }
   bool IsSuspect(Fingerprint fingerprint) const {
     return this->is_suspect && this->is_suspect(fingerprint);
   }
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -133,6 +133,10 @@
     this->PlaceByBaselinePolicy(now, *service, state, actions);
     return;
   }
+  if (this->chooser.UsableTargets(now, *service, state).empty()) {
+    this->WaitForHoldOff(now, *service, state, actions);
+    return;
+  }
   const std::optional<HostId> broker = service->broker_selector.Current(now);
   if (!broker) {
     this->PlaceInFallback(now, *service, state, actions);
@@ -153,6 +157,24 @@
   this->RequestSlot(now, *broker, *service, state, actions);
 }
 
+void HostDispatcher::WaitForHoldOff(TimePoint now,
+                                    const DispatchServiceState& service,
+                                    RequestState& state,
+                                    Actions& actions) {
+  const std::optional<TimePoint> end = this->chooser.FirstHoldOffEnd(now, service, state);
+  if (!end) {
+    this->ForwardHeldOrFinish(state, RefusalReason::kShed, kFallbackRetryAfter, actions);
+    return;
+  }
+  // A held response would occupy its slot meanwhile.
+  if (state.held_attempt || *end >= state.description.deadline) {
+    this->ForwardHeldOrFinish(state, RefusalReason::kHoldOff, *end - now, actions);
+    return;
+  }
+  state.phase = RequestPhase::kHeldOff;
+  state.resume_at = *end;
+}
+
 void HostDispatcher::PlaceByBaselinePolicy(TimePoint now,
                                            DispatchServiceState& service,
                                            RequestState& state,
@@ -174,7 +196,7 @@
     this->ForwardHeldOrFinish(state, RefusalReason::kCrashRequest, kFallbackRetryAfter, actions);
     return;
   }
-  const std::optional<TargetId> target = this->chooser.ChooseFallback(service, state);
+  const std::optional<TargetId> target = this->chooser.ChooseFallback(now, service, state);
   if (!target) {
     this->ForwardHeldOrFinish(state, RefusalReason::kNoTarget, kFallbackRetryAfter, actions);
     return;
@@ -218,7 +240,7 @@
       continue;
     }
     state->phase = RequestPhase::kPlacing;
-    const std::optional<TargetId> target = this->chooser.ChooseFallback(service, *state);
+    const std::optional<TargetId> target = this->chooser.ChooseFallback(now, service, *state);
     if (target && now < state->description.deadline &&
         !this->settings.IsBlocked(state->description.fingerprint)) {
       this->Start(now, service, *state, next, *target, std::nullopt, actions);
@@ -238,6 +260,12 @@
   if (allowed.size() == service.configuration.targets.size()) {
     allowed.clear();
   }
+  std::vector<TargetId> forbidden;
+  for (const DispatchService::Target& target : service.configuration.targets) {
+    if (this->chooser.IsForbidden(now, state, target.target)) {
+      forbidden.push_back(target.target);
+    }
+  }
   return {.attempt = state.pending_attempt,
           .service = description.service,
           .organisation = description.organisation,
@@ -250,7 +278,8 @@
           .allowed = std::move(allowed),
           .excluded = state.excluded,
           .idempotent = description.idempotent,
-          .bulk = description.bulk};
+          .bulk = description.bulk,
+          .forbidden = std::move(forbidden)};
 }
 
 void HostDispatcher::RequestSlot(TimePoint now,
@@ -374,7 +403,7 @@
   const RequestDescription& description = state->description;
   const bool deadline_passed = now >= description.deadline;
   const bool blocked = this->settings.IsBlocked(description.fingerprint);
-  const bool usable = Contains(this->chooser.AllowedTargets(*service, description), grant.target);
+  const bool usable = Contains(this->chooser.UsableTargets(now, *service, *state), grant.target);
   if (!deadline_passed && !blocked && usable) {
     this->Start(now, *service, *state, grant.attempt, grant.target, sender, actions);
     return actions;
@@ -431,8 +460,7 @@
 
 bool HostDispatcher::MayRetry(TimePoint now, const RequestState& state) const {
   return !state.caller_disconnected && state.attempts_started < state.description.max_attempts &&
-         now < state.description.deadline &&
-         (state.description.idempotent || !state.may_have_been_sent);
+         now < state.description.deadline && (state.description.idempotent || !state.may_have_run);
 }
 
 std::vector<DispatchAction> HostDispatcher::OnHeader(TimePoint now,
@@ -546,6 +574,9 @@
       state->running_attempt.reset();
       state->last_result = corrected_end.result;
       state->excluded.push_back(ended.target);
+      if (corrected_end.result == AttemptResult::kShed && !state->description.idempotent) {
+        state->refused_by.push_back(ended.target);
+      }
       this->OnRequestAttemptEnd(now, *state, attempt, corrected_end, ended.forwarded, actions);
     }
   }
@@ -581,7 +612,7 @@
   const bool shed = end.result == AttemptResult::kShed;
   this->ForwardHeldOrFinish(state,
                             deadline_passed ? RefusalReason::kDeadline
-                            : shed          ? RefusalReason::kOverload
+                            : shed          ? RefusalReason::kShed
                                             : RefusalReason::kNone,
                             Duration::zero(), actions);
 }
@@ -692,6 +723,9 @@
   if (state.held_attempt) {
     next = std::min(next, state.held_at + kMaxResponseHold);
   }
+  if (state.phase == RequestPhase::kHeldOff) {
+    return std::min(next, state.resume_at);
+  }
   if (state.phase == RequestPhase::kWaitingLocally) {
     // Checks periodically whether a broker is available again.
     return std::min(next, state.requested_at + kResendInterval);
@@ -728,6 +762,13 @@
     this->ForwardHeldOrFinish(state, RefusalReason::kRetryBudget, Duration::zero(), actions);
     return;
   }
+  if (state.phase == RequestPhase::kHeldOff) {
+    if (now >= state.resume_at) {
+      state.phase = RequestPhase::kPlacing;
+      this->PlaceNextAttempt(now, state, actions);
+    }
+    return;
+  }
   if (state.phase == RequestPhase::kWaitingLocally) {
     if (service.broker_selector.Current(now)) {
       this->StopWaiting(service, state, false, actions);
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -66,6 +66,12 @@
                        DispatchServiceState& service,
                        RequestState& state,
                        Actions& actions);
+  // For a request without a usable target: waits for the end of a hold-off, if one ends before the
+  // deadline, or ends the request.
+  void WaitForHoldOff(TimePoint now,
+                      const DispatchServiceState& service,
+                      RequestState& state,
+                      Actions& actions);
   void StartFromLocalQueue(TimePoint now, DispatchServiceState& service, Actions& actions);
   void RequestSlot(TimePoint now,
                    HostId broker,
--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -15,6 +15,8 @@
   kPlacing,
   kWaitingAtBroker,
   kWaitingLocally,
+  // Waits until a target that holds this host off accepts requests again.
+  kHeldOff,
   kRunning,
   kForwarding,
 };
@@ -44,6 +46,11 @@
 
   std::uint32_t attempts_started = 0;
   std::vector<TargetId> excluded;
+  // Targets that refused this request, if it is non-idempotent. A copy of such a refusal that
+  // arrives late could not be told from the response to a second attempt there.
+  std::vector<TargetId> refused_by;
+  // In phase kHeldOff, the time at which the hold-off ends.
+  TimePoint resume_at;
   // At least one ended attempt may have been sent.
   bool may_have_been_sent = false;
   // At least one ended attempt may have run: it may have been sent and was not
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -137,7 +137,8 @@
 
 bool SlotBroker::IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const {
   const std::vector<TargetId>& allowed = entry.request.allowed;
-  if (!allowed.empty() && !Contains(allowed, candidate.target)) {
+  if ((!allowed.empty() && !Contains(allowed, candidate.target)) ||
+      Contains(entry.request.forbidden, candidate.target)) {
     return false;
   }
   const HealthStatus& status = candidate.health_status;
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -61,14 +61,45 @@
 std::vector<TargetId> TargetChooser::AllowedTargets(const DispatchServiceState& service,
                                                     const RequestDescription& description) const {
   std::vector<TargetId> allowed;
+  // Both lists normally have the same order, so that no target has to be searched for.
+  std::size_t next = 0;
   for (const DispatchService::Target& target : service.configuration.targets) {
-    if (Contains(description.allowed, target.target) && !this->settings.IsLeaving(target.target)) {
+    const bool is_next =
+        next < description.allowed.size() && description.allowed[next] == target.target;
+    next += is_next ? 1 : 0;
+    if ((is_next || Contains(description.allowed, target.target)) &&
+        !this->settings.IsLeaving(target.target)) {
       allowed.push_back(target.target);
     }
   }
   return allowed;
 }
 
+bool TargetChooser::IsForbidden(TimePoint now, const RequestState& state, TargetId target) const {
+  return Contains(state.refused_by, target) || this->settings.HoldOffEnd(now, target).has_value();
+}
+
+std::vector<TargetId> TargetChooser::UsableTargets(TimePoint now,
+                                                   const DispatchServiceState& service,
+                                                   const RequestState& state) const {
+  std::vector<TargetId> usable = this->AllowedTargets(service, state.description);
+  std::erase_if(usable, [&](TargetId target) { return this->IsForbidden(now, state, target); });
+  return usable;
+}
+
+std::optional<TimePoint> TargetChooser::FirstHoldOffEnd(TimePoint now,
+                                                        const DispatchServiceState& service,
+                                                        const RequestState& state) const {
+  std::optional<TimePoint> first;
+  for (const TargetId target : this->AllowedTargets(service, state.description)) {
+    const std::optional<TimePoint> end = this->settings.HoldOffEnd(now, target);
+    if (end && !Contains(state.refused_by, target)) {
+      first = std::min(first.value_or(*end), *end);
+    }
+  }
+  return first;
+}
+
 std::optional<TargetId> TargetChooser::ChooseOptimistic(TimePoint now,
                                                         HostId broker,
                                                         const DispatchServiceState& service,
@@ -82,7 +113,7 @@
       service.local_queue.size() > 0) {
     return std::nullopt;
   }
-  const std::vector<TargetId> allowed = this->AllowedTargets(service, description);
+  const std::vector<TargetId> allowed = this->UsableTargets(now, service, state);
   std::uint32_t usable = 0;
   std::uint32_t free = 0;
   bool any_on_probation = false;
@@ -159,9 +190,10 @@
   return std::max<std::uint32_t>(1, usable / hosts);
 }
 
-std::optional<TargetId> TargetChooser::ChooseFallback(const DispatchServiceState& service,
+std::optional<TargetId> TargetChooser::ChooseFallback(TimePoint now,
+                                                      const DispatchServiceState& service,
                                                       const RequestState& state) {
-  const std::vector<TargetId> allowed = this->AllowedTargets(service, state.description);
+  const std::vector<TargetId> allowed = this->UsableTargets(now, service, state);
   std::vector<TargetId> usable;
   for (const TargetView& target : this->TargetsInService(service)) {
     if (target.usable_slots > 0 && Contains(allowed, target.target) &&
--- a/Libraries/LibDispatch/target_chooser.h
+++ b/Libraries/LibDispatch/target_chooser.h
@@ -29,13 +29,25 @@
   // Configured targets that the caller may use and that are not leaving.
   std::vector<TargetId> AllowedTargets(const DispatchServiceState& service,
                                        const RequestDescription& description) const;
+  // Those of the allowed targets that may receive the request now: they do not hold this host off
+  // and have not refused the request, if it is non-idempotent.
+  std::vector<TargetId> UsableTargets(TimePoint now,
+                                      const DispatchServiceState& service,
+                                      const RequestState& state) const;
+  // The first time at which an allowed target stops holding this host off; empty if no target
+  // that has not refused the request does.
+  std::optional<TimePoint> FirstHoldOffEnd(TimePoint now,
+                                           const DispatchServiceState& service,
+                                           const RequestState& state) const;
+  bool IsForbidden(TimePoint now, const RequestState& state, TargetId target) const;
   // A free target for an optimistic start according to the broker's last view;
   // std::nullopt if a slot must be requested.
   std::optional<TargetId> ChooseOptimistic(TimePoint now,
                                            HostId broker,
                                            const DispatchServiceState& service,
                                            const RequestState& state);
-  std::optional<TargetId> ChooseFallback(const DispatchServiceState& service,
+  std::optional<TargetId> ChooseFallback(TimePoint now,
+                                         const DispatchServiceState& service,
                                          const RequestState& state);
   // Maximum number of outstanding attempts of this host in fallback.
   std::uint32_t FallbackLimit(const DispatchServiceState& service) const;
--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -38,6 +38,7 @@
       .accept_close_delimited_body = this->dialect.AcceptsCloseDelimitedBody()};
   const auto self = this->shared_from_this();
   TransferCallbacks transfer_callbacks;
+  transfer_callbacks.on_connection = [self](bool reused) { self->OnConnection(reused); };
   transfer_callbacks.on_headers = [self](int code, const HttpHeaders& received) {
     self->OnHeaders(code, received);
   };
@@ -125,6 +126,11 @@
   return {this->status, ForwardableHeaders(this->headers), std::move(this->stored_body)};
 }
 
+void AttemptTransfer::OnConnection(bool reused) {
+  const std::lock_guard lock(this->mutex);
+  this->connection_reused = reused;
+}
+
 void AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
   AttemptHeader header;
   bool header_deferred = false;
@@ -132,12 +138,15 @@
     const std::lock_guard lock(this->mutex);
     this->status = code;
     this->headers = received;
-    this->response_info =
-        this->dialect.InterpretResponse(*this->exchange, this->attempt, code, received);
+    this->response_info = this->dialect.InterpretResponse(
+        *this->exchange, this->attempt,
+        {.status = code, .headers = received, .connection_reused = this->connection_reused});
     this->digest = ContentDigest::Create(this->response_info.content_digest);
     header = {.status = code,
               .shed = this->response_info.shed,
-              .wrong_attempt_id = this->response_info.unusable && !this->response_info.shed};
+              .wrong_attempt_id = this->response_info.unusable && !this->response_info.shed,
+              .target_draining = this->response_info.leaving,
+              .retry_after = this->response_info.retry_after};
     // The header of a short response is reported only once the response is complete, so
     // that a retry can still replace a truncated one. The body of a response that is not
     // forwarded has no effect.
--- a/Libraries/LibHost/attempt_transfer.h
+++ b/Libraries/LibHost/attempt_transfer.h
@@ -49,6 +49,7 @@
   StoredResponse TakeStoredResponse();
 
  private:
+  void OnConnection(bool reused);
   void OnHeaders(int status, const HttpHeaders& received);
   void OnBody(std::string bytes);
   void OnEnd(const TransferResult& result);
@@ -70,6 +71,7 @@
   int status = 0;
   HttpHeaders headers;
   TargetResponseInfo response_info;
+  bool connection_reused = false;
   std::optional<ContentDigest> digest;
   // Bytes received before Forward().
   std::string buffered_body;
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -78,6 +78,7 @@
 void DirectoryController::Update() {
   const TimePoint now = SteadyNow();
   this->shared_state.leaving_targets.Tick(now);
+  this->shared_state.hold_offs.Tick(now);
   this->shared_state.fingerprints.Tick(now);
   this->UpdateReachability();
   this->Execute(this->relay.Tick(now));
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -27,6 +27,9 @@
   result.domain = IdFromName<DomainId>(settings.domain_name);
   result.retry_limits = settings.retry_limits;
   result.is_leaving = [&shared_state](TargetId target) { return IsLeaving(shared_state, target); };
+  result.hold_off_end = [&shared_state](TimePoint now, TargetId target) {
+    return shared_state.hold_offs.EndOf(now, target);
+  };
   result.is_suspect = [&shared_state](Fingerprint fingerprint) {
     return shared_state.fingerprints.IsSuspect(fingerprint);
   };
@@ -391,9 +394,10 @@
   ActiveRequest& request = found->second;
   request.target = target->name;
   AttemptTransfer::Callbacks callbacks;
-  callbacks.on_header = [this, attempt = action.attempt](const AttemptHeader& header) {
-    this->loop.Post([this, attempt, header] {
-      this->Execute(this->dispatcher.OnHeader(this->Now(), attempt, header));
+  callbacks.on_header = [this, action](const AttemptHeader& header) {
+    this->loop.Post([this, action, header] {
+      this->RecordTargetNotices(action.target, header.target_draining, header.retry_after);
+      this->Execute(this->dispatcher.OnHeader(this->Now(), action.attempt, header));
       this->Reschedule();
     });
   };
@@ -451,9 +455,7 @@
                                       TargetId target,
                                       const AttemptEnd& end) {
   const TimePoint now = this->Now();
-  if (end.target_draining && this->shared_state.leaving_targets.MarkLeaving(now, target)) {
-    this->settings.on_new_notice();
-  }
+  this->RecordTargetNotices(target, end.target_draining, Duration::zero());
   const auto found = this->active.find(request);
   if (found != this->active.end() && end.result != AttemptResult::kSuccess) {
     Log(LogLevel::kInfo, "attempt_failed",
@@ -477,6 +479,28 @@
   this->Reschedule();
 }
 
+void DispatchController::RecordTargetNotices(TargetId target, bool leaving, Duration retry_after) {
+  const TimePoint now = this->Now();
+  const auto configuration = this->shared_state.configuration.Read();
+  const Target* const known = configuration ? configuration->FindTarget(target) : nullptr;
+  const std::string name = known != nullptr ? known->name : "";
+  if (leaving && this->shared_state.leaving_targets.MarkLeaving(now, target)) {
+    Log(LogLevel::kInfo, "target_leaving", {{"target", name}, {"source", "response"}});
+    // A registered target announces this in the store too, and its broker, which learns it from the
+    // release of the slot, grants it to no other host.
+    if (known != nullptr && !known->instance.empty()) {
+      this->RefreshLeavingTargets();
+    } else {
+      this->settings.on_new_notice();
+    }
+  }
+  if (retry_after > Duration::zero()) {
+    this->shared_state.hold_offs.HoldOff(now, target, retry_after);
+    Log(LogLevel::kInfo, "target_hold_off",
+        {{"target", name}, {"retry_after_ms", retry_after.count() / 1000}});
+  }
+}
+
 void DispatchController::Execute(const FinishRequest& action) {
   const auto found = this->active.find(action.request);
   if (found == this->active.end()) {
--- a/Libraries/LibHost/error_response.cc
+++ b/Libraries/LibHost/error_response.cc
@@ -25,6 +25,12 @@
               "identical earlier requests crashed the targets that ran them"};
     case RefusalReason::kNoTarget:
       return {503, Outcome::kNotRun, "no-target", "no target accepts requests of this caller"};
+    case RefusalReason::kShed:
+      return {503, Outcome::kNotRun, "shed",
+              "the target refused the request and no further attempt is allowed"};
+    case RefusalReason::kHoldOff:
+      return {503, Outcome::kNotRun, "held-off",
+              "all targets asked this host to send nothing until after the deadline"};
     case RefusalReason::kNotBroker:
     case RefusalReason::kNone:
       break;
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -254,6 +254,7 @@
       .host_name = this->settings.name,
       .domain_name = this->settings.domain,
       .interval = this->settings.probe_interval,
+      .dialect = this->adapter.dialect,
       .on_observation =
           [this](ServiceId service, const HealthObservation& observation) {
             this->dispatch->OnProbe(service, observation);
--- a/Libraries/LibHost/http_dialect.cc
+++ b/Libraries/LibHost/http_dialect.cc
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <iterator>
 
 namespace pimentopin {
 namespace {
 
+// Keeps the conversion to Duration in range.
+constexpr double kMaxRetryAfterSeconds = 1e9;
+
 bool IsExcludedHeader(std::string_view name) {
   constexpr std::array<std::string_view, 10> kExcluded = {
       "connection", "keep-alive",     "transfer-encoding", "te",     "trailer",
@@ -19,6 +23,18 @@
 
 }  // namespace
 
+Duration ParseRetryAfter(const HttpHeaders& headers) {
+  const std::string_view text = FindHeader(headers, "Retry-After");
+  double seconds = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  const bool is_number = error == std::errc() && end == text.data() + text.size();
+  if (!is_number || !(seconds > 0)) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(seconds, kMaxRetryAfterSeconds)));
+}
+
 HttpHeaders ForwardableHeaders(const HttpHeaders& headers) {
   HttpHeaders forwardable;
   std::copy_if(headers.begin(), headers.end(), std::back_inserter(forwardable),
--- a/Libraries/LibHost/http_dialect.h
+++ b/Libraries/LibHost/http_dialect.h
@@ -23,6 +23,17 @@
   friend bool operator==(const TargetAttempt&, const TargetAttempt&) = default;
 };
 
+// The header of a target's response.
+struct TargetResponseHead {
+  int status = 0;
+  HttpHeaders headers;
+  // The connection has carried an earlier request. A late copy of the response to that request may
+  // arrive in place of the response to this one.
+  bool connection_reused = false;
+
+  friend bool operator==(const TargetResponseHead&, const TargetResponseHead&) = default;
+};
+
 // Information in the header of a target's response besides the status code.
 struct TargetResponseInfo {
   // The target states that it did not run the request.
@@ -32,6 +43,8 @@
   bool leaving = false;
   // The response belongs to another request or must not be forwarded.
   bool unusable = false;
+  // Time for which the target wants no request from this host; zero if it states none.
+  Duration retry_after{};
   // Value of a Content-Digest header to check the body against; may be empty.
   std::string content_digest;
 
@@ -62,10 +75,15 @@
                                     const TargetAttempt& attempt) const = 0;
   virtual TargetResponseInfo InterpretResponse(const Exchange& exchange,
                                                const TargetAttempt& attempt,
-                                               int status,
-                                               const HttpHeaders& headers) const = 0;
+                                               const TargetResponseHead& head) const = 0;
+  // Reads the statements about the target itself from the response to a probe.
+  virtual TargetResponseInfo InterpretProbe(int status, const HttpHeaders& headers) const = 0;
 };
 
+// Parses a Retry-After header: seconds, possibly with a fraction. Returns zero if there is none, or
+// if it is a date, negative or not a number.
+Duration ParseRetryAfter(const HttpHeaders& headers);
+
 // Removes hop-by-hop headers and headers that the host sets itself.
 HttpHeaders ForwardableHeaders(const HttpHeaders& headers);
 
--- a/Libraries/LibHost/native_dialect.cc
+++ b/Libraries/LibHost/native_dialect.cc
@@ -46,13 +46,22 @@
 
 TargetResponseInfo NativeDialect::InterpretResponse(const Exchange& /*exchange*/,
                                                     const TargetAttempt& attempt,
-                                                    int status,
-                                                    const HttpHeaders& headers) const {
-  const std::string_view echoed = FindHeader(headers, kAttemptIdHeader);
-  return {.shed = status == 503 && FindHeader(headers, "Target-Outcome") == "not-run",
-          .leaving = FindHeader(headers, "Target-State") == "draining",
-          .unusable = !echoed.empty() && echoed != FormatAttemptId(attempt.attempt_id),
-          .content_digest = std::string(FindHeader(headers, "Content-Digest"))};
+                                                    const TargetResponseHead& head) const {
+  TargetResponseInfo info = this->InterpretProbe(head.status, head.headers);
+  const std::string_view echoed = FindHeader(head.headers, kAttemptIdHeader);
+  const bool is_own = echoed == FormatAttemptId(attempt.attempt_id);
+  const bool states_not_run =
+      head.status == 503 && FindHeader(head.headers, "Target-Outcome") == "not-run";
+  const bool may_be_late_copy = !is_own && (!echoed.empty() || head.connection_reused);
+  info.shed = states_not_run && !may_be_late_copy;
+  info.unusable = (!echoed.empty() && !is_own) || (states_not_run && may_be_late_copy);
+  info.content_digest = std::string(FindHeader(head.headers, "Content-Digest"));
+  return info;
+}
+
+TargetResponseInfo NativeDialect::InterpretProbe(int status, const HttpHeaders& headers) const {
+  return {.leaving = FindHeader(headers, "Target-State") == "draining",
+          .retry_after = status == 503 ? ParseRetryAfter(headers) : Duration::zero()};
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/probe_controller.cc
+++ b/Libraries/LibHost/probe_controller.cc
@@ -75,7 +75,8 @@
     due = now + (is_first
                      ? Duration(RawId(target.id()) % static_cast<std::uint64_t>(interval.count()))
                      : interval);
-    if (!is_first && (readiness->isolated || this->IsAssignedProber(target))) {
+    if (!is_first && !this->shared_state.hold_offs.IsHeldOff(now, target.id()) &&
+        (readiness->isolated || this->IsAssignedProber(target))) {
       this->Probe(target);
     }
   }
@@ -95,7 +96,7 @@
   TransferCallbacks callbacks;
   callbacks.on_headers = [this, target, status](int code, const HttpHeaders& headers) {
     *status = code;
-    this->loop.Post([this, target, headers] { this->OnProbeHeaders(target, headers); });
+    this->loop.Post([this, target, code, headers] { this->OnProbeHeaders(target, code, headers); });
   };
   callbacks.on_body = [](const std::string&) {};
   callbacks.on_end = [this, target, status](const TransferResult& result) {
@@ -105,11 +106,13 @@
   this->client.Start(std::move(request), std::move(callbacks));
 }
 
-void ProbeController::OnProbeHeaders(const Target& target, const HttpHeaders& headers) {
+void ProbeController::OnProbeHeaders(const Target& target, int status, const HttpHeaders& headers) {
+  const TimePoint now = SteadyNow();
+  const TargetResponseInfo info = this->settings.dialect->InterpretProbe(status, headers);
+  this->shared_state.hold_offs.HoldOff(now, target.id(), info.retry_after);
   // A target in state "serving" may still be leaving according to the host list or the
   // configuration, so responses never revoke a notice; notices only expire.
-  if (FindHeader(headers, "Target-State") == "draining" &&
-      this->shared_state.leaving_targets.MarkLeaving(SteadyNow(), target.id())) {
+  if (info.leaving && this->shared_state.leaving_targets.MarkLeaving(now, target.id())) {
     this->settings.on_target_draining();
   }
 }
--- a/Libraries/LibHost/probe_controller.h
+++ b/Libraries/LibHost/probe_controller.h
@@ -2,12 +2,14 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibHealth/service_health.h"
 #include "Libraries/LibHost/control_loop.h"
+#include "Libraries/LibHost/http_dialect.h"
 #include "Libraries/LibHost/shared_state.h"
 #include "Libraries/LibHttp/http_client.h"
 
@@ -25,6 +27,7 @@
     std::string domain_name;
     // Zero disables probes.
     Duration interval{};
+    std::shared_ptr<const HttpDialect> dialect;
     std::function<void(ServiceId, const HealthObservation&)> on_observation;
     // Called when a probe newly finds a target draining.
     std::function<void()> on_target_draining;
@@ -41,7 +44,7 @@
  private:
   bool IsAssignedProber(const Target& target) const;
   void Probe(const Target& target);
-  void OnProbeHeaders(const Target& target, const HttpHeaders& headers);
+  void OnProbeHeaders(const Target& target, int status, const HttpHeaders& headers);
   void OnProbeEnd(const Target& target, int status, const TransferResult& result);
 
   ControlLoop& loop;
--- a/Libraries/LibHost/shared_state.h
+++ b/Libraries/LibHost/shared_state.h
@@ -4,6 +4,7 @@
 
 #include "Libraries/LibConfig/configuration.h"
 #include "Libraries/LibConfig/registered_target.h"
+#include "Libraries/LibDispatch/target_hold_offs.h"
 #include "Libraries/LibHealth/crash_fingerprint_registry.h"
 #include "Libraries/LibHost/snapshot.h"
 #include "Libraries/LibMembership/leaving_targets.h"
@@ -45,6 +46,7 @@
 
   // Control thread only.
   LeavingTargets leaving_targets;
+  TargetHoldOffs hold_offs;
   CrashFingerprintRegistry fingerprints;
 };
 
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -468,6 +468,11 @@
     }
     transfer.connection = {local_port, remote_address, remote_port};
     self->connection_users[transfer.connection] = &transfer;
+    if (transfer.callbacks.on_connection) {
+      long new_connections = 0;
+      curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
+      transfer.callbacks.on_connection(new_connections == 0);
+    }
     return CURL_PREREQFUNC_OK;
   }
 
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -45,6 +45,9 @@
 };
 
 struct TransferCallbacks {
+  // Called at most once, before the request is sent. `reused` tells that the connection has carried
+  // an earlier request.
+  std::function<void(bool reused)> on_connection;
   // Called at most once, with the status and headers of the final response.
   std::function<void(int status, const HttpHeaders& headers)> on_headers;
   std::function<void(std::string bytes)> on_body;
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -101,12 +101,13 @@
   TypedMessage EncodeMessage(const SlotRequest& value) {
     const auto allowed = this->EncodeIds(value.allowed);
     const auto excluded = this->EncodeIds(value.excluded);
+    const auto forbidden = this->EncodeIds(value.forbidden);
     return {wire::Message::SlotRequest,
             wire::CreateSlotRequest(this->builder, RawId(value.attempt), RawId(value.service),
                                     RawId(value.organisation), RawId(value.caller),
                                     EnumByte(value.work_class), EncodeDuration(value.budget),
                                     RawId(value.fingerprint), value.is_retry, value.affinity_key,
-                                    allowed, excluded, value.idempotent, value.bulk)
+                                    allowed, excluded, value.idempotent, value.bulk, forbidden)
                 .Union()};
   }
 
@@ -446,7 +447,8 @@
             .allowed = this->DecodeIds<TargetId>(value.allowed()),
             .excluded = this->DecodeIds<TargetId>(value.excluded()),
             .idempotent = value.idempotent(),
-            .bulk = value.bulk()};
+            .bulk = value.bulk(),
+            .forbidden = this->DecodeIds<TargetId>(value.forbidden())};
   }
 
   static SlotCancel DecodeMessage(const wire::SlotCancel& value) {
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -331,7 +331,8 @@
     VT_ALLOWED = 22,
     VT_EXCLUDED = 24,
     VT_IDEMPOTENT = 26,
-    VT_BULK = 28
+    VT_BULK = 28,
+    VT_FORBIDDEN = 30
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -372,6 +373,9 @@
   bool bulk() const {
     return GetField<uint8_t>(VT_BULK, 0) != 0;
   }
+  const flatbuffers::Vector<uint64_t> *forbidden() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FORBIDDEN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -389,6 +393,8 @@
            verifier.VerifyVector(excluded()) &&
            VerifyField<uint8_t>(verifier, VT_IDEMPOTENT, 1) &&
            VerifyField<uint8_t>(verifier, VT_BULK, 1) &&
+           VerifyOffset(verifier, VT_FORBIDDEN) &&
+           verifier.VerifyVector(forbidden()) &&
            verifier.EndTable();
   }
 };
@@ -436,6 +442,9 @@
   void add_bulk(bool bulk) {
     fbb_.AddElement<uint8_t>(SlotRequest::VT_BULK, static_cast<uint8_t>(bulk), 0);
   }
+  void add_forbidden(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden) {
+    fbb_.AddOffset(SlotRequest::VT_FORBIDDEN, forbidden);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -461,7 +470,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> allowed = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> excluded = 0,
     bool idempotent = false,
-    bool bulk = false) {
+    bool bulk = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden = 0) {
   SlotRequestBuilder builder_(_fbb);
   builder_.add_affinity_key(affinity_key);
   builder_.add_fingerprint(fingerprint);
@@ -470,6 +480,7 @@
   builder_.add_organisation(organisation);
   builder_.add_service(service);
   builder_.add_attempt(attempt);
+  builder_.add_forbidden(forbidden);
   builder_.add_excluded(excluded);
   builder_.add_allowed(allowed);
   builder_.add_bulk(bulk);
@@ -498,9 +509,11 @@
     const std::vector<uint64_t> *allowed = nullptr,
     const std::vector<uint64_t> *excluded = nullptr,
     bool idempotent = false,
-    bool bulk = false) {
+    bool bulk = false,
+    const std::vector<uint64_t> *forbidden = nullptr) {
   auto allowed__ = allowed ? _fbb.CreateVector<uint64_t>(*allowed) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
+  auto forbidden__ = forbidden ? _fbb.CreateVector<uint64_t>(*forbidden) : 0;
   return pimentopin::wire::CreateSlotRequest(
       _fbb,
       attempt,
@@ -515,7 +528,8 @@
       allowed__,
       excluded__,
       idempotent,
-      bulk);
+      bulk,
+      forbidden__);
 }
 
 struct SlotCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -57,6 +57,9 @@
   // The response is expected to be large; targets in the failure domain of the sender
   // are preferred.
   bool bulk = false;
+  // Targets that must not receive the request, even if there is no other: those that hold the
+  // sender off, and those that refused a non-idempotent request before.
+  std::vector<TargetId> forbidden;
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
@@ -89,6 +92,11 @@
   kNoTarget,
   // The receiver does not consider itself the broker of the service.
   kNotBroker,
+  // The following are decided by the host itself and not sent to other hosts.
+  // The last target that was allowed refused the request.
+  kShed,
+  // All targets asked this host to hold off until after the deadline.
+  kHoldOff,
 };
 
 // Tells the host that its request was refused: it is neither queued nor granted.
--- a/Tests/LibDispatch/fleet_simulation.cc
+++ b/Tests/LibDispatch/fleet_simulation.cc
@@ -357,8 +357,15 @@
   }
   run.sent = true;
   ObservedRequest& request = this->requests.at(run.start.request);
-  if (++request.sent > 1 && !request.description.idempotent) {
-    this->RecordViolation("non-idempotent request sent twice");
+  ++request.sent;
+  if (!request.description.idempotent) {
+    if (request.ran > 0) {
+      this->RecordViolation("non-idempotent request sent after a target ran it");
+    }
+    // A late copy of a refusal could not be told from the response to a second attempt.
+    if (!request.sent_to.insert(run.start.target).second) {
+      this->RecordViolation("non-idempotent request sent twice to one target");
+    }
   }
   if (this->Occurs(this->settings.faults.shed)) {
     this->SendHeader(attempt, {.status = 503, .shed = true});
--- a/Tests/LibDispatch/fleet_simulation.h
+++ b/Tests/LibDispatch/fleet_simulation.h
@@ -70,6 +70,8 @@
   // Number of attempts that reached a target, and of those that the target ran.
   std::size_t sent = 0;
   std::size_t ran = 0;
+  // Targets that received the request.
+  std::set<TargetId> sent_to;
   std::size_t forwards = 0;
   std::size_t finishes = 0;
   FinishRequest finish;
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(TestRefusesAtGrantWhenTooLittleTimeIsLeft);
   CPPUNIT_TEST(TestQueueLimitHitsLargestOrganisation);
   CPPUNIT_TEST(TestNoTargetAndBlocked);
+  CPPUNIT_TEST(TestForbiddenTargetIsNeverGranted);
   CPPUNIT_TEST(TestRetriesAreRefusedBeyondBudget);
   CPPUNIT_TEST(TestRepeatedPlacementIsNoFirstAttempt);
   CPPUNIT_TEST(TestRetryAvoidsExcludedTargets);
@@ -221,6 +222,21 @@
                    RefusalReason::kCrashRequest);
   }
 
+  // Guards against a grant of a target that must not receive the request, even if it is the only
+  // one.
+  void TestForbiddenTargetIsNeverGranted() {
+    SlotBroker broker(Configuration(2, 3));
+    SlotRequest request = ShortRequest(1);
+    request.forbidden = {TargetId{1}};
+    request.excluded = {TargetId{2}};
+    const auto granted = broker.OnRequest(this->now, kHost, kDomain, request, false);
+    CPPUNIT_ASSERT(std::get<SlotGrant>(granted.at(0).message).target == TargetId{2});
+    request = ShortRequest(2);
+    request.forbidden = {TargetId{1}, TargetId{2}};
+    const auto none = broker.OnRequest(this->now, kHost, kDomain, request, false);
+    CPPUNIT_ASSERT(std::get<SlotRefusal>(none.at(0).message).reason == RefusalReason::kNoTarget);
+  }
+
   // Guards against retries that amplify an overload.
   void TestRetriesAreRefusedBeyondBudget() {
     SlotBroker broker(Configuration(2, 3));
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -15,6 +15,8 @@
 namespace pimentopin {
 namespace {
 
+// More than the buffers of a loopback connection hold.
+constexpr std::size_t kUploadBytes = 8 << 20;
 constexpr Duration kLongTimeout = std::chrono::seconds(20);
 // A response without end that the client does not recognise as malformed ends with kTimeout.
 constexpr Duration kEndlessResponseTimeout = std::chrono::seconds(5);
@@ -38,6 +40,10 @@
   CPPUNIT_TEST(TestResetInBodyIsTruncated);
   CPPUNIT_TEST(TestCloseBeforeResponseIsConnectionLost);
   CPPUNIT_TEST(TestCloseInHeaderIsConnectionLost);
+  CPPUNIT_TEST(TestHeaderCutAtAnyByteIsConnectionLost);
+  CPPUNIT_TEST(TestBodyCutAtAnyByteIsTruncated);
+  CPPUNIT_TEST(TestEarlyResponseIsFollowedByTheRestOfTheRequest);
+  CPPUNIT_TEST(TestEarlyRefusalEndsTheConnection);
   CPPUNIT_TEST(TestMalformedResponse);
   CPPUNIT_TEST(TestEndlessHeaderFieldsAreMalformed);
   CPPUNIT_TEST(TestEndlessHeaderLineIsMalformed);
@@ -88,11 +94,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), first.body);
     CPPUNIT_ASSERT_EQUAL(1, first.on_headers_calls);
 
+    CPPUNIT_ASSERT(first.connection_reused == false);
+
     TransferRecorder& second = this->Get(server.url("/second"));
     CPPUNIT_ASSERT(connection.ReadUntil("\r\n\r\n").starts_with("GET /second HTTP/1.1\r\n"));
     connection.Send(kSmallResponse);
     CPPUNIT_ASSERT(second.Wait());
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), second.body);
+    CPPUNIT_ASSERT(second.connection_reused == true);
   }
 
   // Guards against treating chunk framing as body bytes or trailers as headers.
@@ -252,6 +261,88 @@
     }
   }
 
+  // Guards against a response that stops in its header and is passed on as complete, with an empty
+  // body or one that its connection ends.
+  void TestHeaderCutAtAnyByteIsConnectionLost() {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Seal: 3e1b.07\r\nContent-Length: 10\r\nKeep-Alive: timeout=9\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      RawServer server(this->context);
+      TransferRecorder& record = this->Start({.method = "GET",
+                                              .url = server.url("/"),
+                                              .timeout = kLongTimeout,
+                                              .accept_close_delimited_body = true});
+      RawConnection connection = server.Accept();
+      connection.ReadUntil("\r\n\r\n");
+      connection.Send(head.substr(0, length));
+      connection.ShutdownSend();
+      CPPUNIT_ASSERT(record.Wait());
+      CPPUNIT_ASSERT(record.result.error != TransferError::kNone);
+      CPPUNIT_ASSERT_EQUAL(0, record.on_headers_calls);
+    }
+  }
+
+  // Guards against a body that stops at any byte and counts as complete.
+  void TestBodyCutAtAnyByteIsTruncated() {
+    // The last chunk is complete with the CR of the line that ends the trailers.
+    for (const std::string response : {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789",
+                                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                       "chunked\r\n\r\n5\r\n01234\r\n5\r\n56789\r\n0\r\n\r"}) {
+      for (std::size_t length = response.find("\r\n\r\n") + 4; length < response.size(); ++length) {
+        TransferRecorder& record = this->Exchange(response.substr(0, length), true);
+        CPPUNIT_ASSERT_MESSAGE(response.substr(0, length),
+                               record.result.error == TransferError::kTruncated);
+      }
+    }
+  }
+
+  // A target may respond before it has read the request and read on later. Guards against bytes of
+  // the next request where it expects the rest of this one.
+  void TestEarlyResponseIsFollowedByTheRestOfTheRequest() {
+    RawServer server(this->context);
+    std::string body;
+    while (body.size() < kUploadBytes) {
+      body += std::to_string(body.size()) + ",";
+    }
+    TransferRecorder& record = this->Start(
+        {.method = "POST", .url = server.url("/upload"), .body = body, .timeout = kLongTimeout});
+    RawConnection connection = server.Accept();
+    std::string received = connection.ReadUntil("\r\n\r\n");
+    connection.Send(kSmallResponse);
+    CPPUNIT_ASSERT(Eventually([&] { return record.has_headers(); }));
+    TransferRecorder& next = this->Get(server.url("/next"));
+    RawConnection other = server.Accept();
+    other.ReadUntil("\r\n\r\n");
+    other.Send(kSmallResponse);
+    CPPUNIT_ASSERT(next.Wait());
+    const std::size_t total = received.find("\r\n\r\n") + 4 + body.size();
+    while (received.size() < total) {
+      received += connection.ReadUntil(",");
+    }
+    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n" + body));
+    CPPUNIT_ASSERT(record.Wait());
+    CPPUNIT_ASSERT(record.result.error == TransferError::kNone);
+  }
+
+  // Guards against a connection that is used again although its target has not read the request
+  // that it refused.
+  void TestEarlyRefusalEndsTheConnection() {
+    RawServer server(this->context);
+    const std::string body(kUploadBytes, 'u');
+    TransferRecorder& record = this->Start(
+        {.method = "POST", .url = server.url("/upload"), .body = body, .timeout = kLongTimeout});
+    RawConnection connection = server.Accept();
+    std::string received = connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    CPPUNIT_ASSERT(record.Wait());
+    CPPUNIT_ASSERT_EQUAL(503, record.status);
+    received += connection.ReadUntilClosed();
+    const std::string sent_body = received.substr(received.find("\r\n\r\n") + 4);
+    CPPUNIT_ASSERT(body.starts_with(sent_body));
+    this->Get(server.url("/next"));
+    server.Accept();
+  }
+
   // Guards against accepting bytes that are not HTTP as a response.
   void TestMalformedResponse() {
     this->CheckError(this->Exchange("SSH-2.0-test\r\n\r\n", true), TransferError::kMalformed, true);
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -137,7 +138,12 @@
 class TransferRecorder {
  public:
   TransferCallbacks Callbacks() {
-    return {.on_headers =
+    return {.on_connection =
+                [this](bool reused) {
+                  const std::scoped_lock lock(this->mutex);
+                  this->connection_reused = reused;
+                },
+            .on_headers =
                 [this](int response_status, const HttpHeaders& response_headers) {
                   const std::scoped_lock lock(this->mutex);
                   this->status = response_status;
@@ -176,6 +182,7 @@
   HttpHeaders headers;
   std::string body;
   TransferResult result;
+  std::optional<bool> connection_reused;
   int on_headers_calls = 0;
   int on_end_calls = 0;
 
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -58,7 +58,8 @@
       rc::gen::set(&SlotRequest::is_retry), rc::gen::set(&SlotRequest::affinity_key, AnyInteger()),
       rc::gen::set(&SlotRequest::allowed, AnyIds<TargetId>()),
       rc::gen::set(&SlotRequest::excluded, AnyIds<TargetId>()),
-      rc::gen::set(&SlotRequest::idempotent), rc::gen::set(&SlotRequest::bulk));
+      rc::gen::set(&SlotRequest::idempotent), rc::gen::set(&SlotRequest::bulk),
+      rc::gen::set(&SlotRequest::forbidden, AnyIds<TargetId>()));
 }
 
 inline rc::Gen<SlotCancel> AnySlotCancel() {
