Platform: Take retry limits and the floor from the bounds of the deployment

Cause: the retry budget of a service was 15 % and 40 in 10 s on every deployment. The bounds allow 20 % and 56 to 630.

The retry limits are 95 % of the platform's, because the brokers' windows differ from the platform's. Bounds that are not known are ignored; a known one that is no number is a finding at the start.

--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -14,6 +14,9 @@
 constexpr double kPercentScale = 100.0;
 constexpr double kMaxCores = 1024.0;
 constexpr double kMillicoresPerCore = 1000.0;
+// Part of the platform's limit on retries that brokers use. The platform counts arrivals at targets
+// in windows of its own, and hosts without a broker retry on their own account.
+constexpr double kRetryLimitShare = 0.95;
 
 std::string CheckName(const std::string& value) {
   const bool is_name =
@@ -132,6 +135,9 @@
        .unit = "percent",
        .default_value = "0",
        .maximum = 100},
+      {.name = "platform-bounds",
+       .help = "limits of the platform, as name=value separated by commas; they replace "
+               "retry-percent, retry-extra and floor-percent"},
       {.name = "cores",
        .help =
            "CPU time available to this host; hosts with less than half of the largest value are no "
@@ -169,6 +175,7 @@
   result.view_rate = static_cast<double>(settings.Number("view-rate"));
   result.retry_fraction = static_cast<double>(settings.Number("retry-percent")) / kPercentScale;
   result.retry_extra = static_cast<double>(settings.Number("retry-extra"));
+  result.platform_bounds = settings.Text("platform-bounds");
   result.capacity_millicores =
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercentScale;
@@ -177,4 +184,9 @@
   return result;
 }
 
+void ApplyRetryLimits(double ratio, double extra, HostSettings& settings) {
+  settings.retry_fraction = ratio * kRetryLimitShare;
+  settings.retry_extra = extra * kRetryLimitShare;
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -40,6 +40,8 @@
   // Share of a service's slots that ejection leaves in use, unless the configuration of the
   // service sets a number of slots.
   double floor_share = 0;
+  // Limits of the platform, in its own format.
+  std::string platform_bounds;
   // The platform's operator writes the configuration.
   bool platform_configuration = false;
   LogLevel log_level = LogLevel::kInfo;
@@ -53,4 +55,8 @@
 // Converts settings that were parsed with HostSettingDescriptions().
 HostSettings ReadHostSettings(const Settings& settings);
 
+// Derives the retry limits from those of the platform: the number of retries of a service within
+// 10 s per request (0 to 1) and in addition.
+void ApplyRetryLimits(double ratio, double extra, HostSettings& settings);
+
 }  // namespace pimentopin
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -14,6 +14,7 @@
 #include "Libraries/LibHost/host_settings.h"
 #include "Libraries/LibHost/native_dialect.h"
 #include "platform/adapter.h"
+#include "platform/bounds.h"
 
 namespace {
 
@@ -64,7 +65,16 @@
   if (!result.settings) {
     return ReportFindings(findings);
   }
-  const HostSettings settings = ReadHostSettings(*result.settings);
+  HostSettings settings = ReadHostSettings(*result.settings);
+  const platform::PlatformBounds bounds =
+      platform::ReadPlatformBounds(settings.platform_bounds, findings);
+  if (!findings.empty()) {
+    return ReportFindings(findings);
+  }
+  if (bounds.retry_ratio && bounds.retry_extra) {
+    ApplyRetryLimits(*bounds.retry_ratio, *bounds.retry_extra, settings);
+  }
+  settings.floor_share = bounds.floor_share.value_or(settings.floor_share);
   if (result.action == SettingsAction::kCheck) {
     std::cout << "settings are valid\n";
     return ToInt(ExitCode::kSuccess);
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -8,6 +8,7 @@
 class HostSettingsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HostSettingsTest);
   CPPUNIT_TEST(TestAllErrorsAreReportedTogether);
+  CPPUNIT_TEST(TestRetryLimitsStayBelowThePlatformLimits);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -28,6 +29,14 @@
     CPPUNIT_ASSERT(expected == places);
   }
 
+  // Guards against using up the platform's limit, which counts in windows of its own.
+  void TestRetryLimitsStayBelowThePlatformLimits() {
+    HostSettings settings;
+    ApplyRetryLimits(0.2, 630, settings);
+    CPPUNIT_ASSERT(settings.retry_fraction > 0.15 && settings.retry_fraction < 0.2);
+    CPPUNIT_ASSERT(settings.retry_extra > 500 && settings.retry_extra < 630);
+  }
+
   void TestValidSettings() {
     const Findings findings = this->Read(
         {"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
--- /dev/null
+++ b/Tests/PlatformAdapter/bounds_test.cc
@@ -0,0 +1,42 @@
+#include "platform/bounds.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentopin {
+namespace {
+
+class PlatformBoundsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformBoundsTest);
+  CPPUNIT_TEST(TestKnownBoundsAreRead);
+  CPPUNIT_TEST(TestInvalidBoundsAreReported);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a retry limit that fits one deployment only, and against refusing to start
+  // because the platform added a bound.
+  void TestKnownBoundsAreRead() {
+    Findings findings;
+    const auto bounds = platform::ReadPlatformBounds(
+        "drain-s=2,new=a=b,,retry-budget-ratio=0.2,budget-extra=630,flag,floor-share=0.7",
+        findings);
+    CPPUNIT_ASSERT(findings.empty());
+    CPPUNIT_ASSERT((bounds == platform::PlatformBounds{
+                                  .retry_ratio = 0.2, .retry_extra = 630, .floor_share = 0.7}));
+    CPPUNIT_ASSERT(platform::ReadPlatformBounds("", findings) == platform::PlatformBounds{});
+  }
+
+  // Guards against a limit that is silently read as zero or as unlimited.
+  void TestInvalidBoundsAreReported() {
+    for (const char* text : {"budget-extra=", "budget-extra=-1", "budget-extra", "floor-share=70",
+                             "retry-budget-ratio=nan", "retry-budget-ratio=0.2s"}) {
+      Findings findings;
+      platform::ReadPlatformBounds(text, findings);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{1}, findings.all().size());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformBoundsTest);
+
+}  // namespace
+}  // namespace pimentopin
