Dispatch: Test ejected targets while requests are not served

A success ends the ejection and probation follows.

The log line request_finished names why no further attempt was made (refusal).

--- a/Libraries/LibDispatch/retry_budget.cc
+++ b/Libraries/LibDispatch/retry_budget.cc
@@ -23,6 +23,14 @@
 }
 
 bool RetryBudget::TryRetry(TimePoint now) {
+  if (!this->Allows(now)) {
+    return false;
+  }
+  this->RecordRetry(now);
+  return true;
+}
+
+bool RetryBudget::Allows(TimePoint now) {
   const std::int64_t newest = this->BucketAt(now).index;
   std::uint64_t first_attempts = 0;
   std::uint64_t retries = 0;
@@ -43,11 +51,7 @@
   const double allowed = this->limits.fraction * static_cast<double>(first_attempts) +
                          this->limits.extra * std::clamp(age, 0.0, 1.0);
   const bool within_limits = static_cast<double>(retries + 1) <= allowed;
-  if (!within_limits && retries_last_second >= this->limits.minimum_per_second) {
-    return false;
-  }
-  this->RecordRetry(now);
-  return true;
+  return within_limits || retries_last_second < this->limits.minimum_per_second;
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibDispatch/retry_budget.h
+++ b/Libraries/LibDispatch/retry_budget.h
@@ -35,6 +35,8 @@
   // Counts a retry that was started without TryRetry(), for example in
   // fallback.
   void RecordRetry(TimePoint now);
+  // Returns whether a retry is allowed.
+  bool Allows(TimePoint now);
   // Returns whether a retry is allowed, and counts it if so.
   bool TryRetry(TimePoint now);
 
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -135,17 +135,21 @@
   return this->long_share.Limit(usable);
 }
 
-bool SlotBroker::IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const {
+bool SlotBroker::IsAllowedFor(const Candidate& candidate, const QueueEntry& entry) const {
   const std::vector<TargetId>& allowed = entry.request.allowed;
   if ((!allowed.empty() && !Contains(allowed, candidate.target)) ||
       Contains(entry.request.forbidden, candidate.target)) {
     return false;
   }
   const HealthStatus& status = candidate.health_status;
-  return status.usable_slots > 0 && !Contains(status.unreachable_from_domains, entry.domain) &&
+  return !Contains(status.unreachable_from_domains, entry.domain) &&
          !Contains(status.unreachable_from_hosts, entry.host);
 }
 
+bool SlotBroker::IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const {
+  return candidate.health_status.usable_slots > 0 && this->IsAllowedFor(candidate, entry);
+}
+
 std::vector<const SlotBroker::Candidate*> SlotBroker::CandidatesFor(const QueueEntry& entry) const {
   std::vector<const Candidate*> untried;
   std::vector<const Candidate*> tried;
@@ -174,8 +178,34 @@
              candidate.health_status.usable_slots + this->policy.overcommit_per_target;
 }
 
+std::optional<TargetId> SlotBroker::ChooseTrial(TimePoint now, const QueueEntry& entry) {
+  if (!this->trials.active(now)) {
+    return std::nullopt;
+  }
+  const Candidate* longest_idle = nullptr;
+  TimePoint last_start;
+  for (const Candidate& candidate : this->candidates) {
+    if (candidate.health_status.state != TargetState::kEjected ||
+        this->table.CountAt(candidate.target) > 0 || !this->IsAllowedFor(candidate, entry) ||
+        Contains(entry.request.excluded, candidate.target)) {
+      continue;
+    }
+    const TimePoint candidate_start = this->ranking.LastStart(candidate.target);
+    if (longest_idle == nullptr || candidate_start < last_start) {
+      longest_idle = &candidate;
+      last_start = candidate_start;
+    }
+  }
+  return longest_idle != nullptr && this->trials.MayTry(now, entry.request, last_start)
+             ? std::optional(longest_idle->target)
+             : std::nullopt;
+}
+
 std::optional<TargetId> SlotBroker::ChooseTarget(TimePoint now, const QueueEntry& entry) {
   this->ObserveOverdue(now);
+  if (const std::optional<TargetId> trial = this->ChooseTrial(now, entry)) {
+    return trial;
+  }
   std::vector<const Candidate*> usable = this->CandidatesFor(entry);
   const std::uint64_t key = entry.request.affinity_key;
   if (key != 0 && !usable.empty() && now - entry.arrived < kMaxAffinityWait) {
@@ -292,6 +322,14 @@
           .retry_after = std::max<Duration>(this->PredictedWait(request), kMinViewInterval)};
 }
 
+void SlotBroker::SendRefusal(TimePoint now,
+                             HostId host,
+                             const SlotRefusal& refusal,
+                             Messages& messages) {
+  this->trials.RecordOutcome(now, false);
+  messages.push_back({host, refusal});
+}
+
 std::optional<SlotRefusal> SlotBroker::Admit(TimePoint now,
                                              const QueueEntry& entry,
                                              Messages& messages) {
@@ -318,8 +356,8 @@
   }
   if (evicted) {
     const std::optional<QueueEntry> removed = this->queue.Remove(*evicted);
-    messages.push_back(
-        {removed->host, this->MakeRefusal(removed->request, RefusalReason::kQueueFull)});
+    this->SendRefusal(now, removed->host,
+                      this->MakeRefusal(removed->request, RefusalReason::kQueueFull), messages);
   }
   return std::nullopt;
 }
@@ -360,7 +398,7 @@
     entry.request.organisation = OrganisationId{};
   }
   if (const auto refusal = this->Admit(now, entry, messages)) {
-    messages.push_back({sender, *refusal});
+    this->SendRefusal(now, sender, *refusal, messages);
     return messages;
   }
   this->queue.Push(std::move(entry));
@@ -439,6 +477,7 @@
   const bool known = holder != nullptr && holder->target == release.target;
   const bool already_released = holder == nullptr && this->table.HasEndedRecently(release.attempt);
   const double queue_factor = known ? holder->queue_factor : 1.0;
+  const bool is_trial = known && holder->is_trial;
   if (holder == nullptr || known) {
     this->table.Free(now, release.attempt);
   }
@@ -447,6 +486,13 @@
       this->estimate.Observe(release.work_class, release.service_time);
     }
     this->ranking.RecordResult(now, release.target, release.result);
+    if (release.result != AttemptResult::kShed &&
+        release.result != AttemptResult::kConnectFailure) {
+      this->trials.RecordOutcome(now, release.result == AttemptResult::kSuccess);
+    }
+    if (is_trial && release.result == AttemptResult::kSuccess) {
+      this->health.EndEjection(now, release.target);
+    }
     this->health.Observe(now, {.target = release.target,
                                .reporter = sender,
                                .reporter_domain = sender_domain,
@@ -499,16 +545,22 @@
                        TargetId target,
                        Messages& messages) {
   const SlotRequest& request = entry.request;
+  const bool is_trial = this->health.Status(target).state == TargetState::kEjected;
   this->table.Add(now, request.attempt,
                   {.host = entry.host,
                    .target = target,
                    .work_class = request.work_class,
-                   .queue_factor = this->QueueFactor(target, request.work_class)});
+                   .queue_factor = this->QueueFactor(target, request.work_class),
+                   .is_trial = is_trial});
   this->ranking.RecordStart(now, target);
+  if (is_trial) {
+    this->trials.RecordTrial(now, request);
+  }
   // An attempt that follows one that reached no target is not a retry, but the
   // request counts as one first attempt.
   if (!request.is_retry && request.excluded.empty()) {
     this->retries.RecordFirstAttempt(now);
+    this->trials.RecordFirstAttempt(now);
   }
   messages.push_back(
       {entry.host,
@@ -549,7 +601,8 @@
 }
 
 bool SlotBroker::GrantNext(TimePoint now, WorkClass work_class, Messages& messages) {
-  const bool room = std::any_of(this->candidates.begin(), this->candidates.end(),
+  const bool room = this->trials.active(now) ||
+                    std::any_of(this->candidates.begin(), this->candidates.end(),
                                 [&](const Candidate& candidate) {
                                   return this->HasFreeSlot(candidate, work_class) ||
                                          this->HasOvercommitRoom(candidate, work_class);
@@ -561,8 +614,8 @@
     const AttemptId attempt = entry->request.attempt;
     if (this->BudgetTooShort(entry->request, Duration::zero(), entry->deadline - now)) {
       const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-      messages.push_back(
-          {removed->host, this->MakeRefusal(removed->request, RefusalReason::kDeadline)});
+      this->SendRefusal(now, removed->host,
+                        this->MakeRefusal(removed->request, RefusalReason::kDeadline), messages);
       return true;
     }
     if (const std::optional<TargetId> target = this->ChooseTarget(now, *entry)) {
@@ -597,7 +650,7 @@
   }
   for (const auto& [attempt, reason] : refused) {
     const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-    messages.push_back({removed->host, this->MakeRefusal(removed->request, reason)});
+    this->SendRefusal(now, removed->host, this->MakeRefusal(removed->request, reason), messages);
   }
 }
 
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -9,6 +9,7 @@
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/broker_policy.h"
+#include "Libraries/LibDispatch/ejection_trials.h"
 #include "Libraries/LibDispatch/fair_queue.h"
 #include "Libraries/LibDispatch/long_work_share.h"
 #include "Libraries/LibDispatch/retry_budget.h"
@@ -117,12 +118,16 @@
   // unreachable from its failure domain.
   ServiceView ViewForHost(HostId host, const HostActivity& activity, ServiceView view) const;
   std::uint32_t UsableSlots() const;
+  // Whether the request may go to the target, apart from the target's state.
+  bool IsAllowedFor(const Candidate& candidate, const QueueEntry& entry) const;
   bool IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const;
   // Targets that may run the request, with or without a free slot.
   std::vector<const Candidate*> CandidatesFor(const QueueEntry& entry) const;
   bool HasFreeSlot(const Candidate& candidate, WorkClass work_class) const;
   bool HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const;
   std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry);
+  // The idle ejected target that the request should test; std::nullopt if it should test none.
+  std::optional<TargetId> ChooseTrial(TimePoint now, const QueueEntry& entry);
   std::optional<TargetId> ChooseOvercommitted(
       const QueueEntry& entry,
       const std::vector<const Candidate*>& candidates) const;
@@ -133,6 +138,7 @@
   // Returns the refusal, or an empty result if the request may enter the queue.
   std::optional<SlotRefusal> Admit(TimePoint now, const QueueEntry& entry, Messages& messages);
   SlotRefusal MakeRefusal(const SlotRequest& request, RefusalReason reason) const;
+  void SendRefusal(TimePoint now, HostId host, const SlotRefusal& refusal, Messages& messages);
   void Grant(TimePoint now, const QueueEntry& entry, TargetId target, Messages& messages);
   void GrantQueued(TimePoint now, Messages& messages);
   bool GrantNext(TimePoint now, WorkClass work_class, Messages& messages);
@@ -159,6 +165,7 @@
   SlotTable table;
   FairQueue queue;
   RetryBudget retries;
+  EjectionTrials trials;
   ServiceTimeEstimate estimate;
   LongWorkShare long_share;
   std::vector<Candidate> candidates;
--- a/Libraries/LibDispatch/slot_table.h
+++ b/Libraries/LibDispatch/slot_table.h
@@ -22,6 +22,8 @@
   TimePoint held_since;
   // See HealthObservation.
   double queue_factor = 1.0;
+  // The target was ejected when the slot was granted.
+  bool is_trial = false;
   // Already reported by TakeOverdueTargets().
   bool overdue = false;
 
--- a/Libraries/LibDispatch/target_ranking.cc
+++ b/Libraries/LibDispatch/target_ranking.cc
@@ -44,6 +44,11 @@
   this->histories[target].last_start = now;
 }
 
+TimePoint TargetRanking::LastStart(TargetId target) const {
+  const auto found = this->histories.find(target);
+  return found == this->histories.end() ? TimePoint() : found->second.last_start;
+}
+
 void TargetRanking::RecordResult(TimePoint now, TargetId target, AttemptResult result) {
   switch (result) {
     case AttemptResult::kSuccess:
--- a/Libraries/LibDispatch/target_ranking.h
+++ b/Libraries/LibDispatch/target_ranking.h
@@ -26,6 +26,8 @@
   // Removes the history of the targets for which `is_removed` returns true.
   void RemoveTargets(const std::function<bool(TargetId)>& is_removed);
   void RecordStart(TimePoint now, TargetId target);
+  // Time of the last request to the target; the epoch if there was none.
+  TimePoint LastStart(TargetId target) const;
   void RecordResult(TimePoint now, TargetId target, AttemptResult result);
   // Records an attempt that lasts much longer than usual.
   void RecordOverdue(TimePoint now, TargetId target);
--- a/Libraries/LibHealth/service_health.cc
+++ b/Libraries/LibHealth/service_health.cc
@@ -176,14 +176,7 @@
     }
     this->CompareDueOutcomes(now, record);
     if (record.phase == Phase::kEjected && now >= record.phase_boundary) {
-      record.phase = Phase::kProbation;
-      record.phase_boundary = now;
-      record.consecutive_passes = 0;
-      record.probation_failures = 0;
-      record.passed_log_ratio_sum = 0.0;
-      record.detector.StartProbation(now);
-      record.reachability.ForgetFailures();
-      this->AddEvent(now, record, HealthEventKind::kProbation);
+      this->StartProbation(now, record);
     }
     if (record.phase == Phase::kRamp && now - record.phase_boundary >= kRampDuration) {
       record.phase = Phase::kHealthy;
@@ -197,6 +190,24 @@
   this->ApplyPolicy(now);
 }
 
+void ServiceHealth::EndEjection(TimePoint now, TargetId target) {
+  TargetRecord* const record = this->Find(target);
+  if (record != nullptr && record->phase == Phase::kEjected) {
+    this->StartProbation(now, *record);
+  }
+}
+
+void ServiceHealth::StartProbation(TimePoint now, TargetRecord& record) {
+  record.phase = Phase::kProbation;
+  record.phase_boundary = now;
+  record.consecutive_passes = 0;
+  record.probation_failures = 0;
+  record.passed_log_ratio_sum = 0.0;
+  record.detector.StartProbation(now);
+  record.reachability.ForgetFailures();
+  this->AddEvent(now, record, HealthEventKind::kProbation);
+}
+
 HealthStatus ServiceHealth::Status(TargetId target) const {
   const TargetRecord* record = this->Find(target);
   HealthStatus status;
--- a/Libraries/LibHealth/service_health.h
+++ b/Libraries/LibHealth/service_health.h
@@ -81,6 +81,8 @@
   // `floor_slots`: slots of the service that ejections must leave usable; 0 counts as 1.
   void Configure(TimePoint now, std::vector<HealthTarget> targets, std::uint32_t floor_slots);
   void Observe(TimePoint now, const HealthObservation& observation);
+  // Ends the ejection of a target that has served a request meanwhile. Probation follows.
+  void EndEjection(TimePoint now, TargetId target);
   // Advances ejections, probation and ramp-up. Must be called at least every 100 ms.
   void Tick(TimePoint now);
 
@@ -164,6 +166,7 @@
   void MarkUnreachable(TimePoint now, TargetRecord& record, HostId host, DomainId domain);
   void ApplyPolicy(TimePoint now);
   void Eject(TimePoint now, TargetRecord& record);
+  void StartProbation(TimePoint now, TargetRecord& record);
   void Reinstate(TimePoint now, TargetRecord& record);
   void AddEvent(TimePoint now,
                 const TargetRecord& record,
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -534,6 +534,7 @@
   } else {
     response.Send(*exchange.responder, exchange.request_id, *this->settings.dialect);
   }
+  finished.refusal = RefusalReasonName(action.refusal);
   finished.reason = request.caller_disconnected ? "caller-gone" : response.reason;
   finished.target = request.target;
   this->Report(exchange, std::move(finished));
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -31,6 +31,8 @@
   WorkClass work_class = WorkClass::kShort;
   Outcome outcome = Outcome::kNotRun;
   std::string reason;
+  // Why no further attempt was made; empty if the response of the last one was forwarded.
+  std::string refusal;
   // Status code of the response to the caller.
   int status = 0;
   std::uint32_t attempts = 0;
--- a/Libraries/LibHost/error_response.cc
+++ b/Libraries/LibHost/error_response.cc
@@ -63,6 +63,32 @@
   return "unknown";
 }
 
+std::string_view RefusalReasonName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNone:
+      return "";
+    case RefusalReason::kOverload:
+      return "overload";
+    case RefusalReason::kQueueFull:
+      return "queue-full";
+    case RefusalReason::kDeadline:
+      return "deadline";
+    case RefusalReason::kRetryBudget:
+      return "retry-budget";
+    case RefusalReason::kCrashRequest:
+      return "crash-request";
+    case RefusalReason::kNoTarget:
+      return "no-target";
+    case RefusalReason::kNotBroker:
+      return "not-broker";
+    case RefusalReason::kShed:
+      return "shed";
+    case RefusalReason::kHoldOff:
+      return "held-off";
+  }
+  return "unknown";
+}
+
 int ErrorResponse::StatusFor(const HttpDialect& dialect) const {
   return dialect.HostResponseStatus(this->status, this->outcome == Outcome::kNotRun);
 }
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -397,6 +397,7 @@
        {"target", finished.target},
        {"outcome", OutcomeName(finished.outcome)},
        {"reason", finished.reason},
+       {"refusal", finished.refusal},
        {"status", finished.status},
        {"attempts", finished.attempts},
        {"latency_us", finished.latency.count()}});
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(TestQueueLimitHitsLargestOrganisation);
   CPPUNIT_TEST(TestNoTargetAndBlocked);
   CPPUNIT_TEST(TestForbiddenTargetIsNeverGranted);
+  CPPUNIT_TEST(TestEjectedTargetIsTriedWhileRequestsAreNotServed);
   CPPUNIT_TEST(TestRetriesAreRefusedBeyondBudget);
   CPPUNIT_TEST(TestRepeatedPlacementIsNoFirstAttempt);
   CPPUNIT_TEST(TestRetryAvoidsExcludedTargets);
@@ -237,6 +238,46 @@
     CPPUNIT_ASSERT(std::get<SlotRefusal>(none.at(0).message).reason == RefusalReason::kNoTarget);
   }
 
+  // Ejections outlast short faults. Guards against a service that leaves recovered targets idle
+  // while it refuses requests.
+  void TestEjectedTargetIsTriedWhileRequestsAreNotServed() {
+    SlotBroker broker(Configuration(4, 3));
+    std::uint64_t id = 0;
+    const auto run = [&](bool target_works) {
+      SlotRequest request = ShortRequest(++id);
+      request.idempotent = true;
+      request.fingerprint = Fingerprint{id};
+      const auto messages = broker.OnRequest(this->now, kHost, kDomain, request, false);
+      const TargetId target = std::get<SlotGrant>(messages.at(0).message).target;
+      this->now += milliseconds(20);
+      const bool fails = target == TargetId{1} && !target_works;
+      broker.OnRelease(this->now, kHost, kDomain,
+                       {.attempt = request.attempt,
+                        .service = kService,
+                        .target = target,
+                        .result = fails ? AttemptResult::kServerError : AttemptResult::kSuccess,
+                        .service_time = milliseconds(20),
+                        .fingerprint = request.fingerprint});
+      broker.Tick(this->now);
+      return target;
+    };
+    const auto state = [&broker] { return broker.View().targets[0].state; };
+    for (int count = 0; count < 5000 && state() != TargetState::kEjected; ++count) {
+      run(false);
+    }
+    CPPUNIT_ASSERT(state() == TargetState::kEjected);
+    for (int count = 0; count < 150; ++count) {
+      CPPUNIT_ASSERT(run(true) != TargetId{1});
+    }
+    for (int count = 0; count < 30; ++count) {
+      SlotRequest expired = ShortRequest(++id);
+      expired.budget = Duration::zero();
+      broker.OnRequest(this->now, kHost, kDomain, expired, false);
+    }
+    CPPUNIT_ASSERT(run(true) == TargetId{1});
+    CPPUNIT_ASSERT(state() == TargetState::kProbation);
+  }
+
   // Guards against retries that amplify an overload.
   void TestRetriesAreRefusedBeyondBudget() {
     SlotBroker broker(Configuration(2, 3));
