Membership: Share the reads of starting hosts; do not broadcast every crash

Cause: each starting host considered itself the reader of its domain until a digest arrived, which at 89 hosts in a domain takes up to 13 s. Each lost connection was broadcast to all hosts four times, because the request might have crashed the target.

Change: a started host reads the list of hosts. It asks the two hosts with the best ranks for the other tables and reads what they have not sent after 300 ms. If it is alone, all hosts may be starting: it then registers at a random time within 2.5 s, and the reader, which sees its row, greets it with a digest. A new reader sends digests to all hosts of its domain at once. A failed host is removed from the store after 2 s in place of 3 s: in a domain of 15 hosts, the reader contacts each one only every 2.25 s, so that 3 s exceeded the bound of 5 s; the test met it only while all hosts were readers. Crashes are broadcast when the request is to be refused; the broker learns each one from the release of the slot.

Tests: TestStartingHostsShareTheReads; MembershipTest calls Tick() between two reads, because roles start there.

--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -14,7 +14,7 @@
 constexpr Duration kUnreachableAfter = std::chrono::seconds(1);
 // A host that has been unreachable for this long is removed from the store, so that every
 // host stops using it within 5 s.
-constexpr Duration kRemoveAfter = std::chrono::seconds(3);
+constexpr Duration kRemoveAfter = std::chrono::seconds(2);
 // Notices are sent repeatedly because a connection may lose messages in flight.
 constexpr int kNoticeRepeats = 3;
 constexpr Duration kNoticeInterval = std::chrono::milliseconds(600);
@@ -101,7 +101,7 @@
   } else if (const auto* rows = std::get_if<RowRelay>(&envelope.message)) {
     this->Execute(this->relay.OnRelay(now, envelope.sender, *rows));
   } else if (const auto* request = std::get_if<RowRelayRequest>(&envelope.message)) {
-    this->Execute(this->relay.OnRelayRequest(envelope.sender, *request));
+    this->Execute(this->relay.OnRelayRequest(now, envelope.sender, *request));
   } else if (const auto* notices = std::get_if<Notices>(&envelope.message)) {
     this->shared_state.leaving_targets.Merge(now, notices->leaving_targets);
     this->shared_state.fingerprints.Merge(now, notices->fingerprints);
@@ -220,6 +220,11 @@
   }
   this->own_row_version.reset();
   this->Publish();
+  for (const FeedRow& row : rows) {
+    if (!row.removed) {
+      this->relay.Greet(IdFromName<HostId>(row.key));
+    }
+  }
 }
 
 void DirectoryController::OnTargetRows(const std::vector<FeedRow>& rows) {
@@ -301,7 +306,7 @@
 void DirectoryController::Register() {
   const TimePoint now = SteadyNow();
   if (this->registering || now < this->registration_due || this->directory.IsRegistered() ||
-      !this->relay.IsLoaded(kHostTable)) {
+      !this->relay.MayRegister(now)) {
     return;
   }
   this->registering = true;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -278,6 +278,10 @@
             this->Execute(broker->OnClaim(now, sender, domain, message));
           }
         } else if constexpr (std::is_same_v<T, SlotRelease>) {
+          if (message.result == AttemptResult::kConnectionLost) {
+            this->RecordCrash(message.service, message.fingerprint, message.target,
+                              message.attempt);
+          }
           if (SlotBroker* broker = this->GetOrCreateBroker(message.service)) {
             this->Execute(broker->OnRelease(now, sender, domain, message));
           }
@@ -470,15 +474,26 @@
   }
   if (end.result == AttemptResult::kConnectionLost && found != this->active.end()) {
     const RequestDescription& description = found->second.exchange->description;
-    this->shared_state.fingerprints.RecordCrash(now, description.service, description.fingerprint,
-                                                target, attempt);
-    this->settings.on_new_notice();
+    this->RecordCrash(description.service, description.fingerprint, target, attempt);
   }
   this->attempts.erase(attempt);
   this->Execute(this->dispatcher.OnAttemptEnd(now, attempt, end));
   this->Reschedule();
 }
 
+void DispatchController::RecordCrash(ServiceId service,
+                                     Fingerprint fingerprint,
+                                     TargetId target,
+                                     AttemptId attempt) {
+  const bool was_blocked = this->shared_state.fingerprints.IsBlocked(fingerprint);
+  this->shared_state.fingerprints.RecordCrash(this->Now(), service, fingerprint, target, attempt);
+  // The broker learns every crash from the release of the slot and refuses further attempts. All
+  // hosts need to know only requests that are refused; connections are lost far more often.
+  if (!was_blocked && this->shared_state.fingerprints.IsBlocked(fingerprint)) {
+    this->settings.on_new_notice();
+  }
+}
+
 void DispatchController::RecordTargetNotices(TargetId target, bool leaving, Duration retry_after) {
   const TimePoint now = this->Now();
   const auto configuration = this->shared_state.configuration.Read();
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -130,6 +130,7 @@
   void Execute(const CancelAttempt& action);
   void Execute(const ForwardResponse& action);
   void Execute(const FinishRequest& action);
+  void RecordCrash(ServiceId service, Fingerprint fingerprint, TargetId target, AttemptId attempt);
   // Records what a target stated about itself in a response.
   void RecordTargetNotices(TargetId target, bool leaving, Duration retry_after);
   void OnAttemptEnd(RequestId request, AttemptId attempt, TargetId target, const AttemptEnd& end);
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -94,18 +94,22 @@
       last_digest = std::max(last_digest.value_or(digest->second), digest->second);
     }
   }
-  if (!last_digest) {
-    return TimePoint();
-  }
   const Duration stagger =
       kTakeoverStagger * static_cast<Duration::rep>(std::min(rank, kStaggeredRanks));
-  const Duration timeout = rank <= kSuccessorCount
-                               ? kDigestTimeout
-                               : this->SlowDigestInterval() + kDigestTimeout - kPollInterval;
-  const TimePoint own_takeover = *last_digest + timeout + stagger;
+  TimePoint own_takeover = this->first_read_at;
+  if (last_digest) {
+    const Duration timeout = rank <= kSuccessorCount
+                                 ? kDigestTimeout
+                                 : this->SlowDigestInterval() + kDigestTimeout - kPollInterval;
+    own_takeover = *last_digest + timeout + stagger;
+  } else if (rank > 0 && this->joins_at) {
+    const auto ranks = static_cast<Duration::rep>(std::min(rank, kMaxStartupRanks));
+    own_takeover =
+        std::max(own_takeover, *this->joins_at + kGreetingTime) + kTakeoverStagger * ranks;
+  }
   // A host of a better rank has already detected the missing reader, but cannot
   // reach the store either, so that this host need not wait for the timeout.
-  return this->failed_takeover_at && *this->failed_takeover_at > *last_digest
+  return this->failed_takeover_at && this->failed_takeover_at > last_digest
              ? std::min(own_takeover, *this->failed_takeover_at + stagger)
              : own_takeover;
 }
@@ -152,6 +156,7 @@
     return actions;
   }
   this->last_answer_at = now;
+  this->RecordOwnRow(*state, *batch);
   const std::optional<std::uint64_t> base = state->ContentVersion();
   const bool was_listed = std::exchange(state->needs_listing, false);
   std::vector<FeedRow> changed = was_listed ? state->mirror.ApplyListing(now, *batch)
@@ -234,13 +239,16 @@
     return actions;
   }
   const FeedBatch batch = ToFeedBatch(relay);
+  this->RecordOwnRow(*state, batch);
   const std::optional<std::uint64_t> base = state->ContentVersion();
   // The sender has already deferred the removals for the grace period, so they
   // apply at once here.
   std::vector<FeedRow> changed = is_whole_table
                                      ? state->mirror.ApplyListing(TimePoint::max(), batch)
                                      : state->mirror.ApplyChanges(TimePoint::max(), batch);
-  state->needs_listing = false;
+  if (std::exchange(state->needs_listing, false)) {
+    state->next_read = now;
+  }
   state->mirror.RaiseContentVersion(relay.version);
   if (!changed.empty()) {
     // If another domain's reader was faster, this host's own reads no longer return
@@ -251,16 +259,89 @@
   return actions;
 }
 
-std::vector<RelayAction> StoreRelay::OnRelayRequest(HostId sender,
+std::vector<RelayAction> StoreRelay::OnRelayRequest(TimePoint now,
+                                                    HostId sender,
                                                     const RowRelayRequest& request) const {
   const TableState* const state = this->FindTable(request.table);
   if (state == nullptr || !state->mirror.loaded()) {
     return {};
   }
+  // With the digest, a host that has just started need not read the store.
   return {SendToHost{sender, RowRelay{.table = request.table,
                                       .base_version = 0,
                                       .version = state->mirror.content_version(),
-                                      .rows = ToRelayedRows(state->mirror.Rows())}}};
+                                      .rows = ToRelayedRows(state->mirror.Rows())}},
+          SendToHost{sender, this->MakeDigest(now)}};
+}
+
+void StoreRelay::Greet(HostId host) {
+  if (host != this->self && !Contains(this->ungreeted, host)) {
+    this->ungreeted.push_back(host);
+  }
+}
+
+void StoreRelay::SendGreetings(TimePoint now, Actions& actions) {
+  if (this->ungreeted.empty()) {
+    return;
+  }
+  const StoreDigest digest = this->MakeDigest(now);
+  for (const HostId host : std::exchange(this->ungreeted, {})) {
+    if (digest.store_answered && Contains(this->ranking, host)) {
+      actions.emplace_back(SendToHost{host, digest});
+    }
+  }
+}
+
+void StoreRelay::RecordOwnRow(const TableState& state, const FeedBatch& batch) {
+  this->is_registered =
+      this->is_registered ||
+      (this->IsFirst(state) &&
+       std::any_of(batch.rows.begin(), batch.rows.end(), [this](const FeedRow& row) {
+         return !row.removed && IdFromName<HostId>(row.key) == this->self;
+       }));
+}
+
+void StoreRelay::Join(TimePoint now) {
+  if (this->joins_at || this->table_states.empty() || !this->table_states.front().mirror.loaded()) {
+    return;
+  }
+  // If no other host of the domain is known, all may be starting now.
+  const bool is_alone = this->ranking.size() <= 1;
+  const auto spread = static_cast<std::uint64_t>(Duration(kJoinSpread).count());
+  const Duration delay(is_alone && !this->is_registered
+                           ? static_cast<Duration::rep>(StableHash(RawId(this->self), 0) % spread)
+                           : 0);
+  this->joins_at = now + delay;
+  const bool waits = delay > Duration::zero();
+  this->first_read_at = *this->joins_at + (waits ? kGreetingTime : Duration());
+  this->peers_late_at =
+      *this->joins_at + (waits ? Duration(kTableTransferTime) : Duration(kPeerResponseTime));
+  // A document of a peer is adopted only after a second, because the peer may have an old one.
+  this->configuration_due = waits ? this->peers_late_at : now;
+}
+
+bool StoreRelay::MayRegister(TimePoint now) const {
+  return this->joins_at && now >= *this->joins_at;
+}
+
+TimePoint StoreRelay::ReadableFrom(const TableState& state) const {
+  if (!state.needs_listing) {
+    return this->TakeoverTime();
+  }
+  return this->IsFirst(state) ? TimePoint() : std::min(this->TakeoverTime(), this->peers_late_at);
+}
+
+void StoreRelay::RequestMissingTables(TimePoint now, Actions& actions) {
+  if (!this->joins_at || std::exchange(this->requested_missing_tables, true)) {
+    return;
+  }
+  for (std::size_t rank = 0; rank < std::min(this->ranking.size(), kSuccessorCount); ++rank) {
+    for (TableState& state : this->table_states) {
+      if (this->ranking[rank] != this->self && !state.mirror.loaded()) {
+        actions.emplace_back(SendToHost{this->ranking[rank], RowRelayRequest{state.table.name}});
+      }
+    }
+  }
 }
 
 void StoreRelay::RequestTable(TimePoint now, HostId host, TableState& state, Actions& actions) {
@@ -343,7 +424,7 @@
 }
 
 void StoreRelay::StartRead(TimePoint now, TableState& state, Actions& actions) {
-  if (state.reading || now < state.next_read || (!state.needs_listing && !this->IsReader(now))) {
+  if (state.reading || now < state.next_read || now < this->ReadableFrom(state)) {
     return;
   }
   state.reading = true;
@@ -359,12 +440,20 @@
 
 std::vector<RelayAction> StoreRelay::Tick(TimePoint now) {
   Actions actions;
+  this->Join(now);
+  this->RequestMissingTables(now, actions);
   for (TableState& state : this->table_states) {
     this->StartRead(now, state, actions);
   }
+  this->SendGreetings(now, actions);
   const bool reader = this->IsReader(now);
+  if (reader && !std::exchange(this->was_reader, reader)) {
+    // The hosts must learn of the new reader, and this host which of them have failed.
+    this->next_slow_digest = now;
+  }
+  this->was_reader = reader;
   if (!this->reading_configuration && now >= this->next_configuration_read &&
-      (reader || this->revision == 0)) {
+      (reader || (this->revision == 0 && now >= this->configuration_due))) {
     this->reading_configuration = true;
     actions.emplace_back(ReadNewestConfiguration{});
   }
@@ -378,15 +467,24 @@
 }
 
 TimePoint StoreRelay::NextDeadline(TimePoint now) const {
+  const bool is_joining =
+      !this->joins_at && !this->table_states.empty() && this->table_states.front().mirror.loaded();
+  if (is_joining || !this->ungreeted.empty()) {
+    return now;
+  }
   const TimePoint takeover = std::max(now, this->TakeoverTime());
   TimePoint next = std::max(takeover, this->next_digest);
+  if (this->joins_at && now < *this->joins_at) {
+    next = std::min(next, *this->joins_at);
+  }
   if (!this->reading_configuration) {
-    next = std::min(next,
-                    std::max(this->revision == 0 ? now : takeover, this->next_configuration_read));
+    const TimePoint readable =
+        this->revision == 0 ? std::min(takeover, this->configuration_due) : takeover;
+    next = std::min(next, std::max({now, readable, this->next_configuration_read}));
   }
   for (const TableState& state : this->table_states) {
     if (!state.reading) {
-      next = std::min(next, std::max(state.needs_listing ? now : takeover, state.next_read));
+      next = std::min(next, std::max({now, this->ReadableFrom(state), state.next_read}));
     }
   }
   return next;
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -99,6 +100,18 @@
   static constexpr std::size_t kRemoteReadersPerDomain = 2;
   // Minimum time between two digests in reply to a host with older data.
   static constexpr Duration kMinReplyInterval = std::chrono::milliseconds(300);
+  // Hosts that start together for the first time register within this time. One partition of the
+  // store takes about 200 writes a second.
+  static constexpr Duration kJoinSpread = std::chrono::milliseconds(2500);
+  // Time for a reader to notice a new host and to send it a digest.
+  static constexpr Duration kGreetingTime = std::chrono::milliseconds(500);
+  // A started host waits for the digest of each host with a better rank, up to this rank, for
+  // kTakeoverStagger.
+  static constexpr std::size_t kMaxStartupRanks = 10;
+  // Time for the rows of a peer to arrive before a host that starts alone reads them itself.
+  static constexpr Duration kTableTransferTime = std::chrono::seconds(2);
+  // The same for other hosts. Callers may be waiting, for example if all hosts lost power.
+  static constexpr Duration kPeerResponseTime = std::chrono::milliseconds(300);
 
   struct Table {
     std::string name;
@@ -109,7 +122,8 @@
     TableMirror::IsRelevantChange is_relevant_change;
   };
 
-  // `address` is the peer address of this host. `configuration_polled` means that
+  // The first table lists the hosts; every host reads it when it starts. `address` is the peer
+  // address of this host. `configuration_polled` means that
   // a read of the configuration does not wait for a change.
   StoreRelay(HostId self,
              std::string address,
@@ -120,6 +134,11 @@
   // the order of RankMembers. The first one reads the store, and the next ones take
   // over in this order.
   void SetHosts(DomainId own_domain, const std::map<DomainId, std::vector<HostId>>& ranked_hosts);
+  // Makes the reader send a digest to a host that has just registered, so that this host gets the
+  // rows from it and need not read the store.
+  void Greet(HostId host);
+  // True if this host knows the first table and may write to it.
+  bool MayRegister(TimePoint now) const;
   void SetConfigurationRevision(std::uint64_t revision) { this->revision = revision; }
 
   std::vector<RelayAction> OnRows(TimePoint now,
@@ -130,7 +149,9 @@
   void OnConfigurationRead(TimePoint now, bool answered);
   std::vector<RelayAction> OnDigest(TimePoint now, HostId sender, const StoreDigest& digest);
   std::vector<RelayAction> OnRelay(TimePoint now, HostId sender, const RowRelay& relay);
-  std::vector<RelayAction> OnRelayRequest(HostId sender, const RowRelayRequest& request) const;
+  std::vector<RelayAction> OnRelayRequest(TimePoint now,
+                                          HostId sender,
+                                          const RowRelayRequest& request) const;
   // Starts the reads and sends the digests that are due at `now`.
   std::vector<RelayAction> Tick(TimePoint now);
   // Time of the next required Tick.
@@ -168,6 +189,9 @@
   // Records whether the store answered this host or the reader of its domain, and
   // defers removals at the end of an outage.
   void RecordStoreResult(TimePoint now, bool answered);
+  bool IsFirst(const TableState& state) const { return &state == this->table_states.data(); }
+  // Time from which this host reads the table.
+  TimePoint ReadableFrom(const TableState& state) const;
   // Rank as a reader of this host's failure domain; the number of its hosts if the
   // host belongs to another domain.
   std::size_t ReaderRank(HostId host) const;
@@ -189,6 +213,12 @@
   // True if this host has a newer configuration or table than the digest shows.
   bool HasNewerThan(const StoreDigest& digest) const;
   bool RanksBefore(HostId host) const;
+  void RecordOwnRow(const TableState& state, const FeedBatch& batch);
+  // Starts to take part in reading, when the first table is known.
+  void Join(TimePoint now);
+  // Requests the tables that are not known from the hosts with the best ranks.
+  void RequestMissingTables(TimePoint now, Actions& actions);
+  void SendGreetings(TimePoint now, Actions& actions);
   // Interval of the digests to hosts that are not successors.
   Duration SlowDigestInterval() const;
   void RequestTable(TimePoint now, HostId host, TableState& state, Actions& actions);
@@ -204,6 +234,19 @@
   // All hosts except this one.
   std::vector<HostId> other_hosts;
   std::map<HostId, TimePoint> last_digest_at;
+  // Hosts of this domain that have registered and got no digest from this host since.
+  std::vector<HostId> ungreeted;
+  // Time from which this host registers; empty while the first table is not known.
+  std::optional<TimePoint> joins_at;
+  // Time from which this host may read the other tables, unless a digest arrives before.
+  TimePoint first_read_at = TimePoint::max();
+  // Time from which this host reads what no peer has sent.
+  TimePoint peers_late_at = TimePoint::max();
+  // Time from which this host reads the configuration, unless it has one.
+  TimePoint configuration_due = TimePoint::max();
+  bool requested_missing_tables = false;
+  // The first table has a row of this host, from an earlier start.
+  bool is_registered = false;
   // Last time at which a host of a better rank reported that the store does not
   // answer it.
   std::optional<TimePoint> failed_takeover_at;
@@ -214,6 +257,7 @@
   TimePoint next_configuration_read;
   TimePoint next_digest;
   TimePoint next_slow_digest;
+  bool was_reader = false;
   // Time of the last answer of the store to this host.
   std::optional<TimePoint> last_answer_at;
   // Time of the last answer of the store to this host or, by its digest, to another
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TestRowsReachHostsWithoutStoreAccess);
   CPPUNIT_TEST(TestRemovalOfExpiredRowsIsDeferredAfterOutage);
   CPPUNIT_TEST(TestOneHostReadsForItsDomain);
+  CPPUNIT_TEST(TestStartingHostsShareTheReads);
   CPPUNIT_TEST(TestLeavingHostIsAnnounced);
   CPPUNIT_TEST(TestLeavingTargetIsAnnounced);
   CPPUNIT_TEST(TestControlTraffic);
@@ -407,6 +408,30 @@
     std::cout << "  highest number of store calls of 32 hosts in 10 s: " << calls << "\n";
   }
 
+  // Guards against a fleet whose hosts all read the store when they start together, so that the
+  // reads grow with the number of hosts.
+  void TestStartingHostsShareTheReads() {
+    std::map<std::size_t, double> calls_per_host;
+    for (const std::size_t hosts : {std::size_t{40}, std::size_t{160}}) {
+      for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + 5; ++seed) {
+        SimulatedFleet fleet(seed);
+        fleet.CommitToStore(1);
+        fleet.WriteTarget("target", "ready#1");
+        fleet.StartHosts(hosts);
+        fleet.RunFor(seconds(5));
+        CPPUNIT_ASSERT_MESSAGE("a host has no configuration after 5 s", fleet.AdoptedEverywhere(1));
+        for (const HostId host : fleet.RunningHosts()) {
+          CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.GetHost(host).targets.size());
+          calls_per_host[hosts] +=
+              static_cast<double>(fleet.GetHost(host).store_calls) / static_cast<double>(5 * hosts);
+        }
+      }
+      std::cout << "  store calls per host in the first 5 s, " << hosts
+                << " hosts: " << calls_per_host[hosts] << "\n";
+    }
+    CPPUNIT_ASSERT(calls_per_host[160] <= calls_per_host[40]);
+  }
+
   // Guards against assigning work to a host that is shutting down.
   void TestLeavingHostIsAnnounced() {
     Duration worst{};
--- a/Tests/LibMembership/membership_test.cc
+++ b/Tests/LibMembership/membership_test.cc
@@ -127,6 +127,7 @@
     const auto first = relay.OnRows(start, kTable, listing, {});
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, count_relays(first));
     CPPUNIT_ASSERT(std::holds_alternative<RowsChanged>(first.at(0)));
+    relay.Tick(start);
     const FeedBatch change{.rows = {{.key = "a", .version = 2, .value = "2"}}, .version = 2};
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2},
                          count_relays(relay.OnRows(start + seconds(1), kTable, change, {})));
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -12,7 +12,7 @@
 constexpr const char* kHostTable = "hosts";
 constexpr const char* kTargetTable = "targets";
 constexpr Duration kUnreachableAfter = std::chrono::seconds(1);
-constexpr Duration kRemoveAfter = std::chrono::seconds(3);
+constexpr Duration kRemoveAfter = std::chrono::seconds(2);
 
 std::vector<StoreRelay::Table> Tables() {
   const auto differs = [](const std::string& before, const std::string& after) {
@@ -274,7 +274,7 @@
   } else if (const auto* rows = std::get_if<RowRelay>(&message)) {
     this->Execute(host, host.relay.OnRelay(this->now, sender, *rows));
   } else if (const auto* relay_request = std::get_if<RowRelayRequest>(&message)) {
-    this->Execute(host, host.relay.OnRelayRequest(sender, *relay_request));
+    this->Execute(host, host.relay.OnRelayRequest(this->now, sender, *relay_request));
   } else if (const auto* notices = std::get_if<Notices>(&message)) {
     host.leaving_targets.Merge(this->now, notices->leaving_targets);
   } else if (const auto* offer = std::get_if<ConfigurationOffer>(&message)) {
@@ -382,7 +382,8 @@
 }
 
 void SimulatedFleet::Register(Host& host) {
-  if (host.registering || this->now < host.next_registration || host.directory.IsRegistered()) {
+  if (host.registering || this->now < host.next_registration || host.directory.IsRegistered() ||
+      !host.relay.MayRegister(this->now)) {
     return;
   }
   host.registering = true;
@@ -419,6 +420,9 @@
     host.directory.Apply(rows, errors);
     for (const FeedRow& row : rows) {
       host.failing_since.erase(IdFromName<HostId>(row.key));
+      if (!row.removed) {
+        host.relay.Greet(IdFromName<HostId>(row.key));
+      }
     }
     this->UpdateDirectory(host);
     return;
