Dispatch: Limit the tests of ejected targets

Change: tests begin at 10 % unserved requests, the platform's own bound.

Failed try, reverted: targets with an idle connection of the host are preferred (SlotRequest named them).

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -196,7 +196,8 @@
       last_start = candidate_start;
     }
   }
-  return longest_idle != nullptr && this->trials.MayTry(now, entry.request, last_start)
+  return longest_idle != nullptr &&
+                 this->trials.MayTry(now, entry.request, longest_idle->target, last_start)
              ? std::optional(longest_idle->target)
              : std::nullopt;
 }
@@ -554,7 +555,7 @@
                    .is_trial = is_trial});
   this->ranking.RecordStart(now, target);
   if (is_trial) {
-    this->trials.RecordTrial(now, request);
+    this->trials.RecordTrial(now, request, target);
   }
   // An attempt that follows one that reached no target is not a retry, but the
   // request counts as one first attempt.
--- a/Libraries/LibDispatch/unserved_share.cc
+++ b/Libraries/LibDispatch/unserved_share.cc
@@ -5,7 +5,7 @@
 
 // Sound targets fail one to two percent of the requests, and a single failed target of ten about
 // as many as this.
-constexpr double kHighShare = 0.08;
+constexpr double kHighShare = 0.1;
 // With fewer requests, two failures by chance would exceed the share.
 constexpr std::uint32_t kMinRequests = 20;
 
