--- a/Libraries/LibHost/configuration_controller.cc
+++ b/Libraries/LibHost/configuration_controller.cc
@@ -96,6 +96,10 @@
 void ConfigurationController::Execute(const std::vector<ConfigurationAction>& actions) {
   for (const ConfigurationAction& action : actions) {
     if (const auto* send = std::get_if<SendToHost>(&action)) {
+      if (std::holds_alternative<ConfigurationRequest>(send->message)) {
+        Log(LogLevel::kInfo, "configuration_requested",
+            {{"known_revision", this->tracker.revision()}, {"host", RawId(send->host)}});
+      }
       this->peers.Send(send->host, send->message);
     } else if (const auto* adopt = std::get_if<AdoptConfiguration>(&action)) {
       this->Adopt(adopt->document);
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -82,6 +82,10 @@
   this->shared_state.fingerprints.Tick(now);
   this->UpdateReachability();
   this->Execute(this->relay.Tick(now));
+  const bool reads_store = this->relay.IsReader(now);
+  if (reads_store != std::exchange(this->was_store_reader, reads_store)) {
+    Log(LogLevel::kInfo, reads_store ? "store_reader_started" : "store_reader_stopped", {});
+  }
   this->Register();
   this->RemoveUnreachableHosts();
   const bool store_reachable = this->relay.StoreAnsweredWithin(now, kStoreLossDelay);
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -101,6 +101,7 @@
   // mirror.
   TimePoint registration_due;
   std::optional<TimePoint> last_peer_message_at;
+  bool was_store_reader = false;
   bool store_was_reachable = true;
 };
 
--- a/Libraries/LibPeer/outgoing_link.cc
+++ b/Libraries/LibPeer/outgoing_link.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <spdlog/spdlog.h>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
@@ -10,6 +11,7 @@
 #include <utility>
 
 #include "Libraries/LibCore/identifiers.h"
+#include "Libraries/LibPeer/endpoint.h"
 
 namespace pimentopin {
 namespace {
@@ -182,6 +184,8 @@
 
 void OutgoingLink::OnWritten(const asio::error_code& failure, std::size_t bytes) {
   if (failure) {
+    spdlog::warn("peer_link_lost: {}, {} frames in flight to {}", failure.message(),
+                 this->in_flight.size(), FormatEndpoint(this->endpoint));
     this->Disconnect();
     return;
   }
