--- a/Libraries/LibPeer/outgoing_link.cc
+++ b/Libraries/LibPeer/outgoing_link.cc
@@ -130,6 +130,15 @@
   this->Disconnect();
 }
 
+void OutgoingLink::OnLost(const asio::error_code& failure) {
+  // A peer that stops or closes an idle connection is no failure of the link.
+  if (failure != asio::error::eof) {
+    spdlog::warn("peer_link_lost: connection to {}: {}", FormatEndpoint(this->endpoint),
+                 failure.message());
+  }
+  this->Disconnect();
+}
+
 void OutgoingLink::Disconnect() {
   this->CloseSocket();
   ++this->failure_count;
@@ -184,9 +193,7 @@
 
 void OutgoingLink::OnWritten(const asio::error_code& failure, std::size_t bytes) {
   if (failure) {
-    spdlog::warn("peer_link_lost: {}, {} frames in flight to {}", failure.message(),
-                 this->in_flight.size(), FormatEndpoint(this->endpoint));
-    this->Disconnect();
+    this->OnLost(failure);
     return;
   }
   this->failure_count = 0;
@@ -204,9 +211,10 @@
   const auto started_generation = this->generation;
   this->socket.async_read_some(
       asio::buffer(this->unexpected_input),
-      [self = this->shared_from_this(), started_generation](const asio::error_code&, std::size_t) {
+      [self = this->shared_from_this(), started_generation](const asio::error_code& failure,
+                                                            std::size_t) {
         if (started_generation == self->generation) {
-          self->Disconnect();
+          self->OnLost(failure);
         }
       });
 }
--- a/Libraries/LibPeer/outgoing_link.h
+++ b/Libraries/LibPeer/outgoing_link.h
@@ -43,6 +43,8 @@
   void OnConnected(const asio::error_code& failure);
   void OnConnectFailure();
   // Closes the socket and reconnects after the back-off time.
+  // The established connection has failed or was closed by the peer.
+  void OnLost(const asio::error_code& failure);
   void Disconnect();
   void CloseSocket();
   void ScheduleReconnect();
