Membership: Bound the age of what a host knows of the store

Cause: a host learned of a revision by one offer, and of a lost offer by a digest that came every 6.8 s in a domain of 45. Neither told how old it was. A connection that goes silent loses what is sent on it for 2 s, and a host whose request was lost asked the same host over the same link after 1, 2 and 3 s. Class: staleness that the receiver does not notice.

Change: digests tell which host read the store, and how long ago. A host whose view was not confirmed for 1.2 s asks two others, and then reads the store itself. A reader's long poll lasts 2 s instead of 10 s, and counts as a confirmation only if it continues an answered one. This covers the rows of targets as well.

The check that a lost history is reported like 'nothing newer' was wrong: such a read confirms nothing. It now expects kNotFound.

--- a/Libraries/LibHost/configuration_controller.cc
+++ b/Libraries/LibHost/configuration_controller.cc
@@ -64,16 +64,20 @@
   this->Execute(this->tracker.OnRevisionSeen(this->settings.clock(), host, revision));
 }
 
-void ConfigurationController::ReadNewest(std::function<void(bool)> done) {
-  this->source.ReadNewest(this->tracker.revision(), [this, done = std::move(done)](
-                                                        const auto& document, const Error& error) {
-    if (error.code != ErrorCode::kNone) {
-      Log(LogLevel::kDebug, "configuration_read_failed", {{"error", error.message}});
-    } else if (document) {
-      this->OnDocument(*document, DocumentSource::kStore);
-    }
-    done(error.code == ErrorCode::kNone);
-  });
+void ConfigurationController::ReadNewest(const ReadNewestConfiguration& read,
+                                         std::function<void(const Error&)> done) {
+  const DocumentSource document_source =
+      read.for_domain ? DocumentSource::kStore : DocumentSource::kStoreForSelf;
+  this->source.ReadNewest(
+      this->tracker.revision(), read.may_wait,
+      [this, document_source, done = std::move(done)](const auto& document, const Error& error) {
+        if (error.code != ErrorCode::kNone) {
+          Log(LogLevel::kDebug, "configuration_read_failed", {{"error", error.message}});
+        } else if (document) {
+          this->OnDocument(*document, document_source);
+        }
+        done(error);
+      });
 }
 
 void ConfigurationController::Commit(ConfigurationDocument document,
--- a/Libraries/LibHost/configuration_controller.h
+++ b/Libraries/LibHost/configuration_controller.h
@@ -13,6 +13,7 @@
 #include "Libraries/LibHost/control_loop.h"
 #include "Libraries/LibHost/shared_state.h"
 #include "Libraries/LibMembership/configuration_tracker.h"
+#include "Libraries/LibMembership/store_relay.h"
 #include "Libraries/LibPeer/peer_network.h"
 
 namespace pimentopin {
@@ -49,8 +50,9 @@
   // Call when `host` is known to have `revision`.
   void OnCompressedDocument(const CompressedConfigurationDocument& compressed);
   void OnRevisionSeen(HostId host, std::uint64_t revision);
-  // Reads the newest configuration. `done` receives whether the store answered.
-  void ReadNewest(std::function<void(bool responded)> done);
+  // Reads the newest configuration. `done` receives the error of ConfigurationSource::ReadNewest.
+  void ReadNewest(const ReadNewestConfiguration& read,
+                  std::function<void(const Error& error)> done);
 
   // The parser must have accepted the document.
   void Commit(ConfigurationDocument document, ConfigurationStore::CommitCallback callback);
--- a/Libraries/LibHost/configuration_source.h
+++ b/Libraries/LibHost/configuration_source.h
@@ -12,12 +12,16 @@
 // Source of committed configurations. Runs on the control thread.
 class ConfigurationSource {
  public:
-  // No value with ErrorCode::kNone means that there is no such document.
+  // No value with ErrorCode::kNone means that there is no such document, with ErrorCode::kNotFound
+  // that the next read has to tell, because the history since the last one is lost.
   using DocumentCallback = std::function<void(std::optional<ConfigurationDocument>, const Error&)>;
 
   virtual ~ConfigurationSource() = default;
-  // Reads the newest committed document above `known_revision`. May wait for a change.
-  virtual void ReadNewest(std::uint64_t known_revision, DocumentCallback callback) = 0;
+  // Reads the newest committed document above `known_revision`. With `may_wait`, the read may wait
+  // for a change.
+  virtual void ReadNewest(std::uint64_t known_revision,
+                          bool may_wait,
+                          DocumentCallback callback) = 0;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/configuration_store.cc
+++ b/Libraries/LibHost/configuration_store.cc
@@ -215,7 +215,9 @@
   });
 }
 
-void ConfigurationStore::ReadNewest(std::uint64_t known_revision, DocumentCallback callback) {
+void ConfigurationStore::ReadNewest(std::uint64_t known_revision,
+                                    bool /*may_wait*/,
+                                    DocumentCallback callback) {
   this->table.Read(RowKey(known_revision + 1), [this, known_revision, callback](
                                                    const auto& row, const Error& error) {
     if (!row) {
--- a/Libraries/LibHost/configuration_store.h
+++ b/Libraries/LibHost/configuration_store.h
@@ -53,7 +53,7 @@
   // the same change id returns the same result.
   void Commit(ConfigurationDocument document, CommitCallback callback);
   // Reads the newest committed document above `known_revision`.
-  void ReadNewest(std::uint64_t known_revision, DocumentCallback callback) override;
+  void ReadNewest(std::uint64_t known_revision, bool may_wait, DocumentCallback callback) override;
   // Reads the document of a change. No value if the change was not committed.
   void FindChange(const std::string& change_id, DocumentCallback callback);
 
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -117,7 +117,7 @@
 }
 
 void DirectoryController::SetConfigurationRevision(std::uint64_t revision) {
-  this->relay.SetConfigurationRevision(revision);
+  this->relay.SetConfigurationRevision(SteadyNow(), revision);
 }
 
 void DirectoryController::BroadcastNotices() {
@@ -162,6 +162,13 @@
          (this->last_peer_message_at && now - *this->last_peer_message_at < window);
 }
 
+std::int64_t DirectoryController::ViewAgeMs() const {
+  const std::optional<TimePoint> confirmed = this->relay.confirmed_at();
+  return confirmed ? std::chrono::duration_cast<std::chrono::milliseconds>(SteadyNow() - *confirmed)
+                         .count()
+                   : -1;
+}
+
 void DirectoryController::Execute(const std::vector<RelayAction>& actions) {
   for (const RelayAction& action : actions) {
     std::visit([this](const auto& concrete) { this->Execute(concrete); }, action);
@@ -183,9 +190,12 @@
       });
 }
 
-void DirectoryController::Execute(const ReadNewestConfiguration& /*action*/) {
-  this->settings.read_configuration([this](bool responded) {
-    this->relay.OnConfigurationRead(SteadyNow(), responded);
+void DirectoryController::Execute(const ReadNewestConfiguration& action) {
+  if (!action.for_domain) {
+    Log(LogLevel::kInfo, "configuration_read_alone", {{"confirmed_ms_ago", this->ViewAgeMs()}});
+  }
+  this->settings.read_configuration(action, [this](const Error& error) {
+    this->relay.OnConfigurationRead(SteadyNow(), error);
     this->Update();
   });
 }
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -33,7 +33,8 @@
     // False if reading the configuration waits for a change (long poll).
     bool configuration_polled = true;
     // Reads the newest configuration and passes on whether the store answered.
-    std::function<void(std::function<void(bool)>)> read_configuration;
+    std::function<void(const ReadNewestConfiguration&, std::function<void(const Error&)>)>
+        read_configuration;
     // Called when a host is known to have a revision of the configuration.
     std::function<void(HostId, std::uint64_t)> on_revision_seen;
     // Called when the registered targets were read or have changed.
@@ -65,6 +66,8 @@
   void Execute(const std::vector<RelayAction>& actions);
   void Execute(const ListTable& action);
   void Execute(const ReadChanges& action);
+  // Time since what this host knows of the store was confirmed; -1 if it never was.
+  std::int64_t ViewAgeMs() const;
   void Execute(const ReadNewestConfiguration& action);
   void Execute(const PullConfiguration& action);
   void Execute(const RowsChanged& action);
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -158,7 +158,7 @@
   if (this->settings.platform_configuration) {
     this->platform_configuration_source = std::make_unique<PlatformConfigurationSource>(
         *this->store, this->adapter.configuration_table, this->adapter.configuration_key,
-        this->adapter.read_configuration, StoreRelay::kLongPollTimeout);
+        this->adapter.read_configuration, StoreRelay::kConfigurationPollTimeout);
   }
   this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
   this->claims = std::make_unique<ClaimStore>(
@@ -203,8 +203,8 @@
       .read_target = this->adapter.read_target,
       .configuration_polled = !from_platform,
       .read_configuration =
-          [this](std::function<void(bool)> done) {
-            this->configuration->ReadNewest(std::move(done));
+          [this](const ReadNewestConfiguration& read, std::function<void(const Error&)> done) {
+            this->configuration->ReadNewest(read, std::move(done));
           },
       .on_revision_seen =
           [this](HostId host, std::uint64_t revision) {
--- a/Libraries/LibHost/platform_configuration_source.cc
+++ b/Libraries/LibHost/platform_configuration_source.cc
@@ -20,6 +20,7 @@
       long_poll_timeout(long_poll_timeout) {}
 
 void PlatformConfigurationSource::ReadNewest(std::uint64_t known_revision,
+                                             bool may_wait,
                                              DocumentCallback callback) {
   auto on_rows = [this, known_revision, callback = std::move(callback)](
                      const std::optional<FeedBatch>& batch, const Error& error) {
@@ -28,7 +29,8 @@
   if (this->version == 0) {
     this->feed.List(this->table, std::move(on_rows));
   } else {
-    this->feed.Changes(this->table, this->version, this->long_poll_timeout, std::move(on_rows));
+    this->feed.Changes(this->table, this->version,
+                       may_wait ? this->long_poll_timeout : Duration::zero(), std::move(on_rows));
   }
 }
 
@@ -41,8 +43,6 @@
     // table.
     if (error.code == ErrorCode::kNotFound) {
       this->version = 0;
-      callback(std::nullopt, {});
-      return;
     }
     callback(std::nullopt, error);
     return;
--- a/Libraries/LibHost/platform_configuration_source.h
+++ b/Libraries/LibHost/platform_configuration_source.h
@@ -25,7 +25,7 @@
                               Reader reader,
                               Duration long_poll_timeout);
 
-  void ReadNewest(std::uint64_t known_revision, DocumentCallback callback) override;
+  void ReadNewest(std::uint64_t known_revision, bool may_wait, DocumentCallback callback) override;
 
  private:
   void OnRows(std::uint64_t known_revision,
--- a/Libraries/LibMembership/configuration_tracker.cc
+++ b/Libraries/LibMembership/configuration_tracker.cc
@@ -40,7 +40,7 @@
     return {};
   }
   // The store always holds the newest revision, a peer may be behind.
-  if (this->current || source == DocumentSource::kStore) {
+  if (this->current || source != DocumentSource::kPeer) {
     std::vector<ConfigurationAction> actions = this->Adopt(document, source);
     // Another host may have announced a revision above this one meanwhile.
     const std::vector<ConfigurationAction> requests = this->RequestNext(now);
--- a/Libraries/LibMembership/configuration_tracker.h
+++ b/Libraries/LibMembership/configuration_tracker.h
@@ -23,8 +23,10 @@
 using ConfigurationAction = std::variant<SendToHost, AdoptConfiguration>;
 
 enum class DocumentSource {
-  // Read from or written to the store by this host.
+  // Read from or written to the store by this host, for all hosts.
   kStore,
+  // Read from the store because no other host sent it. The others read it themselves.
+  kStoreForSelf,
   kPeer,
 };
 
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -98,10 +98,7 @@
       kTakeoverStagger * static_cast<Duration::rep>(std::min(rank, kStaggeredRanks));
   TimePoint own_takeover = this->first_read_at;
   if (last_digest) {
-    const Duration timeout = rank <= kSuccessorCount
-                                 ? kDigestTimeout
-                                 : this->SlowDigestInterval() + kDigestTimeout - kPollInterval;
-    own_takeover = *last_digest + timeout + stagger;
+    own_takeover = *last_digest + kDigestTimeout + stagger;
   } else if (rank > 0 && this->joins_at) {
     const auto ranks = static_cast<Duration::rep>(std::min(rank, kMaxStartupRanks));
     own_takeover =
@@ -150,14 +147,24 @@
   if (!batch) {
     state->needs_listing = state->needs_listing || history_lost;
     state->next_read = history_lost ? now : now + kRetryInterval;
-    if (!history_lost && this->IsReader(now)) {
-      this->SendOutageDigests(now, actions);
+    if (!history_lost) {
+      this->freshness.RecordOutage(now);
+      if (this->IsReader(now)) {
+        this->SendOutageDigests(now, actions);
+      }
     }
     return actions;
   }
   this->last_answer_at = now;
+  state->confirmed_at = state->read_started_at;
   this->RecordOwnRow(*state, *batch);
   const std::optional<std::uint64_t> base = state->ContentVersion();
+  // Rows may have expired in an outage that this host has not seen.
+  const std::optional<TimePoint> confirmed = this->freshness.confirmed_at();
+  if (state->table.defers_removals && confirmed &&
+      now - *confirmed >= StoreFreshness::kMaxAge + kMinOutage) {
+    state->mirror.DeferRemovals(now + kRemovalGracePeriod);
+  }
   const bool was_listed = std::exchange(state->needs_listing, false);
   std::vector<FeedRow> changed = was_listed ? state->mirror.ApplyListing(now, *batch)
                                             : state->mirror.ApplyChanges(now, *batch);
@@ -165,20 +172,34 @@
   const std::vector<FeedRow> due_removals = state->mirror.ApplyDeferredRemovals(now);
   changed.insert(changed.end(), due_removals.begin(), due_removals.end());
   state->next_read = now + (state->table.polled ? kPollInterval : kMinLongPollInterval);
+  if (state->table.polled && this->configuration_polled && !this->reading_configuration) {
+    this->next_configuration_read = state->next_read;
+  }
   if (!changed.empty()) {
     this->RelayRows(now, *state, base, changed, actions);
     actions.emplace_back(RowsChanged{table, changed});
   }
+  this->ConfirmByOwnReads(now);
   return actions;
 }
 
-void StoreRelay::OnConfigurationRead(TimePoint now, bool answered) {
+void StoreRelay::OnConfigurationRead(TimePoint now, const Error& error) {
+  const bool history_lost = error.code == ErrorCode::kNotFound;
+  const bool answered = error.code == ErrorCode::kNone || history_lost;
   this->reading_configuration = false;
   this->RecordStoreResult(now, answered);
-  if (answered) {
+  if (!answered) {
+    this->freshness.RecordOutage(now);
+  } else {
     this->last_answer_at = now;
   }
-  this->next_configuration_read = now + (!answered                    ? kRetryInterval
+  if (error.code == ErrorCode::kNone) {
+    this->configuration_answered_at = now;
+    this->configuration_confirmed_at = this->configuration_read_started_at;
+    this->ConfirmByOwnReads(now);
+  }
+  this->next_configuration_read = now + (history_lost                 ? Duration::zero()
+                                         : !answered                  ? kRetryInterval
                                          : this->configuration_polled ? kPollInterval
                                                                       : kMinLongPollInterval);
 }
@@ -191,11 +212,17 @@
   if (same_domain && digest.store_answered) {
     this->last_digest_at[sender] = now;
     this->RecordStoreResult(now, true);
-  } else if (same_domain && this->RanksBefore(sender)) {
-    this->failed_takeover_at = now;
-    this->RecordStoreResult(now, false);
   } else if (digest.store_answered) {
     this->last_known_answer_at = now;
+  } else if (digest.reader == HostId{}) {
+    this->freshness.RecordOutage(now);
+    if (same_domain && this->RanksBefore(sender)) {
+      this->failed_takeover_at = now;
+      this->RecordStoreResult(now, false);
+    }
+  }
+  if (digest.reader != HostId{}) {
+    this->RecordForwardedAnswer(now, digest, actions);
   }
   if (digest.configuration_revision > this->revision) {
     actions.emplace_back(PullConfiguration{sender, digest.configuration_revision});
@@ -208,13 +235,131 @@
     }
   }
   TimePoint& last_reply = this->last_reply_at[sender];
-  if (this->HasNewerThan(digest) && now - last_reply >= kMinReplyInterval) {
+  if (digest.asks || (this->HasNewerThan(digest) && now - last_reply >= kMinReplyInterval)) {
     last_reply = now;
     actions.emplace_back(SendToHost{sender, this->MakeDigest(now)});
   }
   return actions;
 }
 
+void StoreRelay::RecordForwardedAnswer(TimePoint now, const StoreDigest& digest, Actions& actions) {
+  const TimePoint answered_at = now - digest.age;
+  if (digest.reader == this->self) {
+    return;
+  }
+  if (!this->pending_confirmation || this->pending_confirmation->at < answered_at) {
+    this->pending_confirmation = {.digest = digest, .at = answered_at};
+    this->ConfirmByDigest();
+  }
+  if (!digest.store_answered && digest.age < kDigestTimeout) {
+    this->RecordStoreResult(now, true);
+  }
+  if (!Contains(this->ranking, digest.reader)) {
+    return;
+  }
+  TimePoint& last_digest = this->last_digest_at[digest.reader];
+  last_digest = std::max(last_digest, answered_at);
+  // A host that receives a digest on two ways forwards it once.
+  if (answered_at - this->last_forwarded_answer < kPollInterval / 2) {
+    return;
+  }
+  this->last_forwarded_answer = answered_at;
+  for (const HostId host : this->DigestReceivers(digest.reader)) {
+    actions.emplace_back(SendToHost{host, this->MakeDigest(now)});
+  }
+}
+
+std::vector<HostId> StoreRelay::DigestReceivers(HostId reader) const {
+  std::vector<HostId> order = this->ranking;
+  const auto root = std::find(order.begin(), order.end(), reader);
+  if (root == order.end()) {
+    return {};
+  }
+  std::rotate(order.begin(), root, root + 1);
+  const auto position =
+      static_cast<std::size_t>(std::find(order.begin(), order.end(), this->self) - order.begin());
+  const bool is_root = position == 0;
+  const std::size_t first = is_root ? 1 : 1 + kSuccessorCount + (position - 1) * kForwardFanout;
+  const std::size_t last = first + (is_root ? kSuccessorCount : kForwardFanout);
+  std::vector<HostId> receivers;
+  for (std::size_t index = first; index < std::min(order.size(), last); ++index) {
+    receivers.push_back(order[index]);
+  }
+  return receivers;
+}
+
+void StoreRelay::ConfirmByDigest() {
+  if (!this->pending_confirmation) {
+    return;
+  }
+  const StoreDigest& digest = this->pending_confirmation->digest;
+  const bool has_all =
+      digest.configuration_revision <= this->revision &&
+      std::all_of(digest.tables.begin(), digest.tables.end(), [this](const TableVersion& entry) {
+        const TableState* const state = this->FindTable(entry.table);
+        return state == nullptr ||
+               (state->mirror.loaded() && state->mirror.content_version() >= entry.version);
+      });
+  if (has_all) {
+    this->freshness.Confirm(this->pending_confirmation->at, digest.reader);
+  }
+}
+
+void StoreRelay::ConfirmByOwnReads(TimePoint now) {
+  std::optional<TimePoint> confirmed = this->configuration_confirmed_at;
+  // A read that waits for a change returns at once when there is one.
+  if (this->reading_configuration && !this->configuration_polled &&
+      this->ContinuesConfigurationRead(this->configuration_read_started_at) &&
+      now - this->configuration_read_started_at <= kConfigurationPollTimeout) {
+    confirmed = now;
+  }
+  for (const TableState& state : this->table_states) {
+    if (state.table.polled) {
+      confirmed = std::min(confirmed, state.confirmed_at);
+    }
+  }
+  if (confirmed) {
+    this->freshness.Confirm(*confirmed, this->self);
+  }
+}
+
+bool StoreRelay::ContinuesConfigurationRead(TimePoint start) const {
+  return this->configuration_answered_at &&
+         start - *this->configuration_answered_at < 2 * kMinLongPollInterval;
+}
+
+HostId StoreRelay::QueriedHost() {
+  const HostId reader = this->freshness.reader();
+  ++this->query_count;
+  if (this->query_count % 2 == 1 && reader != this->self && Contains(this->other_hosts, reader)) {
+    return reader;
+  }
+  const std::vector<HostId>& candidates =
+      this->remote_readers.empty() ? this->other_hosts : this->remote_readers;
+  return candidates.empty()
+             ? this->self
+             : candidates[StableHash(RawId(this->self), this->query_count) % candidates.size()];
+}
+
+void StoreRelay::SendQuery(TimePoint now, Actions& actions) {
+  if (!this->freshness.TakeQuery(now)) {
+    return;
+  }
+  const HostId host = this->QueriedHost();
+  if (host == this->self) {
+    return;
+  }
+  StoreDigest query = this->MakeDigest(now);
+  query.asks = true;
+  actions.emplace_back(SendToHost{host, std::move(query)});
+}
+
+void StoreRelay::SetConfigurationRevision(TimePoint now, std::uint64_t new_revision) {
+  this->revision = new_revision;
+  this->ConfirmByDigest();
+  this->ConfirmByOwnReads(now);
+}
+
 bool StoreRelay::HasNewerThan(const StoreDigest& digest) const {
   if (digest.configuration_revision < this->revision) {
     return true;
@@ -250,6 +395,7 @@
     state->next_read = now;
   }
   state->mirror.RaiseContentVersion(relay.version);
+  this->ConfirmByDigest();
   if (!changed.empty()) {
     // If another domain's reader was faster, this host's own reads no longer return
     // these rows as changes, so a reader has to relay them here.
@@ -325,10 +471,13 @@
 }
 
 TimePoint StoreRelay::ReadableFrom(const TableState& state) const {
+  const TimePoint takeover = state.table.polled
+                                 ? std::min(this->TakeoverTime(), this->freshness.ReadableFrom())
+                                 : this->TakeoverTime();
   if (!state.needs_listing) {
-    return this->TakeoverTime();
+    return takeover;
   }
-  return this->IsFirst(state) ? TimePoint() : std::min(this->TakeoverTime(), this->peers_late_at);
+  return this->IsFirst(state) ? TimePoint() : std::min(takeover, this->peers_late_at);
 }
 
 void StoreRelay::RequestMissingTables(Actions& actions) {
@@ -373,11 +522,6 @@
   }
 }
 
-Duration StoreRelay::SlowDigestInterval() const {
-  const auto hosts = static_cast<Duration::rep>(this->ranking.size());
-  return std::max<Duration>(kPollInterval, kDigestIntervalPerHost * hosts);
-}
-
 bool StoreRelay::IsActiveReader(TimePoint now) const {
   return this->IsReader(now) && this->last_answer_at && !this->outage_start;
 }
@@ -386,35 +530,47 @@
   StoreDigest digest{.address = this->address,
                      .store_answered = this->IsActiveReader(now),
                      .configuration_revision = this->revision};
+  const std::optional<TimePoint> confirmed = this->freshness.confirmed_at();
+  if (confirmed && !this->outage_start) {
+    digest.reader = this->freshness.reader();
+    digest.age = now - *confirmed;
+  }
   for (const TableState& state : this->table_states) {
     digest.tables.push_back({state.table.name, state.mirror.content_version()});
   }
   return digest;
 }
 
+Duration StoreRelay::SlowDigestInterval() const {
+  const auto hosts = static_cast<Duration::rep>(this->ranking.size());
+  return std::max<Duration>(kPollInterval, kDigestIntervalPerHost * hosts);
+}
+
 void StoreRelay::SendDigests(TimePoint now, Actions& actions) {
   const StoreDigest digest = this->MakeDigest(now);
-  const bool include_slow = now >= this->next_slow_digest;
-  if (include_slow) {
+  std::vector<HostId> receivers = this->DigestReceivers(this->self);
+  if (now >= this->next_slow_digest) {
     this->next_slow_digest = now + this->SlowDigestInterval();
-    for (const HostId host : this->remote_readers) {
-      actions.emplace_back(SendToHost{host, digest});
-    }
+    receivers = this->ranking;
+    std::erase(receivers, this->self);
   }
-  for (std::size_t rank = 0; rank < this->ranking.size(); ++rank) {
-    if (this->ranking[rank] != this->self && (include_slow || rank <= kSuccessorCount)) {
-      actions.emplace_back(SendToHost{this->ranking[rank], digest});
-    }
+  if (now >= this->next_remote_digest) {
+    this->next_remote_digest = now + 2 * this->SlowDigestInterval();
+    receivers.insert(receivers.end(), this->remote_readers.begin(), this->remote_readers.end());
+  }
+  for (const HostId host : receivers) {
+    actions.emplace_back(SendToHost{host, digest});
   }
 }
 
 void StoreRelay::SendOutageDigests(TimePoint now, Actions& actions) {
   StoreDigest digest = this->MakeDigest(now);
   digest.store_answered = false;
+  digest.reader = {};
   // The hosts next in rank may still reach the store and take over.
   const std::size_t rank = this->ReaderRank(this->self);
-  for (std::size_t next = rank + 1; next < std::min(this->ranking.size(), rank + kStaggeredRanks);
-       ++next) {
+  for (std::size_t next = rank + 1;
+       next <= std::min(this->ranking.size() - 1, rank + kOutageSuccessors); ++next) {
     actions.emplace_back(SendToHost{this->ranking[next], digest});
   }
   for (std::size_t count = 0; count < kOutageFanout && !this->other_hosts.empty(); ++count) {
@@ -428,6 +584,7 @@
     return;
   }
   state.reading = true;
+  state.read_started_at = now;
   if (state.needs_listing) {
     actions.emplace_back(ListTable{state.table.name});
     return;
@@ -446,22 +603,29 @@
     this->StartRead(now, state, actions);
   }
   this->SendGreetings(now, actions);
+  this->SendQuery(now, actions);
   const bool reader = this->IsReader(now);
   if (reader && !std::exchange(this->was_reader, reader)) {
     // The hosts must learn of the new reader, and this host which of them have failed.
     this->next_slow_digest = now;
+    this->next_remote_digest = now;
+    this->last_digest_confirmed_at = {};
   }
   this->was_reader = reader;
+  const bool starts = this->revision == 0 && now >= this->configuration_due;
   if (!this->reading_configuration && now >= this->next_configuration_read &&
-      (reader || (this->revision == 0 && now >= this->configuration_due))) {
+      (reader || starts || now >= this->freshness.ReadableFrom())) {
     this->reading_configuration = true;
-    actions.emplace_back(ReadNewestConfiguration{});
+    this->configuration_read_started_at = now;
+    actions.emplace_back(
+        ReadNewestConfiguration{.for_domain = reader || starts,
+                                .may_wait = reader && this->ContinuesConfigurationRead(now)});
   }
-  if (reader && now >= this->next_digest) {
-    this->next_digest = now + kPollInterval;
-    if (this->IsActiveReader(now)) {
-      this->SendDigests(now, actions);
-    }
+  this->ConfirmByOwnReads(now);
+  if (this->IsActiveReader(now) && this->freshness.reader() == this->self &&
+      *this->freshness.confirmed_at() - this->last_digest_confirmed_at >= kPollInterval / 2) {
+    this->last_digest_confirmed_at = *this->freshness.confirmed_at();
+    this->SendDigests(now, actions);
   }
   return actions;
 }
@@ -473,13 +637,17 @@
     return now;
   }
   const TimePoint takeover = std::max(now, this->TakeoverTime());
-  TimePoint next = std::max(takeover, this->next_digest);
+  TimePoint next = std::max(now, this->freshness.NextDeadline());
+  if (!this->was_reader) {
+    next = std::min(next, takeover);
+  }
   if (this->joins_at && now < *this->joins_at) {
     next = std::min(next, *this->joins_at);
   }
   if (!this->reading_configuration) {
     const TimePoint readable =
-        this->revision == 0 ? std::min(takeover, this->configuration_due) : takeover;
+        std::min({takeover, this->freshness.ReadableFrom(),
+                  this->revision == 0 ? this->configuration_due : TimePoint::max()});
     next = std::min(next, std::max({now, readable, this->next_configuration_read}));
   }
   for (const TableState& state : this->table_states) {
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -11,6 +11,7 @@
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibMembership/store_freshness.h"
 #include "Libraries/LibMembership/table_mirror.h"
 #include "Libraries/LibPlatform/row_feed.h"
 #include "Libraries/LibProtocol/envelope.h"
@@ -37,6 +38,12 @@
 // Action: read the newest configuration from the store and call
 // OnConfigurationRead.
 struct ReadNewestConfiguration {
+  // True if a new document is for the whole failure domain, false if this host reads because nobody
+  // confirmed its view of the store.
+  bool for_domain = true;
+  // True if the read may wait for a change.
+  bool may_wait = true;
+
   friend bool operator==(const ReadNewestConfiguration&, const ReadNewestConfiguration&) = default;
 };
 
@@ -66,25 +73,32 @@
 // Replicates the store's tables to every host with few reads. In each failure
 // domain one host, the reader, reads the changes and relays them to the others.
 // The next host in rank takes over when the reader's digests stop or report an
-// outage of the store.
+// outage of the store. A host that is not reached by the digests asks others, and reads the store
+// itself if none of them confirms its view (StoreFreshness).
 class StoreRelay {
  public:
-  // Interval of the reads of a polled table and of the digests to the successors.
-  // With kDigestTimeout and kTakeoverStagger, a change reaches all hosts within
-  // 1.5 s after the reader failed; the limit is 2 s.
+  // Interval of the reads of a polled table. A digest follows each of them. With kDigestTimeout and
+  // kTakeoverStagger, a change reaches all hosts within 1.5 s after the reader failed; the limit is
+  // 2 s.
   static constexpr Duration kPollInterval = std::chrono::milliseconds(700);
   static constexpr Duration kDigestTimeout = std::chrono::milliseconds(1200);
-  // Number of hosts next in rank that receive every digest.
+  // Number of hosts next in rank that receive every digest from the reader.
   static constexpr std::size_t kSuccessorCount = 2;
-  // Interval of the digests to the remaining hosts, per host of the domain. Keeps
-  // the reader's traffic below 2 KB/s.
+  // Number of hosts to which each of the others forwards a digest.
+  static constexpr std::size_t kForwardFanout = 4;
+  // Interval of the digests that the reader itself sends to all, per host of the domain: finds
+  // hosts that have failed. Keeps the reader's traffic below 2 KB/s.
   static constexpr Duration kDigestIntervalPerHost = std::chrono::milliseconds(150);
   // Delay between the takeover attempts of hosts that are adjacent in rank, up to
   // rank kStaggeredRanks.
   static constexpr Duration kTakeoverStagger = std::chrono::milliseconds(100);
-  static constexpr std::size_t kStaggeredRanks = 4;
+  static constexpr std::size_t kStaggeredRanks = 10;
+  // Number of hosts next in rank that learn at once that the store does not answer.
+  static constexpr std::size_t kOutageSuccessors = 3;
   // The store ends a long poll after this time.
   static constexpr Duration kLongPollTimeout = std::chrono::seconds(10);
+  // The same for the configuration. While such a read waits, the configuration counts as current.
+  static constexpr Duration kConfigurationPollTimeout = std::chrono::seconds(2);
   static constexpr Duration kRetryInterval = std::chrono::seconds(1);
   // Owners write rows that expired during an outage of the store again within 2 s
   // of its return; removals are deferred for that long.
@@ -139,14 +153,14 @@
   void Greet(HostId host);
   // True if this host knows the first table and may write to it.
   bool MayRegister(TimePoint now) const;
-  void SetConfigurationRevision(std::uint64_t revision) { this->revision = revision; }
+  void SetConfigurationRevision(TimePoint now, std::uint64_t revision);
 
   std::vector<RelayAction> OnRows(TimePoint now,
                                   const std::string& table,
                                   const std::optional<FeedBatch>& batch,
                                   const Error& error);
-  // `answered` tells whether the store answered the read.
-  void OnConfigurationRead(TimePoint now, bool answered);
+  // `error` is ErrorCode::kNotFound if the history since the last read is lost.
+  void OnConfigurationRead(TimePoint now, const Error& error);
   std::vector<RelayAction> OnDigest(TimePoint now, HostId sender, const StoreDigest& digest);
   std::vector<RelayAction> OnRelay(TimePoint now, HostId sender, const RowRelay& relay);
   std::vector<RelayAction> OnRelayRequest(TimePoint now,
@@ -159,6 +173,8 @@
 
   // True if this host reads the store for its failure domain.
   bool IsReader(TimePoint now) const;
+  // Empty if no read of the store has confirmed what this host knows.
+  std::optional<TimePoint> confirmed_at() const { return this->freshness.confirmed_at(); }
   // True if the store answered this host, or another one whose digest arrived,
   // within `window`.
   bool StoreAnsweredWithin(TimePoint now, Duration window) const;
@@ -175,6 +191,9 @@
     bool reading = false;
     bool needs_listing = true;
     TimePoint next_read;
+    TimePoint read_started_at;
+    // Start of the last read that the store answered.
+    std::optional<TimePoint> confirmed_at;
     // Time of the last request to a peer for the whole table.
     std::optional<TimePoint> requested_at;
 
@@ -197,6 +216,9 @@
   std::size_t ReaderRank(HostId host) const;
   TimePoint TakeoverTime() const;
   void StartRead(TimePoint now, TableState& state, Actions& actions);
+  // True if a read of the configuration that starts at `start` continues the last one, so that it
+  // returns at once when there is a change.
+  bool ContinuesConfigurationRead(TimePoint start) const;
   // Sends the rows to the other hosts of the domain if this host is the reader.
   // `base` is the table's content version before the rows, empty if the table was
   // not loaded.
@@ -209,6 +231,20 @@
   bool IsActiveReader(TimePoint now) const;
   StoreDigest MakeDigest(TimePoint now) const;
   void SendDigests(TimePoint now, Actions& actions);
+  // Interval of the digests of the reader to all hosts.
+  Duration SlowDigestInterval() const;
+  // The hosts to which this one sends or forwards the digests of `reader`: its children in a tree
+  // with the reader as root and the others by rank.
+  std::vector<HostId> DigestReceivers(HostId reader) const;
+  // Records what the digest says of other hosts' reads, and forwards it.
+  void RecordForwardedAnswer(TimePoint now, const StoreDigest& digest, Actions& actions);
+  // Confirms this host's view with the last digest if it is not older than the digest.
+  void ConfirmByDigest();
+  // Confirms this host's view with its own reads.
+  void ConfirmByOwnReads(TimePoint now);
+  // Asks another host whether something in the store is newer, if the view is stale.
+  void SendQuery(TimePoint now, Actions& actions);
+  HostId QueriedHost();
   void SendOutageDigests(TimePoint now, Actions& actions);
   // True if this host has a newer configuration or table than the digest shows.
   bool HasNewerThan(const StoreDigest& digest) const;
@@ -219,8 +255,6 @@
   // Requests the tables that are not known from the hosts with the best ranks.
   void RequestMissingTables(Actions& actions);
   void SendGreetings(TimePoint now, Actions& actions);
-  // Interval of the digests to hosts that are not successors.
-  Duration SlowDigestInterval() const;
   void RequestTable(TimePoint now, HostId host, TableState& state, Actions& actions);
 
   HostId self;
@@ -231,6 +265,18 @@
   std::vector<HostId> ranking;
   // The first hosts in rank of the other failure domains.
   std::vector<HostId> remote_readers;
+  // What this host knows of the store, and since when.
+  StoreFreshness freshness;
+  // Digest that confirms this host's view as soon as the host has what it announces, with the time
+  // for which it is valid.
+  struct Confirmation {
+    StoreDigest digest;
+    TimePoint at;
+  };
+  std::optional<Confirmation> pending_confirmation;
+  // Time of the last read that was forwarded to other hosts.
+  TimePoint last_forwarded_answer;
+  std::uint64_t query_count = 0;
   // All hosts except this one.
   std::vector<HostId> other_hosts;
   std::map<HostId, TimePoint> last_digest_at;
@@ -255,8 +301,15 @@
   std::uint64_t revision = 0;
   bool reading_configuration = false;
   TimePoint next_configuration_read;
-  TimePoint next_digest;
+  TimePoint configuration_read_started_at;
+  // Start of the last read of the configuration that the store answered.
+  std::optional<TimePoint> configuration_confirmed_at;
+  // Time of the last answer that told whether there is a newer configuration.
+  std::optional<TimePoint> configuration_answered_at;
+  // Time up to which this host's reads confirmed its view when it sent the last digests.
+  TimePoint last_digest_confirmed_at;
   TimePoint next_slow_digest;
+  TimePoint next_remote_digest;
   bool was_reader = false;
   // Time of the last answer of the store to this host.
   std::optional<TimePoint> last_answer_at;
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -209,7 +209,8 @@
     const auto table_list = this->EncodeTables(tables);
     return {wire::Message::StoreDigest,
             wire::CreateStoreDigest(this->builder, address, value.store_answered,
-                                    value.configuration_revision, table_list)
+                                    value.configuration_revision, table_list, RawId(value.reader),
+                                    value.age.count(), value.asks)
                 .Union()};
   }
 
@@ -545,7 +546,10 @@
   StoreDigest DecodeMessage(const wire::StoreDigest& value) {
     StoreDigest digest{.address = this->DecodeString(value.address(), kMaxWireAddressBytes),
                        .store_answered = value.store_answered(),
-                       .configuration_revision = value.configuration_revision()};
+                       .configuration_revision = value.configuration_revision(),
+                       .reader = HostId{value.reader()},
+                       .age = this->DecodeDuration(value.age_us()),
+                       .asks = value.asks()};
     const std::uint32_t tables = this->ElementCount(value.tables());
     for (std::uint32_t index = 0; index < tables; ++index) {
       const wire::TableVersion& table = *value.tables()->Get(index);
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -74,9 +74,9 @@
   friend bool operator==(const TableVersion&, const TableVersion&) = default;
 };
 
-// What the sender knows of the store. Sent regularly by the store reader of a failure
-// domain, in reply to the digest of a host with older data, and while the store
-// does not answer.
+// What the sender knows of the store. The store reader of a failure domain sends it regularly, and
+// its receivers forward what they know to others. Also sent in reply to a host with older data, and
+// while the store does not answer.
 struct StoreDigest {
   // Peer address of the sender, for receivers that do not know it yet.
   std::string address;
@@ -85,6 +85,13 @@
   bool store_answered = false;
   std::uint64_t configuration_revision = 0;
   std::vector<TableVersion> tables;
+  // The host that read the store last, as far as the sender knows; HostId{} if the store did not
+  // answer the sender, or the sender is of an earlier version.
+  HostId reader{};
+  // Time since `reader` knew that nothing in the store was newer than this digest.
+  Duration age{};
+  // The sender asks for the receiver's digest.
+  bool asks = false;
 
   friend bool operator==(const StoreDigest&, const StoreDigest&) = default;
 };
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -1478,7 +1478,10 @@
     VT_ADDRESS = 4,
     VT_STORE_ANSWERED = 6,
     VT_CONFIGURATION_REVISION = 8,
-    VT_TABLES = 10
+    VT_TABLES = 10,
+    VT_READER = 12,
+    VT_AGE_US = 14,
+    VT_ASKS = 16
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1492,6 +1495,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>> *tables() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>> *>(VT_TABLES);
   }
+  uint64_t reader() const {
+    return GetField<uint64_t>(VT_READER, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool asks() const {
+    return GetField<uint8_t>(VT_ASKS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
@@ -1501,6 +1513,9 @@
            VerifyOffset(verifier, VT_TABLES) &&
            verifier.VerifyVector(tables()) &&
            verifier.VerifyVectorOfTables(tables()) &&
+           VerifyField<uint64_t>(verifier, VT_READER, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
            verifier.EndTable();
   }
 };
@@ -1521,6 +1536,15 @@
   void add_tables(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>>> tables) {
     fbb_.AddOffset(StoreDigest::VT_TABLES, tables);
   }
+  void add_reader(uint64_t reader) {
+    fbb_.AddElement<uint64_t>(StoreDigest::VT_READER, reader, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(StoreDigest::VT_AGE_US, age_us, 0);
+  }
+  void add_asks(bool asks) {
+    fbb_.AddElement<uint8_t>(StoreDigest::VT_ASKS, static_cast<uint8_t>(asks), 0);
+  }
   explicit StoreDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1537,11 +1561,17 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     bool store_answered = false,
     uint64_t configuration_revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>>> tables = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>>> tables = 0,
+    uint64_t reader = 0,
+    int64_t age_us = 0,
+    bool asks = false) {
   StoreDigestBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_reader(reader);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_tables(tables);
   builder_.add_address(address);
+  builder_.add_asks(asks);
   builder_.add_store_answered(store_answered);
   return builder_.Finish();
 }
@@ -1556,7 +1586,10 @@
     const char *address = nullptr,
     bool store_answered = false,
     uint64_t configuration_revision = 0,
-    const std::vector<flatbuffers::Offset<pimentopin::wire::TableVersion>> *tables = nullptr) {
+    const std::vector<flatbuffers::Offset<pimentopin::wire::TableVersion>> *tables = nullptr,
+    uint64_t reader = 0,
+    int64_t age_us = 0,
+    bool asks = false) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto tables__ = tables ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::TableVersion>>(*tables) : 0;
   return pimentopin::wire::CreateStoreDigest(
@@ -1564,7 +1597,10 @@
       address__,
       store_answered,
       configuration_revision,
-      tables__);
+      tables__,
+      reader,
+      age_us,
+      asks);
 }
 
 struct RelayedRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Tests/LibHost/platform_configuration_source_test.cc
+++ b/Tests/LibHost/platform_configuration_source_test.cc
@@ -55,7 +55,7 @@
     this->feed.batch.reset();
     this->feed.error = {ErrorCode::kNotFound, "gone"};
     CPPUNIT_ASSERT(!this->Read(7));
-    CPPUNIT_ASSERT(this->last_error.code == ErrorCode::kNone);
+    CPPUNIT_ASSERT(this->last_error.code == ErrorCode::kNotFound);
     this->feed.error = {};
     this->feed.batch = FeedBatch{{{"config", 9, "8", false}}, 10};
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, this->Read(7)->revision);
@@ -65,7 +65,7 @@
  private:
   std::optional<ConfigurationDocument> Read(std::uint64_t known) {
     std::optional<ConfigurationDocument> read;
-    this->source.ReadNewest(known, [&](const auto& document, const Error& error) {
+    this->source.ReadNewest(known, true, [&](const auto& document, const Error& error) {
       read = document;
       this->last_error = error;
     });
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -328,7 +328,7 @@
           this->revision_reverted ||
           (!host.adopted_revisions.empty() && host.adopted_revisions.back() >= revision);
       host.adopted_revisions.push_back(revision);
-      host.relay.SetConfigurationRevision(revision);
+      host.relay.SetConfigurationRevision(this->now, revision);
     }
   }
 }
@@ -360,17 +360,19 @@
       this->Execute(reader, reader.relay.OnRows(this->now, query.table, batch,
                                                 answered ? Error{} : no_answer));
     });
-  } else if (std::holds_alternative<ReadNewestConfiguration>(action)) {
+  } else if (const auto* newest = std::get_if<ReadNewestConfiguration>(&action)) {
+    const DocumentSource source =
+        newest->for_domain ? DocumentSource::kStore : DocumentSource::kStoreForSelf;
     const bool has_newer =
         this->stored_document && this->stored_document->revision > host.tracker.revision();
     this->CallStore(
         host,
-        [this](Host& reader, bool answered) {
+        [this, source, no_answer](Host& reader, bool answered) {
           if (answered && this->stored_document) {
-            this->Execute(reader, reader.tracker.OnDocument(this->now, *this->stored_document,
-                                                            DocumentSource::kStore));
+            this->Execute(reader,
+                          reader.tracker.OnDocument(this->now, *this->stored_document, source));
           }
-          reader.relay.OnConfigurationRead(this->now, answered);
+          reader.relay.OnConfigurationRead(this->now, answered ? Error{} : no_answer);
         },
         has_newer ? this->stored_document->content.size() : 0);
   }
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -148,6 +148,8 @@
       rc::gen::set(&StoreDigest::address, AnyString(kMaxWireAddressBytes)),
       rc::gen::set(&StoreDigest::store_answered),
       rc::gen::set(&StoreDigest::configuration_revision, AnyInteger()),
+      rc::gen::set(&StoreDigest::reader, AnyId<HostId>()),
+      rc::gen::set(&StoreDigest::age, AnyDuration()), rc::gen::set(&StoreDigest::asks),
       rc::gen::set(&StoreDigest::tables,
                    rc::gen::container<std::vector<TableVersion>>(rc::gen::build<TableVersion>(
                        rc::gen::set(&TableVersion::table, AnyString(kMaxWireNameBytes)),
