Http, Platform: Do not cut a body in transfer by the time-out for its header

A read of the whole configuration (384 KB) over a link of 10 Mbit/s, by a host with a tenth of a core, took 0.7 to 1.2 s and was cut after 1 s.

The header must still arrive within 1 s; then the body has 3 s more. TestBodyInTransferIsCutByTimeoutOfItsHeader cannot be expressed without the new field; without the change the transfer ends after 1 s.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -353,19 +353,29 @@
     }
     this->active_transfers.insert(transfer);
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
+    this->EndAt(transfer, transfer->start + transfer->request.timeout,
+                transfer->request.body_timeout);
+    if (curl_multi_add_handle(this->multi.get(), transfer->easy.get()) != CURLM_OK) {
+      this->EndTransfer(transfer, TransferError::kConnectFailure);
+    }
+  }
+
+  // Ends the transfer at `due`, or after `body_timeout` more if its header has arrived by then.
+  void EndAt(const std::shared_ptr<CurlTransfer>& transfer, TimePoint due, Duration body_timeout) {
     transfer->timer->expires_at(std::chrono::steady_clock::time_point(
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-            (transfer->start + transfer->request.timeout).time_since_epoch())));
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(due.time_since_epoch())));
     transfer->timer->async_wait(
-        [this, weak = std::weak_ptr(transfer)](const asio::error_code& error) {
+        [this, weak = std::weak_ptr(transfer), due, body_timeout](const asio::error_code& error) {
           const auto expired = weak.lock();
-          if (!error && expired) {
+          if (error || !expired) {
+            return;
+          }
+          if (body_timeout > Duration::zero() && expired->response.complete()) {
+            this->EndAt(expired, due + body_timeout, Duration::zero());
+          } else {
             this->EndTransfer(expired, TransferError::kTimeout);
           }
         });
-    if (curl_multi_add_handle(this->multi.get(), transfer->easy.get()) != CURLM_OK) {
-      this->EndTransfer(transfer, TransferError::kConnectFailure);
-    }
   }
 
   void Resume(const CurlTransfer& transfer, bool& paused_by_curl) {
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -19,6 +19,8 @@
   std::string body;
   // Time from Start() to the end of the response.
   Duration timeout{};
+  // Additional time if the header of the response arrives within `timeout`.
+  Duration body_timeout{};
   // Accepts a body that is delimited only by the end of the connection as complete.
   bool accept_close_delimited_body = false;
 };
--- a/Libraries/LibPlatform/platform_http_client.cc
+++ b/Libraries/LibPlatform/platform_http_client.cc
@@ -57,7 +57,8 @@
                       .url = this->settings.base_url + path,
                       .headers = std::move(headers),
                       .body = std::move(body),
-                      .timeout = this->settings.timeout + extra_timeout},
+                      .timeout = this->settings.timeout + extra_timeout,
+                      .body_timeout = this->settings.body_timeout},
                      std::move(callbacks));
 }
 
--- a/Libraries/LibPlatform/platform_http_client.h
+++ b/Libraries/LibPlatform/platform_http_client.h
@@ -30,6 +30,8 @@
   // http://IP:port
   std::string base_url;
   Duration timeout = std::chrono::seconds(1);
+  // Additional time for a body to arrive, for large responses on thin links.
+  Duration body_timeout = std::chrono::seconds(3);
   // Runs a function on the control thread; responses are delivered through it.
   std::function<void(std::function<void()>)> post;
 };
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
+  CPPUNIT_TEST(TestBodyInTransferIsCutByTimeoutOfItsHeader);
   CPPUNIT_TEST(TestInvalidHeaderIsRefused);
   CPPUNIT_TEST(TestNoResendWhenReusedConnectionCloses);
   CPPUNIT_TEST(TestNoResendWhenReusedConnectionClosesAndServerStopped);
@@ -484,6 +485,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), connection.ReadUntilClosed());
   }
 
+  // Guards against large responses that a thin link can never transfer in time.
+  void TestBodyInTransferIsCutByTimeoutOfItsHeader() {
+    RawServer server(this->context);
+    const HttpClientRequest request{.method = "GET",
+                                    .url = server.url("/"),
+                                    .timeout = std::chrono::seconds(1),
+                                    .body_timeout = std::chrono::seconds(1)};
+    TransferRecorder& slow = this->Start(request);
+    RawConnection connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nfirs");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    CPPUNIT_ASSERT_EQUAL(0, slow.on_end_calls);
+    connection.Send("t 8.");
+    CPPUNIT_ASSERT(slow.Wait());
+    CPPUNIT_ASSERT(slow.result.error == TransferError::kNone);
+
+    TransferRecorder& stuck = this->Start(request);
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nfirs");
+    CPPUNIT_ASSERT(stuck.Wait());
+    CPPUNIT_ASSERT(stuck.result.elapsed >= std::chrono::seconds(2));
+    CPPUNIT_ASSERT(stuck.result.error == TransferError::kTimeout);
+  }
+
   // Guards against request smuggling through a header value.
   void TestInvalidHeaderIsRefused() {
     RawServer server(this->context);
