Membership: Ask and read the store sooner, and retry a lost read at once

A view is now stale after 1 s, other hosts are asked for 0.4 s, and a host that reads for itself retries after 0.2 s.

--- a/Libraries/LibHost/configuration_controller.cc
+++ b/Libraries/LibHost/configuration_controller.cc
@@ -72,7 +72,7 @@
       this->tracker.revision(), read.may_wait,
       [this, document_source, done = std::move(done)](const auto& document, const Error& error) {
         if (error.code != ErrorCode::kNone) {
-          Log(LogLevel::kDebug, "configuration_read_failed", {{"error", error.message}});
+          Log(LogLevel::kInfo, "configuration_read_failed", {{"error", error.message}});
         } else if (document) {
           this->OnDocument(*document, document_source);
         }
--- a/Libraries/LibMembership/store_freshness.h
+++ b/Libraries/LibMembership/store_freshness.h
@@ -14,12 +14,12 @@
  public:
   // An older view is stale. Confirmations normally arrive more often, so that a stale host has
   // missed some.
-  static constexpr Duration kMaxAge = std::chrono::milliseconds(1200);
-  static constexpr Duration kQueryInterval = std::chrono::milliseconds(250);
+  static constexpr Duration kMaxAge = std::chrono::milliseconds(1000);
+  static constexpr Duration kQueryInterval = std::chrono::milliseconds(200);
   // Number of unanswered queries after which the host reads the store.
   static constexpr std::size_t kQueriesBeforeRead = 2;
   // Interval of further queries and reads. It doubles while the store does not answer.
-  static constexpr Duration kMinRetryInterval = std::chrono::seconds(1);
+  static constexpr Duration kMinRetryInterval = kQueryInterval;
   static constexpr Duration kMaxRetryInterval = std::chrono::seconds(8);
 
   // Records that the view was current at `at`, as known from the reads of `reader`.
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -198,10 +198,15 @@
     this->configuration_confirmed_at = this->configuration_read_started_at;
     this->ConfirmByOwnReads(now);
   }
-  this->next_configuration_read = now + (history_lost                 ? Duration::zero()
-                                         : !answered                  ? kRetryInterval
-                                         : this->configuration_polled ? kPollInterval
-                                                                      : kMinLongPollInterval);
+  Duration delay = this->configuration_polled ? kPollInterval : kMinLongPollInterval;
+  if (history_lost) {
+    delay = Duration::zero();
+  } else if (!answered) {
+    // A reader's successors take over meanwhile; a host that reads for itself has none.
+    delay = this->configuration_read_for_domain ? Duration(kRetryInterval)
+                                                : StoreFreshness::kMinRetryInterval;
+  }
+  this->next_configuration_read = now + delay;
 }
 
 std::vector<RelayAction> StoreRelay::OnDigest(TimePoint now,
