--- a/Tests/LibMembership/silent_connections_test.cc
+++ b/Tests/LibMembership/silent_connections_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <iostream>
 #include <string>
 
@@ -23,6 +24,7 @@
 class SilentConnectionsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SilentConnectionsTest);
   CPPUNIT_TEST(TestConfigurationIsLateAfterConnectionsWentSilent);
+  CPPUNIT_TEST(TestTargetIsUsedAfterItLeftWhileConnectionsWentSilent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +51,32 @@
               << static_cast<double>(worst.count()) / 1e6 << " s\n";
     CPPUNIT_ASSERT(worst <= kContactTime);
   }
+
+  // Guards against hosts that go on using a target because its row was lost with a connection.
+  void TestTargetIsUsedAfterItLeftWhileConnectionsWentSilent() {
+    Duration worst{};
+    for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kSeeds; ++seed) {
+      SimulatedFleet fleet(seed);
+      fleet.WriteTarget("target", "ready");
+      StartThinLinkFleet(fleet, kLargeHostsPerDomain);
+      fleet.RunFor(milliseconds(fleet.random.Below(1000)));
+      fleet.SilenceConnections();
+      fleet.WriteTarget("target", "draining");
+      const auto known = [&] {
+        const auto running = fleet.RunningHosts();
+        return std::all_of(running.begin(), running.end(), [&](HostId host) {
+          return fleet.GetHost(host).targets.at("target") == "draining";
+        });
+      };
+      const auto time = fleet.RunUntil(known, seconds(60));
+      CPPUNIT_ASSERT_MESSAGE("not known everywhere within 60 s", time);
+      worst = std::max(worst, *time);
+    }
+    std::cout << "seeds " << kFirstSeed << " to " << kFirstSeed + kSeeds - 1
+              << ": worst time from silent connections until a leaving target is known everywhere "
+              << static_cast<double>(worst.count()) / 1e6 << " s\n";
+    CPPUNIT_ASSERT(worst <= kContactTime);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentConnectionsTest);
