Host, Protocol, Platform: Read and log the rate limits that targets state

It is now read from every response, logged when it changes, and part of the release that the broker gets. No decision uses it yet.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -520,7 +520,8 @@
                             .result = end.result,
                             .service_time = end.service_time,
                             .fingerprint = attempt.fingerprint,
-                            .target_draining = end.target_draining};
+                            .target_draining = end.target_draining,
+                            .request_rate_limit = end.request_rate_limit};
   // The current broker needs the result even if another broker granted the
   // slot.
   const DispatchServiceState* service = this->FindService(attempt.service);
--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -146,7 +146,8 @@
               .shed = this->response_info.shed,
               .wrong_attempt_id = this->response_info.unusable && !this->response_info.shed,
               .target_draining = this->response_info.leaving,
-              .retry_after = this->response_info.retry_after};
+              .retry_after = this->response_info.retry_after,
+              .request_rate_limit = this->response_info.request_rate_limit};
     // The header of a short response is reported only once the response is complete, so
     // that a retry can still replace a truncated one. The body of a response that is not
     // forwarded has no effect.
@@ -232,6 +233,13 @@
   return this->status >= 500 ? AttemptResult::kServerError : AttemptResult::kSuccess;
 }
 
+std::optional<double> AttemptTransfer::StatedRateLimitLocked() const {
+  const double limit = this->response_info.request_rate_limit;
+  // A response that may be another one's states a limit, but does not withdraw one.
+  const bool states_nothing = this->status == 0 || (this->response_info.unusable && limit == 0);
+  return states_nothing ? std::nullopt : std::optional(limit);
+}
+
 void AttemptTransfer::OnEnd(const TransferResult& result) {
   AttemptEnd attempt_end;
   {
@@ -240,7 +248,8 @@
     attempt_end = {.result = this->ResultLocked(result),
                    .may_have_been_sent = result.may_have_been_sent,
                    .service_time = result.elapsed,
-                   .target_draining = this->response_info.leaving};
+                   .target_draining = this->response_info.leaving,
+                   .request_rate_limit = this->StatedRateLimitLocked()};
   }
   this->callbacks.on_end(attempt_end);
 }
--- a/Libraries/LibHost/attempt_transfer.h
+++ b/Libraries/LibHost/attempt_transfer.h
@@ -56,6 +56,8 @@
   void WriteLocked(std::string bytes);
   void OnWritten(std::size_t bytes);
   AttemptResult ResultLocked(const TransferResult& result);
+  // Empty if the response does not tell whether the target limits the rate of its requests.
+  std::optional<double> StatedRateLimitLocked() const;
   bool HasNoBody() const;
   // True if the declared length is small enough to buffer the whole response before
   // forwarding it.
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -460,6 +460,7 @@
                                       const AttemptEnd& end) {
   const TimePoint now = this->Now();
   this->RecordTargetNotices(target, end.target_draining, Duration::zero());
+  this->LogRateLimit(target, end.request_rate_limit);
   const auto found = this->active.find(request);
   if (found != this->active.end() && end.result != AttemptResult::kSuccess) {
     Log(LogLevel::kInfo, "attempt_failed",
@@ -516,6 +517,25 @@
   }
 }
 
+void DispatchController::LogRateLimit(TargetId target, std::optional<double> limit) {
+  if (!limit) {
+    return;
+  }
+  const auto known = this->logged_rate_limits.find(target);
+  if ((known == this->logged_rate_limits.end() ? 0 : known->second) == *limit) {
+    return;
+  }
+  if (*limit > 0) {
+    this->logged_rate_limits[target] = *limit;
+  } else {
+    this->logged_rate_limits.erase(known);
+  }
+  const auto configuration = this->shared_state.configuration.Read();
+  const Target* const configured = configuration ? configuration->FindTarget(target) : nullptr;
+  Log(LogLevel::kInfo, "target_rate_limit",
+      {{"target", configured != nullptr ? configured->name : ""}, {"per_second", *limit}});
+}
+
 void DispatchController::Execute(const FinishRequest& action) {
   const auto found = this->active.find(action.request);
   if (found == this->active.end()) {
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -133,6 +133,8 @@
   void RecordCrash(ServiceId service, Fingerprint fingerprint, TargetId target, AttemptId attempt);
   // Records what a target stated about itself in a response.
   void RecordTargetNotices(TargetId target, bool leaving, Duration retry_after);
+  // Logs the limit that a target stated in a response if it has changed; zero if it stated none.
+  void LogRateLimit(TargetId target, std::optional<double> limit);
   void OnAttemptEnd(RequestId request, AttemptId attempt, TargetId target, const AttemptEnd& end);
 
   void SettleClaim(const ActiveRequest& request, const FinishRequest& finish);
@@ -157,6 +159,8 @@
   std::map<AttemptId, RequestId> attempts;
   std::map<ServiceId, ServiceView> views;
   std::unique_ptr<Alarm> alarm;
+  // Limits that targets stated last, for the log.
+  std::map<TargetId, double> logged_rate_limits;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/http_dialect.cc
+++ b/Libraries/LibHost/http_dialect.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <iterator>
 
 namespace pimentopin {
@@ -35,6 +36,13 @@
       std::chrono::duration<double>(std::min(seconds, kMaxRetryAfterSeconds)));
 }
 
+double ParseRequestRate(std::string_view text) {
+  double rate = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), rate);
+  const bool is_number = error == std::errc() && end == text.data() + text.size();
+  return is_number && std::isfinite(rate) && rate > 0 ? rate : 0;
+}
+
 HttpHeaders ForwardableHeaders(const HttpHeaders& headers) {
   HttpHeaders forwardable;
   std::copy_if(headers.begin(), headers.end(), std::back_inserter(forwardable),
--- a/Libraries/LibHost/http_dialect.h
+++ b/Libraries/LibHost/http_dialect.h
@@ -45,6 +45,8 @@
   bool unusable = false;
   // Time for which the target wants no request from this host; zero if it states none.
   Duration retry_after{};
+  // Requests a second that the target accepts from all hosts together; zero if it states no limit.
+  double request_rate_limit = 0;
   // Value of a Content-Digest header to check the body against; may be empty.
   std::string content_digest;
 
@@ -84,6 +86,10 @@
 // if it is a date, negative or not a number.
 Duration ParseRetryAfter(const HttpHeaders& headers);
 
+// Parses a positive decimal number of requests per second. Returns zero if `text` is empty or
+// anything else.
+double ParseRequestRate(std::string_view text);
+
 // Removes hop-by-hop headers and headers that the host sets itself.
 HttpHeaders ForwardableHeaders(const HttpHeaders& headers);
 
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -1,6 +1,7 @@
 #include "Libraries/LibProtocol/codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <cstring>
 #include <limits>
@@ -144,7 +145,9 @@
             wire::CreateSlotRelease(
                 this->builder, RawId(value.attempt), RawId(value.service), RawId(value.target),
                 RawId(value.organisation), EnumByte(value.work_class), EnumByte(value.result),
-                EncodeDuration(value.service_time), RawId(value.fingerprint), value.target_draining)
+                EncodeDuration(value.service_time), RawId(value.fingerprint), value.target_draining,
+                value.request_rate_limit ? flatbuffers::Optional<double>(*value.request_rate_limit)
+                                         : flatbuffers::nullopt)
                 .Union()};
   }
 
@@ -367,6 +370,17 @@
     return Enum{value};
   }
 
+  std::optional<double> DecodeRate(const flatbuffers::Optional<double>& value) {
+    if (!value) {
+      return std::nullopt;
+    }
+    if (!std::isfinite(*value) || *value < 0) {
+      this->Reject("rate is out of range");
+      return std::nullopt;
+    }
+    return *value;
+  }
+
   Duration DecodeDuration(std::int64_t value) {
     if (value < 0 || value > kMaxWireDuration.count()) {
       this->Reject("duration is out of range");
@@ -487,7 +501,8 @@
             .result = this->DecodeEnum(value.result(), AttemptResult::kCancelled),
             .service_time = this->DecodeDuration(value.service_time_us()),
             .fingerprint = Fingerprint{value.fingerprint()},
-            .target_draining = value.target_draining()};
+            .target_draining = value.target_draining(),
+            .request_rate_limit = this->DecodeRate(value.request_rate_limit())};
   }
 
   HostReport DecodeMessage(const wire::HostReport& value) {
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -842,7 +842,8 @@
     VT_RESULT = 14,
     VT_SERVICE_TIME_US = 16,
     VT_FINGERPRINT = 18,
-    VT_TARGET_DRAINING = 20
+    VT_TARGET_DRAINING = 20,
+    VT_REQUEST_RATE_LIMIT = 22
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -871,6 +872,9 @@
   bool target_draining() const {
     return GetField<uint8_t>(VT_TARGET_DRAINING, 0) != 0;
   }
+  flatbuffers::Optional<double> request_rate_limit() const {
+    return GetOptional<double, double>(VT_REQUEST_RATE_LIMIT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -882,6 +886,7 @@
            VerifyField<int64_t>(verifier, VT_SERVICE_TIME_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint8_t>(verifier, VT_TARGET_DRAINING, 1) &&
+           VerifyField<double>(verifier, VT_REQUEST_RATE_LIMIT, 8) &&
            verifier.EndTable();
   }
 };
@@ -917,6 +922,9 @@
   void add_target_draining(bool target_draining) {
     fbb_.AddElement<uint8_t>(SlotRelease::VT_TARGET_DRAINING, static_cast<uint8_t>(target_draining), 0);
   }
+  void add_request_rate_limit(double request_rate_limit) {
+    fbb_.AddElement<double>(SlotRelease::VT_REQUEST_RATE_LIMIT, request_rate_limit);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -938,8 +946,10 @@
     uint8_t result = 0,
     int64_t service_time_us = 0,
     uint64_t fingerprint = 0,
-    bool target_draining = false) {
+    bool target_draining = false,
+    flatbuffers::Optional<double> request_rate_limit = flatbuffers::nullopt) {
   SlotReleaseBuilder builder_(_fbb);
+  if(request_rate_limit) { builder_.add_request_rate_limit(*request_rate_limit); }
   builder_.add_fingerprint(fingerprint);
   builder_.add_service_time_us(service_time_us);
   builder_.add_organisation(organisation);
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
@@ -136,6 +137,9 @@
   Fingerprint fingerprint{};
   // True if the target stated in its response that it is draining.
   bool target_draining = false;
+  // Requests a second that the target accepts from all hosts together, as stated in its response;
+  // zero if it states no limit, empty if there was no response.
+  std::optional<double> request_rate_limit;
 
   friend bool operator==(const SlotRelease&, const SlotRelease&) = default;
 };
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -100,7 +100,10 @@
       rc::gen::set(&SlotRelease::result, AnyEnum(AttemptResult::kCancelled)),
       rc::gen::set(&SlotRelease::service_time, AnyDuration()),
       rc::gen::set(&SlotRelease::fingerprint, AnyId<Fingerprint>()),
-      rc::gen::set(&SlotRelease::target_draining));
+      rc::gen::set(&SlotRelease::target_draining),
+      rc::gen::set(&SlotRelease::request_rate_limit,
+                   rc::gen::element(std::optional<double>(), std::optional<double>(0.0),
+                                    std::optional<double>(2.3))));
 }
 
 inline rc::Gen<HostReport> AnyHostReport() {
