Tests: A target gets more requests than it stated to accept (red)

A broker grants a target that limits its rate to 2.3 requests a second as many as any other, and queues 5 requests of 5 s for a target that serves 2 in that time.

--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentopin {
 namespace {
@@ -33,6 +34,8 @@
   CPPUNIT_TEST(TestRetryAvoidsExcludedTargets);
   CPPUNIT_TEST(TestAffinityKeepsTarget);
   CPPUNIT_TEST(TestDrainingTargetGetsNoGrant);
+  CPPUNIT_TEST(TestTargetGetsMoreRequestsThanItStatedToAccept);
+  CPPUNIT_TEST(TestRequestWaitsForTargetsThatAllLimitTheirRate);
   CPPUNIT_TEST(TestUnreachableHostFreesSlotsAndQueue);
   CPPUNIT_TEST(TestViewsAreAcknowledgedPushedAndRepeated);
   CPPUNIT_TEST(TestChangedViewIsPushedWithin30Ms);
@@ -363,6 +366,80 @@
     CPPUNIT_ASSERT(broker.View().targets[0].state == TargetState::kLeaving);
   }
 
+  // Guards against a target that gets its share of all requests although it stated a limit.
+  void TestTargetGetsMoreRequestsThanItStatedToAccept() {
+    constexpr double kLimit = 2.3;
+    constexpr std::chrono::seconds kWindow(4);
+    SlotBroker broker(Configuration(2, 3));
+    this->StateLimit(broker, AttemptId{1}, kLimit);
+    std::vector<TimePoint> granted_at;
+    std::size_t other_grants = 0;
+    std::uint64_t attempt = 100;
+    for (int step = 0; step < 200; ++step) {
+      this->now += milliseconds(100);
+      for (int count = 0; count < 2; ++count) {
+        for (const SendToHost& sent :
+             broker.OnRequest(this->now, kHost, kDomain, ShortRequest(++attempt), false)) {
+          const auto* grant = std::get_if<SlotGrant>(&sent.message);
+          if (grant == nullptr) {
+            continue;
+          }
+          if (grant->target == TargetId{1}) {
+            granted_at.push_back(this->now);
+            this->StateLimit(broker, grant->attempt, kLimit);
+          } else {
+            ++other_grants;
+            broker.OnRelease(this->now, kHost, kDomain,
+                             {.attempt = grant->attempt,
+                              .service = kService,
+                              .target = grant->target,
+                              .service_time = milliseconds(50),
+                              .request_rate_limit = 0});
+          }
+        }
+      }
+    }
+    for (const TimePoint start : granted_at) {
+      const auto in_window = std::count_if(
+          granted_at.begin(), granted_at.end(),
+          [start, kWindow](TimePoint time) { return time >= start && time < start + kWindow; });
+      CPPUNIT_ASSERT(in_window <= std::ceil(kLimit * 4));
+    }
+    CPPUNIT_ASSERT(granted_at.size() >= 20);
+    CPPUNIT_ASSERT(other_grants >= 300);
+
+    // The target states no limit any more.
+    this->now += seconds(1);
+    this->StateLimit(broker, AttemptId{2}, 0);
+    std::map<TargetId, int> granted;
+    for (std::uint64_t index = 1; index <= 20; ++index) {
+      this->Request(broker, ShortRequest(10'000 + index), granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(5, granted[TargetId{1}]);
+  }
+
+  // Guards against requests that wait until their deadline although the limits of the targets tell
+  // that they cannot be served before.
+  void TestRequestWaitsForTargetsThatAllLimitTheirRate() {
+    SlotBroker broker(Configuration(1, 3));
+    this->StateLimit(broker, AttemptId{1}, 0.5);
+    std::map<TargetId, int> granted;
+    std::vector<SlotRefusal> refusals;
+    for (std::uint64_t index = 1; index <= 10; ++index) {
+      SlotRequest request = ShortRequest(100 + index);
+      request.budget = seconds(5);
+      for (const SendToHost& sent : broker.OnRequest(this->now, kHost, kDomain, request, false)) {
+        if (const auto* refusal = std::get_if<SlotRefusal>(&sent.message)) {
+          refusals.push_back(*refusal);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, broker.queued());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, refusals.size());
+    CPPUNIT_ASSERT(refusals.front().reason == RefusalReason::kOverload);
+    CPPUNIT_ASSERT(refusals.front().retry_after >= seconds(4));
+  }
+
   // Guards against slots and queue entries that an unreachable host holds.
   void TestUnreachableHostFreesSlotsAndQueue() {
     SlotBroker broker(Configuration(1, 3));
@@ -629,6 +706,16 @@
   }
 
  private:
+  // Releases an attempt at the first target, whose response states this limit.
+  void StateLimit(SlotBroker& broker, AttemptId attempt, double limit) {
+    broker.OnRelease(this->now, kHost, kDomain,
+                     {.attempt = attempt,
+                      .service = kService,
+                      .target = TargetId{1},
+                      .service_time = milliseconds(50),
+                      .request_rate_limit = limit});
+  }
+
   // Claims and releases one attempt with this result.
   void CompleteAttempt(SlotBroker& broker,
                        std::uint64_t attempt,
