Dispatch: Keep the rate that a target states for all hosts

Callers' requests reached a target far more often than the limit that it had named (LIMIT): 16 requests in 4 s at a limit of 1 a second, allowed 11.

Cause: the header Server-Limit was not known, so a target that asked for fewer requests got its share by slots. Class: a statement of a target about itself that reaches no decision.

Change: the broker spaces the grants of a target by the limit in its last response, counts starts without a grant, shows it as busy in its views, and takes it out of overcommitment and of the tests of ejected targets. If all targets of a service limit their rate, a request that their rates cannot serve in time is refused at once, with a Retry-After from the rates. Without a broker, each host keeps its share of the limit. A response without the header ends the limit.

--- a/Libraries/LibDispatch/dispatch_service_state.h
+++ b/Libraries/LibDispatch/dispatch_service_state.h
@@ -10,6 +10,7 @@
 #include "Libraries/LibDispatch/dispatch_types.h"
 #include "Libraries/LibDispatch/fair_queue.h"
 #include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/target_rate_limits.h"
 #include "Libraries/LibDispatch/view_state.h"
 
 namespace pimentopin {
@@ -22,6 +23,9 @@
   // Requests that wait for a slot while no broker is available.
   FairQueue local_queue;
   RetryBudget retries;
+  // Limits that targets stated to this host. The broker keeps them for all hosts; without one, each
+  // host keeps its share.
+  TargetRateLimits rate_limits;
   std::map<TargetId, std::uint32_t> outstanding;
   std::uint32_t outstanding_total = 0;
   std::uint32_t waiting_at_broker = 0;
--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -91,8 +91,6 @@
   bool target_draining = false;
   // Time for which the target wants no request from this host; zero if it states none.
   Duration retry_after{};
-  // Requests a second that the target accepts from all hosts together; zero if it states no limit.
-  double request_rate_limit = 0;
 
   friend bool operator==(const AttemptHeader&, const AttemptHeader&) = default;
 };
@@ -102,7 +100,8 @@
   bool may_have_been_sent = false;
   Duration service_time{};
   bool target_draining = false;
-  // As in AttemptHeader; empty if no header arrived.
+  // Requests a second that the target accepts from all hosts together, as stated in its response;
+  // zero if it states no limit, empty if there was no response.
   std::optional<double> request_rate_limit;
 
   friend bool operator==(const AttemptEnd&, const AttemptEnd&) = default;
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -349,6 +349,7 @@
   ++service.outstanding[target];
   ++service.outstanding_total;
   service.view.RecordStart(target);
+  service.rate_limits.RecordSend(now, target);
   actions.emplace_back(StartAttempt{.request = description.request,
                                     .attempt = attempt,
                                     .target = target,
@@ -549,6 +550,9 @@
   if (--service.outstanding[ended.target] == 0) {
     service.outstanding.erase(ended.target);
   }
+  if (end.request_rate_limit) {
+    service.rate_limits.SetLimit(now, ended.target, *end.request_rate_limit);
+  }
 
   AttemptEnd corrected_end = end;
   if (ended.cancel_reason == CancelReason::kWrongAnswer) {
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -62,6 +62,7 @@
                         [target](const BrokerTarget& item) { return item.target == target; });
   };
   std::erase_if(this->draining, is_removed);
+  this->rate_limits.RemoveTargets(is_removed);
   this->ranking.RemoveTargets(is_removed);
   this->ConfigureHealth(now);
   Messages messages;
@@ -139,6 +140,29 @@
   return slots;
 }
 
+std::uint32_t SlotBroker::UnlimitedSlots() const {
+  std::uint32_t slots = 0;
+  for (const Candidate& candidate : this->candidates) {
+    if (!this->rate_limits.IsLimited(candidate.target)) {
+      slots += candidate.health_status.usable_slots;
+    }
+  }
+  return slots;
+}
+
+double SlotBroker::TotalRateLimit() const {
+  if (this->rate_limits.empty() || this->UnlimitedSlots() > 0) {
+    return 0;
+  }
+  double rate = 0;
+  for (const Candidate& candidate : this->candidates) {
+    if (candidate.health_status.usable_slots > 0) {
+      rate += this->rate_limits.Rate(candidate.target);
+    }
+  }
+  return rate;
+}
+
 std::uint32_t SlotBroker::LongSlotLimit() const {
   const std::uint32_t usable = this->UsableSlots();
   if (this->policy.fixed_long_fraction > 0) {
@@ -176,15 +200,18 @@
   return untried.empty() ? tried : untried;
 }
 
-bool SlotBroker::HasFreeSlot(const Candidate& candidate, WorkClass work_class) const {
-  return this->table.CountAt(candidate.target) < candidate.health_status.usable_slots &&
+bool SlotBroker::HasFreeSlot(TimePoint now,
+                             const Candidate& candidate,
+                             WorkClass work_class) const {
+  return this->rate_limits.MaySend(now, candidate.target) &&
+         this->table.CountAt(candidate.target) < candidate.health_status.usable_slots &&
          (work_class == WorkClass::kShort || this->table.long_count() < this->LongSlotLimit());
 }
 
 bool SlotBroker::HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const {
   // Long work is never overcommitted, and no target whose slots are all held by
   // long work is, because the request would wait for a long time.
-  return work_class == WorkClass::kShort &&
+  return work_class == WorkClass::kShort && !this->rate_limits.IsLimited(candidate.target) &&
          candidate.health_status.state == TargetState::kHealthy &&
          this->table.LongCountAt(candidate.target) < candidate.health_status.usable_slots &&
          this->table.CountAt(candidate.target) <
@@ -200,6 +227,7 @@
   for (const Candidate& candidate : this->candidates) {
     if (candidate.health_status.state != TargetState::kEjected ||
         this->table.CountAt(candidate.target) > 0 || !this->IsAllowedFor(candidate, entry) ||
+        !this->rate_limits.MaySend(now, candidate.target) ||
         Contains(entry.request.excluded, candidate.target)) {
       continue;
     }
@@ -240,7 +268,7 @@
     const bool unreliable =
         may_wait && this->ranking.IsUnreliable(now, entry.request, candidate->target);
     any_reliable = any_reliable || !unreliable;
-    if (!this->HasFreeSlot(*candidate, entry.request.work_class)) {
+    if (!this->HasFreeSlot(now, *candidate, entry.request.work_class)) {
       continue;
     }
     const std::pair score(
@@ -254,7 +282,7 @@
   }
   const bool worth_waiting = any_reliable && best_unreliable;
   return best != nullptr && !worth_waiting ? std::optional(best->target)
-                                           : this->ChooseOvercommitted(entry, usable);
+                                           : this->ChooseOvercommitted(now, entry, usable);
 }
 
 void SlotBroker::ObserveOverdue(TimePoint now) {
@@ -282,6 +310,7 @@
 }
 
 std::optional<TargetId> SlotBroker::ChooseOvercommitted(
+    TimePoint now,
     const QueueEntry& entry,
     const std::vector<const Candidate*>& usable) const {
   const Candidate* best = nullptr;
@@ -290,7 +319,7 @@
     const std::uint32_t short_work =
         this->table.CountAt(candidate->target) - this->table.LongCountAt(candidate->target);
     // A candidate with a free slot was skipped as unreliable.
-    if (!this->HasFreeSlot(*candidate, entry.request.work_class) &&
+    if (!this->HasFreeSlot(now, *candidate, entry.request.work_class) &&
         this->HasOvercommitRoom(*candidate, entry.request.work_class) &&
         (best == nullptr || short_work > best_short)) {
       best = candidate;
@@ -315,7 +344,12 @@
 
 Duration SlotBroker::PredictedWait(const SlotRequest& request) const {
   const std::size_t ahead = this->queue.CountAhead(request.work_class, request.organisation) + 1;
-  const std::uint32_t usable = this->UsableSlots();
+  const double rate_limit = this->TotalRateLimit();
+  if (rate_limit > 0) {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(ahead) / rate_limit));
+  }
+  const std::uint32_t usable = this->UnlimitedSlots();
   const std::uint32_t long_used = this->table.long_count();
   const std::uint32_t slots = request.work_class == WorkClass::kLong
                                   ? this->LongSlotLimit()
@@ -326,7 +360,9 @@
 bool SlotBroker::BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const {
   // Without outstanding work no new sample can correct the estimate, so it is
   // not applied.
-  return this->table.size() > 0 && wait + this->estimate.Mean(request.work_class) > budget;
+  // A stated limit is no estimate.
+  return (this->table.size() > 0 || this->TotalRateLimit() > 0) &&
+         wait + this->estimate.Mean(request.work_class) > budget;
 }
 
 SlotRefusal SlotBroker::MakeRefusal(const SlotRequest& request, RefusalReason reason) const {
@@ -468,6 +504,7 @@
                        .queue_factor = this->QueueFactor(claim.target, claim.work_class)});
   if (added) {
     this->ranking.RecordStart(now, claim.target);
+    this->rate_limits.RecordSend(now, claim.target);
     this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
     if (claim.is_retry) {
       this->retries.RecordRetry(now);
@@ -486,6 +523,9 @@
   if (release.target_draining && this->draining.insert(release.target).second) {
     this->ConfigureHealth(now);
   }
+  if (release.request_rate_limit) {
+    this->rate_limits.SetLimit(now, release.target, *release.request_rate_limit);
+  }
   Messages messages;
   const SlotHolder* holder = this->table.Find(release.attempt);
   const bool known = holder != nullptr && holder->target == release.target;
@@ -573,6 +613,7 @@
                    .queue_factor = this->QueueFactor(target, request.work_class),
                    .is_trial = is_trial});
   this->ranking.RecordStart(now, target);
+  this->rate_limits.RecordSend(now, target);
   if (is_trial) {
     this->trials.RecordTrial(now, request, target);
   }
@@ -624,7 +665,7 @@
   const bool room = this->trials.active(now) ||
                     std::any_of(this->candidates.begin(), this->candidates.end(),
                                 [&](const Candidate& candidate) {
-                                  return this->HasFreeSlot(candidate, work_class) ||
+                                  return this->HasFreeSlot(now, candidate, work_class) ||
                                          this->HasOvercommitRoom(candidate, work_class);
                                 });
   if (!room) {
@@ -770,7 +811,10 @@
                        std::clamp<std::size_t>(this->hosts.size(), 1, 65535))};
   for (const Candidate& candidate : this->candidates) {
     const std::uint32_t usable = candidate.health_status.usable_slots;
-    const std::uint32_t used = std::min(usable, this->table.CountAt(candidate.target));
+    // A start without a grant would exceed the limit.
+    const std::uint32_t used = this->rate_limits.IsLimited(candidate.target)
+                                   ? usable
+                                   : std::min(usable, this->table.CountAt(candidate.target));
     view.targets.push_back({.target = candidate.target,
                             .state = candidate.health_status.state,
                             .usable_slots = static_cast<std::uint16_t>(usable),
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -16,6 +16,7 @@
 #include "Libraries/LibDispatch/service_time_estimate.h"
 #include "Libraries/LibDispatch/slot_table.h"
 #include "Libraries/LibDispatch/target_ranking.h"
+#include "Libraries/LibDispatch/target_rate_limits.h"
 #include "Libraries/LibHealth/service_health.h"
 #include "Libraries/LibProtocol/envelope.h"
 
@@ -121,17 +122,22 @@
   // unreachable from its failure domain.
   ServiceView ViewForHost(HostId host, const HostActivity& activity, ServiceView view) const;
   std::uint32_t UsableSlots() const;
+  // Usable slots of the targets that do not limit the rate of their requests.
+  std::uint32_t UnlimitedSlots() const;
+  // Requests per second that the targets accept if all usable ones limit their rate, else zero.
+  double TotalRateLimit() const;
   // Whether the request may go to the target, apart from the target's state.
   bool IsAllowedFor(const Candidate& candidate, const QueueEntry& entry) const;
   bool IsUsableFor(const Candidate& candidate, const QueueEntry& entry) const;
   // Targets that may run the request, with or without a free slot.
   std::vector<const Candidate*> CandidatesFor(const QueueEntry& entry) const;
-  bool HasFreeSlot(const Candidate& candidate, WorkClass work_class) const;
+  bool HasFreeSlot(TimePoint now, const Candidate& candidate, WorkClass work_class) const;
   bool HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const;
   std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry);
   // The idle ejected target that the request should test; std::nullopt if it should test none.
   std::optional<TargetId> ChooseTrial(TimePoint now, const QueueEntry& entry);
   std::optional<TargetId> ChooseOvercommitted(
+      TimePoint now,
       const QueueEntry& entry,
       const std::vector<const Candidate*>& candidates) const;
   bool CanGrantImmediately(TimePoint now, const QueueEntry& entry);
@@ -169,6 +175,7 @@
   FairQueue queue;
   RetryBudget retries;
   EjectionTrials trials;
+  TargetRateLimits rate_limits;
   ServiceTimeEstimate estimate;
   LongWorkShare long_share;
   std::vector<Candidate> candidates;
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -197,7 +197,8 @@
   std::vector<TargetId> usable;
   for (const TargetView& target : this->TargetsInService(service)) {
     if (target.usable_slots > 0 && Contains(allowed, target.target) &&
-        !Contains(target.unreachable_from, this->settings.domain)) {
+        !Contains(target.unreachable_from, this->settings.domain) &&
+        service.rate_limits.MaySend(now, target.target, this->ActiveHostCount(service))) {
       usable.push_back(target.target);
     }
   }
--- /dev/null
+++ b/Libraries/LibDispatch/target_rate_limits.cc
@@ -0,0 +1,45 @@
+#include "Libraries/LibDispatch/target_rate_limits.h"
+
+#include <algorithm>
+
+namespace pimentopin {
+
+void TargetRateLimits::SetLimit(TimePoint now, TargetId target, double rate) {
+  if (rate <= 0) {
+    this->limits.erase(target);
+    return;
+  }
+  const double max_seconds = std::chrono::duration<double>(kMaxInterval).count();
+  const auto interval = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(1 / rate, max_seconds)));
+  const auto [limit, is_new] =
+      this->limits.try_emplace(target, Limit{.interval = interval, .last_sent_at = now});
+  limit->second.interval = interval;
+}
+
+void TargetRateLimits::RecordSend(TimePoint now, TargetId target) {
+  const auto limit = this->limits.find(target);
+  if (limit != this->limits.end()) {
+    limit->second.last_sent_at = now;
+  }
+}
+
+void TargetRateLimits::RemoveTargets(const std::function<bool(TargetId)>& is_removed) {
+  std::erase_if(this->limits, [&](const auto& entry) { return is_removed(entry.first); });
+}
+
+double TargetRateLimits::Rate(TargetId target) const {
+  const auto limit = this->limits.find(target);
+  return limit == this->limits.end()
+             ? 0
+             : 1 / std::chrono::duration<double>(limit->second.interval).count();
+}
+
+bool TargetRateLimits::MaySend(TimePoint now, TargetId target, std::size_t senders) const {
+  const auto limit = this->limits.find(target);
+  return limit == this->limits.end() ||
+         now - limit->second.last_sent_at >=
+             limit->second.interval * static_cast<Duration::rep>(senders);
+}
+
+}  // namespace pimentopin
--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -146,8 +146,7 @@
               .shed = this->response_info.shed,
               .wrong_attempt_id = this->response_info.unusable && !this->response_info.shed,
               .target_draining = this->response_info.leaving,
-              .retry_after = this->response_info.retry_after,
-              .request_rate_limit = this->response_info.request_rate_limit};
+              .retry_after = this->response_info.retry_after};
     // The header of a short response is reported only once the response is complete, so
     // that a retry can still replace a truncated one. The body of a response that is not
     // forwarded has no effect.
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(TestQueuedRequestKeepsItsBroker);
   CPPUNIT_TEST(TestFallbackCapAndLocalQueue);
   CPPUNIT_TEST(TestFallbackUsesConnectionSubset);
+  CPPUNIT_TEST(TestFallbackExceedsTheShareOfAStatedLimit);
   CPPUNIT_TEST(TestReportsWhileOutstandingAndOnBrokerChange);
   CPPUNIT_TEST(TestReleaseReachesGrantingAndCurrentBroker);
   CPPUNIT_TEST(TestCallerGoneEndsOnce);
@@ -585,6 +586,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, used.size());
   }
 
+  // Guards against hosts that without a broker use the whole limit of a target each.
+  void TestFallbackExceedsTheShareOfAStatedLimit() {
+    constexpr double kLimit = 10;
+    this->ReceiveView(3, 0, 20);
+    this->dispatcher->SetMembers(this->now, {});
+    AttemptEnd limited_end = SuccessfulEnd();
+    limited_end.request_rate_limit = kLimit;
+    std::size_t starts = 0;
+    for (std::uint64_t index = 1; index <= 400; ++index) {
+      this->now += milliseconds(100);
+      for (const StartAttempt& start :
+           ActionsOf<StartAttempt>(this->dispatcher->Begin(this->now, this->Request(index)))) {
+        ++starts;
+        this->dispatcher->OnAttemptEnd(this->now, start.attempt, limited_end);
+      }
+    }
+    // 40 s, and a share of a half request a second at each of three targets, after one each that
+    // names the limit.
+    CPPUNIT_ASSERT(starts <= 3 + 3 * 20);
+    CPPUNIT_ASSERT(starts >= 15);
+  }
+
   // Guards against a broker that frees the slots of running attempts, and
   // against a new broker that does not learn of them.
   void TestReportsWhileOutstandingAndOnBrokerChange() {
