Membership: Continue a long poll after up to a second

A poll that began more than 0.2 s after the last answer did not wait, so that busy hosts read the configuration more often than needed.

--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -330,7 +330,7 @@
 
 bool StoreRelay::ContinuesConfigurationRead(TimePoint start) const {
   return this->configuration_answered_at &&
-         start - *this->configuration_answered_at < 2 * kMinLongPollInterval;
+         start - *this->configuration_answered_at < kRetryInterval;
 }
 
 HostId StoreRelay::QueriedHost() {
