Tests: An odd entry of another writer does not end the process

Reported by operators of similar systems: an entry that is deeply nested, or has a number too large or a port out of range, ended the readers of the list or stopped them. It does not happen here: the JSON parser neither recurses nor throws, and numbers and ports are read with their range. Each odd entry of the test is refused with a short reason, and a field that is not read may be anything. The test passes on the code as it was.

--- a/Tests/PlatformAdapter/documents_test.cc
+++ b/Tests/PlatformAdapter/documents_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(TestUnknownWordsDoNotRejectDocument);
   CPPUNIT_TEST(TestTargetEntry);
   CPPUNIT_TEST(TestInvalidEntriesAreRefused);
+  CPPUNIT_TEST(TestOddEntryEndsTheProcess);
   CPPUNIT_TEST(TestRestartedTargetHasNewId);
   CPPUNIT_TEST(TestBase64);
   CPPUNIT_TEST_SUITE_END();
@@ -152,6 +153,40 @@
     CPPUNIT_ASSERT(!platform::ReadTargetEntry("i-1", "", error));
   }
 
+  // Guards against an entry of another writer that exhausts the stack or leaves a number's range.
+  void TestOddEntryEndsTheProcess() {
+    constexpr std::size_t kDepth = 500'000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    std::string nested_objects;
+    for (std::size_t depth = 0; depth < kDepth; ++depth) {
+      nested_objects += "{\"a\":";
+    }
+    const std::vector<std::string> entries = {
+        nested,
+        std::string(kDepth, '['),
+        nested_objects + "1" + std::string(kDepth, '}'),
+        nested_objects,
+        WithField("\"slots\":3", "\"slots\":" + nested),
+        WithField("\"slots\":3", "\"slots\":1e999"),
+        WithField("\"slots\":3", "\"slots\":18446744073709551617"),
+        WithField("\"slots\":3", "\"slots\":4294967299"),
+        WithField("\"born\":1700000000000", "\"born\":" + std::string(5000, '9')),
+        WithField("10.1.0.9:8080", "10.1.0.9:65536"),
+        WithField("10.1.0.9:8080", "10.1.0.9:99999999999999999999"),
+        WithField("10.1.0.9:8080", "10.1.0.9:-1")};
+    for (const std::string& entry : entries) {
+      Error error;
+      CPPUNIT_ASSERT_MESSAGE(entry.substr(0, 200), !platform::ReadTargetEntry("i-1", entry, error));
+      CPPUNIT_ASSERT(!error.message.empty() && error.message.size() < 200);
+    }
+    // A field that is not read may be anything.
+    Error error;
+    CPPUNIT_ASSERT(
+        platform::ReadTargetEntry("i-1", WithField("\"seq\":4", "\"seq\":" + nested), error));
+    CPPUNIT_ASSERT(platform::ReadTargetEntry(
+        "i-1", WithField("\"seq\":4", "\"seq\":" + std::string(300, '9')), error));
+  }
+
   // Guards against applying slot counts and ejections to a restarted target that were recorded for
   // its previous process under the same name.
   void TestRestartedTargetHasNewId() {
@@ -179,6 +214,12 @@
     CPPUNIT_ASSERT(!platform::DecodeBase64("abc"));
     CPPUNIT_ASSERT(!platform::DecodeBase64("a!c="));
   }
+
+ private:
+  static std::string WithField(const std::string& from, const std::string& to) {
+    std::string entry = kEntry;
+    return entry.replace(entry.find(from), from.size(), to);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDocumentsTest);
