--- a/Tests/LibHost/configuration_store_test.cc
+++ b/Tests/LibHost/configuration_store_test.cc
@@ -167,7 +167,8 @@
         platform.table.rows.erase("configuration/current");
       }
       std::optional<ConfigurationDocument> newest;
-      store.ReadNewest(seed % 20, [&](const auto& document, const Error&) { newest = document; });
+      store.ReadNewest(seed % 20, true,
+                       [&](const auto& document, const Error&) { newest = document; });
       platform.queue.RunAll();
       CPPUNIT_ASSERT(newest.has_value());
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, newest->revision);
