Host: Refuse requests that cannot end before the host is ended

Reported by operators of similar systems: requests that came late in the grace of a planned stop were passed on and cut at its end without an answer, also such that may not be repeated (LOST).

Cause: the host did not know the grace (grace-s of the platform's bounds). Change: it is read, and from the signal on a non-idempotent request is accepted only if its deadline is within the grace, another one also in the first half of it. Others get 503 'stopping', not run, at once. TestRequestIsCutAtTheEndOfTheGrace states which; the code before had no such decision to test.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -24,6 +24,7 @@
 #include "Libraries/LibHost/probe_controller.h"
 #include "Libraries/LibHost/report_controller.h"
 #include "Libraries/LibHost/request_reader.h"
+#include "Libraries/LibHost/stop_admission.h"
 #include "Libraries/LibHost/wall_clock.h"
 
 namespace pimentopin {
@@ -102,6 +103,8 @@
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
+  // Set when the host begins to stop; read by the traffic threads.
+  std::shared_ptr<const StopAdmission> stop_admission;
 
   std::unique_ptr<HttpClient> platform_client;
   std::unique_ptr<PlatformStore> store;
@@ -343,6 +346,12 @@
     exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
                            SteadyNow(), refusal);
   }
+  const auto admission = std::atomic_load(&this->stop_admission);
+  if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
+    exchange.reset();
+    refusal = {503, Outcome::kNotRun, "stopping",
+               "this host will have stopped before the request can end"};
+  }
   if (!exchange) {
     this->metrics.IncrementCounter("pimentopin_refused_requests_total",
                                    "reason=\"" + refusal.reason + "\"");
@@ -488,6 +497,9 @@
   }
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()}});
+  std::atomic_store(&this->stop_admission,
+                    std::make_shared<const StopAdmission>(StopAdmission{
+                        .started_at = SteadyNow(), .grace = this->settings.shutdown_grace}));
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -26,6 +26,8 @@
   std::size_t max_concurrent_requests = 1024;
   // Time for the load balancer to detect that the host is not ready.
   Duration shutdown_delay = std::chrono::seconds(5);
+  // Time after which the platform ends a host that it told to stop; zero if it does not.
+  Duration shutdown_grace{};
   // Zero disables probes.
   Duration probe_interval = std::chrono::seconds(3);
   // Rate of requests of another host to a service, in requests per second, from which this
--- /dev/null
+++ b/Libraries/LibHost/stop_admission.cc
@@ -0,0 +1,15 @@
+#include "Libraries/LibHost/stop_admission.h"
+
+namespace pimentopin {
+
+bool StopAdmission::Accepts(TimePoint now, const RequestDescription& request) const {
+  if (this->grace == Duration::zero() ||
+      request.deadline <= this->started_at + this->grace - kMargin) {
+    return true;
+  }
+  // Most requests end long before their deadline. A caller may repeat an idempotent one that does
+  // not.
+  return request.idempotent && now - this->started_at < this->grace / 2;
+}
+
+}  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/stop_admission.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/dispatch_types.h"
+
+namespace pimentopin {
+
+// Decides which requests a host accepts that the platform has told to stop and will end after
+// `grace`. A request that is still running then would be cut off without an answer.
+struct StopAdmission {
+  // Left for the response to reach the caller.
+  static constexpr Duration kMargin = std::chrono::milliseconds(300);
+
+  TimePoint started_at;
+  // Zero if the platform does not end the host.
+  Duration grace{};
+
+  bool Accepts(TimePoint now, const RequestDescription& request) const;
+
+  friend bool operator==(const StopAdmission&, const StopAdmission&) = default;
+};
+
+}  // namespace pimentopin
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -74,6 +74,8 @@
   if (bounds.retry_ratio && bounds.retry_extra) {
     ApplyRetryLimits(*bounds.retry_ratio, *bounds.retry_extra, settings);
   }
+  settings.shutdown_grace = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(bounds.shutdown_grace_s.value_or(0)));
   settings.floor_share = bounds.floor_share.value_or(settings.floor_share);
   if (result.action == SettingsAction::kCheck) {
     std::cout << "settings are valid\n";
--- /dev/null
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -0,0 +1,53 @@
+#include "Libraries/LibHost/stop_admission.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentopin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class StopAdmissionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StopAdmissionTest);
+  CPPUNIT_TEST(TestRequestIsCutAtTheEndOfTheGrace);
+  CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against requests that are accepted late in the grace and end without an answer.
+  void TestRequestIsCutAtTheEndOfTheGrace() {
+    const StopAdmission admission{.started_at = kStart, .grace = seconds(6)};
+    CPPUNIT_ASSERT(admission.Accepts(kStart, Request(seconds(2), false)));
+    CPPUNIT_ASSERT(
+        admission.Accepts(kStart + milliseconds(3700), Request(seconds(2), false, 3700)));
+    CPPUNIT_ASSERT(
+        !admission.Accepts(kStart + milliseconds(3800), Request(seconds(2), false, 3800)));
+    // The deadline of a non-idempotent request has to be within the grace.
+    CPPUNIT_ASSERT(!admission.Accepts(kStart, Request(seconds(8), false)));
+    CPPUNIT_ASSERT(admission.Accepts(kStart + milliseconds(2900), Request(seconds(8), true, 2900)));
+    CPPUNIT_ASSERT(!admission.Accepts(kStart + seconds(3), Request(seconds(8), true, 3000)));
+  }
+
+  // Guards against refusals by a host that may take any time to stop.
+  void TestHostWithoutGraceAcceptsAll() {
+    const StopAdmission admission{.started_at = kStart};
+    CPPUNIT_ASSERT(admission.Accepts(kStart + seconds(60), Request(seconds(60), false, 60'000)));
+  }
+
+ private:
+  static constexpr TimePoint kStart = TimePoint(seconds(1000));
+
+  // A request that arrives `arrival_ms` after the start of the stop.
+  static RequestDescription Request(Duration budget, bool idempotent, int arrival_ms = 0) {
+    RequestDescription request;
+    request.deadline = kStart + milliseconds(arrival_ms) + budget;
+    request.idempotent = idempotent;
+    return request;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopAdmissionTest);
+
+}  // namespace
+}  // namespace pimentopin
--- a/Tests/PlatformAdapter/bounds_test.cc
+++ b/Tests/PlatformAdapter/bounds_test.cc
@@ -17,11 +17,13 @@
   void TestKnownBoundsAreRead() {
     Findings findings;
     const auto bounds = platform::ReadPlatformBounds(
-        "drain-s=2,new=a=b,,retry-budget-ratio=0.2,budget-extra=630,flag,floor-share=0.7",
+        "drain-s=2,new=a=b,,grace-s=6,retry-budget-ratio=0.2,budget-extra=630,flag,floor-share=0.7",
         findings);
     CPPUNIT_ASSERT(findings.empty());
-    CPPUNIT_ASSERT((bounds == platform::PlatformBounds{
-                                  .retry_ratio = 0.2, .retry_extra = 630, .floor_share = 0.7}));
+    CPPUNIT_ASSERT(
+        (bounds ==
+         platform::PlatformBounds{
+             .retry_ratio = 0.2, .retry_extra = 630, .floor_share = 0.7, .shutdown_grace_s = 6}));
     CPPUNIT_ASSERT(platform::ReadPlatformBounds("", findings) == platform::PlatformBounds{});
   }
 
