--- a/review/standins.py
+++ b/review/standins.py
@@ -223,13 +223,14 @@
 
 
 class Backend(Server):
-    """Sound backend that runs every request at once."""
+    """Sound backend that runs every request at once, each for `work_s`."""
 
-    def __init__(self, name, service, zone, record):
+    def __init__(self, name, service, zone, record, work_s=0.0):
         self.name = name
         self.service = service
         self.zone = zone
         self.record = record
+        self.work_s = work_s
         self.born = int(time.time() * 1000)
         # (seconds since the start, attempt id) of each request that it ran.
         self.runs = []
@@ -246,7 +247,8 @@
             return
         attempt = headers.get("x-pimentopin-attempt-id", "")
         self.runs.append((self.record.now(), attempt))
-        self.record.write(f"run: {attempt} at {self.name}")
+        self.record.write(f"run: {attempt} at {self.name}, body of {len(body)} bytes")
+        time.sleep(self.work_s)
         text = f"{self.name} {attempt}".encode()
         connection.sendall(
             f"HTTP/1.1 200 OK\r\nX-Pimentopin-Attempt-Id: {attempt}\r\n"
@@ -280,6 +282,16 @@
             self.process = subprocess.Popen(self.command, cwd=ROOT, stdout=log, stderr=log)
         self.record.write(f"host: {self.name} started")
 
+    def anonymous_memory(self):
+        """Bytes of the process that no file backs; 0 if it has ended."""
+        try:
+            for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) * 1024
+        except OSError:
+            pass
+        return 0
+
     def kill(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
@@ -326,11 +338,11 @@
         return status
 
 
-def configuration(version, service):
-    """The operator's document with one safe route to the service."""
+def configuration(version, service, kind="safe", timeout_s=2):
+    """The operator's document with one route, /pages/, to the service."""
     return {"version": f"{version:08x}", "resources": [
         {"type": "routes", "metadata": {"name": "r-1"},
-         "spec": {"host": HOST_NAME, "prefix": "/pages/", "kind": "safe", "timeout-s": 2,
+         "spec": {"host": HOST_NAME, "prefix": "/pages/", "kind": kind, "timeout-s": timeout_s,
                   "target-latency-s": 0.6, "priority": 1, "max-attempts": 2, "service": service}},
         {"type": "services", "metadata": {"name": service},
          "spec": {"health-path": "/health", "max-conns": 330, "protocol": "h1", "tls": False}},
