--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import threading
@@ -29,6 +30,14 @@
     """The case could not be set up."""
 
 
+def on_terminate(number, frame):
+    raise CannotRun("the time limit of the script has passed")
+
+
+# Lets the scripts end the processes that they started.
+signal.signal(signal.SIGTERM, on_terminate)
+
+
 class Record:
     """Writes what was sent, answered and run, with seconds since the start of the script."""
 
