Membership: Apply the answer to a listing as a listing

Cause: a restarted reader lists the table of targets and requests a peer's copy at the same time. The copy arrives first and clears needs_listing. OnRows decided by that flag, when the listing arrived, that the rows were changes, so that rows missing in the listing were not removed, while the read version moved past their removal. The reader then relayed other rows under that version, and its whole failure domain skipped the removal.

The kind of a read is now recorded when the read starts. A listing removes what it lacks, whatever arrived meanwhile.

--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -142,6 +142,7 @@
     return actions;
   }
   state->reading = false;
+  const bool is_listing = std::exchange(state->reading_listing, false);
   const bool history_lost = error.code == ErrorCode::kNotFound;
   this->RecordStoreResult(now, batch.has_value() || history_lost);
   if (!batch) {
@@ -165,8 +166,8 @@
       now - *confirmed >= StoreFreshness::kMaxAge + kMinOutage) {
     state->mirror.DeferRemovals(now + kRemovalGracePeriod);
   }
-  const bool was_listed = std::exchange(state->needs_listing, false);
-  std::vector<FeedRow> changed = was_listed ? state->mirror.ApplyListing(now, *batch)
+  state->needs_listing = false;
+  std::vector<FeedRow> changed = is_listing ? state->mirror.ApplyListing(now, *batch)
                                             : state->mirror.ApplyChanges(now, *batch);
   // Deferred removals whose rows were not written again by this read.
   const std::vector<FeedRow> due_removals = state->mirror.ApplyDeferredRemovals(now);
@@ -590,7 +591,8 @@
   }
   state.reading = true;
   state.read_started_at = now;
-  if (state.needs_listing) {
+  state.reading_listing = state.needs_listing;
+  if (state.reading_listing) {
     actions.emplace_back(ListTable{state.table.name});
     return;
   }
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -189,6 +189,9 @@
     Table table;
     TableMirror mirror;
     bool reading = false;
+    // The read in flight is a listing, as the first one always is. Meanwhile a peer may send the
+    // table, so that the next read need not be one.
+    bool reading_listing = true;
     bool needs_listing = true;
     TimePoint next_read;
     TimePoint read_started_at;
--- a/Tests/LibMembership/membership_test.cc
+++ b/Tests/LibMembership/membership_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "Libraries/LibCore/contains.h"
 #include "Libraries/LibMembership/configuration_tracker.h"
 #include "Libraries/LibMembership/leaving_targets.h"
 #include "Libraries/LibMembership/store_relay.h"
@@ -13,12 +14,15 @@
 using std::chrono::seconds;
 
 constexpr TargetId kTarget{5};
+constexpr char kTable[] = "targets";
+constexpr HostId kPeer{2};
 
 class MembershipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MembershipTest);
   CPPUNIT_TEST(TestExchangedNoticeExpires);
   CPPUNIT_TEST(TestStartupWindowAdoptsHighestRevision);
   CPPUNIT_TEST(TestFirstListingIsNotRelayed);
+  CPPUNIT_TEST(TestRemovalIsLostIfListingCrossesPeerTable);
   CPPUNIT_TEST(TestLostDocumentIsRequestedFromAnotherHost);
   CPPUNIT_TEST(TestOneCopyOfDocumentIsRequestedAtOnce);
   CPPUNIT_TEST(TestNewerRevisionIsRequestedAfterDocument);
@@ -107,7 +111,6 @@
   // and send the whole table to each other: 45 hosts with 57 KB each saturated
   // 10 Mbit/s links for two seconds.
   void TestFirstListingIsNotRelayed() {
-    constexpr char kTable[] = "targets";
     StoreRelay relay(
         HostId{1}, "127.0.0.1:1",
         {{.name = kTable,
@@ -132,6 +135,42 @@
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2},
                          count_relays(relay.OnRows(start + seconds(1), kTable, change, {})));
   }
+
+  // Guards against a restarted reader that keeps a removed target because a peer's older table
+  // arrived between the start and the end of its listing.
+  void TestRemovalIsLostIfListingCrossesPeerTable() {
+    StoreRelay relay = MakeRelay();
+    const TimePoint start(seconds(100));
+    const std::vector<RelayAction> reads = relay.Tick(start);
+    CPPUNIT_ASSERT(Contains(reads, RelayAction(ListTable{kTable})));
+    const RowRelay peer_table{.table = kTable,
+                              .base_version = 0,
+                              .version = 2,
+                              .rows = {{.key = "gone", .version = 1, .value = "1"},
+                                       {.key = "kept", .version = 2, .value = "1"}}};
+    relay.OnRelay(start + milliseconds(1), kPeer, peer_table);
+    const FeedBatch listing{.rows = {{.key = "kept", .version = 2, .value = "1"}}, .version = 3};
+    const FeedRow removal{.key = "gone", .version = 3, .removed = true};
+    const std::vector<RelayAction> actions =
+        relay.OnRows(start + milliseconds(4), kTable, listing, {});
+    CPPUNIT_ASSERT(Contains(actions, RelayAction(RowsChanged{kTable, {removal}})));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, relay.RowVersion(kTable, "gone"));
+  }
+
+ private:
+  // A reader of a failure domain of two hosts with one table.
+  static StoreRelay MakeRelay() {
+    StoreRelay relay(
+        HostId{1}, "127.0.0.1:1",
+        {{.name = kTable,
+          .polled = true,
+          .defers_removals = true,
+          .is_relevant_change = [](const std::string& before,
+                                   const std::string& after) { return before != after; }}},
+        true);
+    relay.SetHosts(DomainId{1}, {{DomainId{1}, {HostId{1}, kPeer}}});
+    return relay;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
