Membership: Relay removals at once, and defer only acting on them

Cause: after an outage the table's copy kept rows whose removal was deferred, but its version moved past the removal with the other changes of the same read. Versions are what hosts compare: receivers of the other rows never asked for the removal, the deferring host applied it only at a later read of its own, and if it relayed it then, under a version that the others already had, they dropped it. A host that returned from a partition announced such a version, and healthy hosts took its whole table, removed rows included.

The copy now has exactly the rows of its version, and removals are relayed like other changes. Each host defers only acting on them (DeferredRemovals): for 2 s after a gap in what it heard of the table, until a read since then has not brought the row back. The removals become due by a timer, not by a read of the same host. The new log line removals_deferred tells deferral from loss.

--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -212,6 +212,13 @@
   }
 }
 
+void DirectoryController::Execute(const RemovalsDeferred& action) {
+  Log(LogLevel::kInfo, "removals_deferred",
+      {{"table", action.table},
+       {"rows", action.rows},
+       {"wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(action.wait).count()}});
+}
+
 void DirectoryController::Execute(const SendToHost& action) {
   this->peers.Send(action.host, action.message);
 }
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -71,6 +71,7 @@
   void Execute(const ReadNewestConfiguration& action);
   void Execute(const PullConfiguration& action);
   void Execute(const RowsChanged& action);
+  void Execute(const RemovalsDeferred& action);
   void Execute(const SendToHost& action);
   void OnRows(const std::string& table, const std::optional<FeedBatch>& batch, const Error& error);
   void OnHostRows(const std::vector<FeedRow>& rows);
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -121,14 +121,48 @@
     return;
   }
   this->last_known_answer_at = now;
-  const auto started_at = std::exchange(this->outage_start, std::nullopt);
-  if (!started_at || now - *started_at < kMinOutage) {
-    return;
+  this->outage_start.reset();
+}
+
+void StoreRelay::DeferRemovalsAfterGap(TimePoint now, TableState& state) {
+  if (state.table.defers_removals && state.heard_at && now - *state.heard_at >= kOutageGap) {
+    state.deferred_removals.DeferUntil(now + kRemovalGracePeriod);
+    state.heard_at = now;
   }
-  for (TableState& state : this->table_states) {
-    if (state.table.defers_removals) {
-      state.mirror.DeferRemovals(now + kRemovalGracePeriod);
-    }
+}
+
+void StoreRelay::RecordHeard(TimePoint now, TimePoint at, TableState& state) {
+  DeferRemovalsAfterGap(now, state);
+  state.heard_at = std::max(state.heard_at, std::optional(at));
+}
+
+// The copy of the table and what is relayed have each removal at once. Only acting on it waits, at
+// each host for itself, so that no host's version covers a removal that the host does not have.
+void StoreRelay::ActOnChanges(TimePoint now,
+                              TableState& state,
+                              std::vector<FeedRow> changes,
+                              Actions& actions) {
+  const std::size_t count = changes.size();
+  std::vector<FeedRow> effective = state.deferred_removals.Filter(now, std::move(changes));
+  if (effective.size() < count) {
+    actions.emplace_back(
+        RemovalsDeferred{.table = state.table.name,
+                         .rows = count - effective.size(),
+                         .wait = state.deferred_removals.waiting_until().value_or(now) - now});
+  }
+  if (!effective.empty()) {
+    actions.emplace_back(RowsChanged{state.table.name, std::move(effective)});
+  }
+}
+
+std::optional<TimePoint> StoreRelay::ConfirmedAt(const TableState& state) const {
+  return std::max(state.confirmed_at, this->freshness.confirmed_at());
+}
+
+void StoreRelay::ActOnDueRemovals(TimePoint now, TableState& state, Actions& actions) const {
+  std::vector<FeedRow> due = state.deferred_removals.TakeDue(now, this->ConfirmedAt(state));
+  if (!due.empty()) {
+    actions.emplace_back(RowsChanged{state.table.name, std::move(due)});
   }
 }
 
@@ -147,7 +181,11 @@
   this->RecordStoreResult(now, batch.has_value() || history_lost);
   if (!batch) {
     state->needs_listing = state->needs_listing || history_lost;
-    state->next_read = history_lost ? now : now + kRetryInterval;
+    // The reads of a polled table go on at their interval, so that the end of the outage is known
+    // early enough for the removals that have to wait.
+    state->next_read = history_lost          ? now
+                       : state->table.polled ? now + kPollInterval
+                                             : now + kRetryInterval;
     if (!history_lost) {
       this->freshness.RecordOutage(now);
       if (this->IsReader(now)) {
@@ -160,26 +198,22 @@
   state->confirmed_at = state->read_started_at;
   this->RecordOwnRow(*state, *batch);
   const std::optional<std::uint64_t> base = state->ContentVersion();
-  // Rows may have expired in an outage that this host has not seen.
-  const std::optional<TimePoint> confirmed = this->freshness.confirmed_at();
-  if (state->table.defers_removals && confirmed &&
-      now - *confirmed >= StoreFreshness::kMaxAge + kMinOutage) {
-    state->mirror.DeferRemovals(now + kRemovalGracePeriod);
-  }
+  RecordHeard(now, now, *state);
   state->needs_listing = false;
-  std::vector<FeedRow> changed = is_listing ? state->mirror.ApplyListing(now, *batch)
-                                            : state->mirror.ApplyChanges(now, *batch);
-  // Deferred removals whose rows were not written again by this read.
-  const std::vector<FeedRow> due_removals = state->mirror.ApplyDeferredRemovals(now);
-  changed.insert(changed.end(), due_removals.begin(), due_removals.end());
+  std::vector<FeedRow> changed =
+      is_listing ? state->mirror.ApplyListing(*batch) : state->mirror.ApplyChanges(*batch);
+  if (!changed.empty()) {
+    this->RelayRows(now, *state, base, changed, actions);
+    ActOnChanges(now, *state, std::move(changed), actions);
+  }
   state->next_read = now + (state->table.polled ? kPollInterval : kMinLongPollInterval);
+  if (const auto waiting_until = state->deferred_removals.waiting_until()) {
+    // A read after this time confirms the removals.
+    state->next_read = std::min(state->next_read, std::max(now, *waiting_until));
+  }
   if (state->table.polled && this->configuration_polled && !this->reading_configuration) {
     this->next_configuration_read = state->next_read;
   }
-  if (!changed.empty()) {
-    this->RelayRows(now, *state, base, changed, actions);
-    actions.emplace_back(RowsChanged{table, changed});
-  }
   this->ConfirmByOwnReads(now);
   return actions;
 }
@@ -255,7 +289,7 @@
   }
   if (!this->pending_confirmation || this->pending_confirmation->at < answered_at) {
     this->pending_confirmation = {.digest = digest, .at = answered_at};
-    this->ConfirmByDigest();
+    this->ConfirmByDigest(now);
   }
   if (!digest.store_answered && digest.age < kDigestTimeout) {
     this->RecordStoreResult(now, true);
@@ -266,7 +300,7 @@
   TimePoint& last_digest = this->last_digest_at[digest.reader];
   last_digest = std::max(last_digest, answered_at);
   // A host that receives a digest on two ways forwards it once.
-  if (answered_at - this->last_forwarded_answer < kPollInterval / 2) {
+  if (answered_at - this->last_forwarded_answer < kMinDigestInterval) {
     return;
   }
   this->last_forwarded_answer = answered_at;
@@ -294,7 +328,7 @@
   return receivers;
 }
 
-void StoreRelay::ConfirmByDigest() {
+void StoreRelay::ConfirmByDigest(TimePoint now) {
   if (!this->pending_confirmation) {
     return;
   }
@@ -308,6 +342,9 @@
       });
   if (has_all) {
     this->freshness.Confirm(this->pending_confirmation->at, digest.reader);
+    for (TableState& state : this->table_states) {
+      RecordHeard(now, this->pending_confirmation->at, state);
+    }
   }
 }
 
@@ -362,7 +399,7 @@
 
 void StoreRelay::SetConfigurationRevision(TimePoint now, std::uint64_t new_revision) {
   this->revision = new_revision;
-  this->ConfirmByDigest();
+  this->ConfirmByDigest(now);
   this->ConfirmByOwnReads(now);
 }
 
@@ -383,6 +420,8 @@
       (state->mirror.loaded() && relay.version <= state->mirror.content_version())) {
     return actions;
   }
+  // The sender may have read the rows long ago, so that only a gap counts.
+  DeferRemovalsAfterGap(now, *state);
   const bool is_whole_table = relay.base_version == 0;
   if (!is_whole_table &&
       (!state->mirror.loaded() || state->mirror.content_version() < relay.base_version)) {
@@ -392,21 +431,18 @@
   const FeedBatch batch = ToFeedBatch(relay);
   this->RecordOwnRow(*state, batch);
   const std::optional<std::uint64_t> base = state->ContentVersion();
-  // The sender has already deferred the removals for the grace period, so they
-  // apply at once here.
-  std::vector<FeedRow> changed = is_whole_table
-                                     ? state->mirror.ApplyListing(TimePoint::max(), batch)
-                                     : state->mirror.ApplyChanges(TimePoint::max(), batch);
+  std::vector<FeedRow> changed =
+      is_whole_table ? state->mirror.ApplyListing(batch) : state->mirror.ApplyChanges(batch);
   if (std::exchange(state->needs_listing, false)) {
     state->next_read = now;
   }
   state->mirror.RaiseContentVersion(relay.version);
-  this->ConfirmByDigest();
+  this->ConfirmByDigest(now);
   if (!changed.empty()) {
     // If another domain's reader was faster, this host's own reads no longer return
     // these rows as changes, so a reader has to relay them here.
     this->RelayRows(now, *state, base, changed, actions);
-    actions.emplace_back(RowsChanged{relay.table, std::move(changed)});
+    ActOnChanges(now, *state, std::move(changed), actions);
   }
   return actions;
 }
@@ -607,6 +643,7 @@
   this->Join(now);
   this->RequestMissingTables(actions);
   for (TableState& state : this->table_states) {
+    this->ActOnDueRemovals(now, state, actions);
     this->StartRead(now, state, actions);
   }
   this->SendGreetings(now, actions);
@@ -630,7 +667,7 @@
   }
   this->ConfirmByOwnReads(now);
   if (this->IsActiveReader(now) && this->freshness.reader() == this->self &&
-      *this->freshness.confirmed_at() - this->last_digest_confirmed_at >= kPollInterval / 2) {
+      *this->freshness.confirmed_at() - this->last_digest_confirmed_at >= kMinDigestInterval) {
     this->last_digest_confirmed_at = *this->freshness.confirmed_at();
     this->SendDigests(now, actions);
   }
@@ -658,6 +695,8 @@
     next = std::min(next, std::max({now, readable, this->next_configuration_read}));
   }
   for (const TableState& state : this->table_states) {
+    next = std::min(next,
+                    std::max(now, state.deferred_removals.NextDeadline(this->ConfirmedAt(state))));
     if (!state.reading) {
       next = std::min(next, std::max({now, this->ReadableFrom(state), state.next_read}));
     }
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -11,6 +11,7 @@
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibMembership/deferred_removals.h"
 #include "Libraries/LibMembership/store_freshness.h"
 #include "Libraries/LibMembership/table_mirror.h"
 #include "Libraries/LibPlatform/row_feed.h"
@@ -63,11 +64,21 @@
   friend bool operator==(const RowsChanged&, const RowsChanged&) = default;
 };
 
+// Action: report that the removals of `rows` rows wait for `wait`.
+struct RemovalsDeferred {
+  std::string table;
+  std::size_t rows = 0;
+  Duration wait{};
+
+  friend bool operator==(const RemovalsDeferred&, const RemovalsDeferred&) = default;
+};
+
 using RelayAction = std::variant<ListTable,
                                  ReadChanges,
                                  ReadNewestConfiguration,
                                  PullConfiguration,
                                  RowsChanged,
+                                 RemovalsDeferred,
                                  SendToHost>;
 
 // Replicates the store's tables to every host with few reads. In each failure
@@ -81,6 +92,8 @@
   // kTakeoverStagger, a change reaches all hosts within 1.5 s after the reader failed; the limit is
   // 2 s.
   static constexpr Duration kPollInterval = std::chrono::milliseconds(700);
+  // Digests that confirm times closer to each other are one digest, received on two ways.
+  static constexpr Duration kMinDigestInterval = kPollInterval / 4;
   static constexpr Duration kDigestTimeout = std::chrono::milliseconds(1200);
   // Number of hosts next in rank that receive every digest from the reader.
   static constexpr std::size_t kSuccessorCount = 2;
@@ -105,6 +118,8 @@
   static constexpr Duration kRemovalGracePeriod = std::chrono::seconds(2);
   // Rows do not expire in a shorter outage.
   static constexpr Duration kMinOutage = std::chrono::milliseconds(1500);
+  // A host that heard nothing of a table for this long may have missed an outage of the store.
+  static constexpr Duration kOutageGap = StoreFreshness::kMaxAge + kMinOutage;
   // Limits the rate of long polls if the store returns from them at once.
   static constexpr Duration kMinLongPollInterval = std::chrono::milliseconds(100);
   // Number of random hosts to which the reader sends a digest every kRetryInterval
@@ -197,6 +212,9 @@
     TimePoint read_started_at;
     // Start of the last read that the store answered.
     std::optional<TimePoint> confirmed_at;
+    // Last time at which a read of this host or of another one showed the table.
+    std::optional<TimePoint> heard_at;
+    DeferredRemovals deferred_removals;
     // Time of the last request to a peer for the whole table.
     std::optional<TimePoint> requested_at;
 
@@ -208,9 +226,22 @@
 
   const TableState* FindTable(const std::string& table) const;
   TableState* FindTable(const std::string& table);
-  // Records whether the store answered this host or the reader of its domain, and
-  // defers removals at the end of an outage.
+  // Records whether the store answered this host or the reader of its domain.
   void RecordStoreResult(TimePoint now, bool answered);
+  // Defers removals if this host has not heard of the table for so long that rows may have expired
+  // in an outage of the store.
+  static void DeferRemovalsAfterGap(TimePoint now, TableState& state);
+  // Records that a read that started at `at` has shown the table.
+  static void RecordHeard(TimePoint now, TimePoint at, TableState& state);
+  // Makes the host act on changes of its copy of the table.
+  static void ActOnChanges(TimePoint now,
+                           TableState& state,
+                           std::vector<FeedRow> changes,
+                           Actions& actions);
+  // Makes the host act on the removals that have waited long enough.
+  void ActOnDueRemovals(TimePoint now, TableState& state, Actions& actions) const;
+  // Time up to which this host's copy of the table is known to be current.
+  std::optional<TimePoint> ConfirmedAt(const TableState& state) const;
   bool IsFirst(const TableState& state) const { return &state == this->table_states.data(); }
   // Time from which this host reads the table.
   TimePoint ReadableFrom(const TableState& state) const;
@@ -242,7 +273,7 @@
   // Records what the digest says of other hosts' reads, and forwards it.
   void RecordForwardedAnswer(TimePoint now, const StoreDigest& digest, Actions& actions);
   // Confirms this host's view with the last digest if it is not older than the digest.
-  void ConfirmByDigest();
+  void ConfirmByDigest(TimePoint now);
   // Confirms this host's view with its own reads.
   void ConfirmByOwnReads(TimePoint now);
   // Asks another host whether something in the store is newer, if the view is stale.
--- a/Libraries/LibMembership/table_mirror.cc
+++ b/Libraries/LibMembership/table_mirror.cc
@@ -10,7 +10,7 @@
 TableMirror::TableMirror(IsRelevantChange is_relevant_change)
     : is_relevant_change(std::move(is_relevant_change)) {}
 
-std::vector<FeedRow> TableMirror::ApplyListing(TimePoint now, const FeedBatch& batch) {
+std::vector<FeedRow> TableMirror::ApplyListing(const FeedBatch& batch) {
   FeedBatch with_removals = batch;
   std::set<std::string_view> listed;
   for (const FeedRow& row : batch.rows) {
@@ -22,13 +22,13 @@
     }
   }
   this->is_loaded = true;
-  return this->ApplyChanges(now, with_removals);
+  return this->ApplyChanges(with_removals);
 }
 
-std::vector<FeedRow> TableMirror::ApplyChanges(TimePoint now, const FeedBatch& batch) {
+std::vector<FeedRow> TableMirror::ApplyChanges(const FeedBatch& batch) {
   std::vector<FeedRow> changed;
   for (const FeedRow& row : batch.rows) {
-    if (auto change = this->Apply(now, row)) {
+    if (auto change = this->Apply(row)) {
       changed.push_back(std::move(*change));
     }
   }
@@ -39,13 +39,12 @@
   return changed;
 }
 
-std::optional<FeedRow> TableMirror::Apply(TimePoint now, const FeedRow& row) {
+std::optional<FeedRow> TableMirror::Apply(const FeedRow& row) {
   const auto known = this->rows.find(row.key);
   if (known != this->rows.end() && known->second.version >= row.version) {
     return std::nullopt;
   }
   if (!row.removed) {
-    this->deferred_removals.erase(row.key);
     const bool relevant = known == this->rows.end() || known->second.value.empty() ||
                           this->is_relevant_change(known->second.value, row.value);
     this->rows[row.key] = row;
@@ -54,32 +53,10 @@
   if (known == this->rows.end()) {
     return std::nullopt;
   }
-  if (now < this->defer_until) {
-    this->deferred_removals.emplace(row.key, row);
-    return std::nullopt;
-  }
-  this->deferred_removals.erase(row.key);
   this->rows.erase(known);
   return row;
 }
 
-void TableMirror::DeferRemovals(TimePoint until) {
-  this->defer_until = std::max(this->defer_until, until);
-}
-
-std::vector<FeedRow> TableMirror::ApplyDeferredRemovals(TimePoint now) {
-  if (now < this->defer_until) {
-    return {};
-  }
-  std::vector<FeedRow> removed;
-  for (const auto& [key, row] : std::exchange(this->deferred_removals, {})) {
-    this->rows.erase(key);
-    this->last_change_version = std::max(this->last_change_version, this->last_read_version);
-    removed.push_back(row);
-  }
-  return removed;
-}
-
 std::vector<FeedRow> TableMirror::Rows() const {
   std::vector<FeedRow> all;
   for (const auto& [key, row] : this->rows) {
--- a/Libraries/LibMembership/table_mirror.h
+++ b/Libraries/LibMembership/table_mirror.h
@@ -8,12 +8,12 @@
 #include <string>
 #include <vector>
 
-#include "Libraries/LibCore/time.h"
 #include "Libraries/LibPlatform/row_feed.h"
 
 namespace pimentopin {
 
-// Local copy of one table of the platform's store.
+// Local copy of one table of the platform's store. It has exactly the rows of its version: hosts
+// compare versions, so a change that were missing in one copy would be missing in all.
 class TableMirror {
  public:
   // Returns false if the difference between two values of a row is irrelevant to
@@ -24,15 +24,9 @@
 
   // Applies a listing of the whole table. Rows that it lacks count as removed.
   // Returns the relevant changes.
-  std::vector<FeedRow> ApplyListing(TimePoint now, const FeedBatch& batch);
+  std::vector<FeedRow> ApplyListing(const FeedBatch& batch);
   // Applies the changes since read_version. Returns the relevant ones.
-  std::vector<FeedRow> ApplyChanges(TimePoint now, const FeedBatch& batch);
-  // Keeps rows that are removed before `until` for at least that long, as their
-  // owners may write them again.
-  void DeferRemovals(TimePoint until);
-  // Applies the deferred removals once their time has passed, and returns them.
-  // Call it after a read, so that rows that were written again are known.
-  std::vector<FeedRow> ApplyDeferredRemovals(TimePoint now);
+  std::vector<FeedRow> ApplyChanges(const FeedBatch& batch);
 
   // Records that all changes up to this version are known.
   void RaiseContentVersion(std::uint64_t known) {
@@ -51,13 +45,10 @@
 
  private:
   // Returns the row if the change is relevant.
-  std::optional<FeedRow> Apply(TimePoint now, const FeedRow& row);
+  std::optional<FeedRow> Apply(const FeedRow& row);
 
   IsRelevantChange is_relevant_change;
   std::map<std::string, FeedRow> rows;
-  // Removals that wait for `defer_until`, by key.
-  std::map<std::string, FeedRow> deferred_removals;
-  TimePoint defer_until;
   std::uint64_t last_read_version = 0;
   std::uint64_t last_change_version = 0;
   bool is_loaded = false;
