Membership: Do not take back a row that an older read shows

All rows up to the version that a copy has read are in it, so that an unknown row of an older version has been removed since. MembershipTest::TestRemovedRowReturnsWithAnOlderRead failed before.

--- a/Libraries/LibMembership/table_mirror.cc
+++ b/Libraries/LibMembership/table_mirror.cc
@@ -44,6 +44,10 @@
   if (known != this->rows.end() && known->second.version >= row.version) {
     return std::nullopt;
   }
+  if (known == this->rows.end() && row.version <= this->last_read_version) {
+    // All rows up to this version are known, so this one has been removed since.
+    return std::nullopt;
+  }
   if (!row.removed) {
     const bool relevant = known == this->rows.end() || known->second.value.empty() ||
                           this->is_relevant_change(known->second.value, row.value);
--- a/Tests/LibMembership/membership_test.cc
+++ b/Tests/LibMembership/membership_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(TestStartupWindowAdoptsHighestRevision);
   CPPUNIT_TEST(TestFirstListingIsNotRelayed);
   CPPUNIT_TEST(TestRemovalIsLostIfListingCrossesPeerTable);
+  CPPUNIT_TEST(TestRemovedRowReturnsWithAnOlderRead);
   CPPUNIT_TEST(TestLostDocumentIsRequestedFromAnotherHost);
   CPPUNIT_TEST(TestOneCopyOfDocumentIsRequestedAtOnce);
   CPPUNIT_TEST(TestNewerRevisionIsRequestedAfterDocument);
@@ -157,6 +158,30 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, relay.RowVersion(kTable, "gone"));
   }
 
+  // Guards against a removed target that returns because a read that started before the removal
+  // ends after a peer has relayed it.
+  void TestRemovedRowReturnsWithAnOlderRead() {
+    StoreRelay relay = MakeRelay();
+    const TimePoint start(seconds(100));
+    const FeedBatch listing{.rows = {{.key = "kept", .version = 1, .value = "1"}}, .version = 1};
+    relay.Tick(start);
+    relay.OnRows(start, kTable, listing, {});
+    relay.Tick(start + seconds(1));
+    const RowRelay relayed{.table = kTable,
+                           .base_version = 1,
+                           .version = 3,
+                           .rows = {{.key = "kept", .version = 3, .value = "2"},
+                                    {.key = "gone", .version = 3, .value = "", .removed = true}}};
+    relay.OnRelay(start + seconds(1), kPeer, relayed);
+    const FeedBatch read{.rows = {{.key = "gone", .version = 2, .value = "1"}}, .version = 2};
+    const std::vector<RelayAction> actions =
+        relay.OnRows(start + seconds(1) + milliseconds(4), kTable, read, {});
+    CPPUNIT_ASSERT(std::none_of(actions.begin(), actions.end(), [](const RelayAction& action) {
+      return std::holds_alternative<RowsChanged>(action);
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, relay.RowVersion(kTable, "gone"));
+  }
+
  private:
   // A reader of a failure domain of two hosts with one table.
   static StoreRelay MakeRelay() {
