Http: Stop reading trailers at their limit

A target that sends trailers without end took a host from 10 to 923 MB within 5 s (24 requests, Meta/endless-responses), above the 260 MB at which the platform kills it, and the requests of other callers end with it (reported by other operators as a head or body without end).

Cause: libcurl keeps each trailer line with many times its size and reads up to 1.6 MB of a connection before it returns to the event loop. The limit of 128 KiB was noticed at once, but ended the transfer only from the event loop. Heads were ended in the callback already; bodies are read no further than the caller takes them.

The callback for a line now refuses the line above the limit, which ends the transfer at once.

Evidence: HttpClientTest::TestEndlessTrailersFillTheMemory failed before.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -42,9 +42,9 @@
 // the connection is lost, so connections idle for longer are not reused.
 constexpr long kMaxConnectionIdleSeconds = 8;
 
-// Limit on the status lines and header fields of a response, those of interim responses included.
-// Above libcurl's limit on a single line, which is 100 KiB.
-constexpr std::size_t kMaxResponseHeadBytes = 128 * 1024;
+// Limit on the status lines and header fields of a response, those of interim responses included,
+// and on its trailers. Above libcurl's limit on a single line, which is 100 KiB.
+constexpr std::size_t kMaxResponseFieldBytes = 128 * 1024;
 // Limit on the chunk extensions and trailers that follow each other without a byte of the body.
 constexpr std::size_t kMaxChunkFramingBytes = 128 * 1024;
 
@@ -187,8 +187,8 @@
   EasyHandle easy;
   HeaderList header_list;
   ResponseHeaderParser response;
-  // Bytes of the response before its body.
-  std::size_t head_bytes = 0;
+  // Bytes of the response before its body, or of its trailers.
+  std::size_t field_bytes = 0;
   // Bytes of a chunked body, with its framing, received since the last byte of its content.
   std::size_t chunk_framing_bytes = 0;
   // The peer sends bytes that are no response. The connection is closed and the transfer ends.
@@ -207,12 +207,12 @@
 
 std::size_t OnHeaderLine(char* bytes, std::size_t size, std::size_t count, void* data) {
   auto& transfer = *static_cast<CurlTransfer*>(data);
-  if (!transfer.response.complete()) {
-    transfer.head_bytes += size * count;
-    if (transfer.head_bytes > kMaxResponseHeadBytes) {
-      transfer.malformed = true;
-      return CURL_WRITEFUNC_ERROR;
-    }
+  // libcurl keeps each line with several times its size, and reads megabytes before it returns to
+  // the event loop, so the limit on trailers applies here as well as in OnDebugData().
+  transfer.field_bytes += size * count;
+  if (transfer.field_bytes > kMaxResponseFieldBytes) {
+    transfer.malformed = true;
+    return CURL_WRITEFUNC_ERROR;
   }
   const bool is_end_of_head = transfer.response.AddLine({bytes, size * count});
   if (transfer.response.has_unexpected_status()) {
@@ -220,6 +220,7 @@
     return CURL_WRITEFUNC_ERROR;
   }
   if (is_end_of_head) {
+    transfer.field_bytes = 0;
     if (!FindHeader(transfer.response.fields(), "Transfer-Encoding").empty()) {
       // Reports the received bytes to OnDebugData().
       curl_easy_setopt(transfer.easy.get(), CURLOPT_VERBOSE, 1L);
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <list>
 
@@ -20,6 +21,9 @@
 constexpr Duration kLongTimeout = std::chrono::seconds(20);
 // A response without end that the client does not recognise as malformed ends with kTimeout.
 constexpr Duration kEndlessResponseTimeout = std::chrono::seconds(5);
+constexpr std::size_t kTrailerBlockBytes = 256 * 1024;
+// A response may keep 128 KiB of lines; libcurl keeps them with several times their size.
+constexpr std::size_t kMaxTrailerMemoryBytes = 6 << 20;
 const std::string kSmallResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 const std::string kAdditionalResponse = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
@@ -52,6 +56,7 @@
   CPPUNIT_TEST(TestEndlessBytesAfterSwitchingProtocolsAreMalformed);
   CPPUNIT_TEST(TestEndlessChunkExtensionIsMalformed);
   CPPUNIT_TEST(TestEndlessTrailersAreMalformed);
+  CPPUNIT_TEST(TestEndlessTrailersFillTheMemory);
   CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
   CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
@@ -390,6 +395,18 @@
     this->CheckEndlessChunkFraming("0\r\nX-Trailer: ", "value", TransferError::kTruncated);
   }
 
+  // Guards against keeping trailers of megabytes, each line with many times its size, before the
+  // response counts as malformed.
+  void TestEndlessTrailersFillTheMemory() {
+    std::string trailers;
+    while (trailers.size() < kTrailerBlockBytes) {
+      trailers += "X-T: v\r\n";
+    }
+    const std::size_t before = ResetPeakMemory();
+    this->CheckEndlessChunkFraming("0\r\n", trailers);
+    CPPUNIT_ASSERT(PeakMemory() < before + kMaxTrailerMemoryBytes);
+  }
+
   // Guards against keeping a connection on which a peer sends bytes that belong to no request.
   void TestEndlessBytesAfterCompleteResponseCloseConnection() {
     for (const std::string method : {"GET", "HEAD"}) {
@@ -816,6 +833,23 @@
     return connection;
   }
 
+  // Highest resident memory of this process since the last reset, in bytes.
+  static std::size_t PeakMemory() {
+    std::ifstream status("/proc/self/status");
+    std::string field;
+    while (status >> field && field != "VmHWM:") {
+    }
+    std::size_t kilobytes = 0;
+    CPPUNIT_ASSERT(status >> kilobytes);
+    return kilobytes * 1024;
+  }
+
+  // Returns the peak after the reset.
+  static std::size_t ResetPeakMemory() {
+    std::ofstream("/proc/self/clear_refs") << "5" << std::flush;
+    return PeakMemory();
+  }
+
   static std::ptrdiff_t CountOpenDescriptors() {
     const std::filesystem::directory_iterator entries("/proc/self/fd");
     return std::distance(begin(entries), end(entries));
