--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -237,9 +237,7 @@
   if (history_lost) {
     delay = Duration::zero();
   } else if (!answered) {
-    // A reader's successors take over meanwhile; a host that reads for itself has none.
-    delay = this->configuration_read_for_domain ? Duration(kRetryInterval)
-                                                : StoreFreshness::kMinRetryInterval;
+    delay = StoreFreshness::kMinRetryInterval;
   }
   this->next_configuration_read = now + delay;
 }
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -336,7 +336,6 @@
   bool reading_configuration = false;
   TimePoint next_configuration_read;
   TimePoint configuration_read_started_at;
-  bool configuration_read_for_domain = false;
   // Start of the last read of the configuration that the store answered.
   std::optional<TimePoint> configuration_confirmed_at;
   // Time of the last answer that told whether there is a newer configuration.
