Http: Read on after closing a connection, so that no response is reset

Cause: a socket that is closed with unread bytes, or that receives bytes after it was closed, answers with a reset, and the kernel drops what the caller has not acknowledged. A caller that has sent its next request before it read the last response causes this.

The server now closes for sending only, and reads and discards until the caller closes, or for a second after the last byte was acknowledged, at most 10 s. A stop waits for these sockets like for open connections.

Evidence: HttpServerTest::TestResponseIsCutIfBytesArriveAfterTheClose failed before.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -1,5 +1,7 @@
 #include "Libraries/LibHttp/http_server.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <asio/bind_executor.hpp>
@@ -8,6 +10,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
 #include <asio/write.hpp>
 #include <restinio/http_server.hpp>
 #include <restinio/message_builders.hpp>
@@ -86,6 +89,10 @@
 // refusing a request, the server therefore keeps reading for this long.
 constexpr std::chrono::seconds kRefusalDrainTime(1);
 
+// The same for a connection that the server closes after a response, if the peer is slow to read
+// it.
+constexpr std::chrono::seconds kMaxLingerTime(10);
+
 // A read that has taken its bytes from the socket may still wait for the strand, so a connection
 // that seems idle is closed only if it is still idle after this time.
 constexpr std::chrono::milliseconds kIdleCloseDelay(20);
@@ -252,6 +259,71 @@
 class ServerContext : public asio::io_context {
  public:
   ConnectionRegistry registry;
+  // Sockets that LingeringSocket still reads.
+  std::atomic<std::size_t> lingering_sockets = 0;
+};
+
+// Reads and discards what a peer still sends on a connection that the server has closed for
+// sending. Closing a socket with unread bytes, or receiving bytes after that, resets the connection
+// and drops the part of the last response that the peer has not acknowledged.
+class LingeringSocket : public std::enable_shared_from_this<LingeringSocket> {
+ public:
+  LingeringSocket(ServerContext& context, asio::ip::tcp::socket open_socket)
+      : context(context),
+        strand(context.get_executor()),
+        socket(std::move(open_socket)),
+        timer(context) {
+    ++this->context.lingering_sockets;
+  }
+  ~LingeringSocket() { --this->context.lingering_sockets; }
+  LingeringSocket(const LingeringSocket&) = delete;
+  LingeringSocket& operator=(const LingeringSocket&) = delete;
+
+  void Start() {
+    this->Discard();
+    this->CloseLater(std::chrono::steady_clock::now() + kMaxLingerTime);
+  }
+
+ private:
+  void Discard() {
+    this->socket.async_read_some(
+        asio::buffer(this->discarded),
+        asio::bind_executor(this->strand, [self = this->shared_from_this()](
+                                              const asio::error_code& error, std::size_t) {
+          if (error) {
+            self->timer.cancel();
+          } else {
+            self->Discard();
+          }
+        }));
+  }
+
+  void CloseLater(std::chrono::steady_clock::time_point limit) {
+    this->timer.expires_after(kRefusalDrainTime);
+    this->timer.async_wait(asio::bind_executor(
+        this->strand, [self = this->shared_from_this(), limit](const asio::error_code& error) {
+          if (error) {
+            return;
+          }
+          if (self->HasUnacknowledgedBytes() && std::chrono::steady_clock::now() < limit) {
+            self->CloseLater(limit);
+            return;
+          }
+          asio::error_code ignored;
+          self->socket.close(ignored);
+        }));
+  }
+
+  bool HasUnacknowledgedBytes() {
+    int bytes = 0;
+    return ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  }
+
+  ServerContext& context;
+  asio::strand<asio::io_context::executor_type> strand;
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer;
+  std::array<char, 4096> discarded{};
 };
 
 // Socket type of the RESTinio traits. Sends an error response to requests for which RESTinio would
@@ -285,10 +357,28 @@
     this->set_option(asio::socket_base::linger(true, 0), ignored);
     this->Base::close(ignored);
   }
+  // Called by RESTinio before close(). Bytes that arrive later are still read.
+  void shutdown(asio::socket_base::shutdown_type /*what*/, asio::error_code& error) {
+    Base::shutdown(asio::socket_base::shutdown_send, error);
+  }
+  void close() { this->CloseGracefully(); }
+  // Closes the connection such that the peer receives all that was written.
   void CloseGracefully() {
-    asio::error_code ignored;
-    this->shutdown(asio::socket_base::shutdown_send, ignored);
-    this->Base::close(ignored);
+    asio::error_code error;
+    if (!this->is_open()) {
+      return;
+    }
+    this->shutdown(asio::socket_base::shutdown_send, error);
+    auto& context = static_cast<ServerContext&>(this->get_executor().context());
+    const auto protocol = this->local_endpoint(error).protocol();
+    if (error) {
+      this->Base::close(error);
+      return;
+    }
+    asio::ip::tcp::socket rest(context, protocol, this->release(error));
+    if (!error) {
+      std::make_shared<LingeringSocket>(context, std::move(rest))->Start();
+    }
   }
   // True if no byte of another request has been received.
   bool IsIdle(std::uint64_t requests_handled) const {
@@ -1015,7 +1105,9 @@
   std::string address() const override { return this->bound_address; }
   std::size_t requests_in_progress() const override { return this->state->requests_in_progress; }
 
-  std::size_t open_connections() const override { return this->state->context.registry.size(); }
+  std::size_t open_connections() const override {
+    return this->state->context.registry.size() + this->state->context.lingering_sockets;
+  }
 
   void SetLimits(const RequestLimits& limits) override {
     RequestLimits effective_limits = limits;
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -15,6 +15,10 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 1000;
+// More than the buffers of a loopback connection hold.
+constexpr std::size_t kLargeBodyBytes = 16 << 20;
+// Time for the server to close a connection after a response, and for a reset to arrive.
+constexpr std::chrono::milliseconds kCloseTime(100);
 
 std::string Get(const std::string& path) {
   return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
@@ -47,6 +51,7 @@
   CPPUNIT_TEST(TestStopListeningLetsRequestsFinish);
   CPPUNIT_TEST(TestRequestReceivedDuringShutdownIsCounted);
   CPPUNIT_TEST(TestDisableKeepAliveClosesConnectionsAfterResponses);
+  CPPUNIT_TEST(TestResponseIsCutIfBytesArriveAfterTheClose);
   CPPUNIT_TEST(TestStopListeningClosesIdleConnections);
   CPPUNIT_TEST(TestResponderOutlivesServer);
   CPPUNIT_TEST(TestIncompleteRequestIsRefused);
@@ -467,6 +472,26 @@
     CPPUNIT_ASSERT(later.ReadUntilClosed().ends_with("two"));
   }
 
+  // Guards against a reset that drops the rest of a response because the caller, which reads
+  // slowly, sends its next request after the server has closed the connection.
+  void TestResponseIsCutIfBytesArriveAfterTheClose() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    this->server->DisableKeepAlive();
+    caller.Send(Get("/1"));
+    const std::string body(kLargeBodyBytes, 'x');
+    this->TakeResponder()->Respond(200, {}, body);
+    std::string received = caller.ReadUntil("\r\n\r\n");
+    while (this->server->requests_in_progress() > 0) {
+      received += caller.ReadUntil("x");
+    }
+    std::this_thread::sleep_for(kCloseTime);
+    caller.Send(Get("/2"));
+    std::this_thread::sleep_for(kCloseTime);
+    received += caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(received.ends_with(body));
+  }
+
   // Guards against a shutdown that waits for idle connections, and against one that closes a
   // connection with a partly received request.
   void TestStopListeningClosesIdleConnections() {
