--- a/Tests/LibMembership/silent_connections_test.cc
+++ b/Tests/LibMembership/silent_connections_test.cc
@@ -15,16 +15,20 @@
 constexpr std::uint64_t kFirstSeed = 1000;
 constexpr std::uint64_t kSeeds = 5;
 constexpr std::size_t kLargeHostsPerDomain = 2;
+constexpr std::size_t kHosts = 32;
 // Documents above 4 KB are offered, not pushed.
 constexpr std::size_t kDocumentBytes = 20'000;
 // Time after a disturbance from which the users' platform requires a confirmed change on every host
 // (contact-s).
 constexpr Duration kContactTime = seconds(3);
+// Bound on the time until a confirmed change is in force (config-apply-s).
+constexpr Duration kApplyTime = seconds(2);
 
 class SilentConnectionsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SilentConnectionsTest);
   CPPUNIT_TEST(TestConfigurationIsLateAfterConnectionsWentSilent);
   CPPUNIT_TEST(TestTargetIsUsedAfterItLeftWhileConnectionsWentSilent);
+  CPPUNIT_TEST(TestConfigurationIsLateAfterCallsOfASilentOutage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +81,37 @@
               << static_cast<double>(worst.count()) / 1e6 << " s\n";
     CPPUNIT_ASSERT(worst <= kContactTime);
   }
+
+  // Guards against hosts that wait for calls which they made in the last moments of a silent outage
+  // of the store, and so adopt a revision late that was committed after it.
+  void TestConfigurationIsLateAfterCallsOfASilentOutage() {
+    Duration worst{};
+    for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + kSeeds; ++seed) {
+      for (const Duration outage : {milliseconds(1900), milliseconds(3300), milliseconds(6700)}) {
+        SimulatedFleet fleet(seed);
+        fleet.document_content = std::string(kDocumentBytes, 'x');
+        fleet.silent_when_down = true;
+        fleet.CommitToStore(1);
+        fleet.StartHosts(kHosts);
+        fleet.RunFor(seconds(6) + milliseconds(fleet.random.Below(1000)));
+        CPPUNIT_ASSERT(fleet.AdoptedEverywhere(1));
+        fleet.store_up = false;
+        fleet.RunFor(outage);
+        fleet.store_up = true;
+        const TimePoint returned_at = fleet.now;
+        fleet.RunFor(milliseconds(fleet.random.Below(3000)));
+        const TimePoint bound = std::max(fleet.now + kApplyTime, returned_at + kContactTime);
+        fleet.CommitToStore(2);
+        const auto time = fleet.RunUntil([&] { return fleet.AdoptedEverywhere(2); }, seconds(60));
+        CPPUNIT_ASSERT_MESSAGE("not adopted everywhere within 60 s", time);
+        CPPUNIT_ASSERT_MESSAGE("adopted late", fleet.now <= bound);
+        worst = std::max(worst, *time);
+      }
+    }
+    std::cout << "seeds " << kFirstSeed << " to " << kFirstSeed + kSeeds - 1
+              << ": worst time from a commit after a silent outage until adopted everywhere "
+              << static_cast<double>(worst.count()) / 1e6 << " s\n";
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentConnectionsTest);
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -15,6 +15,8 @@
 constexpr Duration kRemoveAfter = std::chrono::seconds(2);
 // TCP_USER_TIMEOUT of OutgoingLink.
 constexpr Duration kSilenceTimeout = std::chrono::seconds(2);
+// Timeout of a call of the store (PlatformHttpClientSettings).
+constexpr Duration kStoreTimeout = std::chrono::seconds(1);
 
 std::vector<StoreRelay::Table> Tables() {
   const auto differs = [](const std::string& before, const std::string& after) {
@@ -385,6 +387,12 @@
   const HostId id = host.directory.self().host;
   const std::weak_ptr<Host> weak_host = this->hosts.at(id);
   const auto delay = static_cast<Duration::rep>(2000 + this->random.Below(20'000));
+  if (!this->store_up && this->silent_when_down) {
+    this->Schedule(this->now + kStoreTimeout, [this, weak_host, on_result = std::move(on_result)] {
+      this->RunOnHost(weak_host, [weak_host, on_result] { on_result(*weak_host.lock(), false); });
+    });
+    return;
+  }
   const TimePoint received_at = this->TransferOver(id, host.download_free_at, response_bytes);
   this->Schedule(received_at + Duration(delay),
                  [this, id, weak_host, on_result = std::move(on_result)] {
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -100,6 +100,9 @@
   double loss_rate = 0.0;
   Duration max_latency = std::chrono::milliseconds(3);
   bool store_up = true;
+  // While the store is down, it does not refuse calls: they end after kStoreTimeout, also those
+  // whose end falls after its return.
+  bool silent_when_down = false;
   // Hosts that the store does not answer.
   std::set<HostId> unanswered_hosts;
   std::string document_content = std::string(500, 'x');
