--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -276,6 +276,15 @@
         if status != 200:
             raise RuntimeError(f"setting the faults of {name} failed with status {status}: {body}")
 
+    def write_row(self, table, key, value):
+        """Writes a row of the platform's store; removes it if the value is None."""
+        row = {"table": table, "key": key}
+        if value is not None:
+            row["value"] = json.dumps(value)
+        status, body = http("POST", f"{self.platform_url}/rows", row)
+        if status != 200:
+            raise RuntimeError(f"writing {table}/{key} failed: {body}")
+
     def set_platform_faults(self, faults):
         status, body = http("POST", f"{self.platform_url}/faults", faults)
         if status != 200:
