--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -60,6 +60,11 @@
   return position == this->requests.end() ? nullptr : &position->second;
 }
 
+std::optional<RequestPhase> HostDispatcher::PhaseOf(RequestId request) const {
+  const auto position = this->requests.find(request);
+  return position == this->requests.end() ? std::nullopt : std::optional(position->second.phase);
+}
+
 RequestState* HostDispatcher::FindByPendingAttempt(AttemptId attempt) {
   const auto position = this->pending_attempts.find(attempt);
   return position == this->pending_attempts.end() ? nullptr : this->FindRequest(position->second);
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -47,6 +47,8 @@
   TimePoint NextDeadline(TimePoint now);
 
   std::size_t requests_in_progress() const { return this->requests.size(); }
+  // Empty if the request is not in progress.
+  std::optional<RequestPhase> PhaseOf(RequestId request) const;
 
  private:
   using Actions = std::vector<DispatchAction>;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -11,6 +11,12 @@
 namespace pimentopin {
 namespace {
 
+constexpr std::size_t kMaxLoggedRequestsInProgress = 50;
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 bool IsLeaving(const SharedState& shared_state, TargetId target) {
   if (shared_state.leaving_targets.IsLeaving(target)) {
     return true;
@@ -39,6 +45,24 @@
   return result;
 }
 
+std::string_view RequestPhaseName(RequestPhase phase) {
+  switch (phase) {
+    case RequestPhase::kPlacing:
+      return "placing";
+    case RequestPhase::kWaitingAtBroker:
+      return "waiting-at-broker";
+    case RequestPhase::kWaitingLocally:
+      return "waiting-locally";
+    case RequestPhase::kHeldOff:
+      return "held-off";
+    case RequestPhase::kRunning:
+      return "running";
+    case RequestPhase::kForwarding:
+      return "forwarding";
+  }
+  return "unknown";
+}
+
 std::string_view AttemptResultName(AttemptResult result) {
   switch (result) {
     case AttemptResult::kSuccess:
@@ -178,6 +202,26 @@
   this->Begin(exchange, std::nullopt);
 }
 
+void DispatchController::LogRequestsInProgress(TimePoint stop_started_at) {
+  const TimePoint now = this->Now();
+  std::size_t logged = 0;
+  for (const auto& [id, request] : this->active) {
+    if (logged++ == kMaxLoggedRequestsInProgress) {
+      break;
+    }
+    const std::optional<RequestPhase> phase = this->dispatcher.PhaseOf(id);
+    const Exchange& exchange = *request.exchange;
+    Log(LogLevel::kWarning, "request_unfinished",
+        {{"request_id", exchange.request_id},
+         {"route", exchange.route},
+         {"phase", phase ? RequestPhaseName(*phase) : ""},
+         {"target", request.target},
+         {"possible_runs", request.possible_runs},
+         {"arrived_after_stop_ms", Milliseconds(exchange.arrived - stop_started_at)},
+         {"remaining_ms", Milliseconds(exchange.description.deadline - now)}});
+  }
+}
+
 void DispatchController::Claim(const std::shared_ptr<Exchange>& exchange) {
   const AttemptId claimant{this->random.Next()};
   this->claims.Claim(this->Now(), *exchange->claim_key, claimant, exchange->description.fingerprint,
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -89,6 +89,9 @@
   // Applies new leaving notices to the brokers.
   void RefreshLeavingTargets();
 
+  // Logs each request in progress, up to a limit. `stop_started_at` is when the host began to stop.
+  void LogRequestsInProgress(TimePoint stop_started_at);
+
   std::size_t requests_in_progress() const { return this->active.size(); }
 
  private:
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -41,6 +41,8 @@
 constexpr Duration kCommitRetryDelay = std::chrono::milliseconds(300);
 // Longer texts from a request are cut in log lines.
 constexpr std::size_t kMaxLoggedTextBytes = 128;
+// Before the end of the grace, requests in progress are logged, as a killed process logs nothing.
+constexpr Duration kUnfinishedLogMargin = std::chrono::milliseconds(200);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
 // Limits how long pending writes to the platform delay the exit.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
@@ -497,9 +499,14 @@
   }
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()}});
+  const TimePoint started_at = SteadyNow();
   std::atomic_store(&this->stop_admission,
                     std::make_shared<const StopAdmission>(StopAdmission{
-                        .started_at = SteadyNow(), .grace = this->settings.shutdown_grace}));
+                        .started_at = started_at, .grace = this->settings.shutdown_grace}));
+  if (this->settings.shutdown_grace > kUnfinishedLogMargin) {
+    this->loop.RunAfter(this->settings.shutdown_grace - kUnfinishedLogMargin,
+                        [this, started_at] { this->dispatch->LogRequestsInProgress(started_at); });
+  }
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
