Dispatch, Host: End all requests before a stopping host is ended

Callers saw: a request that a stopping host had accepted, and that waited for a slot or between two attempts, ended with a closed connection and no answer.

Cause: requests kept the deadline of their caller, which can be later than the end of the host; nothing ended them before SIGKILL. Change: from the start of a stop the dispatcher knows the end of the host. No attempt starts and no request waits later than 0.6 s before it (503 stopping, not run, or the truth on an earlier attempt; a held response is delivered). An attempt whose response has not begun is cancelled 0.3 s before it and its caller gets 504 with an unknown outcome in place of a closed connection. The target is not blamed for it.

The four new tests of HostDispatcherTest need SetHostEnd; the code before had no such limit to test.

--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -37,6 +37,16 @@
 
 enum class Outcome : std::uint8_t { kTarget, kNotRun, kUnknown };
 
+// Limits that a host applies when it is about to end.
+struct HostEnd {
+  // No attempt starts and no request waits for a slot after this time.
+  TimePoint last_start = TimePoint::max();
+  // Attempts whose response has not begun are cancelled, so that their callers receive an answer.
+  TimePoint last_answer = TimePoint::max();
+
+  friend bool operator==(const HostEnd&, const HostEnd&) = default;
+};
+
 // Action: send the request to the target.
 struct StartAttempt {
   RequestId request{};
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -43,6 +43,11 @@
              : state.requested_at + kFirstReplyTimeout;
 }
 
+// Why no attempt may start after the start limit of a request.
+RefusalReason LimitReason(TimePoint now, const RequestState& state) {
+  return now >= state.description.deadline ? RefusalReason::kDeadline : RefusalReason::kHostEnd;
+}
+
 }  // namespace
 
 HostDispatcher::HostDispatcher(DispatchSettings dispatch_settings, RandomSource& random_source)
@@ -108,6 +113,22 @@
   return actions;
 }
 
+std::vector<DispatchAction> HostDispatcher::SetHostEnd(TimePoint now, const HostEnd& end) {
+  this->host_end = end;
+  return this->Tick(now);
+}
+
+TimePoint HostDispatcher::StartLimit(const RequestState& state) const {
+  return std::min(state.description.deadline, this->host_end.last_start);
+}
+
+TimePoint HostDispatcher::RunLimit(const RequestState& state) const {
+  // Cancelling would break off a response that has begun, so it has until the host ends.
+  return state.phase == RequestPhase::kForwarding
+             ? state.description.deadline
+             : std::min(state.description.deadline, this->host_end.last_answer);
+}
+
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
                                                   const RequestDescription& request) {
   Actions actions;
@@ -121,8 +142,8 @@
 
 void HostDispatcher::PlaceNextAttempt(TimePoint now, RequestState& state, Actions& actions) {
   const RequestDescription& description = state.description;
-  if (now >= description.deadline) {
-    this->ForwardHeldOrFinish(state, RefusalReason::kDeadline, Duration::zero(), actions);
+  if (now >= this->StartLimit(state)) {
+    this->ForwardHeldOrFinish(state, LimitReason(now, state), Duration::zero(), actions);
     return;
   }
   if (this->settings.IsBlocked(description.fingerprint)) {
@@ -172,7 +193,7 @@
     return;
   }
   // A held response would occupy its slot meanwhile.
-  if (state.held_attempt || *end >= state.description.deadline) {
+  if (state.held_attempt || *end >= this->StartLimit(state)) {
     this->ForwardHeldOrFinish(state, RefusalReason::kHoldOff, *end - now, actions);
     return;
   }
@@ -229,7 +250,7 @@
                             .host = this->settings.self,
                             .domain = this->settings.domain,
                             .arrived = now,
-                            .deadline = state.description.deadline});
+                            .deadline = this->StartLimit(state)});
 }
 
 void HostDispatcher::StartFromLocalQueue(TimePoint now,
@@ -246,12 +267,12 @@
     }
     state->phase = RequestPhase::kPlacing;
     const std::optional<TargetId> target = this->chooser.ChooseFallback(now, service, *state);
-    if (target && now < state->description.deadline &&
+    if (target && now < this->StartLimit(*state) &&
         !this->settings.IsBlocked(state->description.fingerprint)) {
       this->Start(now, service, *state, next, *target, std::nullopt, actions);
     } else {
       this->ForwardHeldOrFinish(*state,
-                                target ? RefusalReason::kDeadline : RefusalReason::kNoTarget,
+                                target ? LimitReason(now, *state) : RefusalReason::kNoTarget,
                                 Duration::zero(), actions);
     }
   }
@@ -276,7 +297,7 @@
           .organisation = description.organisation,
           .caller = description.caller,
           .work_class = description.work_class,
-          .budget = description.deadline - now,
+          .budget = this->StartLimit(state) - now,
           .fingerprint = description.fingerprint,
           .is_retry = state.reached_target(),
           .affinity_key = description.affinity_key,
@@ -407,18 +428,18 @@
   }
   this->StopWaiting(*service, *state, false, actions);
   const RequestDescription& description = state->description;
-  const bool deadline_passed = now >= description.deadline;
+  const bool too_late = now >= this->StartLimit(*state);
   const bool blocked = this->settings.IsBlocked(description.fingerprint);
   const bool usable = Contains(this->chooser.UsableTargets(now, *service, *state), grant.target);
-  if (!deadline_passed && !blocked && usable) {
+  if (!too_late && !blocked && usable) {
     this->Start(now, *service, *state, grant.attempt, grant.target, sender, actions);
     return actions;
   }
   this->ReturnGrant(sender, grant, actions);
-  if (deadline_passed || blocked) {
-    this->ForwardHeldOrFinish(
-        *state, deadline_passed ? RefusalReason::kDeadline : RefusalReason::kCrashRequest,
-        Duration::zero(), actions);
+  if (too_late || blocked) {
+    this->ForwardHeldOrFinish(*state,
+                              too_late ? LimitReason(now, *state) : RefusalReason::kCrashRequest,
+                              Duration::zero(), actions);
   } else if (++state->unusable_grants > kMaxUnusableGrants) {
     this->ForwardHeldOrFinish(*state, RefusalReason::kNoTarget, kFallbackRetryAfter, actions);
   } else {
@@ -466,7 +487,7 @@
 
 bool HostDispatcher::MayRetry(TimePoint now, const RequestState& state) const {
   return !state.caller_disconnected && state.attempts_started < state.description.max_attempts &&
-         now < state.description.deadline && (state.description.idempotent || !state.may_have_run);
+         now < this->StartLimit(state) && (state.description.idempotent || !state.may_have_run);
 }
 
 std::vector<DispatchAction> HostDispatcher::OnHeader(TimePoint now,
@@ -618,12 +639,12 @@
     this->PlaceNextAttempt(now, state, actions);
     return;
   }
-  const bool deadline_passed = now >= state.description.deadline;
+  const bool too_late = now >= this->StartLimit(state);
   const bool shed = end.result == AttemptResult::kShed;
   this->ForwardHeldOrFinish(state,
-                            deadline_passed ? RefusalReason::kDeadline
-                            : shed          ? RefusalReason::kShed
-                                            : RefusalReason::kNone,
+                            too_late ? LimitReason(now, state)
+                            : shed   ? RefusalReason::kShed
+                                     : RefusalReason::kNone,
                             Duration::zero(), actions);
 }
 
@@ -722,14 +743,14 @@
 }
 
 TimePoint HostDispatcher::NextDeadlineOf(const RequestState& state) const {
-  const TimePoint deadline = state.description.deadline;
   if (state.running_attempt) {
+    const TimePoint deadline = this->RunLimit(state);
     const auto attempt = this->attempts.find(*state.running_attempt);
     const bool cancelled =
         attempt != this->attempts.end() && attempt->second.cancel_reason != CancelReason::kNone;
     return cancelled ? deadline + kAttemptEndTimeout : deadline;
   }
-  TimePoint next = deadline;
+  TimePoint next = this->StartLimit(state);
   if (state.held_attempt) {
     next = std::min(next, state.held_at + kMaxResponseHold);
   }
@@ -746,20 +767,27 @@
 }
 
 void HostDispatcher::TickRequest(TimePoint now, RequestState& state, Actions& actions) {
-  const bool deadline_passed = now >= state.description.deadline;
   if (state.running_attempt) {
-    if (deadline_passed) {
-      this->Cancel(*state.running_attempt, CancelReason::kDeadline, actions);
+    const TimePoint limit = this->RunLimit(state);
+    if (now >= limit) {
+      this->Cancel(
+          *state.running_attempt,
+          now >= state.description.deadline ? CancelReason::kDeadline : CancelReason::kHostEnd,
+          actions);
     }
-    if (now >= state.description.deadline + kAttemptEndTimeout) {
-      this->Finish(state, Outcome::kUnknown, RefusalReason::kDeadline, Duration::zero(), actions);
+    if (now >= limit + kAttemptEndTimeout) {
+      this->Finish(state, Outcome::kUnknown, LimitReason(now, state), Duration::zero(), actions);
     }
     return;
   }
-  if (deadline_passed) {
+  if (now >= this->StartLimit(state)) {
     this->StopWaiting(*this->FindService(state.description.service), state, true, actions);
-    this->Finish(state, this->OutcomeWithoutResponse(state), RefusalReason::kDeadline,
-                 Duration::zero(), actions);
+    if (now >= state.description.deadline) {
+      this->Finish(state, this->OutcomeWithoutResponse(state), RefusalReason::kDeadline,
+                   Duration::zero(), actions);
+    } else {
+      this->ForwardHeldOrFinish(state, RefusalReason::kHostEnd, Duration::zero(), actions);
+    }
     return;
   }
   this->TickWaiting(now, state, actions);
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -31,6 +31,9 @@
   // included.
   std::vector<DispatchAction> SetMembers(TimePoint now, std::vector<HostId> eligible_hosts);
 
+  // Limits all requests to the remaining lifetime of the host.
+  std::vector<DispatchAction> SetHostEnd(TimePoint now, const HostEnd& end);
+
   std::vector<DispatchAction> Begin(TimePoint now, const RequestDescription& request);
   std::vector<DispatchAction> OnGrant(TimePoint now, HostId sender, const SlotGrant& grant);
   std::vector<DispatchAction> OnRefusal(TimePoint now, HostId sender, const SlotRefusal& refusal);
@@ -104,6 +107,10 @@
                    Actions& actions);
   void ReturnGrant(HostId broker, const SlotGrant& grant, Actions& actions);
   bool MayRetry(TimePoint now, const RequestState& state) const;
+  // Time until which an attempt may start: the deadline, or earlier if the host ends.
+  TimePoint StartLimit(const RequestState& state) const;
+  // Time at which a running attempt is cancelled.
+  TimePoint RunLimit(const RequestState& state) const;
   // For a request without further attempts: forwards its held response, if any,
   // or ends the request.
   void ForwardHeldOrFinish(RequestState& state,
@@ -133,6 +140,7 @@
   DispatchSettings settings;
   RandomSource& random;
   TargetChooser chooser;
+  HostEnd host_end;
   std::vector<HostId> members;
   std::map<ServiceId, DispatchServiceState> services;
   std::map<RequestId, RequestState> requests;
--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -72,7 +72,9 @@
   kDeadline,
   kReplaced,
   kWrongAnswer,
-  kShed
+  kShed,
+  // The host ends before the deadline; the target is not to blame.
+  kHostEnd
 };
 
 // An attempt between its start and its end; may outlive its request.
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -202,6 +202,11 @@
   this->Begin(exchange, std::nullopt);
 }
 
+void DispatchController::SetHostEnd(const HostEnd& end) {
+  this->Execute(this->dispatcher.SetHostEnd(this->Now(), end));
+  this->Reschedule();
+}
+
 void DispatchController::LogRequestsInProgress(TimePoint stop_started_at) {
   const TimePoint now = this->Now();
   std::size_t logged = 0;
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -89,6 +89,8 @@
   // Applies new leaving notices to the brokers.
   void RefreshLeavingTargets();
 
+  // Limits all requests to the remaining lifetime of the host.
+  void SetHostEnd(const HostEnd& end);
   // Logs each request in progress, up to a limit. `stop_started_at` is when the host began to stop.
   void LogRequestsInProgress(TimePoint stop_started_at);
 
--- a/Libraries/LibHost/error_response.cc
+++ b/Libraries/LibHost/error_response.cc
@@ -31,6 +31,9 @@
     case RefusalReason::kHoldOff:
       return {503, Outcome::kNotRun, "held-off",
               "all targets asked this host to send nothing until after the deadline"};
+    case RefusalReason::kHostEnd:
+      return {503, Outcome::kNotRun, "stopping",
+              "this host will have stopped before the request can end"};
     case RefusalReason::kNotBroker:
     case RefusalReason::kNone:
       break;
@@ -38,7 +41,10 @@
   return {502, Outcome::kNotRun, "no-connection", "no target could be reached"};
 }
 
-ErrorResponse UnknownOutcomeResponse(AttemptResult result) {
+ErrorResponse UnknownOutcomeResponse(RefusalReason reason, AttemptResult result) {
+  if (reason == RefusalReason::kHostEnd) {
+    return {504, Outcome::kUnknown, "stopping", "this host stops before the target responds"};
+  }
   if (result == AttemptResult::kTimeout) {
     return {504, Outcome::kUnknown, "timeout", "the target did not respond before the deadline"};
   }
@@ -85,6 +91,8 @@
       return "shed";
     case RefusalReason::kHoldOff:
       return "held-off";
+    case RefusalReason::kHostEnd:
+      return "host-end";
   }
   return "unknown";
 }
@@ -128,7 +136,7 @@
 ErrorResponse ErrorResponseFor(const FinishRequest& finish) {
   ErrorResponse response = finish.outcome == Outcome::kNotRun
                                ? RefusalResponse(finish.refusal)
-                               : UnknownOutcomeResponse(finish.last_result);
+                               : UnknownOutcomeResponse(finish.refusal, finish.last_result);
   response.retry_after = finish.retry_after;
   return response;
 }
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -500,9 +500,9 @@
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()}});
   const TimePoint started_at = SteadyNow();
-  std::atomic_store(&this->stop_admission,
-                    std::make_shared<const StopAdmission>(StopAdmission{
-                        .started_at = started_at, .grace = this->settings.shutdown_grace}));
+  const StopAdmission admission{.started_at = started_at, .grace = this->settings.shutdown_grace};
+  std::atomic_store(&this->stop_admission, std::make_shared<const StopAdmission>(admission));
+  this->dispatch->SetHostEnd(admission.Limits());
   if (this->settings.shutdown_grace > kUnfinishedLogMargin) {
     this->loop.RunAfter(this->settings.shutdown_grace - kUnfinishedLogMargin,
                         [this, started_at] { this->dispatch->LogRequestsInProgress(started_at); });
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -12,4 +12,12 @@
   return request.idempotent && now - this->started_at <= this->grace / 2 - kMaxSignalDelay;
 }
 
+HostEnd StopAdmission::Limits() const {
+  if (this->grace == Duration::zero()) {
+    return {};
+  }
+  const TimePoint end = this->started_at + this->grace;
+  return {.last_start = end - kLastStartMargin, .last_answer = end - kMargin};
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -10,6 +10,8 @@
 struct StopAdmission {
   // Left for the response to reach the caller.
   static constexpr Duration kMargin = std::chrono::milliseconds(300);
+  // An attempt that starts later would hardly end.
+  static constexpr Duration kLastStartMargin = std::chrono::milliseconds(600);
   // The platform counts from the time at which it sends the signal. A busy process handles it
   // later.
   static constexpr Duration kMaxSignalDelay = std::chrono::milliseconds(100);
@@ -19,6 +21,8 @@
   Duration grace{};
 
   bool Accepts(TimePoint now, const RequestDescription& request) const;
+  // Limits of the requests that have been accepted.
+  HostEnd Limits() const;
 
   friend bool operator==(const StopAdmission&, const StopAdmission&) = default;
 };
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -98,6 +98,8 @@
   kShed,
   // All targets asked this host to hold off until after the deadline.
   kHoldOff,
+  // The host ends before the request can.
+  kHostEnd,
 };
 
 // Tells the host that its request was refused: it is neither queued nor granted.
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -81,6 +81,10 @@
   CPPUNIT_TEST(TestOwnPauseDoesNotTimeOutBroker);
   CPPUNIT_TEST(TestNextDeadlineFollowsTheRequests);
   CPPUNIT_TEST(TestRouteLimitsAttempts);
+  CPPUNIT_TEST(TestWaitingRequestIsCutAtTheEndOfTheHost);
+  CPPUNIT_TEST(TestRetryWaitsBeyondTheEndOfTheHost);
+  CPPUNIT_TEST(TestRunningRequestIsCutAtTheEndOfTheHost);
+  CPPUNIT_TEST(TestEndOfTheHostCutsAResponseThatHasBegun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -714,7 +718,75 @@
     CPPUNIT_ASSERT(MessagesOf<SlotRequest>(actions).empty());
   }
 
+  // Guards against a request that waits for a slot when its host is killed and ends without an
+  // answer.
+  void TestWaitingRequestIsCutAtTheEndOfTheHost() {
+    this->Reset();
+    this->RequestSlot(1);
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    CPPUNIT_ASSERT(this->dispatcher->NextDeadline(this->now) <= this->now + milliseconds(100));
+    this->now += milliseconds(100);
+    const auto finished = ActionsOf<FinishRequest>(this->dispatcher->Tick(this->now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, finished.size());
+    CPPUNIT_ASSERT(finished[0].outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(finished[0].refusal == RefusalReason::kHostEnd);
+  }
+
+  // Guards against a request whose attempt failed shortly before the end of its host and that then
+  // waits for another slot.
+  void TestRetryWaitsBeyondTheEndOfTheHost() {
+    this->Reset();
+    const AttemptId attempt = this->RequestSlot(1);
+    this->Grant(attempt, this->broker);
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    this->now += milliseconds(100);
+    const auto actions = this->dispatcher->OnAttemptEnd(
+        this->now, attempt, {.result = AttemptResult::kConnectionLost, .may_have_been_sent = true});
+    const auto finished = ActionsOf<FinishRequest>(actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, finished.size());
+    CPPUNIT_ASSERT(finished[0].outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT(MessagesOf<SlotRequest>(actions).empty());
+  }
+
+  // Guards against a connection that is closed without an answer while a target works, and against
+  // blaming that target.
+  void TestRunningRequestIsCutAtTheEndOfTheHost() {
+    this->Reset();
+    const AttemptId attempt = this->RequestSlot(1);
+    this->Grant(attempt, this->broker);
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    this->now += milliseconds(199);
+    CPPUNIT_ASSERT(ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now)).empty());
+    this->now += milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now)).size());
+    const auto actions = this->dispatcher->OnAttemptEnd(
+        this->now, attempt, {.result = AttemptResult::kCancelled, .may_have_been_sent = true});
+    const auto finished = ActionsOf<FinishRequest>(actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, finished.size());
+    CPPUNIT_ASSERT(finished[0].outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT(finished[0].refusal == RefusalReason::kHostEnd);
+    const auto releases = MessagesOf<SlotRelease>(actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, releases.size());
+    CPPUNIT_ASSERT(releases[0].second.result == AttemptResult::kCancelled);
+  }
+
+  // Guards against breaking off a response that could still be delivered whole.
+  void TestEndOfTheHostCutsAResponseThatHasBegun() {
+    this->Reset();
+    const AttemptId attempt = this->RequestSlot(1);
+    this->Grant(attempt, this->broker);
+    this->dispatcher->OnHeader(this->now, attempt, {.status = 200});
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    this->now += milliseconds(300);
+    CPPUNIT_ASSERT(ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now)).empty());
+  }
+
  private:
+  // The limits of a host whose last attempt may start after `delay`.
+  HostEnd EndIn(Duration delay) const {
+    return {.last_start = this->now + delay, .last_answer = this->now + 2 * delay};
+  }
   void Reset() {
     this->now = TimePoint(seconds(100));
     this->sequence = 0;
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TestRequestIsCutAtTheEndOfTheGrace);
   CPPUNIT_TEST(TestRequestIsCutIfTheSignalWasHandledLate);
   CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
+  CPPUNIT_TEST(TestAcceptedRequestOutlastsTheGrace);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -45,6 +46,14 @@
     CPPUNIT_ASSERT(admission.Accepts(kStart + seconds(60), Request(seconds(60), false, 60'000)));
   }
 
+  // Guards against accepted requests that nothing ends before the host is killed.
+  void TestAcceptedRequestOutlastsTheGrace() {
+    const StopAdmission admission{.started_at = kStart, .grace = seconds(6)};
+    CPPUNIT_ASSERT(admission.Limits().last_start < admission.Limits().last_answer);
+    CPPUNIT_ASSERT(admission.Limits().last_answer < kStart + seconds(6));
+    CPPUNIT_ASSERT(StopAdmission{.started_at = kStart}.Limits() == HostEnd{});
+  }
+
  private:
   static constexpr TimePoint kStart = TimePoint(seconds(1000));
 
