Host: Count the grace of a stop from the signal, not from its handling

Callers saw: long idempotent requests on new connections, accepted late in the grace of a stop, ended with a closed connection and no answer.

Cause: the time of SIGTERM was taken when the control thread handled it, while the traffic thread went on accepting. A process that is short of processor time handles it late, so that its window for idempotent requests reached past the first half of the grace. Change: a signal handler records the time of the signal (SignalTimestamp). The traffic threads read it for each request, without waiting for the control thread. The end of the host, the end of listening and the log lines are counted from it, and shutdown_started states the delay. Handlers are installed before the host listens.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <asio/signal_set.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -14,6 +15,7 @@
 
 #include "Libraries/LibConfig/configuration_reader.h"
 #include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibCore/signal_timestamp.h"
 #include "Libraries/LibHost/configuration_controller.h"
 #include "Libraries/LibHost/control_loop.h"
 #include "Libraries/LibHost/directory_controller.h"
@@ -60,7 +62,7 @@
         random(RandomSeed()),
         self(IdFromName<HostId>(this->settings.name)),
         domain(IdFromName<DomainId>(this->settings.domain)),
-        signals(this->loop.context()) {}
+        signals(this->loop.context(), SIGTERM, SIGINT, SIGHUP) {}
 
   bool Start(Error& error);
   void Run() override;
@@ -86,6 +88,8 @@
   void OnClaimLost(const ClaimKey& key, AttemptId attempt);
   void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
+  // The stop that has begun, if any. Callable from any thread.
+  std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
   void StopListening();
   void WaitForRequests();
@@ -102,11 +106,13 @@
 
   ControlLoop loop;
   asio::signal_set signals;
+  // The control thread may handle a signal late, while other threads accept requests.
+  const SignalTimestamp stop_signal{{SIGTERM, SIGINT}};
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
-  // Set when the host begins to stop; read by the traffic threads.
-  std::shared_ptr<const StopAdmission> stop_admission;
+  // Set when an operator stops the host; read by the traffic threads.
+  std::atomic<TimePoint> drained_at = TimePoint();
 
   std::unique_ptr<HttpClient> platform_client;
   std::unique_ptr<PlatformStore> store;
@@ -348,7 +354,7 @@
     exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
                            SteadyNow(), refusal);
   }
-  const auto admission = std::atomic_load(&this->stop_admission);
+  const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
     exchange.reset();
     refusal = {503, Outcome::kNotRun, "stopping",
@@ -471,9 +477,6 @@
 }
 
 void HostProcess::Run() {
-  this->signals.add(SIGTERM);
-  this->signals.add(SIGINT);
-  this->signals.add(SIGHUP);
   this->WaitForSignals();
   this->loop.Run();
 }
@@ -493,24 +496,37 @@
   });
 }
 
+std::optional<StopAdmission> HostProcess::CurrentStop() const {
+  const std::optional<TimePoint> signalled_at = this->stop_signal.first();
+  const TimePoint started_at = signalled_at.value_or(this->drained_at);
+  return started_at == TimePoint()
+             ? std::nullopt
+             : std::optional(
+                   StopAdmission{.started_at = started_at, .grace = this->settings.shutdown_grace});
+}
+
 void HostProcess::BeginShutdown() {
   if (std::exchange(this->shutting_down, true)) {
     return;
   }
-  Log(LogLevel::kInfo, "shutdown_started",
-      {{"requests_in_progress", this->dispatch->requests_in_progress()}});
-  const TimePoint started_at = SteadyNow();
-  const StopAdmission admission{.started_at = started_at, .grace = this->settings.shutdown_grace};
-  std::atomic_store(&this->stop_admission, std::make_shared<const StopAdmission>(admission));
+  const TimePoint now = SteadyNow();
+  this->drained_at = now;
+  const StopAdmission admission = *this->CurrentStop();
+  const Duration signal_delay = now - admission.started_at;
   this->dispatch->SetHostEnd(admission.Limits());
-  if (this->settings.shutdown_grace > kUnfinishedLogMargin) {
-    this->loop.RunAfter(this->settings.shutdown_grace - kUnfinishedLogMargin,
-                        [this, started_at] { this->dispatch->LogRequestsInProgress(started_at); });
+  if (this->settings.shutdown_grace > kUnfinishedLogMargin + signal_delay) {
+    this->loop.RunAfter(
+        this->settings.shutdown_grace - kUnfinishedLogMargin - signal_delay,
+        [this, admission] { this->dispatch->LogRequestsInProgress(admission.started_at); });
   }
+  Log(LogLevel::kInfo, "shutdown_started",
+      {{"requests_in_progress", this->dispatch->requests_in_progress()},
+       {"signal_delay_ms", signal_delay.count() / 1000}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
-  this->loop.RunAfter(this->settings.shutdown_delay, [this] { this->StopListening(); });
+  this->loop.RunAfter(std::max(this->settings.shutdown_delay - signal_delay, Duration::zero()),
+                      [this] { this->StopListening(); });
 }
 
 void HostProcess::StopListening() {
