Tests: Let a simulated fleet without serving targets wait instead of turning time back

Cause: SimulatedFleet::StartRequest, which is test code. If all targets leave, the request rate is 0 and the time to the next request infinite. Converted to a Duration it is the largest number on arm64, and the time of the next arrival overflows.

Change: a fleet without a request rate looks for one again after 1 ms. No draw of the random source is used for it.

--- a/Tests/LibHealth/simulated_fleet.cc
+++ b/Tests/LibHealth/simulated_fleet.cc
@@ -9,6 +9,8 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 constexpr Duration kProbeInterval = std::chrono::seconds(3);
 constexpr double kLongWorkFactor = 30.0;
+// After this time, a fleet without a request rate looks for one again.
+constexpr Duration kIdleInterval = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -113,6 +115,11 @@
       static_cast<double>(this->mean_service_time.count()) / 1e6 * (1.0 + 29.0 * this->long_share);
   const double rate = this->requests_per_second > 0.0 ? this->requests_per_second
                                                       : this->load * slots / mean_seconds;
+  if (rate <= 0.0) {
+    // The time to the next request is infinite and has no value as a Duration.
+    this->next_arrival += kIdleInterval;
+    return;
+  }
   this->next_arrival +=
       std::max(Duration(1), Duration(static_cast<Duration::rep>(this->Exponential(1e6 / rate))));
 
