Dispatch: Do not overcommit failing targets while a reliable one serves

Cause: a request waits up to 300 ms for a reliable target, and free slots of unreliable ones are skipped for it, but overcommit did not look at the reliability. A target that fails within milliseconds and has its slots in use was granted again with each failure and drained the queue.

While a reliable target is in service and the request may wait, only reliable targets are overcommitted. TestFailingTargetIsNotOvercommitted failed before (8 requests left in the queue in place of 12).

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -260,14 +260,16 @@
   const bool may_wait = now - entry.arrived <
                         std::min<Duration>(kMaxReliableTargetWait,
                                            entry.request.budget / kReliableTargetWaitBudgetDivisor);
-  bool any_reliable = false;
+  std::vector<const Candidate*> reliable;
   const Candidate* best = nullptr;
   bool best_unreliable = false;
   std::pair<double, std::uint64_t> best_score;
   for (const Candidate* candidate : usable) {
     const bool unreliable =
         may_wait && this->ranking.IsUnreliable(now, entry.request, candidate->target);
-    any_reliable = any_reliable || !unreliable;
+    if (!unreliable) {
+      reliable.push_back(candidate);
+    }
     if (!this->HasFreeSlot(now, *candidate, entry.request.work_class)) {
       continue;
     }
@@ -280,9 +282,12 @@
       best_score = score;
     }
   }
-  const bool worth_waiting = any_reliable && best_unreliable;
-  return best != nullptr && !worth_waiting ? std::optional(best->target)
-                                           : this->ChooseOvercommitted(now, entry, usable);
+  const bool worth_waiting = !reliable.empty() && best_unreliable;
+  if (best != nullptr && !worth_waiting) {
+    return best->target;
+  }
+  // A failing target responds at once, so it would take the queue before a reliable one is free.
+  return this->ChooseOvercommitted(now, entry, reliable.empty() ? usable : reliable);
 }
 
 void SlotBroker::ObserveOverdue(TimePoint now) {
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(TestExpiredEntriesAreRefused);
   CPPUNIT_TEST(TestWorkMovesAwayAfterTheFirstFailure);
   CPPUNIT_TEST(TestNonIdempotentWorkWaitsForAReliableTarget);
+  CPPUNIT_TEST(TestFailingTargetIsNotOvercommitted);
   CPPUNIT_TEST(TestNewTargetGetsARequest);
   CPPUNIT_TEST(TestRetryAvoidsTargetThatFailedBefore);
   CPPUNIT_TEST(TestEveryReliableTargetIsRevisited);
@@ -570,6 +571,47 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.queued());
   }
 
+  // Guards against a queue that drains into a target which fails each request at once, while
+  // another target serves.
+  void TestFailingTargetIsNotOvercommitted() {
+    SlotBroker broker(Configuration(2, 2));
+    std::map<AttemptId, TargetId> targets;
+    const auto collect = [&targets](const std::vector<SendToHost>& messages) {
+      for (const SendToHost& message : messages) {
+        if (const auto* grant = std::get_if<SlotGrant>(&message.message)) {
+          targets[grant->attempt] = grant->target;
+        }
+      }
+    };
+    for (std::uint64_t attempt = 1; attempt <= 20; ++attempt) {
+      SlotRequest request = ShortRequest(attempt);
+      request.idempotent = true;
+      collect(broker.OnRequest(this->now, kHost, kDomain, request, false));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, broker.queued());
+    const auto fail_one = [&] {
+      const auto failed = std::find_if(targets.begin(), targets.end(),
+                                       [](const auto& item) { return item.second == TargetId{1}; });
+      const AttemptId attempt = failed->first;
+      targets.erase(failed);
+      this->now += milliseconds(5);
+      collect(broker.OnRelease(this->now, kHost, kDomain,
+                               {.attempt = attempt,
+                                .service = kService,
+                                .target = TargetId{1},
+                                .result = AttemptResult::kServerError,
+                                .service_time = milliseconds(5)}));
+    };
+    for (int count = 0; count < 4; ++count) {
+      fail_one();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{12}, broker.queued());
+    // The wait for the other target is bounded.
+    this->now += milliseconds(400);
+    collect(broker.Tick(this->now));
+    CPPUNIT_ASSERT(broker.queued() < 12);
+  }
+
   // Guards against a new target that stays unused while the known targets are
   // healthy.
   void TestNewTargetGetsARequest() {
