Tests: Changes are known in time after connections to the store went silent

Callers see an old configuration, or requests sent to a target that left, if the reader of a failure domain waits for a long poll on a connection to the store that went silent for good.

SimulatedFleet models connections to the store and long polls. The test silences them twice, at 0.3, 0.7 and all of the hosts, and changes the configuration and a target from 0.05 s before to 4.5 s after it; pending calls end by the client's limits, or never.

In a trial on a scratch copy, the test failed ("not known everywhere within 60 s") with a reader that counts every pending read as a confirmation of its view, without a limit, and waits in each read of the configuration. It did not fail in trials that removed only one safeguard: the limit on the waiting read of the configuration, the short delay before its retry, or the hosts' own reads of the store. An earlier form of the test was used for these three.

--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -15,8 +15,8 @@
 constexpr Duration kRemoveAfter = std::chrono::seconds(2);
 // TCP_USER_TIMEOUT of OutgoingLink.
 constexpr Duration kSilenceTimeout = std::chrono::seconds(2);
-// Timeout of a call of the store (PlatformHttpClientSettings).
-constexpr Duration kStoreTimeout = std::chrono::seconds(1);
+// Interval at which a call looks for changes and for the end of its connection.
+constexpr Duration kStoreCallStep = std::chrono::milliseconds(10);
 
 std::vector<StoreRelay::Table> Tables() {
   const auto differs = [](const std::string& before, const std::string& after) {
@@ -32,9 +32,9 @@
 
 }  // namespace
 
-SimulatedFleet::Host::Host(const MemberRecord& record)
+SimulatedFleet::Host::Host(const MemberRecord& record, bool configuration_polled)
     : directory(record),
-      relay(record.host, record.address, Tables(), true),
+      relay(record.host, record.address, Tables(), configuration_polled),
       tracker(record.host, record.domain) {}
 
 SimulatedFleet::SimulatedFleet(std::uint64_t seed) : random(seed) {}
@@ -59,7 +59,7 @@
   record.incarnation = incarnation;
   record.capacity = this->capacity_of(name);
   ++this->start_count;
-  const auto host = std::make_shared<Host>(record);
+  const auto host = std::make_shared<Host>(record, !this->long_polls);
   this->hosts[record.host] = host;
   const auto phase = static_cast<Duration::rep>(this->random.Below(100'000));
   this->Schedule(this->now + Duration(phase),
@@ -135,6 +135,20 @@
   }
 }
 
+void SimulatedFleet::SilenceStoreConnections(double share) {
+  for (const auto& [id, host] : this->hosts) {
+    if (this->random.Unit() >= share) {
+      continue;
+    }
+    for (const auto& connection : host->busy_store_connections) {
+      connection->silent_since = connection->silent_since.value_or(this->now);
+    }
+    for (const auto& connection : host->idle_store_connections) {
+      connection->silent_since = connection->silent_since.value_or(this->now);
+    }
+  }
+}
+
 bool SimulatedFleet::IsSilent(HostId from, HostId to) {
   const auto connection = this->silent_connections.find({from, to});
   if (connection == this->silent_connections.end()) {
@@ -356,12 +370,17 @@
                     reader.relay.OnRows(this->now, table, batch, answered ? Error{} : no_answer));
     });
   } else if (const auto* read = std::get_if<ReadChanges>(&action)) {
-    this->CallStore(host, [this, query = *read, no_answer](Host& reader, bool answered) {
-      const auto batch =
-          answered ? std::optional(this->ReadRows(query.table, query.version, true)) : std::nullopt;
-      this->Execute(reader, reader.relay.OnRows(this->now, query.table, batch,
-                                                answered ? Error{} : no_answer));
-    });
+    this->CallStore(host,
+                    [this, query = *read, no_answer](Host& reader, bool answered) {
+                      const auto batch =
+                          answered ? std::optional(this->ReadRows(query.table, query.version, true))
+                                   : std::nullopt;
+                      this->Execute(reader, reader.relay.OnRows(this->now, query.table, batch,
+                                                                answered ? Error{} : no_answer));
+                    },
+                    0, {.timeout = read->wait, .has_change = [this, query = *read] {
+                          return this->HasRowsAfter(query.table, query.version);
+                        }});
   } else if (const auto* newest = std::get_if<ReadNewestConfiguration>(&action)) {
     const DocumentSource source =
         newest->for_domain ? DocumentSource::kStore : DocumentSource::kStoreForSelf;
@@ -376,31 +395,90 @@
           }
           reader.relay.OnConfigurationRead(this->now, answered ? Error{} : no_answer);
         },
-        has_newer ? this->stored_document->content.size() : 0);
+        has_newer ? this->stored_document->content.size() : 0,
+        {.timeout = newest->may_wait ? StoreRelay::kConfigurationPollTimeout : Duration::zero(),
+         .has_change = [this, known = host.tracker.revision()] {
+           return this->stored_document && this->stored_document->revision > known;
+         }});
   }
 }
 
 void SimulatedFleet::CallStore(Host& host,
                                std::function<void(Host&, bool)> on_result,
-                               std::size_t response_bytes) {
+                               std::size_t response_bytes,
+                               StoreWait wait) {
   ++host.store_calls;
   const HostId id = host.directory.self().host;
-  const std::weak_ptr<Host> weak_host = this->hosts.at(id);
   const auto delay = static_cast<Duration::rep>(2000 + this->random.Below(20'000));
+  if (!this->long_polls) {
+    wait = {};
+  }
+  const auto call =
+      std::make_shared<StoreCall>(StoreCall{.host = this->hosts.at(id),
+                                            .connection = this->TakeStoreConnection(host),
+                                            .started_at = this->now,
+                                            .wait = std::move(wait),
+                                            .on_result = std::move(on_result)});
   if (!this->store_up && this->silent_when_down) {
-    this->Schedule(this->now + kStoreTimeout, [this, weak_host, on_result = std::move(on_result)] {
-      this->RunOnHost(weak_host, [weak_host, on_result] { on_result(*weak_host.lock(), false); });
-    });
+    this->Schedule(this->now + this->store_timeout,
+                   [this, call] { this->EndStoreCall(*call, false); });
     return;
   }
   const TimePoint received_at = this->TransferOver(id, host.download_free_at, response_bytes);
-  this->Schedule(received_at + Duration(delay),
-                 [this, id, weak_host, on_result = std::move(on_result)] {
-                   const bool answered = this->store_up && !this->unanswered_hosts.contains(id);
-                   this->RunOnHost(weak_host, [weak_host, answered, on_result] {
-                     on_result(*weak_host.lock(), answered);
-                   });
-                 });
+  this->Schedule(received_at + Duration(delay), [this, call] { this->ContinueStoreCall(call); });
+}
+
+void SimulatedFleet::ContinueStoreCall(const std::shared_ptr<StoreCall>& call) {
+  const auto host = call->host.lock();
+  if (!host) {
+    return;
+  }
+  const bool is_silent = call->connection->silent_since.has_value();
+  const Duration elapsed = this->now - call->started_at;
+  if (is_silent
+          ? this->IsClosed(*call->connection) || elapsed >= this->store_timeout + call->wait.timeout
+          : elapsed >= call->wait.timeout || call->wait.has_change()) {
+    const HostId id = host->directory.self().host;
+    this->EndStoreCall(*call, !is_silent && this->store_up && !this->unanswered_hosts.contains(id));
+    return;
+  }
+  this->Schedule(this->now + kStoreCallStep, [this, call] { this->ContinueStoreCall(call); });
+}
+
+void SimulatedFleet::EndStoreCall(const StoreCall& call, bool answered) {
+  const auto host = call.host.lock();
+  if (!host) {
+    return;
+  }
+  host->busy_store_connections.erase(call.connection);
+  if (answered) {
+    host->idle_store_connections.push_back(call.connection);
+  }
+  this->RunOnHost(call.host, [weak_host = call.host, answered, on_result = call.on_result] {
+    on_result(*weak_host.lock(), answered);
+  });
+}
+
+std::shared_ptr<SimulatedFleet::StoreConnection> SimulatedFleet::TakeStoreConnection(
+    Host& host) const {
+  std::erase_if(host.idle_store_connections,
+                [this](const auto& connection) { return this->IsClosed(*connection); });
+  auto connection = std::make_shared<StoreConnection>();
+  if (!host.idle_store_connections.empty()) {
+    connection = host.idle_store_connections.back();
+    host.idle_store_connections.pop_back();
+  }
+  host.busy_store_connections.insert(connection);
+  return connection;
+}
+
+bool SimulatedFleet::IsClosed(const StoreConnection& connection) const {
+  return connection.silent_since &&
+         this->now - *connection.silent_since >= this->store_keep_alive_timeout;
+}
+
+bool SimulatedFleet::HasRowsAfter(const std::string& table, std::uint64_t after) const {
+  return !this->ReadRows(table, after, true).rows.empty();
 }
 
 FeedBatch SimulatedFleet::ReadRows(const std::string& table,
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -19,12 +19,24 @@
 
 namespace pimentopin {
 
+// Long poll: the store answers when there is a change or `timeout` has passed.
+struct StoreWait {
+  Duration timeout{};
+  std::function<bool()> has_change;
+};
+
 // Simulates the membership logic of several hosts in virtual time. They share one
 // store of rows and documents and a network that delays and drops messages.
 class SimulatedFleet {
  public:
+  // Connection of a host to the store.
+  struct StoreConnection {
+    // Set when the connection goes silent: responses on it are lost from then on.
+    std::optional<TimePoint> silent_since;
+  };
+
   struct Host {
-    explicit Host(const MemberRecord& record);
+    Host(const MemberRecord& record, bool configuration_polled);
 
     HostDirectory directory;
     StoreRelay relay;
@@ -44,6 +56,9 @@
     std::vector<std::function<void()>> deferred_events;
     std::uint64_t bytes_sent = 0;
     std::uint64_t store_calls = 0;
+    // Connections to the store with a call, and those kept for further calls.
+    std::set<std::shared_ptr<StoreConnection>> busy_store_connections;
+    std::vector<std::shared_ptr<StoreConnection>> idle_store_connections;
     // Times at which the link has transferred everything that waits for it.
     TimePoint upload_free_at;
     TimePoint download_free_at;
@@ -72,6 +87,8 @@
   // Makes each connection between two hosts silent: the messages on it are lost until its sender
   // notices that the first of them is not acknowledged.
   void SilenceConnections();
+  // Makes the connections to the store silent at a random `share` of the hosts. New ones work.
+  void SilenceStoreConnections(double share);
 
   void RunFor(Duration duration);
   // Runs until the condition holds. Returns the elapsed virtual time, or nothing if
@@ -100,9 +117,16 @@
   double loss_rate = 0.0;
   Duration max_latency = std::chrono::milliseconds(3);
   bool store_up = true;
-  // While the store is down, it does not refuse calls: they end after kStoreTimeout, also those
+  // While the store is down, it does not refuse calls: they end after store_timeout, also those
   // whose end falls after its return.
   bool silent_when_down = false;
+  // If set before the hosts start, reads that may wait for a change do so, and the configuration is
+  // read by them. Otherwise the store answers all reads at once.
+  bool long_polls = false;
+  // Timeout of a call of the store (PlatformHttpClientSettings).
+  Duration store_timeout = std::chrono::seconds(1);
+  // Time after which a host closes a silent connection to the store, by its keep-alive probes.
+  Duration store_keep_alive_timeout = std::chrono::seconds(2);
   // Hosts that the store does not answer.
   std::set<HostId> unanswered_hosts;
   std::string document_content = std::string(500, 'x');
@@ -152,11 +176,28 @@
   void Execute(Host& host, const std::vector<ConfigurationAction>& actions);
   void Execute(Host& host, const std::vector<RelayAction>& actions);
   void Execute(Host& host, const RelayAction& action);
+  struct StoreCall {
+    std::weak_ptr<Host> host;
+    std::shared_ptr<StoreConnection> connection;
+    TimePoint started_at;
+    StoreWait wait;
+    // Runs at the host.
+    std::function<void(Host&, bool answered)> on_result;
+  };
   // Calls the store. `on_result` runs at the host after a delay.
   // `response_bytes` is the size of the response.
   void CallStore(Host& host,
                  std::function<void(Host&, bool answered)> on_result,
-                 std::size_t response_bytes = 0);
+                 std::size_t response_bytes = 0,
+                 StoreWait wait = {});
+  // Ends the call if the store has answered it or its connection has failed, or looks again later.
+  void ContinueStoreCall(const std::shared_ptr<StoreCall>& call);
+  void EndStoreCall(const StoreCall& call, bool answered);
+  // An idle connection, the last one used first, or a new one.
+  std::shared_ptr<StoreConnection> TakeStoreConnection(Host& host) const;
+  // True if keep-alive probes have closed the connection.
+  bool IsClosed(const StoreConnection& connection) const;
+  bool HasRowsAfter(const std::string& table, std::uint64_t after) const;
   // Returns when a host's link has transferred `bytes` more, and occupies the link until then.
   TimePoint TransferOver(HostId host, TimePoint& link_free_at, std::size_t bytes) const;
   FeedBatch ReadRows(const std::string& table, std::uint64_t after, bool with_removed) const;
