Dispatch: Answer at the end of the host although the end of an attempt is late

By review: a cancelled attempt may report its end up to 0.5 s later; after that the request is ended without it. At the end of the host that is after SIGKILL, so that the caller of a starved host would get a closed connection. Now 0.1 s, which leaves 0.2 s. TestRequestOutlastsTheHostIfTheEndOfItsAttemptIsLate needs an answer 0.2 s after the cancel; the code before had none until 0.5 s.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -26,6 +26,8 @@
 // A cancelled attempt ends almost immediately; after this time its end is
 // considered lost.
 constexpr Duration kAttemptEndTimeout = std::chrono::milliseconds(500);
+// The same at the end of the host, which leaves no time to wait.
+constexpr Duration kLastAttemptEndTimeout = std::chrono::milliseconds(100);
 constexpr std::uint32_t kMaxUnusableGrants = 5;
 constexpr std::size_t kMaxLocalQueueLength = 64;
 constexpr Duration kFallbackRetryAfter = std::chrono::seconds(1);
@@ -129,6 +131,14 @@
              : std::min(state.description.deadline, this->host_end.last_answer);
 }
 
+TimePoint HostDispatcher::FinishLimit(const RequestState& state) const {
+  const TimePoint limit = this->RunLimit(state);
+  return limit < state.description.deadline
+             ? std::min(limit + kLastAttemptEndTimeout,
+                        state.description.deadline + kAttemptEndTimeout)
+             : limit + kAttemptEndTimeout;
+}
+
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
                                                   const RequestDescription& request) {
   Actions actions;
@@ -748,7 +758,7 @@
     const auto attempt = this->attempts.find(*state.running_attempt);
     const bool cancelled =
         attempt != this->attempts.end() && attempt->second.cancel_reason != CancelReason::kNone;
-    return cancelled ? deadline + kAttemptEndTimeout : deadline;
+    return cancelled ? this->FinishLimit(state) : deadline;
   }
   TimePoint next = this->StartLimit(state);
   if (state.held_attempt) {
@@ -775,7 +785,7 @@
           now >= state.description.deadline ? CancelReason::kDeadline : CancelReason::kHostEnd,
           actions);
     }
-    if (now >= limit + kAttemptEndTimeout) {
+    if (now >= this->FinishLimit(state)) {
       this->Finish(state, Outcome::kUnknown, LimitReason(now, state), Duration::zero(), actions);
     }
     return;
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -111,6 +111,8 @@
   TimePoint StartLimit(const RequestState& state) const;
   // Time at which a running attempt is cancelled.
   TimePoint RunLimit(const RequestState& state) const;
+  // Time at which a request ends although its cancelled attempt has not.
+  TimePoint FinishLimit(const RequestState& state) const;
   // For a request without further attempts: forwards its held response, if any,
   // or ends the request.
   void ForwardHeldOrFinish(RequestState& state,
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(TestRetryWaitsBeyondTheEndOfTheHost);
   CPPUNIT_TEST(TestRunningRequestIsCutAtTheEndOfTheHost);
   CPPUNIT_TEST(TestEndOfTheHostCutsAResponseThatHasBegun);
+  CPPUNIT_TEST(TestRequestOutlastsTheHostIfTheEndOfItsAttemptIsLate);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -782,6 +783,23 @@
     CPPUNIT_ASSERT(ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now)).empty());
   }
 
+  // Guards against a request without an answer whose attempt was cancelled at the end of the host
+  // and whose end is reported too late.
+  void TestRequestOutlastsTheHostIfTheEndOfItsAttemptIsLate() {
+    this->Reset();
+    const AttemptId attempt = this->RequestSlot(1);
+    this->Grant(attempt, this->broker);
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    this->now += milliseconds(200);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now)).size());
+    CPPUNIT_ASSERT(this->dispatcher->NextDeadline(this->now) <= this->now + milliseconds(200));
+    this->now += milliseconds(200);
+    const auto finished = ActionsOf<FinishRequest>(this->dispatcher->Tick(this->now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, finished.size());
+    CPPUNIT_ASSERT(finished[0].outcome == Outcome::kUnknown);
+  }
+
  private:
   // The limits of a host whose last attempt may start after `delay`.
   HostEnd EndIn(Duration delay) const {
