Host: Use a short grace of a stop too

By review: the margins before the end of the host were absolute, so that a host with a grace of 0.6 s or less refused or cancelled everything at once. They are at most a fifth and a tenth of the grace now (0.6 and 0.3 s at 6 s, as before). TestAcceptedRequestOutlastsTheGrace covers a grace of 0.2 s.

--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -1,5 +1,7 @@
 #include "Libraries/LibHost/stop_admission.h"
 
+#include <algorithm>
+
 namespace pimentopin {
 
 bool StopAdmission::Accepts(TimePoint now, const RequestDescription& request) const {
@@ -17,7 +19,8 @@
     return {};
   }
   const TimePoint end = this->started_at + this->grace;
-  return {.last_start = end - kLastStartMargin, .last_answer = end - kMargin};
+  return {.last_start = end - std::min<Duration>(kLastStartMargin, this->grace / 5),
+          .last_answer = end - std::min<Duration>(kMargin, this->grace / 10)};
 }
 
 }  // namespace pimentopin
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -52,6 +52,9 @@
     CPPUNIT_ASSERT(admission.Limits().last_start < admission.Limits().last_answer);
     CPPUNIT_ASSERT(admission.Limits().last_answer < kStart + seconds(6));
     CPPUNIT_ASSERT(StopAdmission{.started_at = kStart}.Limits() == HostEnd{});
+    // A short grace is used too.
+    const StopAdmission short_stop{.started_at = kStart, .grace = milliseconds(200)};
+    CPPUNIT_ASSERT(short_stop.Limits().last_start > kStart + milliseconds(100));
   }
 
  private:
