--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -91,6 +91,8 @@
   // The stop that has begun, if any. Callable from any thread.
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
+  // Ends the requests in progress before the platform kills the host, which follows a signal only.
+  void LimitToGrace(const StopAdmission& stop);
   void StopListening();
   void WaitForRequests();
   void Flush(TimePoint deadline);
@@ -111,6 +113,7 @@
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
+  bool limited_to_grace = false;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
 
@@ -490,6 +493,7 @@
       Log(LogLevel::kInfo, "reload_requested",
           {{"note", "settings are command-line flags and take effect at the next start"}});
     } else {
+      this->LimitToGrace(*this->CurrentStop());
       this->BeginShutdown();
     }
     this->WaitForSignals();
@@ -513,12 +517,6 @@
   this->drained_at = now;
   const StopAdmission admission = *this->CurrentStop();
   const Duration signal_delay = now - admission.started_at;
-  this->dispatch->SetHostEnd(admission.Limits());
-  if (this->settings.shutdown_grace > kUnfinishedLogMargin + signal_delay) {
-    this->loop.RunAfter(
-        this->settings.shutdown_grace - kUnfinishedLogMargin - signal_delay,
-        [this, admission] { this->dispatch->LogRequestsInProgress(admission.started_at); });
-  }
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
        {"signal_delay_ms", signal_delay.count() / 1000}});
@@ -529,6 +527,18 @@
                       [this] { this->StopListening(); });
 }
 
+void HostProcess::LimitToGrace(const StopAdmission& stop) {
+  if (std::exchange(this->limited_to_grace, true)) {
+    return;
+  }
+  this->dispatch->SetHostEnd(stop.Limits());
+  const Duration remaining = stop.started_at + stop.grace - SteadyNow();
+  if (remaining > kUnfinishedLogMargin) {
+    this->loop.RunAfter(remaining - kUnfinishedLogMargin,
+                        [this, stop] { this->dispatch->LogRequestsInProgress(stop.started_at); });
+  }
+}
+
 void HostProcess::StopListening() {
   this->caller_server->StopListening();
   this->WaitForRequests();
