Tests: A discarded request behind a closing response is reported

TestRequestBehindClosingResponseIsNotHandled lost its check of the report when the server stopped to announce the close early: the state in which it was taken was the fault. The report is checked again where a connection still closes before its last request: behind a response whose request asked for the close.

--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(TestCallerDisconnectIsReportedAfterMalformedRequest);
   CPPUNIT_TEST(TestStopDoesNotCloseBeforePipelinedResponses);
   CPPUNIT_TEST(TestRequestBehindClosingResponseIsNotHandled);
+  CPPUNIT_TEST(TestDiscardedRequestIsNotReported);
   CPPUNIT_TEST(TestRequestBehindStreamedResponseIsDiscarded);
   CPPUNIT_TEST(TestRequestBehindWaitingResponseIsDiscarded);
   CPPUNIT_TEST(TestAbortCutsEarlierResponse);
@@ -411,6 +412,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->requests.size());
   }
 
+  // Guards against a request that is discarded without a trace, because the caller itself asked for
+  // the close of the connection with an earlier one.
+  void TestDiscardedRequestIsNotReported() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send("GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    this->responders[0]->Start(200, {});
+    this->responders[0]->Write("answer-to-/1", {});
+    const std::string first = caller.ReadUntil("answer-to-/1");
+    CPPUNIT_ASSERT(first.find("Connection: close\r\n") != std::string::npos);
+    caller.Send(Get("/2"));
+    CPPUNIT_ASSERT(Eventually([this] {
+      const std::scoped_lock lock(this->mutex);
+      return this->refused.size() == 1;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::string("connection-closing"), this->refused[0].refusal.reason);
+    this->responders[0]->End();
+    caller.ReadUntilClosed();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+  }
+
   // Guards against a request that is read but never answered, because a response of unknown length
   // in front of it announced the close when it started.
   void TestRequestBehindStreamedResponseIsDiscarded() {
