Http: Do not use a closed client after its timer has expired

Cause: Close() frees the multi handle and cancels the timer, but a handler of an expired timer that is queued behind it runs without an error. Change: such a handler does nothing.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -604,6 +604,10 @@
   }
 
   void SocketAction(curl_socket_t descriptor, int events) {
+    // Cancelling a wait has no effect on its handler if it is queued already.
+    if (!this->multi) {
+      return;
+    }
     int still_running = 0;
     curl_multi_socket_action(this->multi.get(), descriptor, events, &still_running);
     this->EndCompletedTransfers();
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
+  CPPUNIT_TEST(TestDestructionCrashesIfATimerHasExpired);
   CPPUNIT_TEST(TestBodyInTransferIsCutByTimeoutOfItsHeader);
   CPPUNIT_TEST(TestInvalidHeaderIsRefused);
   CPPUNIT_TEST(TestNoResendWhenReusedConnectionCloses);
@@ -502,6 +503,44 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), connection.ReadUntilClosed());
   }
 
+  // Guards against a crash of a stopping host whose client is destroyed while the handler of an
+  // expired timer is queued.
+  void TestDestructionCrashesIfATimerHasExpired() {
+    RawServer server(this->context);
+    auto client = HttpClient::Create({});
+    std::promise<void> destroying;
+    std::promise<void> blocked;
+    TransferCallbacks callbacks;
+    callbacks.on_headers = [&](int, const HttpHeaders&) {
+      blocked.set_value();
+      destroying.get_future().wait();
+      // Lets the timer of the other transfer expire and the destructor post its task meanwhile.
+      std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    };
+    callbacks.on_body = [](const std::string&) {};
+    callbacks.on_end = [](const TransferResult&) {};
+    callbacks.on_connection = [](bool) {};
+    TransferCallbacks ignored;
+    ignored.on_headers = [](int, const HttpHeaders&) {};
+    ignored.on_body = callbacks.on_body;
+    ignored.on_end = callbacks.on_end;
+    ignored.on_connection = callbacks.on_connection;
+    const auto answered =
+        client->Start({.method = "GET", .url = server.url("/"), .timeout = std::chrono::seconds(9)},
+                      std::move(callbacks));
+    RawConnection connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    const auto silent = client->Start(
+        {.method = "GET", .url = server.url("/"), .timeout = std::chrono::milliseconds(300)},
+        std::move(ignored));
+    RawConnection other = server.Accept();
+    other.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n");
+    blocked.get_future().wait();
+    destroying.set_value();
+    client.reset();
+  }
+
   // Guards against large responses that a thin link can never transfer in time.
   void TestBodyInTransferIsCutByTimeoutOfItsHeader() {
     RawServer server(this->context);
