--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -133,10 +133,7 @@
 
 TimePoint HostDispatcher::FinishLimit(const RequestState& state) const {
   const TimePoint limit = this->RunLimit(state);
-  return limit < state.description.deadline
-             ? std::min(limit + kLastAttemptEndTimeout,
-                        state.description.deadline + kAttemptEndTimeout)
-             : limit + kAttemptEndTimeout;
+  return limit + (limit < state.description.deadline ? kLastAttemptEndTimeout : kAttemptEndTimeout);
 }
 
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
--- a/Meta/soak_deployments.py
+++ b/Meta/soak_deployments.py
@@ -4,6 +4,7 @@
 
 # Timeout of the route, deadline of the caller, work and mean size of the response. A fresh kind
 # opens a connection for each request; `weight` is its share of the arrivals.
+# `spread` is the deviation of the logarithm of the work; without one, work is exponential.
 Kind = collections.namedtuple(
     "Kind", "name service method kind timeout_s deadline_s work_s body_bytes fresh weight spread")
 
