Http, Host: Do not let requests to targets wait for a connection

Cause: the client of the targets allowed 8 connections per address. The dispatcher does not know that limit. It sent 24 requests for which it had slots, and 16 of them, then the other service's request at the same address, waited inside libcurl until their deadline. The dispatcher took them for running, so none was tried elsewhere. A target with more than 8 slots meets this at any host.

Evidence: strace shows 8 connect() calls and then none for 4 s while both threads of the host use half of a processor; the target accepts 8 connections, and the next ones when the first 8 responses reach their deadline.

Change: connections in use are bounded by the slots that brokers grant, and the client has no limit of its own. The limit of 8 is kept for what it is for, idle connections: a request that starts while 8 others to its address are active closes its connection.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -32,10 +32,11 @@
 namespace pimentopin {
 namespace {
 
-// 32 hosts with 8 connections for requests and one for probes each stay below a
-// target's limit of 300 connections.
+// 32 hosts with 8 idle connections and one for probes each stay below a target's limit of 300
+// connections. Connections in use need no limit here: brokers grant no more slots of a target than
+// it has, and a configuration with more slots than connections is refused.
 // FIXME: Derive the share from the configured limit and the number of hosts.
-constexpr std::size_t kConnectionsPerTarget = 8;
+constexpr std::size_t kIdleConnectionsPerTarget = 8;
 constexpr std::size_t kProbeConnectionsPerTarget = 1;
 constexpr Duration kIsolationWindow = std::chrono::seconds(4);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
@@ -236,7 +237,12 @@
 void HostProcess::CreateDispatch() {
   this->probe_client =
       HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget});
-  this->target_client = HttpClient::Create({.max_connections_per_address = kConnectionsPerTarget});
+  // The dispatcher chooses a target for each request and takes another if one is slow. A request
+  // that waited for a connection would stay with its target, and the dispatcher would take it for
+  // running.
+  this->target_client =
+      HttpClient::Create({.max_connections_per_address = 0,
+                          .max_reused_connections_per_address = kIdleConnectionsPerTarget});
   const RetryLimits fleet_limits{
       .fraction = this->settings.retry_fraction,
       .extra = this->settings.retry_extra,
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -96,6 +96,16 @@
   return list;
 }
 
+// Returns IP:port of an URL, which has the form given for HttpClientRequest.
+std::string_view AddressOf(std::string_view url) {
+  constexpr std::string_view kScheme = "http://";
+  if (!url.starts_with(kScheme)) {
+    return {};
+  }
+  url.remove_prefix(kScheme.size());
+  return url.substr(0, url.find_first_of("/?"));
+}
+
 // Parses the header section of the final response and determines whether its length is defined.
 class ResponseHeaderParser {
  public:
@@ -353,6 +363,11 @@
       return;
     }
     this->active_transfers.insert(transfer);
+    std::size_t& active = this->active_per_address[std::string(AddressOf(transfer->request.url))];
+    if (active >= this->settings.max_reused_connections_per_address) {
+      curl_easy_setopt(transfer->easy.get(), CURLOPT_FORBID_REUSE, 1L);
+    }
+    ++active;
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
     this->EndAt(transfer, transfer->start + transfer->request.timeout,
                 transfer->request.body_timeout);
@@ -393,7 +408,9 @@
       return;
     }
     transfer->timer.reset();
-    this->active_transfers.erase(transfer);
+    if (this->active_transfers.erase(transfer) > 0) {
+      this->RemoveActive(transfer->request.url);
+    }
     if (transfer->easy) {
       // libcurl may have started the next transfer on the connection before it reported the end of
       // this one.
@@ -596,6 +613,13 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   }
 
+  void RemoveActive(const std::string& url) {
+    const auto active = this->active_per_address.find(std::string(AddressOf(url)));
+    if (--active->second == 0) {
+      this->active_per_address.erase(active);
+    }
+  }
+
   void RecycleHandle(EasyHandle easy) {
     if (this->idle_handles.size() < kMaxIdleHandles) {
       curl_easy_reset(easy.get());
@@ -712,6 +736,7 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<IdleConnection>> idle_connections;
   MultiHandle multi;
   std::unordered_set<std::shared_ptr<CurlTransfer>> active_transfers;
+  std::unordered_map<std::string, std::size_t> active_per_address;
 };
 
 void CurlTransfer::EndAfterCallbacks(TransferError error) {
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -69,8 +69,12 @@
 };
 
 struct HttpClientSettings {
-  // Maximum number of open connections per address, including idle ones.
+  // Maximum number of open connections per address, including idle ones. Further requests wait for
+  // a free one, and their timeout runs. 0 for no limit.
   std::size_t max_connections_per_address = 300;
+  // A request that starts while this number of requests to its address is active closes its
+  // connection instead of leaving it idle for reuse.
+  std::size_t max_reused_connections_per_address = 300;
   Duration connect_timeout = std::chrono::milliseconds(500);
   // Idle time before the first TCP keep-alive probe. Shorter values detect an unresponsive peer
   // sooner.
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(TestCancelAfterEndIsIgnored);
   CPPUNIT_TEST(TestPauseStopsDelivery);
   CPPUNIT_TEST(TestConnectionLimitPerAddress);
+  CPPUNIT_TEST(TestRequestWaitsBehindKeptConnections);
   CPPUNIT_TEST(TestDestroyedClientEndsTransfers);
   CPPUNIT_TEST(TestAbortedServerResponseIsTruncated);
   CPPUNIT_TEST(TestConcurrentTransfersReceiveTheirOwnResponses);
@@ -735,6 +736,41 @@
     this->CheckError(waiting, TransferError::kTimeout, false);
   }
 
+  // Guards against requests that wait for a connection while responses without end hold those that
+  // may be kept, and against keeping more connections than allowed.
+  void TestRequestWaitsBehindKeptConnections() {
+    this->client = HttpClient::Create(
+        {.max_connections_per_address = 0, .max_reused_connections_per_address = 2});
+    RawServer server(this->context);
+    std::vector<RawConnection> connections;
+    std::vector<TransferRecorder*> transfers;
+    for (int index = 0; index < 4; ++index) {
+      transfers.push_back(&this->Get(server.url("/first")));
+      connections.push_back(server.Accept());
+      CPPUNIT_ASSERT(connections.back().ReadUntil("\r\n\r\n").starts_with("GET /first "));
+    }
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+      connections[index].Send(kSmallResponse);
+      CPPUNIT_ASSERT(transfers[index]->Wait());
+      CPPUNIT_ASSERT(transfers[index]->result.error == TransferError::kNone);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), connections[2].ReadUntilClosed());
+    CPPUNIT_ASSERT_EQUAL(std::string(), connections[3].ReadUntilClosed());
+
+    // The connections of ended requests count no longer.
+    TransferRecorder& third = this->Get(server.url("/later"));
+    TransferRecorder& fourth = this->Get(server.url("/later"));
+    for (std::size_t index = 0; index < 2; ++index) {
+      CPPUNIT_ASSERT(connections[index].ReadUntil("\r\n\r\n").starts_with("GET /later "));
+    }
+    connections[0].Send(kSmallResponse);
+    connections[1].Send(kSmallResponse);
+    CPPUNIT_ASSERT(third.Wait());
+    CPPUNIT_ASSERT(fourth.Wait());
+    CPPUNIT_ASSERT(third.connection_reused == true);
+    CPPUNIT_ASSERT(fourth.connection_reused == true);
+  }
+
   // Guards against callbacks that are never called and against using a destroyed client.
   void TestDestroyedClientEndsTransfers() {
     RawServer server(this->context);
