Idempotency, Host: Limit the wait for a claim by the deadline and the end of the host

Callers of keyed requests (Idempotency-Key) whose claim the table did not answer got their answer up to 1.5 s after the request arrived, whatever their deadline was. On a host that ends before that, they would get none.

Cause: a claim ended at a time limit of its own only. ClaimStore knew neither the deadline of the request nor HostEnd, which HostDispatcher applies to a request that it has begun, i.e. after the claim.

ClaimStore::Claim now takes a limit, DispatchController passes the deadline, and SetHostEnd limits all claims, those in progress too, to last_start. The caller gets 504 not-run `deadline` or 503 not-run `stopping`; `claim-unavailable` remains for the time limit of the claim. Not run is true: a target is sent nothing before the claim is held. A claim that is given up takes the path of the old time limit: `released` is written over the version that the claim would have replaced, so that a claim applied late leaves the key free. A claim granted in the moment of its limit is refused by HostDispatcher and released, as before. A claim whose limit has passed before it starts writes nothing.

ClaimStoreTest, with the limit passed and ignored: TestClaimOutlivesItsLimit, TestClaimsOutliveTheCommonLimit, TestLateClaimAppliesAfterItsLimit and TestKeyIsWrittenAfterTheLimit fail.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -136,6 +136,14 @@
   return limit + (limit < state.description.deadline ? kLastAttemptEndTimeout : kAttemptEndTimeout);
 }
 
+std::optional<RefusalReason> HostDispatcher::LimitReached(TimePoint now,
+                                                          const RequestDescription& request) const {
+  if (now >= request.deadline) {
+    return RefusalReason::kDeadline;
+  }
+  return now >= this->host_end.last_start ? std::optional(RefusalReason::kHostEnd) : std::nullopt;
+}
+
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
                                                   const RequestDescription& request) {
   Actions actions;
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -34,6 +34,10 @@
   // Limits all requests to the remaining lifetime of the host.
   std::vector<DispatchAction> SetHostEnd(TimePoint now, const HostEnd& end);
 
+  // Why no attempt of the request may start at `now`, if its deadline or the limit of the host is
+  // reached.
+  std::optional<RefusalReason> LimitReached(TimePoint now, const RequestDescription& request) const;
+
   std::vector<DispatchAction> Begin(TimePoint now, const RequestDescription& request);
   std::vector<DispatchAction> OnGrant(TimePoint now, HostId sender, const SlotGrant& grant);
   std::vector<DispatchAction> OnRefusal(TimePoint now, HostId sender, const SlotRefusal& refusal);
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -203,6 +203,7 @@
 }
 
 void DispatchController::SetHostEnd(const HostEnd& end) {
+  this->claims.LimitClaims(end.last_start);
   this->Execute(this->dispatcher.SetHostEnd(this->Now(), end));
   this->Reschedule();
 }
@@ -230,6 +231,7 @@
 void DispatchController::Claim(const std::shared_ptr<Exchange>& exchange) {
   const AttemptId claimant{this->random.Next()};
   this->claims.Claim(this->Now(), *exchange->claim_key, claimant, exchange->description.fingerprint,
+                     exchange->description.deadline,
                      [this, exchange, claimant](const ClaimResult& result) {
                        this->OnClaimed(exchange, claimant, result);
                      });
@@ -246,7 +248,14 @@
     this->Replay(*exchange, *result.response);
     return;
   }
-  this->SendErrorResponse(*exchange, ClaimRefusal(result.decision));
+  const std::optional<RefusalReason> limit =
+      result.decision == ClaimDecision::kTableUnavailable
+          ? this->dispatcher.LimitReached(this->Now(), exchange->description)
+          : std::nullopt;
+  this->SendErrorResponse(
+      *exchange,
+      limit ? ErrorResponseFor(FinishRequest{.refusal = *limit}) : ClaimRefusal(result.decision),
+      limit.value_or(RefusalReason::kNone));
 }
 
 void DispatchController::Replay(const Exchange& exchange, const StoredResponse& response) {
@@ -638,10 +647,12 @@
 }
 
 void DispatchController::SendErrorResponse(const Exchange& exchange,
-                                           const ErrorResponse& response) {
+                                           const ErrorResponse& response,
+                                           RefusalReason refusal) {
   response.Send(*exchange.responder, exchange.request_id, *this->settings.dialect);
   this->Report(exchange, {.outcome = response.outcome,
                           .reason = response.reason,
+                          .refusal = std::string(RefusalReasonName(refusal)),
                           .status = response.StatusFor(*this->settings.dialect)});
 }
 
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -143,7 +143,10 @@
   void OnAttemptEnd(RequestId request, AttemptId attempt, TargetId target, const AttemptEnd& end);
 
   void SettleClaim(const ActiveRequest& request, const FinishRequest& finish);
-  void SendErrorResponse(const Exchange& exchange, const ErrorResponse& response);
+  // `refusal` is why no attempt was made, if a limit of the request is the reason.
+  void SendErrorResponse(const Exchange& exchange,
+                         const ErrorResponse& response,
+                         RefusalReason refusal);
   // Adds the properties of the exchange and calls on_finished.
   void Report(const Exchange& exchange, FinishedRequest finished);
   bool HasLongWork(ServiceId service) const;
--- a/Libraries/LibIdempotency/claim_store.cc
+++ b/Libraries/LibIdempotency/claim_store.cc
@@ -33,22 +33,32 @@
                        const ClaimKey& key,
                        AttemptId attempt,
                        Fingerprint fingerprint,
+                       TimePoint limit,
                        std::function<void(const ClaimResult&)> callback) {
   this->last_call_at = std::max(this->last_call_at, now);
   if (this->entries.contains(attempt)) {
     callback({ClaimDecision::kInProgressOrLost, std::nullopt});
     return;
   }
+  // Nothing has been written that would have to be released.
+  if (now >= std::min(limit, this->common_limit)) {
+    callback({ClaimDecision::kTableUnavailable, std::nullopt});
+    return;
+  }
   Entry& entry = this->entries[attempt];
   entry.key = key;
   entry.row_key = RowKey(key);
   entry.fingerprint = fingerprint;
   entry.callback = std::move(callback);
-  entry.started_at = now;
+  entry.limit = std::min(limit, now + kClaimTimeout);
   this->StartStep(entry, Phase::kClaiming, Step::kWrite, now);
   this->schedule_tick(now + kBatchDelay);
 }
 
+void ClaimStore::LimitClaims(TimePoint limit) {
+  this->common_limit = limit;
+}
+
 void ClaimStore::Complete(TimePoint now, AttemptId attempt, StoredResponse response) {
   this->last_call_at = std::max(this->last_call_at, now);
   const auto found = this->entries.find(attempt);
@@ -92,7 +102,7 @@
   std::vector<AttemptId> expired_claims;
   std::vector<std::pair<AttemptId, std::uint64_t>> timed_out_operations;
   for (const auto& [attempt, entry] : this->entries) {
-    if (entry.phase == Phase::kClaiming && now - entry.started_at >= kClaimTimeout) {
+    if (entry.phase == Phase::kClaiming && now >= std::min(entry.limit, this->common_limit)) {
       expired_claims.push_back(attempt);
     } else if (entry.phase != Phase::kHeld && entry.step == Step::kWaiting &&
                now - entry.sent_at >= kTableCallTimeout) {
--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -36,7 +36,7 @@
   kInProgressOrLost,
   // The key was used with a different request.
   kKeyReused,
-  // The table did not reply; the request must not be sent.
+  // The table did not reply in time; the request must not be sent.
   kTableUnavailable,
 };
 
@@ -87,12 +87,16 @@
   ClaimStore(TableStore& table, TickScheduler schedule_tick, ClaimLossHandler on_claim_lost);
 
   // Claims the key and calls `callback` once. After kRun, the claim must be ended with
-  // Complete, Release or Abandon. `attempt` must be unique over the fleet.
+  // Complete, Release or Abandon. `attempt` must be unique over the fleet. A claim without a known
+  // result at `limit` ends with kTableUnavailable.
   void Claim(TimePoint now,
              const ClaimKey& key,
              AttemptId attempt,
              Fingerprint fingerprint,
+             TimePoint limit,
              std::function<void(const ClaimResult&)> callback);
+  // Applies a limit to the claims in progress and all later ones.
+  void LimitClaims(TimePoint limit);
   // Schedules a write that stores the response of the request that ran; the next Tick sends
   // it. Retries while the table is unavailable. No effect unless the claim is held.
   void Complete(TimePoint now, AttemptId attempt, StoredResponse response);
@@ -118,7 +122,8 @@
     Fingerprint fingerprint{};
     std::function<void(const ClaimResult&)> callback;
     StoredResponse response;
-    TimePoint started_at{};
+    // Time at which the claim ends if it has no result.
+    TimePoint limit{};
     Phase phase = Phase::kClaiming;
     // The next operation, or the one in flight.
     Step step = Step::kWrite;
@@ -148,6 +153,7 @@
   const TickScheduler schedule_tick;
   const ClaimLossHandler on_claim_lost;
   std::map<AttemptId, Entry> entries;
+  TimePoint common_limit = TimePoint::max();
   // Time of the last call; replies of the table carry no time.
   TimePoint last_call_at{};
   // Expires with this object, so that later callbacks of the table have no effect.
--- a/Tests/LibIdempotency/claim_store_test.cc
+++ b/Tests/LibIdempotency/claim_store_test.cc
@@ -109,8 +109,13 @@
   void Claim(SimulatedHost& host, std::size_t key) {
     const AttemptId attempt{++this->attempts};
     ++this->pending_claims;
+    // Some limits are too short for a reply of the table.
+    const TimePoint limit =
+        this->faults_stopped
+            ? TimePoint::max()
+            : this->database.now + this->database.RandomDuration(Duration(0), seconds(2));
     host.claim_store->Claim(
-        this->database.now, Key(key), attempt, kFingerprint,
+        this->database.now, Key(key), attempt, kFingerprint, limit,
         [this, &host, key, attempt, restart_count = host.restart_count](const ClaimResult& result) {
           --this->pending_claims;
           ++this->decisions[result.decision];
@@ -203,6 +208,10 @@
   CPPUNIT_TEST(TestLostReplyIsReadBack);
   CPPUNIT_TEST(TestTableDownMeansNotRun);
   CPPUNIT_TEST(TestLateClaimCannotApplyAfterTimeout);
+  CPPUNIT_TEST(TestClaimOutlivesItsLimit);
+  CPPUNIT_TEST(TestClaimsOutliveTheCommonLimit);
+  CPPUNIT_TEST(TestLateClaimAppliesAfterItsLimit);
+  CPPUNIT_TEST(TestKeyIsWrittenAfterTheLimit);
   CPPUNIT_TEST(TestDecisionsByRow);
   CPPUNIT_TEST(TestLastResponseOfIdleHostIsStored);
   CPPUNIT_TEST(TestLastClaimOfIdleHostIsReleased);
@@ -330,6 +339,66 @@
     CPPUNIT_ASSERT(Claim(host, "a", AttemptId{2}).decision == ClaimDecision::kRun);
   }
 
+  // Guards against a request that waits for its claim beyond its deadline.
+  void TestClaimOutlivesItsLimit() {
+    FaultyDatabase database(3);
+    SimulatedHost host(database);
+    database.fault_script = [] { return TableFault::kNoReply; };
+    const TimePoint limit = database.now + milliseconds(300);
+    std::optional<ClaimDecision> decision;
+    ClaimUntil(host, AttemptId{1}, limit, decision);
+    database.RunUntil(limit - milliseconds(1));
+    CPPUNIT_ASSERT(!decision);
+    database.RunUntil(limit + ClaimStore::kBatchDelay);
+    CPPUNIT_ASSERT(decision == ClaimDecision::kTableUnavailable);
+    AssertKeyBecomesFree(host);
+  }
+
+  // Guards against requests that wait for their claims beyond the end of their host.
+  void TestClaimsOutliveTheCommonLimit() {
+    FaultyDatabase database(3);
+    SimulatedHost host(database);
+    database.fault_script = [] { return TableFault::kNoReply; };
+    std::optional<ClaimDecision> decision;
+    ClaimUntil(host, AttemptId{1}, TimePoint::max(), decision);
+    database.RunUntil(database.now + milliseconds(100));
+    const TimePoint limit = database.now + milliseconds(200);
+    host.claim_store->LimitClaims(limit);
+    database.RunUntil(limit - milliseconds(1));
+    CPPUNIT_ASSERT(!decision);
+    database.RunUntil(limit + ClaimStore::kBatchDelay);
+    CPPUNIT_ASSERT(decision == ClaimDecision::kTableUnavailable);
+    host.claim_store->LimitClaims(TimePoint::max());
+    AssertKeyBecomesFree(host);
+  }
+
+  // Guards against a claim that is applied after its limit and blocks the key forever.
+  void TestLateClaimAppliesAfterItsLimit() {
+    FaultyDatabase database(3);
+    SimulatedHost host(database);
+    bool first = true;
+    database.fault_script = [&] {
+      return std::exchange(first, false) ? TableFault::kAppliedLate : TableFault::kNone;
+    };
+    // The claim is given up before a read could find it.
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}, kFingerprint, milliseconds(20)).decision ==
+                   ClaimDecision::kTableUnavailable);
+    database.RunUntil(database.now + seconds(90));
+    AssertKeyBecomesFree(host);
+  }
+
+  // Guards against a write that has to be taken back although nothing could follow it.
+  void TestKeyIsWrittenAfterTheLimit() {
+    FaultyDatabase database(3);
+    SimulatedHost host(database);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}, kFingerprint, Duration(0)).decision ==
+                   ClaimDecision::kTableUnavailable);
+    host.claim_store->LimitClaims(database.now);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{2}).decision == ClaimDecision::kTableUnavailable);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, database.calls);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
+  }
+
   // Guards against decisions that differ from the table in section 5.6 of the design.
   void TestDecisionsByRow() {
     FaultyDatabase database(4);
@@ -489,7 +558,8 @@
     int running = 0;
     for (std::uint64_t index = 1; index <= 300; ++index) {
       host.claim_store->Claim(database.now, {"booking", "wheels", std::to_string(index)},
-                              AttemptId{index}, kFingerprint, [&](const ClaimResult& result) {
+                              AttemptId{index}, kFingerprint, TimePoint::max(),
+                              [&](const ClaimResult& result) {
                                 running += result.decision == ClaimDecision::kRun ? 1 : 0;
                               });
     }
@@ -534,10 +604,11 @@
   static ClaimResult Claim(SimulatedHost& host,
                            const std::string& key,
                            AttemptId attempt,
-                           Fingerprint fingerprint = kFingerprint) {
+                           Fingerprint fingerprint = kFingerprint,
+                           Duration remaining = seconds(10)) {
     std::optional<ClaimResult> decision;
     host.claim_store->Claim(host.database.now, {"booking", "wheels", key}, attempt, fingerprint,
-                            [&](const ClaimResult& result) {
+                            host.database.now + remaining, [&](const ClaimResult& result) {
                               CPPUNIT_ASSERT(!decision);
                               decision = result;
                             });
@@ -546,6 +617,26 @@
     return *decision;
   }
 
+  static void ClaimUntil(SimulatedHost& host,
+                         AttemptId attempt,
+                         TimePoint limit,
+                         std::optional<ClaimDecision>& decision) {
+    host.claim_store->Claim(host.database.now, {"booking", "wheels", "a"}, attempt, kFingerprint,
+                            limit, [&decision](const ClaimResult& result) {
+                              CPPUNIT_ASSERT(!decision);
+                              decision = result.decision;
+                            });
+  }
+  // Ends the faults of the table and claims key "a" again.
+  static void AssertKeyBecomesFree(SimulatedHost& host) {
+    host.database.fault_script = nullptr;
+    host.database.RunUntil(host.database.now + seconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
+    const auto row = ParseClaimRow(host.database.rows["claim/booking/wheels/a"].value);
+    CPPUNIT_ASSERT(row && row->state == ClaimState::kReleased);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{99}).decision == ClaimDecision::kRun);
+  }
+
   // Sets the faults of the next calls; later calls have none.
   static void SetFaultScript(FaultyDatabase& database, std::vector<TableFault> faults) {
     auto next = std::make_shared<std::size_t>(0);
