Dispatch: State the end of the host as the reason for a refusal

On a host near its end, callers of requests that were not run were told `deadline` (504) or `overload` if a broker refused them, and `held-off` ("until after the deadline") if all targets held the host off until after the host's end. Another host would have had the time, up to the caller's deadline.

Cause: a slot request states the time that HostEnd leaves, so the broker refuses for lack of that time, which it takes for the caller's. OnRefusal passed the reason on unchanged. WaitForHoldOff compared with the host's limit and named the deadline.

If HostEnd leaves less time than the deadline, `deadline` and `overload` of a broker become `stopping` (503), with the broker's Retry-After, and so does a hold-off that ends after the host's limit but before the deadline (default Retry-After, as other hosts may not be held off). A broker that refused before it knew the shorter time refused for the longer one, so that `stopping` is true then as well. Other reasons (queue full, retry budget, ...) stay, and whether a request was run is decided as before.

HostDispatcherTest::TestRefusalNearTheEndOfTheHostNamesAnotherReason and TestHoldOffBeyondTheEndOfTheHostNamesTheTargets fail before. TestRefusalNamesTheEndOfTheHostWithoutReason guards the opposite.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -208,10 +208,14 @@
     return;
   }
   // A held response would occupy its slot meanwhile.
-  if (state.held_attempt || *end >= this->StartLimit(state)) {
+  if (state.held_attempt || *end >= state.description.deadline) {
     this->ForwardHeldOrFinish(state, RefusalReason::kHoldOff, *end - now, actions);
     return;
   }
+  if (*end >= this->StartLimit(state)) {
+    this->ForwardHeldOrFinish(state, RefusalReason::kHostEnd, Duration::zero(), actions);
+    return;
+  }
   state.phase = RequestPhase::kHeldOff;
   state.resume_at = *end;
 }
@@ -483,7 +487,13 @@
     this->PlaceNextAttempt(now, *state, actions);
     return actions;
   }
-  this->ForwardHeldOrFinish(*state, refusal.reason, refusal.retry_after, actions);
+  // The broker knows only the time that the end of this host leaves.
+  const bool lacks_time =
+      refusal.reason == RefusalReason::kDeadline || refusal.reason == RefusalReason::kOverload;
+  const bool limited_by_host = this->StartLimit(*state) < state->description.deadline;
+  this->ForwardHeldOrFinish(
+      *state, lacks_time && limited_by_host ? RefusalReason::kHostEnd : refusal.reason,
+      refusal.retry_after, actions);
   return actions;
 }
 
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -82,6 +82,9 @@
   CPPUNIT_TEST(TestNextDeadlineFollowsTheRequests);
   CPPUNIT_TEST(TestRouteLimitsAttempts);
   CPPUNIT_TEST(TestWaitingRequestIsCutAtTheEndOfTheHost);
+  CPPUNIT_TEST(TestRefusalNearTheEndOfTheHostNamesAnotherReason);
+  CPPUNIT_TEST(TestRefusalNamesTheEndOfTheHostWithoutReason);
+  CPPUNIT_TEST(TestHoldOffBeyondTheEndOfTheHostNamesTheTargets);
   CPPUNIT_TEST(TestRetryWaitsBeyondTheEndOfTheHost);
   CPPUNIT_TEST(TestRunningRequestIsCutAtTheEndOfTheHost);
   CPPUNIT_TEST(TestEndOfTheHostCutsAResponseThatHasBegun);
@@ -733,6 +736,46 @@
     CPPUNIT_ASSERT(finished[0].refusal == RefusalReason::kHostEnd);
   }
 
+  // Guards against the caller's deadline or the load as the stated reason if the request would have
+  // had enough time on another host.
+  void TestRefusalNearTheEndOfTheHostNamesAnotherReason() {
+    for (const RefusalReason reason : {RefusalReason::kDeadline, RefusalReason::kOverload}) {
+      this->Reset();
+      this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+      const FinishRequest finish = this->Refuse(this->RequestSlot(1), reason);
+      CPPUNIT_ASSERT(finish.outcome == Outcome::kNotRun);
+      CPPUNIT_ASSERT(finish.refusal == RefusalReason::kHostEnd);
+      CPPUNIT_ASSERT(finish.retry_after == milliseconds(70));
+    }
+  }
+
+  // Guards against the stop as the stated reason if it does not shorten the time of the request, or
+  // has nothing to do with the refusal.
+  void TestRefusalNamesTheEndOfTheHostWithoutReason() {
+    for (const RefusalReason reason : {RefusalReason::kDeadline, RefusalReason::kOverload}) {
+      this->Reset();
+      this->dispatcher->SetHostEnd(this->now, this->EndIn(seconds(3)));
+      CPPUNIT_ASSERT(this->Refuse(this->RequestSlot(1), reason).refusal == reason);
+    }
+    this->Reset();
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    CPPUNIT_ASSERT(this->Refuse(this->RequestSlot(1), RefusalReason::kQueueFull).refusal ==
+                   RefusalReason::kQueueFull);
+  }
+
+  // Guards against a wait for targets that is stated although another host could wait for them.
+  void TestHoldOffBeyondTheEndOfTheHostNamesTheTargets() {
+    this->Reset();
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+      this->hold_offs[TargetId{target}] = this->now + milliseconds(500);
+    }
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    const auto actions = this->dispatcher->Begin(this->now, this->Request(1, false));
+    const auto finish = ActionsOf<FinishRequest>(actions).at(0);
+    CPPUNIT_ASSERT(finish.outcome == Outcome::kNotRun);
+    CPPUNIT_ASSERT(finish.refusal == RefusalReason::kHostEnd);
+  }
+
   // Guards against a request whose attempt failed shortly before the end of its host and that then
   // waits for another slot.
   void TestRetryWaitsBeyondTheEndOfTheHost() {
@@ -805,6 +848,15 @@
   HostEnd EndIn(Duration delay) const {
     return {.last_start = this->now + delay, .last_answer = this->now + 2 * delay};
   }
+  // The broker refuses the slot.
+  FinishRequest Refuse(AttemptId attempt, RefusalReason reason) {
+    return ActionsOf<FinishRequest>(this->dispatcher->OnRefusal(this->now, this->broker,
+                                                                {.attempt = attempt,
+                                                                 .service = kService,
+                                                                 .reason = reason,
+                                                                 .retry_after = milliseconds(70)}))
+        .at(0);
+  }
   void Reset() {
     this->now = TimePoint(seconds(100));
     this->sequence = 0;
