Host: Report the last period before the end of the grace

A connection that stays open (a caller that never reads, or an incomplete request) holds up WaitForRequests until the platform kills the host. The summary of the last period, up to 60 s of requests, was then never written, as only the exit ended the period.

From a signal on, the host now ends the period at last_start of HostEnd, too. Later requests form another period, which the exit reports as before. Claims were never held up: ClaimStore sends its writes at its own ticks.

The wait itself keeps its bound, the end of the grace: ending the process earlier would take responses that callers still read, and refusals on kept connections, from them, and CloseIfIdle re-arms for such callers only.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -532,7 +532,14 @@
     return;
   }
   this->dispatch->SetHostEnd(stop.Limits());
-  const Duration remaining = stop.started_at + stop.grace - SteadyNow();
+  const TimePoint now = SteadyNow();
+  const Duration remaining = stop.started_at + stop.grace - now;
+  if (stop.grace > Duration::zero()) {
+    // A connection that stays open can delay the exit, which reports the last period, until the
+    // host is killed. Requests that end later form another period.
+    this->loop.RunAfter(std::max(stop.Limits().last_start - now, Duration::zero()),
+                        [this] { this->reports->Close(SteadyNow()); });
+  }
   if (remaining > kUnfinishedLogMargin) {
     this->loop.RunAfter(remaining - kUnfinishedLogMargin,
                         [this, stop] { this->dispatch->LogRequestsInProgress(stop.started_at); });
