--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -136,6 +136,14 @@
   return limit + (limit < state.description.deadline ? kLastAttemptEndTimeout : kAttemptEndTimeout);
 }
 
+std::optional<RefusalReason> HostDispatcher::LimitReached(TimePoint now,
+                                                          const RequestDescription& request) const {
+  if (now >= request.deadline) {
+    return RefusalReason::kDeadline;
+  }
+  return now >= this->host_end.last_start ? std::optional(RefusalReason::kHostEnd) : std::nullopt;
+}
+
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
                                                   const RequestDescription& request) {
   Actions actions;
@@ -200,10 +208,14 @@
     return;
   }
   // A held response would occupy its slot meanwhile.
-  if (state.held_attempt || *end >= this->StartLimit(state)) {
+  if (state.held_attempt || *end >= state.description.deadline) {
     this->ForwardHeldOrFinish(state, RefusalReason::kHoldOff, *end - now, actions);
     return;
   }
+  if (*end >= this->StartLimit(state)) {
+    this->ForwardHeldOrFinish(state, RefusalReason::kHostEnd, Duration::zero(), actions);
+    return;
+  }
   state.phase = RequestPhase::kHeldOff;
   state.resume_at = *end;
 }
@@ -475,7 +487,13 @@
     this->PlaceNextAttempt(now, *state, actions);
     return actions;
   }
-  this->ForwardHeldOrFinish(*state, refusal.reason, refusal.retry_after, actions);
+  // The broker knows only the time that the end of this host leaves.
+  const bool lacks_time =
+      refusal.reason == RefusalReason::kDeadline || refusal.reason == RefusalReason::kOverload;
+  const bool limited_by_host = this->StartLimit(*state) < state->description.deadline;
+  this->ForwardHeldOrFinish(
+      *state, lacks_time && limited_by_host ? RefusalReason::kHostEnd : refusal.reason,
+      refusal.retry_after, actions);
   return actions;
 }
 
