Http, Host: Share the bytes of a request body instead of copying them

HttpBody is an immutable value whose copies share the bytes. The server keeps RESTinio's request, which owns the body as a constant string, alive in it; RESTinio itself reserves the string from Content-Length.

TestAttemptsShareTheRequestBody fails with a copy in AttemptTransfer::Start ("received == &this->client.request.body.text()") and passes now. TestRequestBodyOutlivesServer guards the lifetime that is new; it also holds for a copy.

--- a/Libraries/LibHost/operator_endpoint.cc
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -331,7 +331,7 @@
     return;
   }
   Findings findings;
-  ConfigurationDocument document = ReadApplyBody(request.body, findings);
+  ConfigurationDocument document = ReadApplyBody(request.body.text(), findings);
   if (findings.empty()) {
     document.revision = document.base_revision + 1;
     this->configuration.configuration_settings().parser(document, findings);
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -210,7 +210,7 @@
   }
   description.deadline = now + *timeout;
   description.fingerprint =
-      ComputeFingerprint(service.name, request.method, exchange.target_path, request.body);
+      ComputeFingerprint(service.name, request.method, exchange.target_path, request.body.text());
   description.affinity_key =
       traits.affinity ? (StableHash(resolved->target_path) | 1) : std::uint64_t{0};
   for (const Target* target : allowed) {
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -587,11 +587,11 @@
     }
     const bool expects_body =
         request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    if (!request.body.empty() || expects_body) {
+    if (!request.body.text().empty() || expects_body) {
       curl_easy_setopt(easy, CURLOPT_POST, 1L);
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.text().data());
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                       static_cast<curl_off_t>(request.body.size()));
+                       static_cast<curl_off_t>(request.body.text().size()));
     }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   }
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibHttp/http_body.h"
 #include "Libraries/LibHttp/http_message.h"
 
 namespace pimentopin {
@@ -16,7 +17,7 @@
   // http://IP:port/path?query
   std::string url;
   HttpHeaders headers;
-  std::string body;
+  HttpBody body;
   // Time from Start() to the end of the response.
   Duration timeout{};
   // Additional time if the header of the response arrives within `timeout`.
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -1207,12 +1207,13 @@
           this->bound_address = text.str();
         })
         .request_handler([this](const restinio::request_handle_t& request) {
-          this->OnRequest(*request);
+          this->OnRequest(request);
           return restinio::request_accepted();
         });
   }
 
-  void OnRequest(restinio::request_t& restinio_request) {
+  void OnRequest(const restinio::request_handle_t& handle) {
+    restinio::request_t& restinio_request = *handle;
     const auto connection = this->state->context.registry.Find(restinio_request.connection_id());
     if (!connection) {
       return;
@@ -1232,7 +1233,9 @@
     restinio_request.header().for_each_field([&](const restinio::http_header_field_t& field) {
       request.headers.push_back({field.name(), field.value()});
     });
-    request.body = restinio_request.body();
+    if (!restinio_request.body().empty()) {
+      request.body = HttpBody(std::shared_ptr<const std::string>(handle, &restinio_request.body()));
+    }
 
     const bool overloaded =
         this->state->requests_in_progress >= this->settings.max_concurrent_requests;
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -8,6 +8,7 @@
 
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/request_limits.h"
+#include "Libraries/LibHttp/http_body.h"
 #include "Libraries/LibHttp/http_message.h"
 #include "Libraries/LibHttp/request_inspector.h"
 
@@ -20,7 +21,7 @@
   std::string path;
   std::string query;
   HttpHeaders headers;
-  std::string body;
+  HttpBody body;
 };
 
 // Sends the response to one request. All functions are thread-safe and take effect in the order of
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -94,6 +94,7 @@
   CPPUNIT_TEST(TestHopByHopHeadersAreNotForwarded);
   CPPUNIT_TEST(TestResponseWithoutBody);
   CPPUNIT_TEST(TestLargeBodyIsNotStored);
+  CPPUNIT_TEST(TestAttemptsShareTheRequestBody);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -303,6 +304,15 @@
     CPPUNIT_ASSERT(!this->transfer->TakeStoredResponse().body.has_value());
   }
 
+  // Guards against a copy of the body for each attempt, which may be large.
+  void TestAttemptsShareTheRequestBody() {
+    const std::string* const received = &this->exchange->request.body.text();
+    CPPUNIT_ASSERT_EQUAL(std::string("payload"), this->client.request.body.text());
+    CPPUNIT_ASSERT(received == &this->client.request.body.text());
+    this->StartTransfer();
+    CPPUNIT_ASSERT(received == &this->client.request.body.text());
+  }
+
  private:
   void StartTransfer() { this->StartTransfer(this->dialect); }
   void StartTransfer(const HttpDialect& transfer_dialect) {
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -775,10 +775,10 @@
           if (request.query == "chunked") {
             responder->Start(200, {});
             responder->Write(request.path, nullptr);
-            responder->Write(request.body, nullptr);
+            responder->Write(request.body.text(), nullptr);
             responder->End();
           } else {
-            responder->Respond(200, {}, request.path + request.body);
+            responder->Respond(200, {}, request.path + request.body.text());
           }
         },
         error);
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(TestCompleteResponsesOnOneConnection);
   CPPUNIT_TEST(TestRequestReachesHandlerUnchanged);
+  CPPUNIT_TEST(TestRequestBodyOutlivesServer);
   CPPUNIT_TEST(TestStreamedResponseKeepsOrderFromAnyThread);
   CPPUNIT_TEST(TestAbortLeavesChunkedResponseIncomplete);
   CPPUNIT_TEST(TestDestroyedResponderLeavesChunkedResponseIncomplete);
@@ -107,12 +108,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("POST"), request.method);
     CPPUNIT_ASSERT_EQUAL(std::string("/path/x"), request.path);
     CPPUNIT_ASSERT_EQUAL(std::string("a=1&b=%20"), request.query);
-    CPPUNIT_ASSERT_EQUAL(std::string("body"), request.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), request.body.text());
     const HttpHeaders expected{
         {"Host", "h"}, {"X-One", "1"}, {"X-One", "2"}, {"Content-Length", "4"}};
     CPPUNIT_ASSERT(expected == request.headers);
   }
 
+  // Guards against a body that refers to memory of the connection.
+  void TestRequestBodyOutlivesServer() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    const HttpBody body = this->requests.front().body;
+    this->requests.clear();
+    this->responders.clear();
+    this->server.reset();
+    CPPUNIT_ASSERT(body == HttpBody("body"));
+  }
+
   // Guards against reordering of chunks that are written from several threads.
   void TestStreamedResponseKeepsOrderFromAnyThread() {
     this->StartRecordingServer();
--- a/Tests/StandIns/Platform/platform.cc
+++ b/Tests/StandIns/Platform/platform.cc
@@ -91,7 +91,7 @@
   const StoreState table = this->faults.table;
   if (path == "/-/rows-tx") {
     this->RespondInState(table, std::move(responder), [this, request = std::move(request)] {
-      return this->ApplyTransaction(request.body);
+      return this->ApplyTransaction(request.body.text());
     });
   } else if (path == "/-/rows-get") {
     this->RespondInState(table, std::move(responder), [this, request = std::move(request)] {
@@ -108,7 +108,7 @@
   } else if (path == "/rows") {
     this->RespondInState(
         StoreState::kUp, std::move(responder),
-        [this, request = std::move(request)] { return this->WriteRow(request.body); });
+        [this, request = std::move(request)] { return this->WriteRow(request.body.text()); });
   } else if (path == "/compact") {
     this->RespondInState(StoreState::kUp, std::move(responder), [this] { return this->Compact(); });
   } else if (path == "/faults") {
@@ -313,7 +313,7 @@
   if (this->objects.contains(*name) && FindHeader(request.headers, "If-None-Match") == "*") {
     return {412, "the object exists already\n"};
   }
-  this->objects[*name] = request.body;
+  this->objects[*name] = request.body.text();
   return {200, "{}\n"};
 }
 
@@ -345,7 +345,7 @@
   if (request.method == "POST") {
     PlatformFaults changed = this->faults;
     try {
-      const json document = json::parse(request.body);
+      const json document = json::parse(request.body.text());
       if (!ReadStoreState(document, "table", changed.table) ||
           !ReadStoreState(document, "objects", changed.objects)) {
         return {400, "the state must be up, down, slow or lose-answers\n"};
--- a/Tests/StandIns/Target/target.cc
+++ b/Tests/StandIns/Target/target.cc
@@ -113,7 +113,7 @@
 void Target::HandleControl(const HttpServerRequest& request, HttpResponder& responder) {
   if (request.method == "POST") {
     Error error;
-    const auto changed = this->mode.WithChanges(request.body, error);
+    const auto changed = this->mode.WithChanges(request.body.text(), error);
     if (!changed) {
       responder.Respond(400, {}, error.message + "\n");
       return;
