Http, Host: Bound the sum of the request bodies in memory

Cause: only the number of requests and the size of each body were bounded.

RequestInspector reserves each body in a budget before RESTinio gets its bytes: by Content-Length at the end of the header, a chunked one as it arrives. What does not fit is refused with 503, not-run and Retry-After (reason body-memory-exhausted, one log line and one count each, as for the other refusals); what would never fit gets 413. The reservation moves from the parser to the body that the handler gets and is released with its last copy, or with the connection. Bodies above 64 KiB leave an eighth of the budget free, so that a few slow uploads cannot keep out ordinary requests. The operator endpoint has a budget of twice its configuration limit.

Not bounded: how long a slow upload holds its reservation, as long as its next part arrives within header-timeout.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -304,6 +304,7 @@
        .threads = this->settings.traffic_threads,
        .limits = this->DefaultRequestLimits(),
        .max_concurrent_requests = this->settings.max_concurrent_requests,
+       .max_held_body_bytes = this->settings.max_held_body_bytes,
        .on_refusal = [this](const RefusedRequest& refused) { this->OnServerRefusal(refused); }},
       [this](HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder) {
         this->OnCallerRequest(std::move(request), responder);
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -91,6 +91,14 @@
        .default_value = "1048576",
        .minimum = 1,
        .maximum = std::int64_t{kMaxBodyLimitBytes}},
+      {.name = "max-held-body-bytes",
+       .kind = SettingKind::kNumber,
+       .help = "maximum sum of the request bodies in memory; further ones are refused as not run, "
+               "and bodies that never fit as too large",
+       .unit = "bytes",
+       .default_value = std::to_string(kDefaultMaxHeldBodyBytes),
+       .minimum = 1,
+       .maximum = std::int64_t{1} << 40},
       {.name = "max-concurrent-requests",
        .kind = SettingKind::kNumber,
        .help = "maximum number of concurrent requests; further ones are refused as not run",
@@ -168,6 +176,7 @@
   result.platform_url = settings.Text("platform-url");
   result.traffic_threads = static_cast<std::size_t>(settings.Number("traffic-threads"));
   result.max_body_bytes = static_cast<std::size_t>(settings.Number("max-body-bytes"));
+  result.max_held_body_bytes = static_cast<std::size_t>(settings.Number("max-held-body-bytes"));
   result.max_concurrent_requests =
       static_cast<std::size_t>(settings.Number("max-concurrent-requests"));
   result.shutdown_delay = std::chrono::milliseconds(settings.Number("shutdown-delay-ms"));
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -8,6 +8,7 @@
 #include "Libraries/LibCore/json_log.h"
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibHttp/http_server.h"
 
 namespace pimentopin {
 
@@ -23,6 +24,7 @@
   std::string platform_url;
   std::size_t traffic_threads = 2;
   std::size_t max_body_bytes = 1 << 20;
+  std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   std::size_t max_concurrent_requests = 1024;
   // Time for the load balancer to detect that the host is not ready.
   Duration shutdown_delay = std::chrono::seconds(5);
--- a/Libraries/LibHost/operator_endpoint.cc
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -151,7 +151,8 @@
                                                            Error& error) {
   HttpServerSettings server_settings{.address = settings.address,
                                      .limits = {.max_body_bytes = settings.max_configuration_bytes},
-                                     .max_concurrent_requests = 64};
+                                     .max_concurrent_requests = 64,
+                                     .max_held_body_bytes = 2 * settings.max_configuration_bytes};
   std::unique_ptr<OperatorEndpoint> endpoint(new OperatorEndpoint(
       loop, shared_state, configuration, store, objects, metrics, std::move(settings)));
   endpoint->server = HttpServer::Create(
--- a/Libraries/LibHttp/http_body.h
+++ b/Libraries/LibHttp/http_body.h
@@ -19,8 +19,8 @@
   explicit HttpBody(std::shared_ptr<const std::string> bytes) : bytes(std::move(bytes)) {}
 
   const std::string& text() const {
-    static const std::string kEmpty;
-    return this->bytes ? *this->bytes : kEmpty;
+    static const std::string empty;
+    return this->bytes ? *this->bytes : empty;
   }
 
   friend bool operator==(const HttpBody& left, const HttpBody& right) {
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -33,6 +33,7 @@
 #include <variant>
 #include <vector>
 
+#include "Libraries/LibHttp/body_budget.h"
 #include "Libraries/LibHttp/request_inspector.h"
 #include "Libraries/LibHttp/response_head.h"
 
@@ -161,6 +162,8 @@
   void SetClosing() { this->is_closing = true; }
   bool closing() const { return this->is_closing; }
   void DiscardRequest() { ++this->requests_handled; }
+  // Takes the reservation for the body of the request that RESTinio passes on.
+  BodyReservation TakeBodyReservation();
   // Runs the function when no response is outstanding, unless the connection is closed before.
   void RunAfterResponses(std::function<void()> function);
   // Closes the connection with a reset, so that a caller that treats the end of the stream as the
@@ -262,6 +265,8 @@
 class ServerContext : public asio::io_context {
  public:
   ConnectionRegistry registry;
+  // Set before the server listens. Bodies may outlive the server.
+  std::shared_ptr<BodyBudget> body_budget;
   // Sockets that LingeringSocket still reads.
   std::atomic<std::size_t> lingering_sockets = 0;
 };
@@ -350,9 +355,11 @@
 
   // Initialises the state of a connection. RESTinio reuses one socket object for accepting and
   // moves each connection out of it, so the constructor cannot do this.
-  void Attach(std::shared_ptr<ServerConnection> server_connection, const RequestLimits& limits) {
+  void Attach(std::shared_ptr<ServerConnection> server_connection,
+              const RequestLimits& limits,
+              std::shared_ptr<BodyBudget> body_budget) {
     this->connection = std::move(server_connection);
-    this->inspector.emplace(limits);
+    this->inspector.emplace(limits, std::move(body_budget));
     this->last_read_at = SteadyNow();
   }
   void Reset() {
@@ -401,6 +408,7 @@
     return this->inspector->in_body() ? this->last_read_at : this->request_started_at;
   }
   TimePoint last_read() const { return this->last_read_at; }
+  BodyReservation TakeBodyReservation() { return this->inspector->TakeReservation(); }
   // Sends status 408 for a request that was not received in time and closes the connection.
   // `restinio_connection` keeps the socket alive until then.
   void RefuseTimedOutRequest(std::shared_ptr<void> restinio_connection) {
@@ -552,7 +560,7 @@
   auto server_connection = std::make_shared<ServerConnection>(
       connection.connection_id(), socket, connection.get_executor(), restinio_connection,
       context.registry);
-  socket.Attach(server_connection, context.registry.Limits());
+  socket.Attach(server_connection, context.registry.Limits(), context.body_budget);
   if (!context.registry.Add(server_connection)) {
     // Without a pending read, RESTinio's connection is destroyed, which closes the socket.
     return;
@@ -923,6 +931,10 @@
   this->OnClosed();
 }
 
+BodyReservation ServerConnection::TakeBodyReservation() {
+  return this->socket.TakeBodyReservation();
+}
+
 bool ServerConnection::MayCloseAfter(const ResponseWriter* writer) const {
   return (this->pending_responses.empty() || this->pending_responses.back().get() == writer) &&
          this->socket.IsIdle(this->requests_handled);
@@ -1063,6 +1075,13 @@
   std::shared_ptr<ResponseWriter> writer;
 };
 
+// A request and the memory of its body, which RESTinio does not allow to be moved out.
+struct HeldRequest {
+  // Destroyed after the body.
+  BodyReservation reservation;
+  restinio::request_handle_t request;
+};
+
 // Splits a request target into path and query; false if it has no path.
 bool SplitRequestTarget(std::string_view target, HttpServerRequest& request) {
   if (const std::size_t scheme = target.find("://");
@@ -1110,6 +1129,8 @@
         work_guard(asio::make_work_guard(this->state->context)) {
     this->state->context.registry.SetLimits(this->settings.limits);
     this->state->context.registry.on_refusal = this->settings.on_refusal;
+    this->state->context.body_budget =
+        std::make_shared<BodyBudget>(this->settings.max_held_body_bytes);
   }
   ~RestinioServer() override {
     if (this->threads.empty()) {
@@ -1161,6 +1182,10 @@
     return this->state->context.registry.size() + this->state->context.lingering_sockets;
   }
 
+  std::size_t held_body_bytes() const override {
+    return this->state->context.body_budget->held_bytes();
+  }
+
   void SetLimits(const RequestLimits& limits) override {
     RequestLimits effective_limits = limits;
     // RESTinio's own limit cannot change after construction.
@@ -1218,6 +1243,7 @@
     if (!connection) {
       return;
     }
+    BodyReservation reservation = connection->TakeBodyReservation();
     if (connection->closing()) {
       connection->DiscardRequest();
       connection->ReportRefusal(
@@ -1234,7 +1260,8 @@
       request.headers.push_back({field.name(), field.value()});
     });
     if (!restinio_request.body().empty()) {
-      request.body = HttpBody(std::shared_ptr<const std::string>(handle, &restinio_request.body()));
+      const auto held = std::make_shared<HeldRequest>(HeldRequest{std::move(reservation), handle});
+      request.body = HttpBody(std::shared_ptr<const std::string>(held, &held->request->body()));
     }
 
     const bool overloaded =
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -14,6 +14,8 @@
 
 namespace pimentopin {
 
+inline constexpr std::size_t kDefaultMaxHeldBodyBytes = 128 << 20;
+
 // A request with its complete body.
 struct HttpServerRequest {
   std::string method;
@@ -65,6 +67,11 @@
   RequestLimits limits;
   // Maximum number of concurrent requests; further requests receive status 503.
   std::size_t max_concurrent_requests = 4096;
+  // Maximum sum of the request bodies in memory, from their announcement in the header until the
+  // handler has destroyed the last copy. Bodies that do not fit are refused with status 503 before
+  // they are read, and those that never fit with 413. Bodies larger than
+  // BodyBudget::kSmallBodyBytes leave an eighth free.
+  std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   // Called on a server thread.
   std::function<void(const RefusedRequest&)> on_refusal = [](const RefusedRequest&) {};
 };
@@ -89,6 +96,8 @@
   // Number of open caller connections. After StopListening(), each remaining one has a request in
   // progress or partly received.
   virtual std::size_t open_connections() const = 0;
+  // Bytes that count toward max_held_body_bytes.
+  virtual std::size_t held_body_bytes() const = 0;
   // Replaces the limits. Size limits apply to requests that begin later. max_body_bytes cannot
   // exceed the value in the server's settings.
   virtual void SetLimits(const RequestLimits& limits) = 0;
--- a/Libraries/LibHttp/request_inspector.cc
+++ b/Libraries/LibHttp/request_inspector.cc
@@ -2,10 +2,18 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <deque>
+#include <utility>
+
 namespace pimentopin {
 
 struct RequestInspector::State {
   RequestLimits limits;
+  std::shared_ptr<BodyBudget> budget;
+  // For the body of the request that is being received.
+  BodyReservation reservation;
+  std::deque<BodyReservation> complete_reservations;
   std::size_t header_bytes = 0;
   std::size_t body_bytes = 0;
   std::uint64_t complete_requests = 0;
@@ -15,6 +23,10 @@
   std::optional<RequestRefusal> refusal;
   http_parser parser{};
   http_parser_settings settings{};
+
+  // Refuses the current request if its body, of which `size` bytes are known, is too large or does
+  // not fit into the budget.
+  std::optional<RequestRefusal> ReserveBody(std::uint64_t size);
 };
 
 namespace {
@@ -28,6 +40,12 @@
           .message = "the request body exceeds " + std::to_string(limit) + " bytes"};
 }
 
+RequestRefusal NoMemoryForBody() {
+  return {.status = 503,
+          .reason = "body-memory-exhausted",
+          .message = "other request bodies fill the memory for bodies"};
+}
+
 RequestRefusal HeaderTooLarge() {
   return {.status = 431, .reason = "header-too-large", .message = "the header is too large"};
 }
@@ -41,8 +59,18 @@
 
 }  // namespace
 
-RequestInspector::RequestInspector(const RequestLimits& limits) : state(std::make_unique<State>()) {
+std::optional<RequestRefusal> RequestInspector::State::ReserveBody(std::uint64_t size) {
+  const std::size_t limit = std::min(this->limits.max_body_bytes, this->budget->max_body_bytes());
+  if (size > limit) {
+    return BodyTooLarge(limit);
+  }
+  return this->reservation.GrowTo(size) ? std::nullopt : std::optional(NoMemoryForBody());
+}
+
+RequestInspector::RequestInspector(const RequestLimits& limits, std::shared_ptr<BodyBudget> budget)
+    : state(std::make_unique<State>()) {
   this->state->limits = limits;
+  this->state->budget = std::move(budget);
   this->state->parser.data = this->state.get();
   http_parser_init(&this->state->parser, HTTP_REQUEST);
 
@@ -53,6 +81,7 @@
     current.in_request = true;
     current.header_bytes = 0;
     current.body_bytes = 0;
+    current.reservation = BodyReservation(current.budget);
     return 0;
   };
   const http_data_cb count_header_bytes = [](http_parser* parser, const char*, std::size_t length) {
@@ -78,26 +107,23 @@
     current.in_body = true;
     // http_parser reports a missing Content-Length as the maximum value.
     const bool has_content_length = parser->content_length != UINT64_MAX;
-    if (has_content_length && parser->content_length > current.limits.max_body_bytes) {
-      current.refusal = BodyTooLarge(current.limits.max_body_bytes);
-      return kStopParsing;
+    if (has_content_length) {
+      current.refusal = current.ReserveBody(parser->content_length);
     }
-    return 0;
+    return current.refusal ? kStopParsing : 0;
   };
   settings.on_body = [](http_parser* parser, const char*, std::size_t length) {
     auto& current = *static_cast<State*>(parser->data);
     current.body_bytes += length;
-    if (current.body_bytes > current.limits.max_body_bytes) {
-      current.refusal = BodyTooLarge(current.limits.max_body_bytes);
-      return kStopParsing;
-    }
-    return 0;
+    current.refusal = current.ReserveBody(current.body_bytes);
+    return current.refusal ? kStopParsing : 0;
   };
   settings.on_message_complete = [](http_parser* parser) {
     auto& current = *static_cast<State*>(parser->data);
     current.in_request = false;
     current.in_body = false;
     ++current.complete_requests;
+    current.complete_reservations.push_back(std::move(current.reservation));
     return 0;
   };
 }
@@ -142,4 +168,14 @@
   return this->state->complete_requests;
 }
 
+BodyReservation RequestInspector::TakeReservation() {
+  std::deque<BodyReservation>& reservations = this->state->complete_reservations;
+  if (reservations.empty()) {
+    return {};
+  }
+  BodyReservation reservation = std::move(reservations.front());
+  reservations.pop_front();
+  return reservation;
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibHttp/request_inspector.h
+++ b/Libraries/LibHttp/request_inspector.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "Libraries/LibCore/request_limits.h"
+#include "Libraries/LibHttp/body_budget.h"
 
 namespace pimentopin {
 
@@ -24,7 +25,8 @@
 // would close such a connection without a response.
 class RequestInspector {
  public:
-  explicit RequestInspector(const RequestLimits& limits);
+  // Reserves the bytes of request bodies in `budget` before they are accepted.
+  RequestInspector(const RequestLimits& limits, std::shared_ptr<BodyBudget> budget);
   ~RequestInspector();
   RequestInspector(RequestInspector&&) noexcept;
   RequestInspector& operator=(RequestInspector&&) noexcept;
@@ -48,6 +50,9 @@
   bool in_body() const;
   // Number of requests received completely.
   std::uint64_t complete_requests() const;
+  // Takes the reservation for the body of the first complete request whose reservation has not been
+  // taken yet; empty if there is none.
+  BodyReservation TakeReservation();
 
  private:
   struct State;
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -6,15 +6,20 @@
 #include <future>
 #include <mutex>
 #include <optional>
+#include <sstream>
 #include <thread>
 #include <vector>
 
+#include "Libraries/LibHttp/body_budget.h"
 #include "Tests/LibHttp/http_test_support.h"
 
 namespace pimentopin {
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 1000;
+constexpr std::size_t kBudgetBytes = 1 << 20;
+// Two of these exceed the part of the budget that large bodies may fill.
+constexpr std::size_t kLargePartBytes = 500'000;
 // More than the buffers of a loopback connection hold.
 constexpr std::size_t kLargeBodyBytes = 16 << 20;
 // Time for the server to close a connection after a response, and for a reset to arrive.
@@ -40,6 +45,16 @@
   CPPUNIT_TEST(TestMalformedRequestGetsError);
   CPPUNIT_TEST(TestLargeBodyGets413);
   CPPUNIT_TEST(TestLargeChunkedBodyGets413);
+  CPPUNIT_TEST(TestBodyBeyondBudgetGets503);
+  CPPUNIT_TEST(TestChunkedBodyBeyondBudgetGets503);
+  CPPUNIT_TEST(TestBodyLargerThanBudgetGets413);
+  CPPUNIT_TEST(TestLargeBodiesLeaveRoomForSmallOnes);
+  CPPUNIT_TEST(TestSmallBodiesUseTheWholeBudget);
+  CPPUNIT_TEST(TestBodyIsHeldUntilItsLastCopyIsGone);
+  CPPUNIT_TEST(TestBodiesOfPipelinedRequestsAreCountedEach);
+  CPPUNIT_TEST(TestIncompleteBodyIsReleased);
+  CPPUNIT_TEST(TestRefusedBodyIsReleased);
+  CPPUNIT_TEST(TestResponseIsDeliveredBeforeRefusalForBudget);
   CPPUNIT_TEST(TestUpgradeIsRefused);
   CPPUNIT_TEST(TestTooManyRequestsGet503);
   CPPUNIT_TEST(TestHeadHasLengthAndNoBody);
@@ -269,6 +284,176 @@
     CPPUNIT_ASSERT(this->requests.empty());
   }
 
+  // Guards against bodies that are within their limit each and exceed the memory together, and
+  // against losing the refusal while the caller is still sending.
+  void TestBodyBeyondBudgetGets503() {
+    this->StartServerWithBudget();
+    RawConnection first = this->Connect();
+    first.Send(PostHead(kLargePartBytes));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes));
+    // Refused at the header.
+    RawConnection second = this->Connect();
+    second.Send(PostHead(kLargePartBytes));
+    CheckRefusedForBudget(second);
+    RawConnection third = this->Connect();
+    third.Send(PostHead(kLargePartBytes) + std::string(kLargePartBytes, 'x'));
+    CheckRefusedForBudget(third);
+
+    first.Send(std::string(kLargePartBytes, 'x'));
+    this->TakeResponder()->Respond(200, {}, "done");
+    CPPUNIT_ASSERT(first.ReadUntil("done").starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->requests.size());
+    CPPUNIT_ASSERT_EQUAL(kLargePartBytes, this->requests[0].body.text().size());
+    const std::scoped_lock lock(this->mutex);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->refused.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("body-memory-exhausted"), this->refused[0].refusal.reason);
+  }
+
+  // Guards against bodies that exceed the memory without a Content-Length header.
+  void TestChunkedBodyBeyondBudgetGets503() {
+    this->StartServerWithBudget();
+    RawConnection first = this->Connect();
+    first.Send(PostHead(kLargePartBytes));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes));
+    RawConnection second = this->Connect();
+    second.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    second.Send(Chunk(kLargePartBytes / 2));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes + kLargePartBytes / 2));
+    second.Send(Chunk(kLargePartBytes / 2) + "0\r\n\r\n");
+    CheckRefusedForBudget(second);
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes));
+    CPPUNIT_ASSERT(!this->HasReceivedRequest());
+  }
+
+  // Guards against telling a caller to retry a body that never fits.
+  void TestBodyLargerThanBudgetGets413() {
+    this->StartServerWithBudget();
+    RawConnection caller = this->Connect();
+    caller.Send(PostHead(kBudgetBytes + 1));
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().starts_with("HTTP/1.1 413 "));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(0));
+  }
+
+  // Guards against a large body that keeps all others from sending ordinary requests.
+  void TestLargeBodiesLeaveRoomForSmallOnes() {
+    this->StartServerWithBudget();
+    RawConnection large = this->Connect();
+    large.Send(PostHead(kBudgetBytes / 8 * 7));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kBudgetBytes / 8 * 7));
+    for (std::size_t count = 1; count <= 3; ++count) {
+      RawConnection small = this->Connect();
+      small.Send(PostHead(BodyBudget::kSmallBodyBytes / 2) +
+                 std::string(BodyBudget::kSmallBodyBytes / 2, 'x'));
+      CPPUNIT_ASSERT(this->WaitForRequests(count));
+      this->TakeResponder()->Respond(200, {}, "done");
+      small.ReadUntil("done");
+    }
+  }
+
+  // Guards against small bodies that exceed the memory together.
+  void TestSmallBodiesUseTheWholeBudget() {
+    this->StartServerWithBudget();
+    constexpr std::size_t kCount = kBudgetBytes / BodyBudget::kSmallBodyBytes;
+    for (std::size_t count = 1; count <= kCount; ++count) {
+      RawConnection caller = this->Connect();
+      caller.Send(PostHead(BodyBudget::kSmallBodyBytes) +
+                  std::string(BodyBudget::kSmallBodyBytes, 'x'));
+      CPPUNIT_ASSERT(this->WaitForRequests(count));
+    }
+    CPPUNIT_ASSERT_EQUAL(kBudgetBytes, this->server->held_body_bytes());
+    RawConnection caller = this->Connect();
+    caller.Send(PostHead(1) + "x");
+    CheckRefusedForBudget(caller);
+    RawConnection without_body = this->Connect();
+    without_body.Send(Get("/"));
+    CPPUNIT_ASSERT(this->WaitForRequests(kCount + 1));
+  }
+
+  // Guards against memory that counts as free while an attempt still uses the body, and against
+  // counting it twice.
+  void TestBodyIsHeldUntilItsLastCopyIsGone() {
+    this->StartServerWithBudget();
+    RawConnection caller = this->Connect();
+    caller.Send(PostHead(kLargePartBytes) + std::string(kLargePartBytes, 'x'));
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    std::optional<HttpBody> copy = this->requests[0].body;
+    this->requests[0].body = {};
+    this->TakeResponder()->Respond(200, {}, "done");
+    caller.ReadUntil("done");
+    CPPUNIT_ASSERT_EQUAL(kLargePartBytes, this->server->held_body_bytes());
+    copy.reset();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->server->held_body_bytes());
+  }
+
+  // Guards against releasing the reservation of another request on the connection.
+  void TestBodiesOfPipelinedRequestsAreCountedEach() {
+    this->StartServerWithBudget();
+    RawConnection caller = this->Connect();
+    caller.Send(PostHead(300) + std::string(300, 'x') + Get("/") + PostHead(20) +
+                std::string(20, 'y') + PostHead(1000));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(1320));
+    this->requests[0].body = {};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1020}, this->server->held_body_bytes());
+    this->requests[2].body = {};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, this->server->held_body_bytes());
+  }
+
+  // Guards against reservations of callers that disconnect or stall.
+  void TestIncompleteBodyIsReleased() {
+    this->StartServerWithBudget();
+    std::optional<RawConnection> caller = this->Connect();
+    caller->Send(PostHead(kLargePartBytes) + "part");
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes));
+    caller->Reset();
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(0));
+    caller = this->Connect();
+    caller->Send(PostHead(kLargePartBytes) + "part");
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes));
+    caller->Close();
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(0));
+    this->server->SetLimits(
+        {.max_body_bytes = kBudgetBytes, .header_timeout = std::chrono::milliseconds(100)});
+    caller = this->Connect();
+    caller->Send(PostHead(kLargePartBytes) + "part");
+    CPPUNIT_ASSERT(caller->ReadUntilClosed().starts_with("HTTP/1.1 408 "));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(0));
+  }
+
+  // Guards against reservations of requests that the server refuses.
+  void TestRefusedBodyIsReleased() {
+    this->max_body_bytes = kBudgetBytes;
+    this->max_held_body_bytes = kBudgetBytes;
+    this->StartRecordingServer(0);
+    RawConnection overload = this->Connect();
+    overload.Send(PostHead(kLargePartBytes) + std::string(kLargePartBytes, 'x'));
+    overload.ReadUntil("too-many-requests-in-progress");
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(0));
+    RawConnection malformed = this->Connect();
+    malformed.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(1000));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(1000));
+    malformed.Send("nonsense\r\n");
+    CPPUNIT_ASSERT(malformed.ReadUntilClosed().starts_with("HTTP/1.1 400 "));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(0));
+  }
+
+  // Guards against refusing in place of the response to an earlier request.
+  void TestResponseIsDeliveredBeforeRefusalForBudget() {
+    this->StartServerWithBudget();
+    RawConnection first = this->Connect();
+    first.Send(PostHead(kLargePartBytes));
+    CPPUNIT_ASSERT(this->WaitForHeldBytes(kLargePartBytes));
+    RawConnection second = this->Connect();
+    second.Send(Get("/"));
+    const auto responder = this->TakeResponder();
+    second.Send(PostHead(kLargePartBytes) + std::string(kLargePartBytes, 'x'));
+    responder->Respond(200, {}, "done");
+    const std::string responses = second.ReadUntilClosed();
+    CPPUNIT_ASSERT(responses.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT(responses.find("doneHTTP/1.1 503 ") != std::string::npos);
+    CPPUNIT_ASSERT(second.last_read_error() == asio::error::eof);
+  }
+
   // Guards against upgraded connections, which bypass RESTinio's normal request handling.
   void TestUpgradeIsRefused() {
     this->StartRecordingServer();
@@ -791,8 +976,9 @@
     Error error;
     this->server = HttpServer::Create({.address = "127.0.0.1:0",
                                        .threads = 2,
-                                       .limits = {.max_body_bytes = kMaxBodyBytes},
+                                       .limits = {.max_body_bytes = this->max_body_bytes},
                                        .max_concurrent_requests = max_concurrent_requests,
+                                       .max_held_body_bytes = this->max_held_body_bytes,
                                        .on_refusal =
                                            [this](const RefusedRequest& refused_request) {
                                              const std::scoped_lock lock(this->mutex);
@@ -866,6 +1052,44 @@
     }
   }
 
+  // Starts a server whose budget has room for one body of kLargePartBytes, but not for two.
+  void StartServerWithBudget() {
+    this->max_body_bytes = 2 * kBudgetBytes;
+    this->max_held_body_bytes = kBudgetBytes;
+    this->StartRecordingServer();
+  }
+
+  static std::string PostHead(std::size_t body_bytes) {
+    return "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body_bytes) +
+           "\r\n\r\n";
+  }
+  static std::string Chunk(std::size_t bytes) {
+    std::ostringstream text;
+    text << std::hex << bytes << "\r\n" << std::string(bytes, 'x') << "\r\n";
+    return text.str();
+  }
+
+  bool WaitForHeldBytes(std::size_t bytes) {
+    return Eventually([&] { return this->server->held_body_bytes() == bytes; });
+  }
+
+  // Checks the response to a request whose body the server had no memory for.
+  void CheckRefusedForBudget(RawConnection& caller) {
+    ++this->expected_refusals;
+    CPPUNIT_ASSERT(Eventually([this] {
+      const std::scoped_lock lock(this->mutex);
+      return this->refused.size() == this->expected_refusals;
+    }));
+    const std::string response = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(response.find("Retry-After: 1\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(response.find("Pimentopin-Outcome: not-run\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(response.find("\"reason\":\"body-memory-exhausted\"") != std::string::npos);
+    CPPUNIT_ASSERT(caller.last_read_error() == asio::error::eof);
+  }
+
+  std::size_t max_body_bytes = kMaxBodyBytes;
+  std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   asio::io_context context;
   std::unique_ptr<HttpServer> server;
   std::mutex mutex;
@@ -873,6 +1097,7 @@
   std::vector<std::shared_ptr<HttpResponder>> responders;
   std::size_t taken_responders = 0;
   std::vector<RefusedRequest> refused;
+  std::size_t expected_refusals = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
