Http: Read on after a refusal while the caller still sends

Cause: the server discarded what arrived for one second after the response, and LingeringSocket for one more; the close with unread bytes then reset the connection.

LingeringSocket now continues while bytes arrive, up to the limit of 10 s that slow readers have.

TestRefusalIsDeliveredAfterLongUpload fails without the change ("write: Broken pipe") and passes with it; TestLibHttp 99 tests passed.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -92,7 +92,7 @@
 constexpr std::chrono::seconds kRefusalDrainTime(1);
 
 // The same for a connection that the server closes after a response, if the peer is slow to read
-// it.
+// it or still sends.
 constexpr std::chrono::seconds kMaxLingerTime(10);
 
 // A read that has taken its bytes from the socket may still wait for the strand, so a connection
@@ -306,6 +306,7 @@
           if (error) {
             self->timer.cancel();
           } else {
+            self->received = true;
             self->Discard();
           }
         }));
@@ -318,7 +319,10 @@
           if (error) {
             return;
           }
-          if (HasUnacknowledgedBytes(self->socket) && std::chrono::steady_clock::now() < limit) {
+          // Many callers read the response only after they have sent their request.
+          const bool is_busy =
+              std::exchange(self->received, false) || HasUnacknowledgedBytes(self->socket);
+          if (is_busy && std::chrono::steady_clock::now() < limit) {
             self->CloseLater(limit);
             return;
           }
@@ -331,6 +335,8 @@
   asio::strand<asio::io_context::executor_type> strand;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
+  // Bytes have arrived since the last check.
+  bool received = false;
   std::array<char, 4096> discarded{};
 };
 
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(TestLargeChunkedBodyGets413);
   CPPUNIT_TEST(TestBodyBeyondBudgetGets503);
   CPPUNIT_TEST(TestChunkedBodyBeyondBudgetGets503);
+  CPPUNIT_TEST(TestRefusalIsDeliveredAfterLongUpload);
   CPPUNIT_TEST(TestBodyLargerThanBudgetGets413);
   CPPUNIT_TEST(TestLargeBodiesLeaveRoomForSmallOnes);
   CPPUNIT_TEST(TestSmallBodiesUseTheWholeBudget);
@@ -325,6 +326,22 @@
     CPPUNIT_ASSERT(!this->HasReceivedRequest());
   }
 
+  // Guards against resetting the connection of a caller that reads the refusal only after it has
+  // sent the whole body.
+  void TestRefusalIsDeliveredAfterLongUpload() {
+    constexpr std::size_t kPieces = 30;
+    constexpr std::size_t kPieceBytes = 40'000;
+    this->StartServerWithBudget();
+    RawConnection caller = this->Connect();
+    caller.Send(PostHead(kPieces * kPieceBytes));
+    for (std::size_t piece = 0; piece < kPieces; ++piece) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      caller.Send(std::string(kPieceBytes, 'x'));
+    }
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().starts_with("HTTP/1.1 413 "));
+    CPPUNIT_ASSERT(caller.last_read_error() == asio::error::eof);
+  }
+
   // Guards against telling a caller to retry a body that never fits.
   void TestBodyLargerThanBudgetGets413() {
     this->StartServerWithBudget();
