LibHttp: Announce the close to callers that pipeline only if they soon read it

Callers that send requests before they have read the last response lost some around a planned stop: the host read them and answered none, as an earlier response that announced the close was on its way.

Cause: the last response closes its connection if no later request has arrived. A caller that reads slowly sends more until it comes to that response, which may lie behind a large body, or have one, that takes it a second.

On a connection on which a request has arrived before the responses to earlier ones were acknowledged, only a response announces the close with which the caller has at most 16 KiB to read. Others leave the connection open for its next request. Connections without pipelined requests are closed as before. A limit of zero bytes would depend on delayed acknowledgements.

Left: requests behind a response that ends with a reset (its deadline passes in its body), which nothing can answer, and requests on connections that are closed as idle while their caller has yet to read responses.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -98,6 +98,10 @@
 // that seems idle is closed only if it is still idle after this time.
 constexpr std::chrono::milliseconds kIdleCloseDelay(20);
 
+// A caller that sends requests before it has read the last response sends more until it reads that
+// the connection closes. Bytes that it may have to read until then, at most.
+constexpr std::size_t kMaxUnreadBytesAtClose = 16 * 1024;
+
 thread_local bool is_server_thread = false;
 
 class ConnectionRegistry;
@@ -144,18 +148,17 @@
     });
   }
 
-  void AddResponse(std::shared_ptr<ResponseWriter> writer) {
-    ++this->requests_handled;
-    this->pending_responses.push_back(std::move(writer));
-  }
+  void AddResponse(std::shared_ptr<ResponseWriter> writer);
   void RemoveResponse(const ResponseWriter* writer);
   // True if the responses to all earlier requests have been written.
   bool IsFirst(const ResponseWriter* writer) const {
     return this->pending_responses.empty() || this->pending_responses.front().get() == writer;
   }
   // Callers send the requests behind a response that closes the connection again, whatever their
-  // kind. Only the response to the last request that was received may therefore close it.
-  bool MayCloseAfter(const ResponseWriter* writer) const;
+  // kind. Only the response to the last request that was received may therefore close it, and on a
+  // connection with pipelined requests only if the caller soon reads it. `size` is that of the
+  // body in bytes.
+  bool MayCloseAfter(const ResponseWriter* writer, std::size_t size) const;
   // Called when a response states that it closes the connection. Requests that arrive later are
   // discarded.
   void SetClosing() { this->is_closing = true; }
@@ -190,6 +193,8 @@
   std::uint64_t requests_handled = 0;
   bool is_closed = false;
   bool is_closing = false;
+  // The caller has sent a request before it had received the response to an earlier one.
+  bool pipelines = false;
   std::function<void()> after_responses;
   asio::steady_timer timer;
   bool timer_active = false;
@@ -266,9 +271,12 @@
   std::atomic<std::size_t> lingering_sockets = 0;
 };
 
-bool HasUnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+// Bytes that were written and that the peer has yet to acknowledge; 0 if the socket is closed.
+std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
   int bytes = 0;
-  return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0
+             ? static_cast<std::size_t>(bytes)
+             : 0;
 }
 
 // Reads and discards what a peer still sends on a connection that the server has closed for
@@ -313,7 +321,7 @@
           if (error) {
             return;
           }
-          if (HasUnacknowledgedBytes(self->socket) && std::chrono::steady_clock::now() < limit) {
+          if (UnacknowledgedBytes(self->socket) > 0 && std::chrono::steady_clock::now() < limit) {
             self->CloseLater(limit);
             return;
           }
@@ -360,8 +368,7 @@
     this->set_option(asio::socket_base::linger(true, 0), ignored);
     this->Base::close(ignored);
   }
-  // True if the peer has yet to acknowledge bytes that were written.
-  bool HasUnacknowledgedBytes() { return pimentopin::HasUnacknowledgedBytes(*this); }
+  std::size_t UnacknowledgedBytes() { return pimentopin::UnacknowledgedBytes(*this); }
   // Called by RESTinio before close(). Bytes that arrive later are still read.
   void shutdown(asio::socket_base::shutdown_type /*what*/, asio::error_code& error) {
     Base::shutdown(asio::socket_base::shutdown_send, error);
@@ -761,10 +768,12 @@
     if (!IsBodilessStatus(response.status)) {
       framing.content_length = response.body.size();
     }
+    const std::size_t sent_body_size =
+        this->is_head || !framing.content_length ? 0 : response.body.size();
     this->AddResponseHead(response.status, response.headers, framing,
                           this->server->context.registry.keep_alive_disabled &&
-                              this->connection->MayCloseAfter(this));
-    if (!this->is_head && framing.content_length && !response.body.empty()) {
+                              this->connection->MayCloseAfter(this, sent_body_size));
+    if (sent_body_size > 0) {
       this->items.emplace_back(std::move(response.body));
     }
     this->Flush(true);
@@ -895,6 +904,14 @@
   this->registry.on_refusal({refusal, this->requests_handled, response_sent});
 }
 
+void ServerConnection::AddResponse(std::shared_ptr<ResponseWriter> writer) {
+  // A request that was sent after the last response had been received acknowledges that response.
+  this->pipelines =
+      this->pipelines || this->has_pending_responses() || this->socket.UnacknowledgedBytes() > 0;
+  ++this->requests_handled;
+  this->pending_responses.push_back(std::move(writer));
+}
+
 void ServerConnection::RemoveResponse(const ResponseWriter* writer) {
   this->last_response_at = SteadyNow();
   std::erase_if(this->pending_responses,
@@ -923,9 +940,10 @@
   this->OnClosed();
 }
 
-bool ServerConnection::MayCloseAfter(const ResponseWriter* writer) const {
+bool ServerConnection::MayCloseAfter(const ResponseWriter* writer, std::size_t size) const {
   return (this->pending_responses.empty() || this->pending_responses.back().get() == writer) &&
-         this->socket.IsIdle(this->requests_handled);
+         this->socket.IsIdle(this->requests_handled) &&
+         (!this->pipelines || this->socket.UnacknowledgedBytes() + size <= kMaxUnreadBytesAtClose);
 }
 
 bool ServerConnection::IsIdle() const {
@@ -954,7 +972,7 @@
         }
         // A caller that has yet to receive the response may have sent its next request, which takes
         // as long to arrive.
-        if (self->socket.HasUnacknowledgedBytes()) {
+        if (self->socket.UnacknowledgedBytes() > 0) {
           self->CloseIfIdle();
           return;
         }
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -93,7 +93,8 @@
   virtual void SetLimits(const RequestLimits& limits) = 0;
   // Closes each connection after the response to the last request that it has carried, so that
   // callers reconnect to other hosts. Later requests on it are discarded without being handled. A
-  // streamed response leaves its connection open for one more request.
+  // streamed response leaves its connection open for one more request, as does one that is far
+  // from being read by a caller that pipelines requests.
   virtual void DisableKeepAlive() = 0;
   // Closes the listening socket and idle keep-alive connections; requests in progress continue.
   virtual void StopListening() = 0;
