LibHttp: Bound how long a stop waits for callers that pipeline, do not close while they read

Two faults on connections with pipelined requests. And since a caller that always has large responses to read could keep its connection open without end.

Such a connection is closed as idle after 300 ms. From 500 ms after the end of listening it is closed like any other.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -98,6 +98,14 @@
 // that seems idle is closed only if it is still idle after this time.
 constexpr std::chrono::milliseconds kIdleCloseDelay(20);
 
+// The same on a connection with pipelined requests, whose caller may have received responses that
+// it has yet to read, and sends more requests in the meantime.
+constexpr std::chrono::milliseconds kPipelinedIdleCloseDelay(300);
+
+// Time after the end of listening from which connections with pipelined requests are closed like
+// others, so that a caller that always sends more cannot hold up the end of the process.
+constexpr std::chrono::milliseconds kMaxPipeliningTime(500);
+
 // A caller that sends requests before it has read the last response sends more until it reads that
 // the connection closes. Bytes that it may have to read until then, at most.
 constexpr std::size_t kMaxUnreadBytesAtClose = 16 * 1024;
@@ -183,6 +191,10 @@
   void ScheduleTimeoutCheck(Duration delay);
   void CheckTimeouts();
   bool IsIdle() const;
+  // True if the close waits until the caller has read the responses.
+  bool WaitsForReader() const {
+    return this->pipelines && (!this->pipelining_end || SteadyNow() < *this->pipelining_end);
+  }
 
   std::uint64_t connection_id;
   ServerSocket& socket;
@@ -195,6 +207,8 @@
   bool is_closing = false;
   // The caller has sent a request before it had received the response to an earlier one.
   bool pipelines = false;
+  // Set when the server has stopped listening.
+  std::optional<TimePoint> pipelining_end;
   std::function<void()> after_responses;
   asio::steady_timer timer;
   bool timer_active = false;
@@ -943,7 +957,8 @@
 bool ServerConnection::MayCloseAfter(const ResponseWriter* writer, std::size_t size) const {
   return (this->pending_responses.empty() || this->pending_responses.back().get() == writer) &&
          this->socket.IsIdle(this->requests_handled) &&
-         (!this->pipelines || this->socket.UnacknowledgedBytes() + size <= kMaxUnreadBytesAtClose);
+         (!this->WaitsForReader() ||
+          this->socket.UnacknowledgedBytes() + size <= kMaxUnreadBytesAtClose);
 }
 
 bool ServerConnection::IsIdle() const {
@@ -960,10 +975,17 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (!this->registry.listening_stopped || !this->IsIdle()) {
+  if (!this->registry.listening_stopped) {
+    return;
+  }
+  if (!this->pipelining_end) {
+    this->pipelining_end = SteadyNow() + kMaxPipeliningTime;
+  }
+  if (!this->IsIdle()) {
     return;
   }
-  this->idle_close_timer.expires_after(kIdleCloseDelay);
+  this->idle_close_timer.expires_after(this->WaitsForReader() ? kPipelinedIdleCloseDelay
+                                                              : kIdleCloseDelay);
   this->idle_close_timer.async_wait(
       [self = this->shared_from_this()](const asio::error_code& error) {
         const std::shared_ptr<void> live_connection = self->restinio_connection.lock();
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kUnreadBodyBytes = 512 << 10;
 // Time for the server to close a connection after a response, and for a reset to arrive.
 constexpr std::chrono::milliseconds kCloseTime(100);
+// Time for which a stop waits for a caller that pipelines, and a margin.
+constexpr std::chrono::milliseconds kMaxPipeliningTime(1000);
 // Time within which the kernel acknowledges what a caller has read.
 constexpr std::chrono::milliseconds kAcknowledgementTime(300);
 
@@ -57,6 +59,8 @@
   CPPUNIT_TEST(TestRequestBehindWaitingResponseIsDiscarded);
   CPPUNIT_TEST(TestRequestBehindLargeUnreadResponseIsDiscarded);
   CPPUNIT_TEST(TestRequestBehindShortUnreadResponseIsDiscarded);
+  CPPUNIT_TEST(TestStopClosesConnectionWhileCallerReads);
+  CPPUNIT_TEST(TestStopIsHeldUpByCallerThatPipelines);
   CPPUNIT_TEST(TestAbortCutsEarlierResponse);
   CPPUNIT_TEST(TestCallerDisconnectIsReportedBehindEarlierRequest);
   CPPUNIT_TEST(TestCallerDisconnectIsNotReportedForWaitingResponse);
@@ -534,6 +538,45 @@
     CPPUNIT_ASSERT(last.ends_with("answer-to-/3"));
   }
 
+  // Guards against a stop that closes a connection as idle although its caller, which sends
+  // requests before it has read the last response, has yet to read responses that it has received.
+  void TestStopClosesConnectionWhileCallerReads() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    this->responders[0]->Respond(200, {}, "answer-to-/1");
+    this->responders[1]->Respond(200, {}, "answer-to-/2");
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+    this->server->StopListening();
+    std::this_thread::sleep_for(kCloseTime);
+    caller.Send(Get("/3"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    this->responders[2]->Respond(200, {}, "answer-to-/3");
+    const std::string received = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(received.find("answer-to-/1") < received.find("answer-to-/2"));
+    CPPUNIT_ASSERT(received.ends_with("answer-to-/3"));
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 0; }));
+  }
+
+  // Guards against a stop that waits for a caller that always sends more requests than it has read
+  // responses to.
+  void TestStopIsHeldUpByCallerThatPipelines() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    this->server->StopListening();
+    std::this_thread::sleep_for(kMaxPipeliningTime);
+    const std::string body(kLargeBodyBytes, 'x');
+    this->responders[0]->Respond(200, {}, "answer-to-/1");
+    this->responders[1]->Respond(200, {}, body);
+    const std::string received = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(received.find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n" + body));
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 0; }));
+  }
+
   // Guards against a response that is lost because one behind it fails first.
   void TestAbortCutsEarlierResponse() {
     this->StartRecordingServer();
