--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -99,6 +99,18 @@
 // that seems idle is closed only if it is still idle after this time.
 constexpr std::chrono::milliseconds kIdleCloseDelay(20);
 
+// The same on a connection with pipelined requests, whose caller may have received responses that
+// it has yet to read, and sends more requests in the meantime.
+constexpr std::chrono::milliseconds kPipelinedIdleCloseDelay(300);
+
+// Time after the end of listening from which connections with pipelined requests are closed like
+// others, so that a caller that always sends more cannot hold up the end of the process.
+constexpr std::chrono::milliseconds kMaxPipeliningTime(500);
+
+// A caller that sends requests before it has read the last response sends more until it reads that
+// the connection closes. Bytes that it may have to read until then, at most.
+constexpr std::size_t kMaxUnreadBytesAtClose = 16 * 1024;
+
 thread_local bool is_server_thread = false;
 
 class ConnectionRegistry;
@@ -145,18 +157,17 @@
     });
   }
 
-  void AddResponse(std::shared_ptr<ResponseWriter> writer) {
-    ++this->requests_handled;
-    this->pending_responses.push_back(std::move(writer));
-  }
+  void AddResponse(std::shared_ptr<ResponseWriter> writer);
   void RemoveResponse(const ResponseWriter* writer);
   // True if the responses to all earlier requests have been written.
   bool IsFirst(const ResponseWriter* writer) const {
     return this->pending_responses.empty() || this->pending_responses.front().get() == writer;
   }
   // Callers send the requests behind a response that closes the connection again, whatever their
-  // kind. Only the response to the last request that was received may therefore close it.
-  bool MayCloseAfter(const ResponseWriter* writer) const;
+  // kind. Only the response to the last request that was received may therefore close it, and on a
+  // connection with pipelined requests only if the caller soon reads it. `size` is that of the
+  // body in bytes.
+  bool MayCloseAfter(const ResponseWriter* writer, std::size_t size) const;
   // Called when a response states that it closes the connection. Requests that arrive later are
   // discarded.
   void SetClosing() { this->is_closing = true; }
@@ -183,6 +194,10 @@
   void ScheduleTimeoutCheck(Duration delay);
   void CheckTimeouts();
   bool IsIdle() const;
+  // True if the close waits until the caller has read the responses.
+  bool WaitsForReader() const {
+    return this->pipelines && (!this->pipelining_end || SteadyNow() < *this->pipelining_end);
+  }
 
   std::uint64_t connection_id;
   ServerSocket& socket;
@@ -193,6 +208,10 @@
   std::uint64_t requests_handled = 0;
   bool is_closed = false;
   bool is_closing = false;
+  // The caller has sent a request before it had received the response to an earlier one.
+  bool pipelines = false;
+  // Set when the server has stopped listening.
+  std::optional<TimePoint> pipelining_end;
   std::function<void()> after_responses;
   asio::steady_timer timer;
   bool timer_active = false;
@@ -271,9 +290,12 @@
   std::atomic<std::size_t> lingering_sockets = 0;
 };
 
-bool HasUnacknowledgedBytes(asio::ip::tcp::socket& socket) {
+// Bytes that were written and that the peer has yet to acknowledge; 0 if the socket is closed.
+std::size_t UnacknowledgedBytes(asio::ip::tcp::socket& socket) {
   int bytes = 0;
-  return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0
+             ? static_cast<std::size_t>(bytes)
+             : 0;
 }
 
 // Reads and discards what a peer still sends on a connection that the server has closed for
@@ -321,7 +343,7 @@
           }
           // Many callers read the response only after they have sent their request.
           const bool is_busy =
-              std::exchange(self->received, false) || HasUnacknowledgedBytes(self->socket);
+              std::exchange(self->received, false) || UnacknowledgedBytes(self->socket) > 0;
           if (is_busy && std::chrono::steady_clock::now() < limit) {
             self->CloseLater(limit);
             return;
@@ -373,8 +395,7 @@
     this->set_option(asio::socket_base::linger(true, 0), ignored);
     this->Base::close(ignored);
   }
-  // True if the peer has yet to acknowledge bytes that were written.
-  bool HasUnacknowledgedBytes() { return pimentopin::HasUnacknowledgedBytes(*this); }
+  std::size_t UnacknowledgedBytes() { return pimentopin::UnacknowledgedBytes(*this); }
   // Called by RESTinio before close(). Bytes that arrive later are still read.
   void shutdown(asio::socket_base::shutdown_type /*what*/, asio::error_code& error) {
     Base::shutdown(asio::socket_base::shutdown_send, error);
@@ -775,10 +796,12 @@
     if (!IsBodilessStatus(response.status)) {
       framing.content_length = response.body.size();
     }
+    const std::size_t sent_body_size =
+        this->is_head || !framing.content_length ? 0 : response.body.size();
     this->AddResponseHead(response.status, response.headers, framing,
                           this->server->context.registry.keep_alive_disabled &&
-                              this->connection->MayCloseAfter(this));
-    if (!this->is_head && framing.content_length && !response.body.empty()) {
+                              this->connection->MayCloseAfter(this, sent_body_size));
+    if (sent_body_size > 0) {
       this->items.emplace_back(std::move(response.body));
     }
     this->Flush(true);
@@ -909,6 +932,14 @@
   this->registry.on_refusal({refusal, this->requests_handled, response_sent});
 }
 
+void ServerConnection::AddResponse(std::shared_ptr<ResponseWriter> writer) {
+  // A request that was sent after the last response had been received acknowledges that response.
+  this->pipelines =
+      this->pipelines || this->has_pending_responses() || this->socket.UnacknowledgedBytes() > 0;
+  ++this->requests_handled;
+  this->pending_responses.push_back(std::move(writer));
+}
+
 void ServerConnection::RemoveResponse(const ResponseWriter* writer) {
   this->last_response_at = SteadyNow();
   std::erase_if(this->pending_responses,
@@ -941,9 +972,11 @@
   return this->socket.TakeBodyReservation();
 }
 
-bool ServerConnection::MayCloseAfter(const ResponseWriter* writer) const {
+bool ServerConnection::MayCloseAfter(const ResponseWriter* writer, std::size_t size) const {
   return (this->pending_responses.empty() || this->pending_responses.back().get() == writer) &&
-         this->socket.IsIdle(this->requests_handled);
+         this->socket.IsIdle(this->requests_handled) &&
+         (!this->WaitsForReader() ||
+          this->socket.UnacknowledgedBytes() + size <= kMaxUnreadBytesAtClose);
 }
 
 bool ServerConnection::IsIdle() const {
@@ -960,10 +993,17 @@
 }
 
 void ServerConnection::CloseIfIdle() {
-  if (!this->registry.listening_stopped || !this->IsIdle()) {
+  if (!this->registry.listening_stopped) {
+    return;
+  }
+  if (!this->pipelining_end) {
+    this->pipelining_end = SteadyNow() + kMaxPipeliningTime;
+  }
+  if (!this->IsIdle()) {
     return;
   }
-  this->idle_close_timer.expires_after(kIdleCloseDelay);
+  this->idle_close_timer.expires_after(this->WaitsForReader() ? kPipelinedIdleCloseDelay
+                                                              : kIdleCloseDelay);
   this->idle_close_timer.async_wait(
       [self = this->shared_from_this()](const asio::error_code& error) {
         const std::shared_ptr<void> live_connection = self->restinio_connection.lock();
@@ -972,7 +1012,7 @@
         }
         // A caller that has yet to receive the response may have sent its next request, which takes
         // as long to arrive.
-        if (self->socket.HasUnacknowledgedBytes()) {
+        if (self->socket.UnacknowledgedBytes() > 0) {
           self->CloseIfIdle();
           return;
         }
