Http: Keep connections for reuse while many are in use

Cause: all active requests counted against the connections that may be kept. Only those that may keep theirs count now. Such a request takes an idle connection if there is one, so the bound stays the same.

TestNoConnectionIsKeptWhileManyAreInUse failed before (not reused).

The comment in host.cc said that brokers grant no more slots than a target has. They also overcommit a few; it says so now.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -32,11 +32,11 @@
 namespace pimentopin {
 namespace {
 
-// 32 hosts with 8 idle connections and one for probes each stay below a target's limit of 300
-// connections. Connections in use need no limit here: brokers grant no more slots of a target than
-// it has, and a configuration with more slots than connections is refused.
+// 32 hosts with 8 kept connections and one for probes each stay below a target's limit of 300
+// connections. Connections in use have no limit of their own: brokers bound them by the slots of
+// the target, which a configuration limits to its connections, and by a few overcommitted ones.
 // FIXME: Derive the share from the configured limit and the number of hosts.
-constexpr std::size_t kIdleConnectionsPerTarget = 8;
+constexpr std::size_t kKeptConnectionsPerTarget = 8;
 constexpr std::size_t kProbeConnectionsPerTarget = 1;
 constexpr Duration kIsolationWindow = std::chrono::seconds(4);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
@@ -242,7 +242,7 @@
   // running.
   this->target_client =
       HttpClient::Create({.max_connections_per_address = 0,
-                          .max_reused_connections_per_address = kIdleConnectionsPerTarget});
+                          .max_kept_connections_per_address = kKeptConnectionsPerTarget});
   const RetryLimits fleet_limits{
       .fraction = this->settings.retry_fraction,
       .extra = this->settings.retry_extra,
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -210,6 +210,8 @@
   // The connection on which the request was sent.
   ConnectionKey connection;
   bool paused_by_curl = false;
+  // The connection may stay open for reuse.
+  bool keeps_connection = false;
   bool ended = false;
 
   std::atomic<bool> paused = false;
@@ -363,11 +365,7 @@
       return;
     }
     this->active_transfers.insert(transfer);
-    std::size_t& active = this->active_per_address[std::string(AddressOf(transfer->request.url))];
-    if (active >= this->settings.max_reused_connections_per_address) {
-      curl_easy_setopt(transfer->easy.get(), CURLOPT_FORBID_REUSE, 1L);
-    }
-    ++active;
+    this->LimitKeptConnections(*transfer);
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
     this->EndAt(transfer, transfer->start + transfer->request.timeout,
                 transfer->request.body_timeout);
@@ -408,8 +406,9 @@
       return;
     }
     transfer->timer.reset();
-    if (this->active_transfers.erase(transfer) > 0) {
-      this->RemoveActive(transfer->request.url);
+    this->active_transfers.erase(transfer);
+    if (std::exchange(transfer->keeps_connection, false)) {
+      this->RemoveKeptConnection(transfer->request.url);
     }
     if (transfer->easy) {
       // libcurl may have started the next transfer on the connection before it reported the end of
@@ -613,10 +612,22 @@
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   }
 
-  void RemoveActive(const std::string& url) {
-    const auto active = this->active_per_address.find(std::string(AddressOf(url)));
-    if (--active->second == 0) {
-      this->active_per_address.erase(active);
+  // A transfer that may keep its connection takes an idle one if there is one, so that idle
+  // connections and those of such transfers stay within the limit together.
+  void LimitKeptConnections(CurlTransfer& transfer) {
+    std::size_t& kept = this->kept_per_address[std::string(AddressOf(transfer.request.url))];
+    if (kept >= this->settings.max_kept_connections_per_address) {
+      curl_easy_setopt(transfer.easy.get(), CURLOPT_FORBID_REUSE, 1L);
+      return;
+    }
+    ++kept;
+    transfer.keeps_connection = true;
+  }
+
+  void RemoveKeptConnection(const std::string& url) {
+    const auto kept = this->kept_per_address.find(std::string(AddressOf(url)));
+    if (--kept->second == 0) {
+      this->kept_per_address.erase(kept);
     }
   }
 
@@ -736,7 +747,8 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<IdleConnection>> idle_connections;
   MultiHandle multi;
   std::unordered_set<std::shared_ptr<CurlTransfer>> active_transfers;
-  std::unordered_map<std::string, std::size_t> active_per_address;
+  // Active transfers that may keep their connections.
+  std::unordered_map<std::string, std::size_t> kept_per_address;
 };
 
 void CurlTransfer::EndAfterCallbacks(TransferError error) {
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -73,9 +73,9 @@
   // Maximum number of open connections per address, including idle ones. Further requests wait for
   // a free one, and their timeout runs. 0 for no limit.
   std::size_t max_connections_per_address = 300;
-  // A request that starts while this number of requests to its address is active closes its
-  // connection instead of leaving it idle for reuse.
-  std::size_t max_reused_connections_per_address = 300;
+  // Maximum number of connections per address that are kept for reuse. A request that needs one
+  // more closes it after its response.
+  std::size_t max_kept_connections_per_address = 300;
   Duration connect_timeout = std::chrono::milliseconds(500);
   // Idle time before the first TCP keep-alive probe. Shorter values detect an unresponsive peer
   // sooner.
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(TestPauseStopsDelivery);
   CPPUNIT_TEST(TestConnectionLimitPerAddress);
   CPPUNIT_TEST(TestRequestWaitsBehindKeptConnections);
+  CPPUNIT_TEST(TestNoConnectionIsKeptWhileManyAreInUse);
   CPPUNIT_TEST(TestDestroyedClientEndsTransfers);
   CPPUNIT_TEST(TestAbortedServerResponseIsTruncated);
   CPPUNIT_TEST(TestConcurrentTransfersReceiveTheirOwnResponses);
@@ -740,7 +741,7 @@
   // may be kept, and against keeping more connections than allowed.
   void TestRequestWaitsBehindKeptConnections() {
     this->client = HttpClient::Create(
-        {.max_connections_per_address = 0, .max_reused_connections_per_address = 2});
+        {.max_connections_per_address = 0, .max_kept_connections_per_address = 2});
     RawServer server(this->context);
     std::vector<RawConnection> connections;
     std::vector<TransferRecorder*> transfers;
@@ -771,6 +772,29 @@
     CPPUNIT_ASSERT(fourth.connection_reused == true);
   }
 
+  // Guards against a new connection for each request to an address that always has more active
+  // requests than connections may be kept.
+  void TestNoConnectionIsKeptWhileManyAreInUse() {
+    this->client = HttpClient::Create(
+        {.max_connections_per_address = 0, .max_kept_connections_per_address = 1});
+    RawServer server(this->context);
+    TransferRecorder& first = this->Get(server.url("/1"));
+    RawConnection kept = server.Accept();
+    CPPUNIT_ASSERT(kept.ReadUntil("\r\n\r\n").starts_with("GET /1 "));
+    this->Get(server.url("/endless"));
+    RawConnection other = server.Accept();
+    CPPUNIT_ASSERT(other.ReadUntil("\r\n\r\n").starts_with("GET /endless "));
+    kept.Send(kSmallResponse);
+    CPPUNIT_ASSERT(first.Wait());
+    for (const std::string path : {"/2", "/3"}) {
+      TransferRecorder& next = this->Get(server.url(path));
+      CPPUNIT_ASSERT(kept.ReadUntil("\r\n\r\n").starts_with("GET " + path + " "));
+      kept.Send(kSmallResponse);
+      CPPUNIT_ASSERT(next.Wait());
+      CPPUNIT_ASSERT(next.connection_reused == true);
+    }
+  }
+
   // Guards against callbacks that are never called and against using a destroyed client.
   void TestDestroyedClientEndsTransfers() {
     RawServer server(this->context);
