Dispatch: Keep the failure of an attempt as the reason if its retry is refused

The outcome 'unknown' was right.

Cause: the end of the host replaced the broker's reason for any request. It does so now only for requests that have not run.

TestRefusedRetryHidesTheFailureOfItsAttempt failed before.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -487,10 +487,12 @@
     this->PlaceNextAttempt(now, *state, actions);
     return actions;
   }
-  // The broker knows only the time that the end of this host leaves.
+  // The broker knows only the time that the end of this host leaves. After a failed attempt, the
+  // failure is the reason that the caller is told.
   const bool lacks_time =
       refusal.reason == RefusalReason::kDeadline || refusal.reason == RefusalReason::kOverload;
-  const bool limited_by_host = this->StartLimit(*state) < state->description.deadline;
+  const bool limited_by_host =
+      !state->may_have_run && this->StartLimit(*state) < state->description.deadline;
   this->ForwardHeldOrFinish(
       *state, lacks_time && limited_by_host ? RefusalReason::kHostEnd : refusal.reason,
       refusal.retry_after, actions);
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(TestWaitingRequestIsCutAtTheEndOfTheHost);
   CPPUNIT_TEST(TestRefusalNearTheEndOfTheHostNamesAnotherReason);
   CPPUNIT_TEST(TestRefusalNamesTheEndOfTheHostWithoutReason);
+  CPPUNIT_TEST(TestRefusedRetryHidesTheFailureOfItsAttempt);
   CPPUNIT_TEST(TestHoldOffBeyondTheEndOfTheHostNamesTheTargets);
   CPPUNIT_TEST(TestRetryWaitsBeyondTheEndOfTheHost);
   CPPUNIT_TEST(TestRunningRequestIsCutAtTheEndOfTheHost);
@@ -763,6 +764,20 @@
                    RefusalReason::kQueueFull);
   }
 
+  // Guards against the stop as the stated reason if an attempt failed and its retry is refused.
+  void TestRefusedRetryHidesTheFailureOfItsAttempt() {
+    this->Reset();
+    const AttemptId attempt = this->RequestSlot(1, true);
+    this->Grant(attempt, this->broker);
+    const auto actions = this->dispatcher->OnAttemptEnd(
+        this->now, attempt, {.result = AttemptResult::kConnectionLost, .may_have_been_sent = true});
+    const AttemptId retry = MessagesOf<SlotRequest>(actions).at(0).second.attempt;
+    this->dispatcher->SetHostEnd(this->now, this->EndIn(milliseconds(100)));
+    const FinishRequest finish = this->Refuse(retry, RefusalReason::kOverload);
+    CPPUNIT_ASSERT(finish.outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT(finish.refusal == RefusalReason::kOverload);
+  }
+
   // Guards against a wait for targets that is stated although another host could wait for them.
   void TestHoldOffBeyondTheEndOfTheHostNamesTheTargets() {
     this->Reset();
