Http: Set the timer of a lingering socket before its first read

By review: a read that fails at once cancelled the timer on one traffic thread while another one set it. No run has shown it.

TestRequestBehindClosingResponseIsNotHandled waits until the first response is complete for the server, too: a request that overtakes this counts as pipelined, so that the test could fail on a busy machine. Its checks are the same. The comment on kMaxPipeliningTime says what it does not bound.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -104,7 +104,8 @@
 constexpr std::chrono::milliseconds kPipelinedIdleCloseDelay(300);
 
 // Time after the end of listening from which connections with pipelined requests are closed like
-// others, so that a caller that always sends more cannot hold up the end of the process.
+// others. One whose caller always has further requests outstanding stays open until the process
+// ends.
 constexpr std::chrono::milliseconds kMaxPipeliningTime(500);
 
 // A caller that sends requests before it has read the last response sends more until it reads that
@@ -315,8 +316,9 @@
   LingeringSocket& operator=(const LingeringSocket&) = delete;
 
   void Start() {
-    this->Discard();
+    // A read that fails cancels the timer, maybe on another thread.
     this->CloseLater(std::chrono::steady_clock::now() + kMaxLingerTime);
+    this->Discard();
   }
 
  private:
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -626,6 +626,8 @@
     CPPUNIT_ASSERT(this->WaitForRequests(1));
     this->responders[0]->Respond(200, {}, "answer-to-/1");
     std::string received = caller.ReadUntil("answer-to-/1");
+    // The server may learn later than the caller that the response is complete.
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
     caller.Send(Get("/2"));
     CPPUNIT_ASSERT(this->WaitForRequests(2));
     this->server->DisableKeepAlive();
