Dispatch: Decide in one place why an attempt may not start

LimitReached(), for requests that wait for their claim, repeated the rule of StartLimit() and LimitReason(). They take the description of a request now, and LimitReached() and PlaceNextAttempt() use them.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -46,8 +46,8 @@
 }
 
 // Why no attempt may start after the start limit of a request.
-RefusalReason LimitReason(TimePoint now, const RequestState& state) {
-  return now >= state.description.deadline ? RefusalReason::kDeadline : RefusalReason::kHostEnd;
+RefusalReason LimitReason(TimePoint now, const RequestDescription& request) {
+  return now >= request.deadline ? RefusalReason::kDeadline : RefusalReason::kHostEnd;
 }
 
 }  // namespace
@@ -120,8 +120,8 @@
   return this->Tick(now);
 }
 
-TimePoint HostDispatcher::StartLimit(const RequestState& state) const {
-  return std::min(state.description.deadline, this->host_end.last_start);
+TimePoint HostDispatcher::StartLimit(const RequestDescription& request) const {
+  return std::min(request.deadline, this->host_end.last_start);
 }
 
 TimePoint HostDispatcher::RunLimit(const RequestState& state) const {
@@ -138,10 +138,7 @@
 
 std::optional<RefusalReason> HostDispatcher::LimitReached(TimePoint now,
                                                           const RequestDescription& request) const {
-  if (now >= request.deadline) {
-    return RefusalReason::kDeadline;
-  }
-  return now >= this->host_end.last_start ? std::optional(RefusalReason::kHostEnd) : std::nullopt;
+  return now >= this->StartLimit(request) ? std::optional(LimitReason(now, request)) : std::nullopt;
 }
 
 std::vector<DispatchAction> HostDispatcher::Begin(TimePoint now,
@@ -157,8 +154,8 @@
 
 void HostDispatcher::PlaceNextAttempt(TimePoint now, RequestState& state, Actions& actions) {
   const RequestDescription& description = state.description;
-  if (now >= this->StartLimit(state)) {
-    this->ForwardHeldOrFinish(state, LimitReason(now, state), Duration::zero(), actions);
+  if (const std::optional<RefusalReason> limit = this->LimitReached(now, description)) {
+    this->ForwardHeldOrFinish(state, *limit, Duration::zero(), actions);
     return;
   }
   if (this->settings.IsBlocked(description.fingerprint)) {
@@ -212,7 +209,7 @@
     this->ForwardHeldOrFinish(state, RefusalReason::kHoldOff, *end - now, actions);
     return;
   }
-  if (*end >= this->StartLimit(state)) {
+  if (*end >= this->StartLimit(state.description)) {
     this->ForwardHeldOrFinish(state, RefusalReason::kHostEnd, Duration::zero(), actions);
     return;
   }
@@ -269,7 +266,7 @@
                             .host = this->settings.self,
                             .domain = this->settings.domain,
                             .arrived = now,
-                            .deadline = this->StartLimit(state)});
+                            .deadline = this->StartLimit(state.description)});
 }
 
 void HostDispatcher::StartFromLocalQueue(TimePoint now,
@@ -286,13 +283,13 @@
     }
     state->phase = RequestPhase::kPlacing;
     const std::optional<TargetId> target = this->chooser.ChooseFallback(now, service, *state);
-    if (target && now < this->StartLimit(*state) &&
+    if (target && now < this->StartLimit(state->description) &&
         !this->settings.IsBlocked(state->description.fingerprint)) {
       this->Start(now, service, *state, next, *target, std::nullopt, actions);
     } else {
-      this->ForwardHeldOrFinish(*state,
-                                target ? LimitReason(now, *state) : RefusalReason::kNoTarget,
-                                Duration::zero(), actions);
+      this->ForwardHeldOrFinish(
+          *state, target ? LimitReason(now, state->description) : RefusalReason::kNoTarget,
+          Duration::zero(), actions);
     }
   }
 }
@@ -316,7 +313,7 @@
           .organisation = description.organisation,
           .caller = description.caller,
           .work_class = description.work_class,
-          .budget = this->StartLimit(state) - now,
+          .budget = this->StartLimit(state.description) - now,
           .fingerprint = description.fingerprint,
           .is_retry = state.reached_target(),
           .affinity_key = description.affinity_key,
@@ -447,7 +444,7 @@
   }
   this->StopWaiting(*service, *state, false, actions);
   const RequestDescription& description = state->description;
-  const bool too_late = now >= this->StartLimit(*state);
+  const bool too_late = now >= this->StartLimit(state->description);
   const bool blocked = this->settings.IsBlocked(description.fingerprint);
   const bool usable = Contains(this->chooser.UsableTargets(now, *service, *state), grant.target);
   if (!too_late && !blocked && usable) {
@@ -456,9 +453,9 @@
   }
   this->ReturnGrant(sender, grant, actions);
   if (too_late || blocked) {
-    this->ForwardHeldOrFinish(*state,
-                              too_late ? LimitReason(now, *state) : RefusalReason::kCrashRequest,
-                              Duration::zero(), actions);
+    this->ForwardHeldOrFinish(
+        *state, too_late ? LimitReason(now, state->description) : RefusalReason::kCrashRequest,
+        Duration::zero(), actions);
   } else if (++state->unusable_grants > kMaxUnusableGrants) {
     this->ForwardHeldOrFinish(*state, RefusalReason::kNoTarget, kFallbackRetryAfter, actions);
   } else {
@@ -492,7 +489,7 @@
   const bool lacks_time =
       refusal.reason == RefusalReason::kDeadline || refusal.reason == RefusalReason::kOverload;
   const bool limited_by_host =
-      !state->may_have_run && this->StartLimit(*state) < state->description.deadline;
+      !state->may_have_run && this->StartLimit(state->description) < state->description.deadline;
   this->ForwardHeldOrFinish(
       *state, lacks_time && limited_by_host ? RefusalReason::kHostEnd : refusal.reason,
       refusal.retry_after, actions);
@@ -514,7 +511,8 @@
 
 bool HostDispatcher::MayRetry(TimePoint now, const RequestState& state) const {
   return !state.caller_disconnected && state.attempts_started < state.description.max_attempts &&
-         now < this->StartLimit(state) && (state.description.idempotent || !state.may_have_run);
+         now < this->StartLimit(state.description) &&
+         (state.description.idempotent || !state.may_have_run);
 }
 
 std::vector<DispatchAction> HostDispatcher::OnHeader(TimePoint now,
@@ -666,10 +664,10 @@
     this->PlaceNextAttempt(now, state, actions);
     return;
   }
-  const bool too_late = now >= this->StartLimit(state);
+  const bool too_late = now >= this->StartLimit(state.description);
   const bool shed = end.result == AttemptResult::kShed;
   this->ForwardHeldOrFinish(state,
-                            too_late ? LimitReason(now, state)
+                            too_late ? LimitReason(now, state.description)
                             : shed   ? RefusalReason::kShed
                                      : RefusalReason::kNone,
                             Duration::zero(), actions);
@@ -777,7 +775,7 @@
         attempt != this->attempts.end() && attempt->second.cancel_reason != CancelReason::kNone;
     return cancelled ? this->FinishLimit(state) : deadline;
   }
-  TimePoint next = this->StartLimit(state);
+  TimePoint next = this->StartLimit(state.description);
   if (state.held_attempt) {
     next = std::min(next, state.held_at + kMaxResponseHold);
   }
@@ -803,11 +801,12 @@
           actions);
     }
     if (now >= this->FinishLimit(state)) {
-      this->Finish(state, Outcome::kUnknown, LimitReason(now, state), Duration::zero(), actions);
+      this->Finish(state, Outcome::kUnknown, LimitReason(now, state.description), Duration::zero(),
+                   actions);
     }
     return;
   }
-  if (now >= this->StartLimit(state)) {
+  if (now >= this->StartLimit(state.description)) {
     this->StopWaiting(*this->FindService(state.description.service), state, true, actions);
     if (now >= state.description.deadline) {
       this->Finish(state, this->OutcomeWithoutResponse(state), RefusalReason::kDeadline,
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -112,7 +112,7 @@
   void ReturnGrant(HostId broker, const SlotGrant& grant, Actions& actions);
   bool MayRetry(TimePoint now, const RequestState& state) const;
   // Time until which an attempt may start: the deadline, or earlier if the host ends.
-  TimePoint StartLimit(const RequestState& state) const;
+  TimePoint StartLimit(const RequestDescription& request) const;
   // Time at which a running attempt is cancelled.
   TimePoint RunLimit(const RequestState& state) const;
   // Time at which a request ends although its cancelled attempt has not.
