Host: Use the conversion to milliseconds everywhere in the dispatch controller

Three log fields divided by hand beside Milliseconds(), with the same result. LimitToGrace() computes the limits of the stop once.

--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -477,7 +477,7 @@
       {{"request_id", request.exchange->request_id},
        {"target", target->name},
        {"service", target->service},
-       {"remaining_ms", attempt.remaining.count() / 1000}});
+       {"remaining_ms", Milliseconds(attempt.remaining)}});
   auto transfer = std::make_shared<AttemptTransfer>(request.exchange, std::move(attempt),
                                                     *this->settings.dialect, std::move(callbacks));
   request.transfers[action.attempt] = transfer;
@@ -526,7 +526,7 @@
          {"target", found->second.target},
          {"result", AttemptResultName(end.result)},
          {"may_have_run", end.may_have_been_sent && end.result != AttemptResult::kShed},
-         {"elapsed_ms", end.service_time.count() / 1000}});
+         {"elapsed_ms", Milliseconds(end.service_time)}});
   }
   if (found != this->active.end() && end.may_have_been_sent && end.result != AttemptResult::kShed) {
     ++found->second.possible_runs;
@@ -571,7 +571,7 @@
   if (retry_after > Duration::zero()) {
     this->shared_state.hold_offs.HoldOff(now, target, retry_after);
     Log(LogLevel::kInfo, "target_hold_off",
-        {{"target", name}, {"retry_after_ms", retry_after.count() / 1000}});
+        {{"target", name}, {"retry_after_ms", Milliseconds(retry_after)}});
   }
 }
 
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -538,13 +538,14 @@
   if (std::exchange(this->limited_to_grace, true)) {
     return;
   }
-  this->dispatch->SetHostEnd(stop.Limits());
+  const HostEnd limits = stop.Limits();
+  this->dispatch->SetHostEnd(limits);
   const TimePoint now = SteadyNow();
   const Duration remaining = stop.started_at + stop.grace - now;
   if (stop.grace > Duration::zero()) {
     // A connection that stays open can delay the exit, which reports the last period, until the
     // host is killed. Requests that end later form another period.
-    this->loop.RunAfter(std::max(stop.Limits().last_start - now, Duration::zero()),
+    this->loop.RunAfter(std::max(limits.last_start - now, Duration::zero()),
                         [this] { this->reports->Close(SteadyNow()); });
   }
   if (remaining > kUnfinishedLogMargin) {
