Host: Date a stop signal by when it can have been sent, not by its handling

Callers saw requests of a stopping host end without an answer: safe ones sent 3.0 to 3.4 s after SIGTERM were passed to a target and cut by SIGKILL at 6.0 s, or answered with 504 while the target worked.

Cause: the kernel does not tell when a signal was sent, and the host took the time at which its handler ran. A process that is kept from running when SIGTERM is sent counts all limits of the stop too late, by as long as it was paused; an allowance of 0.1 s hid pauses of up to that.

Only the control thread handles signals now, and it records every 50 ms that it runs. The signal was sent after the last record, so that this is exact and needs no allowance. Other threads block the signals, so that sigpending() shows them one that waits for the control thread. Admission uses the earliest possible time. The delay before the end of listening counts from the handling, as load balancers do not see sooner that the host is not ready.

TestRequestIsCutIfTheSignalWasHandledLate used the allowance of 0.1 s; it now takes the time from SignalTimestamp, with delays of up to 0.9 s. Three checks of SignalTimestampTest fail if the time is that of the handler. Signals that arrive before Host::Run() wait for it, later ones do not end the process.

--- a/Libraries/LibCore/signal_timestamp.h
+++ b/Libraries/LibCore/signal_timestamp.h
@@ -9,8 +9,17 @@
 
 namespace pimentopin {
 
-// Records when the first of the given signals arrived and then calls the handler that was installed
-// before. One instance at a time.
+// The time at which a signal was sent lies between these two.
+struct SignalTime {
+  TimePoint sent_after;
+  TimePoint sent_before;
+
+  friend bool operator==(const SignalTime&, const SignalTime&) = default;
+};
+
+// Bounds the time at which the first of the given signals was sent, and calls the handler that was
+// installed before. One instance at a time. One thread must handle the signals, and all others
+// block them.
 class SignalTimestamp {
  public:
   explicit SignalTimestamp(const std::vector<int>& signals);
@@ -19,10 +28,17 @@
   SignalTimestamp(const SignalTimestamp&) = delete;
   SignalTimestamp& operator=(const SignalTimestamp&) = delete;
 
-  // Empty if no signal has arrived. Callable from any thread.
-  std::optional<TimePoint> first() const;
+  // States that the thread that handles the signals runs at `now`. A signal that arrives later was
+  // not sent before this time.
+  void RecordRunning(TimePoint now);
+  // Time of the first signal: between the last call of RecordRunning() before it was handled, or
+  // the start of the process, and its handling. Empty if no signal has arrived. Callable from any
+  // thread, and also finds a signal that waits for the thread that handles it.
+  std::optional<SignalTime> first() const;
 
  private:
+  bool IsPending() const;
+
   std::vector<std::pair<int, struct sigaction>> previous;
 };
 
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -15,6 +15,7 @@
 
 #include "Libraries/LibConfig/configuration_reader.h"
 #include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibCore/scoped_signal_mask.h"
 #include "Libraries/LibCore/signal_timestamp.h"
 #include "Libraries/LibHost/configuration_controller.h"
 #include "Libraries/LibHost/control_loop.h"
@@ -46,6 +47,8 @@
 constexpr std::size_t kMaxLoggedTextBytes = 128;
 // Before the end of the grace, requests in progress are logged, as a killed process logs nothing.
 constexpr Duration kUnfinishedLogMargin = std::chrono::milliseconds(200);
+// The time of a stop signal is known this exactly while the process runs.
+constexpr Duration kRunningCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
 // Limits how long pending writes to the platform delay the exit.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
@@ -93,7 +96,7 @@
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
   // Ends the requests in progress before the platform kills the host, which follows a signal only.
-  void LimitToGrace(const StopAdmission& stop);
+  void LimitToGrace();
   void StopListening();
   void WaitForRequests();
   void Flush(TimePoint deadline);
@@ -110,11 +113,12 @@
   ControlLoop loop;
   asio::signal_set signals;
   // The control thread may handle a signal late, while other threads accept requests.
-  const SignalTimestamp stop_signal{{SIGTERM, SIGINT}};
+  SignalTimestamp stop_signal{{SIGTERM, SIGINT}};
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
-  bool limited_to_grace = false;
+  // Applied to the requests in progress.
+  HostEnd request_limits;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
 
@@ -331,6 +335,8 @@
     this->reports->Tick(SteadyNow());
     this->UpdateReadiness();
   });
+  this->loop.RunPeriodically(kRunningCheckInterval,
+                             [this] { this->stop_signal.RecordRunning(SteadyNow()); });
   this->directory->Start();
 }
 
@@ -487,6 +493,7 @@
 }
 
 void HostProcess::Run() {
+  const ScopedSignalMask handled_signals(SIG_UNBLOCK, {SIGTERM, SIGINT, SIGHUP});
   this->WaitForSignals();
   this->loop.Run();
 }
@@ -500,7 +507,7 @@
       Log(LogLevel::kInfo, "reload_requested",
           {{"note", "settings are command-line flags and take effect at the next start"}});
     } else {
-      this->LimitToGrace(*this->CurrentStop());
+      this->LimitToGrace();
       this->BeginShutdown();
     }
     this->WaitForSignals();
@@ -508,12 +515,15 @@
 }
 
 std::optional<StopAdmission> HostProcess::CurrentStop() const {
-  const std::optional<TimePoint> signalled_at = this->stop_signal.first();
-  const TimePoint started_at = signalled_at.value_or(this->drained_at);
-  return started_at == TimePoint()
-             ? std::nullopt
-             : std::optional(
-                   StopAdmission{.started_at = started_at, .grace = this->settings.shutdown_grace});
+  const TimePoint drained_at = this->drained_at;
+  const std::optional<SignalTime> signal = this->stop_signal.first();
+  if (!signal && drained_at == TimePoint()) {
+    return std::nullopt;
+  }
+  const SignalTime start = signal.value_or(SignalTime{drained_at, drained_at});
+  return StopAdmission{.earliest_start = start.sent_after,
+                       .latest_start = start.sent_before,
+                       .grace = this->settings.shutdown_grace};
 }
 
 void HostProcess::BeginShutdown() {
@@ -523,34 +533,37 @@
   const TimePoint now = SteadyNow();
   this->drained_at = now;
   const StopAdmission admission = *this->CurrentStop();
-  const Duration signal_delay = now - admission.started_at;
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
-       {"signal_delay_ms", signal_delay.count() / 1000}});
+       {"signal_delay_ms", (now - admission.earliest_start).count() / 1000}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
-  this->loop.RunAfter(std::max(this->settings.shutdown_delay - signal_delay, Duration::zero()),
+  // Load balancers need the delay from when they can see that the host is not ready.
+  const Duration remaining = std::max(this->request_limits.last_start - now, Duration::zero());
+  this->loop.RunAfter(std::min(this->settings.shutdown_delay, remaining),
                       [this] { this->StopListening(); });
 }
 
-void HostProcess::LimitToGrace(const StopAdmission& stop) {
-  if (std::exchange(this->limited_to_grace, true)) {
+void HostProcess::LimitToGrace() {
+  if (this->request_limits != HostEnd{}) {
     return;
   }
-  const HostEnd limits = stop.Limits();
-  this->dispatch->SetHostEnd(limits);
+  const StopAdmission stop = *this->CurrentStop();
+  this->request_limits = stop.Limits();
+  this->dispatch->SetHostEnd(this->request_limits);
   const TimePoint now = SteadyNow();
-  const Duration remaining = stop.started_at + stop.grace - now;
+  const Duration remaining = stop.earliest_start + stop.grace - now;
   if (stop.grace > Duration::zero()) {
     // A connection that stays open can delay the exit, which reports the last period, until the
     // host is killed. Requests that end later form another period.
-    this->loop.RunAfter(std::max(limits.last_start - now, Duration::zero()),
+    this->loop.RunAfter(std::max(stop.Limits().last_start - now, Duration::zero()),
                         [this] { this->reports->Close(SteadyNow()); });
   }
   if (remaining > kUnfinishedLogMargin) {
-    this->loop.RunAfter(remaining - kUnfinishedLogMargin,
-                        [this, stop] { this->dispatch->LogRequestsInProgress(stop.started_at); });
+    this->loop.RunAfter(remaining - kUnfinishedLogMargin, [this, stop] {
+      this->dispatch->LogRequestsInProgress(stop.earliest_start);
+    });
   }
 }
 
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -5,22 +5,28 @@
 namespace pimentopin {
 
 bool StopAdmission::Accepts(TimePoint now, const RequestDescription& request) const {
-  if (this->grace == Duration::zero() ||
-      request.deadline <= this->started_at + this->grace - kMargin) {
+  if (this->grace == Duration::zero() || request.deadline <= this->LastSafeAnswer()) {
     return true;
   }
   // Most requests end long before their deadline. A caller may repeat an idempotent one that does
   // not.
-  return request.idempotent && now - this->started_at <= this->grace / 2 - kMaxSignalDelay;
+  return request.idempotent && now - this->earliest_start < this->grace / 2;
+}
+
+TimePoint StopAdmission::LastSafeAnswer() const {
+  const Duration margin = std::min<Duration>(kMargin, this->grace / 10);
+  return this->earliest_start + this->grace - std::min<Duration>(margin, this->grace / 6);
 }
 
 HostEnd StopAdmission::Limits() const {
   if (this->grace == Duration::zero()) {
     return {};
   }
-  const TimePoint end = this->started_at + this->grace;
-  return {.last_start = end - std::min<Duration>(kLastStartMargin, this->grace / 5),
-          .last_answer = end - std::min<Duration>(kMargin, this->grace / 10)};
+  const TimePoint last_safe_answer = this->LastSafeAnswer();
+  // Targets have at least the first five sixths of the grace for their work, so that a host that
+  // does not know when the stop began does not break off work for which there is time.
+  return {.last_start = last_safe_answer - std::min<Duration>(kShortestAttempt, this->grace / 10),
+          .last_answer = std::max(last_safe_answer, this->latest_start + this->grace * 5 / 6)};
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -10,19 +10,20 @@
 struct StopAdmission {
   // Left for the response to reach the caller.
   static constexpr Duration kMargin = std::chrono::milliseconds(300);
-  // An attempt that starts later would hardly end.
-  static constexpr Duration kLastStartMargin = std::chrono::milliseconds(600);
-  // The platform counts from the time at which it sends the signal. A busy process handles it
-  // later.
-  static constexpr Duration kMaxSignalDelay = std::chrono::milliseconds(100);
+  // An attempt that starts later would hardly end before its response is due.
+  static constexpr Duration kShortestAttempt = std::chrono::milliseconds(300);
 
-  TimePoint started_at;
+  // The platform counts from a time between these two.
+  TimePoint earliest_start;
+  TimePoint latest_start;
   // Zero if the platform does not end the host.
   Duration grace{};
 
   bool Accepts(TimePoint now, const RequestDescription& request) const;
   // Limits of the requests that have been accepted.
   HostEnd Limits() const;
+  // A response that is written by then leaves before the host ends, whenever the stop began.
+  TimePoint LastSafeAnswer() const;
 
   friend bool operator==(const StopAdmission&, const StopAdmission&) = default;
 };
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -9,6 +9,7 @@
 
 #include "Libraries/LibCore/exit_code.h"
 #include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibCore/scoped_signal_mask.h"
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibHost/host.h"
 #include "Libraries/LibHost/host_settings.h"
@@ -49,6 +50,9 @@
   using namespace pimentopin;
   // Writes to a closed connection return an error instead of terminating the process.
   std::signal(SIGPIPE, SIG_IGN);
+  // Only Host::Run() handles signals. Those that come earlier wait for it, and those that come
+  // after it, when no handler is left, do not end the process.
+  BlockSignals({SIGTERM, SIGINT, SIGHUP});
   RaiseFileDescriptorLimit();
 
   Findings findings;
--- a/Tests/LibCore/signal_timestamp_test.cc
+++ b/Tests/LibCore/signal_timestamp_test.cc
@@ -1,6 +1,9 @@
 #include "Libraries/LibCore/signal_timestamp.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+#include "Libraries/LibCore/scoped_signal_mask.h"
 
 namespace pimentopin {
 namespace {
@@ -14,6 +17,8 @@
 class SignalTimestampTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SignalTimestampTest);
   CPPUNIT_TEST(TestSignalIsDatedWhenItsTaskRuns);
+  CPPUNIT_TEST(TestSignalIsDatedAfterPause);
+  CPPUNIT_TEST(TestPendingSignalIsUnknown);
   CPPUNIT_TEST(TestHandlerIsLost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -23,14 +28,42 @@
 
   // Guards against a stop that is dated by a busy event loop, later than its signal.
   void TestSignalIsDatedWhenItsTaskRuns() {
-    const SignalTimestamp timestamp({SIGUSR1});
+    SignalTimestamp timestamp({SIGUSR1});
     CPPUNIT_ASSERT(!timestamp.first());
     const TimePoint before = SteadyNow();
+    timestamp.RecordRunning(before);
     std::raise(SIGUSR1);
     const TimePoint after = SteadyNow();
-    CPPUNIT_ASSERT(timestamp.first() >= before && timestamp.first() <= after);
+    const std::optional<SignalTime> time = timestamp.first();
+    CPPUNIT_ASSERT(time && time->sent_after == before);
+    CPPUNIT_ASSERT(time->sent_before >= before && time->sent_before <= after);
+    timestamp.RecordRunning(after);
+    std::raise(SIGUSR1);
+    CPPUNIT_ASSERT(timestamp.first() == time);
+  }
+
+  // Guards against requests that are accepted too late to end within the grace, because the process
+  // was kept from running when the signal was sent.
+  void TestSignalIsDatedAfterPause() {
+    SignalTimestamp timestamp({SIGUSR1});
+    const TimePoint last_running = SteadyNow() - std::chrono::milliseconds(900);
+    timestamp.RecordRunning(last_running);
     std::raise(SIGUSR1);
-    CPPUNIT_ASSERT(timestamp.first() <= after);
+    CPPUNIT_ASSERT(timestamp.first()->sent_after == last_running);
+  }
+
+  // Guards against a host whose other threads accept requests as if it had not been told to stop,
+  // while the thread that handles signals does not run.
+  void TestPendingSignalIsUnknown() {
+    SignalTimestamp timestamp({SIGUSR1});
+    const TimePoint last_running = SteadyNow();
+    timestamp.RecordRunning(last_running);
+    {
+      const ScopedSignalMask blocked(SIG_BLOCK, {SIGUSR1});
+      kill(getpid(), SIGUSR1);
+      CPPUNIT_ASSERT(timestamp.first()->sent_after == last_running);
+    }
+    CPPUNIT_ASSERT(timestamp.first()->sent_after == last_running);
   }
 
   // Guards against signals that no longer reach the handler that was installed before.
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Libraries/LibCore/signal_timestamp.h"
+
 namespace pimentopin {
 namespace {
 
@@ -19,7 +21,8 @@
  public:
   // Guards against requests that are accepted late in the grace and end without an answer.
   void TestRequestIsCutAtTheEndOfTheGrace() {
-    const StopAdmission admission{.started_at = kStart, .grace = seconds(6)};
+    const StopAdmission admission{
+        .earliest_start = kStart, .latest_start = kStart, .grace = seconds(6)};
     CPPUNIT_ASSERT(admission.Accepts(kStart, Request(seconds(2), false)));
     CPPUNIT_ASSERT(
         admission.Accepts(kStart + milliseconds(3700), Request(seconds(2), false, 3700)));
@@ -34,26 +37,43 @@
   // Guards against a request that the platform sent in the second half of the grace, counted from
   // its signal, and that is cut because the host counts from when it handled the signal.
   void TestRequestIsCutIfTheSignalWasHandledLate() {
-    const Duration signal_delay = milliseconds(80);
-    const StopAdmission admission{.started_at = kStart + signal_delay, .grace = seconds(6)};
-    CPPUNIT_ASSERT(
-        !admission.Accepts(kStart + milliseconds(3010), Request(seconds(8), true, 3010)));
+    const auto installed = std::signal(SIGUSR1, SIG_IGN);
+    for (const Duration signal_delay : {milliseconds(0), milliseconds(80), milliseconds(900)}) {
+      const TimePoint sent_at = SteadyNow() - signal_delay;
+      SignalTimestamp timestamp({SIGUSR1});
+      timestamp.RecordRunning(sent_at);
+      std::raise(SIGUSR1);
+      const StopAdmission admission{.earliest_start = timestamp.first()->sent_after,
+                                    .latest_start = timestamp.first()->sent_before,
+                                    .grace = seconds(6)};
+      RequestDescription request;
+      request.idempotent = true;
+      request.deadline = sent_at + milliseconds(3010) + seconds(8);
+      CPPUNIT_ASSERT(!admission.Accepts(sent_at + milliseconds(3010), request));
+      CPPUNIT_ASSERT(admission.Limits().last_start < sent_at + seconds(6));
+      // The target may work on it in the last sixth, from wherever the platform counts.
+      CPPUNIT_ASSERT(admission.Limits().last_answer >= timestamp.first()->sent_before + seconds(5));
+    }
+    std::signal(SIGUSR1, installed);
   }
 
   // Guards against refusals by a host that may take any time to stop.
   void TestHostWithoutGraceAcceptsAll() {
-    const StopAdmission admission{.started_at = kStart};
+    const StopAdmission admission{.earliest_start = kStart, .latest_start = kStart};
     CPPUNIT_ASSERT(admission.Accepts(kStart + seconds(60), Request(seconds(60), false, 60'000)));
   }
 
   // Guards against accepted requests that nothing ends before the host is killed.
   void TestAcceptedRequestOutlastsTheGrace() {
-    const StopAdmission admission{.started_at = kStart, .grace = seconds(6)};
+    const StopAdmission admission{
+        .earliest_start = kStart, .latest_start = kStart, .grace = seconds(6)};
     CPPUNIT_ASSERT(admission.Limits().last_start < admission.Limits().last_answer);
     CPPUNIT_ASSERT(admission.Limits().last_answer < kStart + seconds(6));
-    CPPUNIT_ASSERT(StopAdmission{.started_at = kStart}.Limits() == HostEnd{});
+    const StopAdmission endless{.earliest_start = kStart, .latest_start = kStart};
+    CPPUNIT_ASSERT(endless.Limits() == HostEnd{});
     // A short grace is used too.
-    const StopAdmission short_stop{.started_at = kStart, .grace = milliseconds(200)};
+    const StopAdmission short_stop{
+        .earliest_start = kStart, .latest_start = kStart, .grace = milliseconds(200)};
     CPPUNIT_ASSERT(short_stop.Limits().last_start > kStart + milliseconds(100));
   }
 
