Host: Leave time for the host's own pauses before the end of the grace

Callers saw closed connections in place of an answer, and the host was killed with claims and reports unwritten.

PauseMonitor measures by how much a periodic task is late. The longest recent pause is added to the margins before the end, up to a sixth of the grace, and the limits are renewed when it grows during a stop.

StopAdmissionTest::TestHostPausesWhenTheAnswerIsDue failed before.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -15,6 +15,7 @@
 
 #include "Libraries/LibConfig/configuration_reader.h"
 #include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibCore/pause_monitor.h"
 #include "Libraries/LibCore/scoped_signal_mask.h"
 #include "Libraries/LibCore/signal_timestamp.h"
 #include "Libraries/LibHost/configuration_controller.h"
@@ -95,8 +96,10 @@
   // The stop that has begun, if any. Callable from any thread.
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
+  void CheckRunning();
   // Ends the requests in progress before the platform kills the host, which follows a signal only.
   void LimitToGrace();
+  void SetRequestLimits(const StopAdmission& stop);
   void StopListening();
   void WaitForRequests();
   void Flush(TimePoint deadline);
@@ -114,6 +117,7 @@
   asio::signal_set signals;
   // The control thread may handle a signal late, while other threads accept requests.
   SignalTimestamp stop_signal{{SIGTERM, SIGINT}};
+  PauseMonitor pauses{kRunningCheckInterval};
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
@@ -335,8 +339,7 @@
     this->reports->Tick(SteadyNow());
     this->UpdateReadiness();
   });
-  this->loop.RunPeriodically(kRunningCheckInterval,
-                             [this] { this->stop_signal.RecordRunning(SteadyNow()); });
+  this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->CheckRunning(); });
   this->directory->Start();
 }
 
@@ -523,7 +526,17 @@
   const SignalTime start = signal.value_or(SignalTime{drained_at, drained_at});
   return StopAdmission{.earliest_start = start.sent_after,
                        .latest_start = start.sent_before,
-                       .grace = this->settings.shutdown_grace};
+                       .grace = this->settings.shutdown_grace,
+                       .longest_pause = this->pauses.longest()};
+}
+
+void HostProcess::CheckRunning() {
+  const TimePoint now = SteadyNow();
+  this->stop_signal.RecordRunning(now);
+  this->pauses.Tick(now);
+  if (this->request_limits != HostEnd{}) {
+    this->SetRequestLimits(*this->CurrentStop());
+  }
 }
 
 void HostProcess::BeginShutdown() {
@@ -535,7 +548,8 @@
   const StopAdmission admission = *this->CurrentStop();
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
-       {"signal_delay_ms", (now - admission.earliest_start).count() / 1000}});
+       {"signal_delay_ms", (now - admission.earliest_start).count() / 1000},
+       {"longest_pause_ms", admission.longest_pause.count() / 1000}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
@@ -550,8 +564,7 @@
     return;
   }
   const StopAdmission stop = *this->CurrentStop();
-  this->request_limits = stop.Limits();
-  this->dispatch->SetHostEnd(this->request_limits);
+  this->SetRequestLimits(stop);
   const TimePoint now = SteadyNow();
   const Duration remaining = stop.earliest_start + stop.grace - now;
   if (stop.grace > Duration::zero()) {
@@ -567,6 +580,15 @@
   }
 }
 
+void HostProcess::SetRequestLimits(const StopAdmission& stop) {
+  // Limits only become earlier: a host that has paused for long may do so again.
+  const HostEnd next = stop.Limits();
+  if (next.last_answer < this->request_limits.last_answer) {
+    this->request_limits = next;
+    this->dispatch->SetHostEnd(next);
+  }
+}
+
 void HostProcess::StopListening() {
   this->caller_server->StopListening();
   this->WaitForRequests();
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -14,7 +14,7 @@
 }
 
 TimePoint StopAdmission::LastSafeAnswer() const {
-  const Duration margin = std::min<Duration>(kMargin, this->grace / 10);
+  const Duration margin = std::min<Duration>(kMargin, this->grace / 10) + this->longest_pause;
   return this->earliest_start + this->grace - std::min<Duration>(margin, this->grace / 6);
 }
 
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -18,6 +18,8 @@
   TimePoint latest_start;
   // Zero if the platform does not end the host.
   Duration grace{};
+  // Time for which the host may be kept from running when a response is due.
+  Duration longest_pause{};
 
   bool Accepts(TimePoint now, const RequestDescription& request) const;
   // Limits of the requests that have been accepted.
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(StopAdmissionTest);
   CPPUNIT_TEST(TestRequestIsCutAtTheEndOfTheGrace);
   CPPUNIT_TEST(TestRequestIsCutIfTheSignalWasHandledLate);
+  CPPUNIT_TEST(TestHostPausesWhenTheAnswerIsDue);
   CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
   CPPUNIT_TEST(TestAcceptedRequestOutlastsTheGrace);
   CPPUNIT_TEST_SUITE_END();
@@ -57,6 +58,23 @@
     std::signal(SIGUSR1, installed);
   }
 
+  // Guards against answers that are due while the host is kept from running until it is killed.
+  void TestHostPausesWhenTheAnswerIsDue() {
+    const StopAdmission stop{.earliest_start = kStart,
+                             .latest_start = kStart,
+                             .grace = seconds(6),
+                             .longest_pause = milliseconds(320)};
+    const HostEnd limits = stop.Limits();
+    CPPUNIT_ASSERT(limits.last_answer + milliseconds(320) < kStart + seconds(6));
+    CPPUNIT_ASSERT(limits.last_start < limits.last_answer);
+    // Work that may go on for the last sixth of the grace is not ended sooner.
+    const StopAdmission long_pause{.earliest_start = kStart,
+                                   .latest_start = kStart,
+                                   .grace = seconds(6),
+                                   .longest_pause = seconds(3)};
+    CPPUNIT_ASSERT(long_pause.Limits().last_answer == kStart + seconds(5));
+  }
+
   // Guards against refusals by a host that may take any time to stop.
   void TestHostWithoutGraceAcceptsAll() {
     const StopAdmission admission{.earliest_start = kStart, .latest_start = kStart};
