Host: Do not shorten the work of accepted requests after a pause in a stop

The renewed limits moved last_answer, on which the admission relies. In reverse, a renewed last_start was not applied if last_answer stayed the same.

StopAdmissionTest::TestAcceptedRequestIsCutAfterPause fails on the rule before.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -96,10 +96,10 @@
   // The stop that has begun, if any. Callable from any thread.
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
-  void CheckRunning();
+  void RecordRunning();
   // Ends the requests in progress before the platform kills the host, which follows a signal only.
   void LimitToGrace();
-  void SetRequestLimits(const StopAdmission& stop);
+  void RenewHostEnd();
   void StopListening();
   void WaitForRequests();
   void Flush(TimePoint deadline);
@@ -121,8 +121,8 @@
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
-  // Applied to the requests in progress.
-  HostEnd request_limits;
+  // Limits of the requests in progress; unset before a signal.
+  HostEnd host_end;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
 
@@ -339,7 +339,7 @@
     this->reports->Tick(SteadyNow());
     this->UpdateReadiness();
   });
-  this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->CheckRunning(); });
+  this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->RecordRunning(); });
   this->directory->Start();
 }
 
@@ -530,12 +530,12 @@
                        .longest_pause = this->pauses.longest()};
 }
 
-void HostProcess::CheckRunning() {
+void HostProcess::RecordRunning() {
   const TimePoint now = SteadyNow();
   this->stop_signal.RecordRunning(now);
   this->pauses.Tick(now);
-  if (this->request_limits != HostEnd{}) {
-    this->SetRequestLimits(*this->CurrentStop());
+  if (this->host_end != HostEnd{}) {
+    this->RenewHostEnd();
   }
 }
 
@@ -554,38 +554,36 @@
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
   // Load balancers need the delay from when they can see that the host is not ready.
-  const Duration remaining = std::max(this->request_limits.last_start - now, Duration::zero());
+  const Duration remaining = std::max(this->host_end.last_start - now, Duration::zero());
   this->loop.RunAfter(std::min(this->settings.shutdown_delay, remaining),
                       [this] { this->StopListening(); });
 }
 
 void HostProcess::LimitToGrace() {
-  if (this->request_limits != HostEnd{}) {
+  if (this->host_end != HostEnd{}) {
     return;
   }
   const StopAdmission stop = *this->CurrentStop();
-  this->SetRequestLimits(stop);
+  this->host_end = stop.Limits();
+  this->dispatch->SetHostEnd(this->host_end);
   const TimePoint now = SteadyNow();
-  const Duration remaining = stop.earliest_start + stop.grace - now;
-  if (stop.grace > Duration::zero()) {
-    // A connection that stays open can delay the exit, which reports the last period, until the
-    // host is killed. Requests that end later form another period.
-    this->loop.RunAfter(std::max(stop.Limits().last_start - now, Duration::zero()),
-                        [this] { this->reports->Close(SteadyNow()); });
-  }
-  if (remaining > kUnfinishedLogMargin) {
-    this->loop.RunAfter(remaining - kUnfinishedLogMargin, [this, stop] {
-      this->dispatch->LogRequestsInProgress(stop.earliest_start);
-    });
+  if (stop.grace == Duration::zero()) {
+    return;
   }
+  // A connection that stays open can delay the exit, which reports the last period, until the host
+  // is killed. Requests that end later form another period.
+  this->loop.RunAfter(std::max(this->host_end.last_start - now, Duration::zero()),
+                      [this] { this->reports->Close(SteadyNow()); });
+  const Duration remaining = stop.earliest_start + stop.grace - now;
+  this->loop.RunAfter(std::max(remaining - kUnfinishedLogMargin, Duration::zero()),
+                      [this, stop] { this->dispatch->LogRequestsInProgress(stop.earliest_start); });
 }
 
-void HostProcess::SetRequestLimits(const StopAdmission& stop) {
-  // Limits only become earlier: a host that has paused for long may do so again.
-  const HostEnd next = stop.Limits();
-  if (next.last_answer < this->request_limits.last_answer) {
-    this->request_limits = next;
-    this->dispatch->SetHostEnd(next);
+void HostProcess::RenewHostEnd() {
+  const HostEnd renewed = this->CurrentStop()->RenewedLimits(this->host_end);
+  if (renewed != this->host_end) {
+    this->host_end = renewed;
+    this->dispatch->SetHostEnd(renewed);
   }
 }
 
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -29,4 +29,9 @@
           .last_answer = std::max(last_safe_answer, this->latest_start + this->grace * 5 / 6)};
 }
 
+HostEnd StopAdmission::RenewedLimits(const HostEnd& current) const {
+  return {.last_start = std::min(current.last_start, this->Limits().last_start),
+          .last_answer = current.last_answer};
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -24,6 +24,9 @@
   bool Accepts(TimePoint now, const RequestDescription& request) const;
   // Limits of the requests that have been accepted.
   HostEnd Limits() const;
+  // The same after a pause that was longer than those before. What is at work at a target keeps its
+  // time: it was accepted because of it.
+  HostEnd RenewedLimits(const HostEnd& current) const;
   // A response that is written by then leaves before the host ends, whenever the stop began.
   TimePoint LastSafeAnswer() const;
 
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(TestRequestIsCutAtTheEndOfTheGrace);
   CPPUNIT_TEST(TestRequestIsCutIfTheSignalWasHandledLate);
   CPPUNIT_TEST(TestHostPausesWhenTheAnswerIsDue);
+  CPPUNIT_TEST(TestAcceptedRequestIsCutAfterPause);
   CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
   CPPUNIT_TEST(TestAcceptedRequestOutlastsTheGrace);
   CPPUNIT_TEST_SUITE_END();
@@ -75,6 +76,22 @@
     CPPUNIT_ASSERT(long_pause.Limits().last_answer == kStart + seconds(5));
   }
 
+  // Guards against requests that were accepted because they end in time, and whose targets are told
+  // to stop sooner, or that wait for longer than planned, after a pause of the host.
+  void TestAcceptedRequestIsCutAfterPause() {
+    StopAdmission stop{.earliest_start = kStart,
+                       .latest_start = kStart + milliseconds(450),
+                       .grace = seconds(6),
+                       .longest_pause = milliseconds(400)};
+    const HostEnd limits = stop.Limits();
+    stop.longest_pause = milliseconds(800);
+    const HostEnd renewed = stop.RenewedLimits(limits);
+    CPPUNIT_ASSERT(renewed.last_answer == limits.last_answer);
+    CPPUNIT_ASSERT(renewed.last_start == limits.last_start - milliseconds(300));
+    stop.longest_pause = milliseconds(100);
+    CPPUNIT_ASSERT(stop.RenewedLimits(renewed) == renewed);
+  }
+
   // Guards against refusals by a host that may take any time to stop.
   void TestHostWithoutGraceAcceptsAll() {
     const StopAdmission admission{.earliest_start = kStart, .latest_start = kStart};
