Host, Platform: Refuse requests that may outlast a long grace after 3 s

The host accepted idempotent ones in the first half of the grace, which is the same for a grace of 6 s only.

The window is a setting of the host, from platform/. TestLongGraceCutsLateRequests failed before.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -527,6 +527,7 @@
   return StopAdmission{.earliest_start = start.sent_after,
                        .latest_start = start.sent_before,
                        .grace = this->settings.shutdown_grace,
+                       .cuttable_request_window = this->settings.cuttable_request_window,
                        .longest_pause = this->pauses.longest()};
 }
 
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -30,6 +30,9 @@
   Duration shutdown_delay = std::chrono::seconds(5);
   // Time after which the platform ends a host that it told to stop; zero if it does not.
   Duration shutdown_grace{};
+  // Time after the platform's signal in which a host accepts idempotent requests that may outlast
+  // the grace; half of the grace at most.
+  Duration cuttable_request_window = Duration::max();
   // Zero disables probes.
   Duration probe_interval = std::chrono::seconds(3);
   // Rate of requests of another host to a service, in requests per second, from which this
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -10,7 +10,9 @@
   }
   // Most requests end long before their deadline. A caller may repeat an idempotent one that does
   // not.
-  return request.idempotent && now - this->earliest_start < this->grace / 2;
+  return request.idempotent &&
+         now - this->earliest_start <
+             std::min<Duration>(this->grace / 2, this->cuttable_request_window);
 }
 
 TimePoint StopAdmission::LastSafeAnswer() const {
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -18,6 +18,9 @@
   TimePoint latest_start;
   // Zero if the platform does not end the host.
   Duration grace{};
+  // Time after the start in which idempotent requests that may outlast the grace are accepted; half
+  // of the grace at most.
+  Duration cuttable_request_window = Duration::max();
   // Time for which the host may be kept from running when a response is due.
   Duration longest_pause{};
 
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -80,6 +80,7 @@
   }
   settings.shutdown_grace = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(bounds.shutdown_grace_s.value_or(0)));
+  settings.cuttable_request_window = platform::kCuttableRequestWindow;
   settings.floor_share = bounds.floor_share.value_or(settings.floor_share);
   if (result.action == SettingsAction::kCheck) {
     std::cout << "settings are valid\n";
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(StopAdmissionTest);
   CPPUNIT_TEST(TestRequestIsCutAtTheEndOfTheGrace);
   CPPUNIT_TEST(TestRequestIsCutIfTheSignalWasHandledLate);
+  CPPUNIT_TEST(TestLongGraceCutsLateRequests);
   CPPUNIT_TEST(TestHostPausesWhenTheAnswerIsDue);
   CPPUNIT_TEST(TestAcceptedRequestIsCutAfterPause);
   CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
@@ -59,6 +60,18 @@
     std::signal(SIGUSR1, installed);
   }
 
+  // Guards against requests that are cut at the end of a long grace although they were sent when
+  // the platform no longer accepts that.
+  void TestLongGraceCutsLateRequests() {
+    const StopAdmission stop{.earliest_start = kStart,
+                             .latest_start = kStart,
+                             .grace = seconds(10),
+                             .cuttable_request_window = seconds(3)};
+    CPPUNIT_ASSERT(stop.Accepts(kStart + milliseconds(2990), Request(seconds(8), true, 2990)));
+    CPPUNIT_ASSERT(!stop.Accepts(kStart + milliseconds(3500), Request(seconds(8), true, 3500)));
+    CPPUNIT_ASSERT(stop.Accepts(kStart + milliseconds(3500), Request(seconds(6), true, 3500)));
+  }
+
   // Guards against answers that are due while the host is kept from running until it is killed.
   void TestHostPausesWhenTheAnswerIsDue() {
     const StopAdmission stop{.earliest_start = kStart,
