LibHttp: Accept the connections that wait before the end of listening

Callers saw: a connection to a host that stops is reset 0.2 to 0.3 s after its request was sent. The host had not read it.

Cause: RESTinio accepts one connection for each turn of the event loop, and close() of the listening socket makes the kernel reset the others in its queue. A host that has been kept from running finds several there when its grace for listening has passed.

Fix: the listening socket is closed once its queue is empty. RESTinio goes on accepting until then, so the handler decides on each request as on any other. Progress is counted in checks, not in time, as a limit in time would pass while the process does not run; only a listener whose accept() has failed is closed with connections in its queue.

What remains: a connection that enters the queue between the last look and close(), which is the next system call.

Evidence: HttpServerTest::TestStopListeningResetsWaitingConnections (20 connections behind a server thread that does not run: reset before, served now).

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -1,6 +1,7 @@
 #include "Libraries/LibHttp/http_server.h"
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -112,6 +113,12 @@
 // the connection closes. Bytes that it may have to read until then, at most.
 constexpr std::size_t kMaxUnreadBytesAtClose = 16 * 1024;
 
+constexpr std::chrono::milliseconds kListenerCheckInterval(1);
+
+// RESTinio accepts nothing more after accept() has failed. The end of listening gives up after this
+// number of checks; a time limit would count the time in which the process does not run.
+constexpr int kMaxChecksWithoutAccept = 1000;
+
 thread_local bool is_server_thread = false;
 
 class ConnectionRegistry;
@@ -289,6 +296,7 @@
   std::shared_ptr<BodyBudget> body_budget;
   // Sockets that LingeringSocket still reads.
   std::atomic<std::size_t> lingering_sockets = 0;
+  std::atomic<std::uint64_t> accepted_connections = 0;
 };
 
 // Bytes that were written and that the peer has yet to acknowledge; 0 if the socket is closed.
@@ -585,6 +593,7 @@
                                        StartRead start_read,
                                        Failed /*failed*/) {
   auto& context = static_cast<ServerContext&>(socket.get_executor().context());
+  ++context.accepted_connections;
   const auto restinio_connection = connection.shared_from_this();
   auto server_connection = std::make_shared<ServerConnection>(
       connection.connection_id(), socket, connection.get_executor(), restinio_connection,
@@ -1168,6 +1177,21 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
+// Progress of the end of listening; accessed by one handler at a time.
+struct ListenerClose {
+  explicit ListenerClose(asio::io_context& context) : timer(context) {}
+
+  asio::steady_timer timer;
+  std::promise<void> closed;
+  std::uint64_t accepted_connections = 0;
+  int checks_without_accept = 0;
+};
+
+bool HasWaitingConnection(asio::ip::tcp::acceptor& acceptor) {
+  pollfd entry{.fd = acceptor.native_handle(), .events = POLLIN, .revents = 0};
+  return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLIN) != 0;
+}
+
 class RestinioServer : public HttpServer {
  public:
   RestinioServer(HttpServerSettings settings, Handler handler)
@@ -1249,11 +1273,10 @@
     if (this->state->context.registry.listening_stopped.exchange(true)) {
       return;
     }
-    auto closed = std::make_shared<std::promise<void>>();
-    this->server->close_async([closed] { closed->set_value(); },
-                              [closed](const std::exception_ptr&) { closed->set_value(); });
+    const auto close = std::make_shared<ListenerClose>(this->state->context);
+    asio::post(this->state->context, [this, close] { this->CloseListener(close); });
     if (!is_server_thread) {
-      closed->get_future().wait();
+      close->closed.get_future().wait();
     }
     for (const auto& connection : this->state->context.registry.All()) {
       connection->Post([](ServerConnection& self) { self.CloseIfIdle(); });
@@ -1274,10 +1297,11 @@
         .socket_options_setter([](restinio::socket_options_t& options) {
           options.set_option(asio::ip::tcp::no_delay(true));
         })
-        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& bound_acceptor) {
           std::ostringstream text;
-          text << acceptor.local_endpoint();
+          text << bound_acceptor.local_endpoint();
           this->bound_address = text.str();
+          this->acceptor = &bound_acceptor;
         })
         .request_handler([this](const restinio::request_handle_t& request) {
           this->OnRequest(request);
@@ -1285,6 +1309,30 @@
         });
   }
 
+  // Closes the listening socket when no connection is left in its queue. The kernel would reset
+  // those connections, and with them the requests that have arrived on them.
+  void CloseListener(const std::shared_ptr<ListenerClose>& close) {
+    const std::uint64_t accepted = this->state->context.accepted_connections;
+    if (std::exchange(close->accepted_connections, accepted) != accepted) {
+      close->checks_without_accept = 0;
+    }
+    if (HasWaitingConnection(*this->acceptor) &&
+        close->checks_without_accept < kMaxChecksWithoutAccept) {
+      ++close->checks_without_accept;
+      close->timer.expires_after(kListenerCheckInterval);
+      close->timer.async_wait(
+          [this, close](const asio::error_code&) { this->CloseListener(close); });
+      return;
+    }
+    try {
+      this->server->close_sync();
+    } catch (const std::exception&) {
+      // Nothing is left to close.
+    }
+    // Connections that have been accepted before are registered first.
+    asio::post(this->state->context, [close] { close->closed.set_value(); });
+  }
+
   void OnRequest(const restinio::request_handle_t& handle) {
     restinio::request_t& restinio_request = *handle;
     const auto connection = this->state->context.registry.Find(restinio_request.connection_id());
@@ -1344,6 +1392,8 @@
   std::shared_ptr<ServerState> state;
   asio::executor_work_guard<asio::io_context::executor_type> work_guard;
   std::unique_ptr<restinio::http_server_t<ServerTraits>> server;
+  // Owned by `server`.
+  asio::ip::tcp::acceptor* acceptor = nullptr;
   std::vector<std::thread> threads;
 };
 
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "Libraries/LibHttp/http_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 #include <atomic>
 #include <future>
@@ -35,6 +36,23 @@
   return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
 }
 
+// Makes accept() fail for want of a file descriptor during its lifetime.
+class NoFreeFileDescriptors {
+ public:
+  NoFreeFileDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &this->previous);
+    rlimit limit = this->previous;
+    limit.rlim_cur = 0;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  ~NoFreeFileDescriptors() { ::setrlimit(RLIMIT_NOFILE, &this->previous); }
+  NoFreeFileDescriptors(const NoFreeFileDescriptors&) = delete;
+  NoFreeFileDescriptors& operator=(const NoFreeFileDescriptors&) = delete;
+
+ private:
+  rlimit previous{};
+};
+
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(TestCompleteResponsesOnOneConnection);
@@ -82,6 +100,8 @@
   CPPUNIT_TEST(TestCallerDisconnectIsReportedBehindEarlierRequest);
   CPPUNIT_TEST(TestCallerDisconnectIsNotReportedForWaitingResponse);
   CPPUNIT_TEST(TestStopListeningLetsRequestsFinish);
+  CPPUNIT_TEST(TestStopListeningResetsWaitingConnections);
+  CPPUNIT_TEST(TestStopListeningWaitsForFailedAccept);
   CPPUNIT_TEST(TestRequestReceivedDuringShutdownIsCounted);
   CPPUNIT_TEST(TestDisableKeepAliveClosesConnectionsAfterResponses);
   CPPUNIT_TEST(TestResponseIsCutIfBytesArriveAfterTheClose);
@@ -873,6 +893,40 @@
     CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
   }
 
+  // Guards against requests that a stopping host never reads, because it closes the listening
+  // socket while their connections still wait to be accepted.
+  void TestStopListeningResetsWaitingConnections() {
+    const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer();
+    std::vector<RawConnection> waiting;
+    for (int index = 0; index < 20; ++index) {
+      waiting.push_back(this->Connect());
+      waiting.back().Send(Get("/waiting"));
+    }
+    const std::future<void> stopped = this->StopListeningLater();
+    blocked->release.set_value();
+    stopped.wait();
+    for (RawConnection& caller : waiting) {
+      CPPUNIT_ASSERT(caller.ReadUntilClosed().ends_with("\r\n\r\ndone"));
+      CPPUNIT_ASSERT(caller.last_read_error() == asio::error::eof);
+    }
+    CPPUNIT_ASSERT_THROW(this->Connect(), std::system_error);
+  }
+
+  // Guards against a stop that waits for connections that can't be accepted.
+  void TestStopListeningWaitsForFailedAccept() {
+    const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer();
+    RawConnection first = this->Connect();
+    RawConnection second = this->Connect();
+    const std::future<void> stopped = this->StopListeningLater();
+    {
+      const NoFreeFileDescriptors no_descriptors;
+      blocked->release.set_value();
+      CPPUNIT_ASSERT(stopped.wait_for(kTestTimeout) == std::future_status::ready);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), first.ReadUntilClosed());
+    CPPUNIT_ASSERT_EQUAL(std::string(), second.ReadUntilClosed());
+  }
+
   // Guards against a process that exits while a request is partly received: the connection stays
   // open, and no request is counted yet.
   void TestRequestReceivedDuringShutdownIsCounted() {
@@ -1093,7 +1147,7 @@
   void StartServer(HttpServer::Handler handler, std::size_t max_concurrent_requests = 100) {
     Error error;
     this->server = HttpServer::Create({.address = "127.0.0.1:0",
-                                       .threads = 2,
+                                       .threads = this->threads,
                                        .limits = {.max_body_bytes = this->max_body_bytes},
                                        .max_concurrent_requests = max_concurrent_requests,
                                        .max_held_body_bytes = this->max_held_body_bytes,
@@ -1117,6 +1171,38 @@
         max_concurrent_requests);
   }
 
+  struct BlockedServer {
+    std::promise<void> release;
+    std::shared_future<void> released = this->release.get_future().share();
+    std::optional<RawConnection> caller;
+  };
+
+  // Starts a server whose only thread does not run until the test releases it.
+  std::shared_ptr<BlockedServer> StartBlockedServer() {
+    this->threads = 1;
+    const auto blocked = std::make_shared<BlockedServer>();
+    std::promise<void> reached;
+    this->StartServer([blocked, &reached](const HttpServerRequest& request, const auto& responder) {
+      if (request.path == "/blocking") {
+        reached.set_value();
+        blocked->released.wait();
+      }
+      responder->Respond(200, {}, "done");
+    });
+    blocked->caller = this->Connect();
+    blocked->caller->Send(Get("/blocking"));
+    CPPUNIT_ASSERT(reached.get_future().wait_for(kTestTimeout) == std::future_status::ready);
+    return blocked;
+  }
+
+  // Returns when the stop has begun.
+  std::future<void> StopListeningLater() {
+    std::future<void> stopped =
+        std::async(std::launch::async, [this] { this->server->StopListening(); });
+    std::this_thread::sleep_for(kCloseTime);
+    return stopped;
+  }
+
   RawConnection Connect() { return RawConnection::Open(this->context, this->server->address()); }
 
   bool WaitForRequests(std::size_t count) {
@@ -1207,6 +1293,7 @@
   }
 
   std::size_t max_body_bytes = kMaxBodyBytes;
+  std::size_t threads = 2;
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   asio::io_context context;
   std::unique_ptr<HttpServer> server;
