LibHttp: Read what has arrived before a connection times out

Callers saw: status 408, or a closed idle connection, for a request that had arrived in time at a host that was kept from running.

Cause: CheckTimeouts compares the clock with the last byte that the process has read. After a pause the timer and the read are due together, and one read takes at most 4 KiB, so the header timeout passes while the rest of the header waits in the socket.

Fix: a time limit that has passed is looked at again after the time that reads which are due may take, and not as long as bytes wait in the socket. A peer that trickles is refused as before, as its bytes are read in between.

Evidence: HttpServerTest::TestReceivedRequestTimesOutWhileServerDoesNotRun (header of 40 KiB, sent while the only server thread does not run for three times the header timeout): 408 before, 200 now.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -223,6 +223,8 @@
   std::function<void()> after_responses;
   asio::steady_timer timer;
   bool timer_active = false;
+  // A time limit had passed at the last check.
+  bool timeout_seen = false;
   TimePoint last_response_at;
   asio::steady_timer idle_close_timer;
 };
@@ -429,12 +431,15 @@
       std::make_shared<LingeringSocket>(context, std::move(rest))->Start();
     }
   }
+  // True if bytes wait in the socket; false if it is closed.
+  bool HasUnreadBytes() const {
+    asio::error_code error;
+    return this->available(error) > 0;
+  }
   // True if no byte of another request has been received.
   bool IsIdle(std::uint64_t requests_handled) const {
-    asio::error_code error;
-    const std::size_t unread = this->available(error);
-    return error || (unread == 0 && !this->inspector->in_request() &&
-                     this->inspector->complete_requests() == requests_handled);
+    return !this->is_open() || (!this->HasUnreadBytes() && !this->inspector->in_request() &&
+                                this->inspector->complete_requests() == requests_handled);
   }
   // Time since which the server has been waiting for the rest of a request; no value if no request
   // is incomplete or if it has been refused.
@@ -1071,7 +1076,12 @@
   const Duration remaining =
       since + (incomplete_since ? limits.header_timeout : limits.idle_timeout) - now;
   if (remaining > Duration::zero()) {
+    this->timeout_seen = false;
     this->ScheduleTimeoutCheck(remaining);
+  } else if (!std::exchange(this->timeout_seen, true) || this->socket.HasUnreadBytes()) {
+    // The process may have been kept from running while the peer sent; reads that are due come
+    // first.
+    this->ScheduleTimeoutCheck(kIdleCloseDelay);
   } else if (incomplete_since) {
     this->socket.RefuseTimedOutRequest(live_connection);
   } else if (this->IsIdle()) {
