Dispatch: Let responses be read that arrived while the host did not run

What callers saw: 504 in place of a response that had arrived. A host that did not run across the deadline of a request or the last answer of a stop (HostEnd) cancelled the attempt in its first tick, and if it woke up more than 0.5 s (0.1 s at its end) late it ended the request in the same tick. The client thread, which had not run either, had no turn to read the response.

Cause: both limits were compared with the time of the tick, so that the pause of the process counted as silence of the target. Besides, the dispatcher forgot a pause as soon as a message was handled before the tick, as NextDeadline() moved the time at which the tick was due. After a pause messages always come first, because Asio runs descriptors before timers; then brokers that had answered were considered unavailable.

Change: an attempt whose limit is found passed by more than 20 ms is cancelled one tick (10 ms) later, once for a limit, so that a host that pauses again and again still ends its attempts. The time in which the cancelled attempt may end counts from its cancellation. An overdue tick stays overdue until it has run.

Virtual time; no run with real processes was made for this change.

Why it works: the client thread is runnable as soon as the process is, and ends the transfer of a response it has read before it takes a cancellation that is posted 10 ms later.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -35,6 +35,12 @@
 // deadline would cost more.
 constexpr std::size_t kMaxScannedRequests = 64;
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+// If the limit of an attempt is found passed by more than this, the process was
+// paused, and a response may have arrived that the client's thread, which was
+// paused as well, has not read.
+constexpr Duration kLateLimit = 2 * kTickInterval;
+// Turn of that thread.
+constexpr Duration kReadTurn = kTickInterval;
 
 // Time at which the broker that the request waits for is considered
 // unavailable.
@@ -131,9 +137,15 @@
              : std::min(state.description.deadline, this->host_end.last_answer);
 }
 
-TimePoint HostDispatcher::FinishLimit(const RequestState& state) const {
+TimePoint HostDispatcher::CancelTime(const RequestState& state, const AttemptState& attempt) const {
+  return std::max(this->RunLimit(state), attempt.readable_until);
+}
+
+TimePoint HostDispatcher::FinishLimit(const RequestState& state,
+                                      const AttemptState& attempt) const {
   const TimePoint limit = this->RunLimit(state);
-  return limit + (limit < state.description.deadline ? kLastAttemptEndTimeout : kAttemptEndTimeout);
+  return std::max(limit, attempt.cancelled_at) +
+         (limit < state.description.deadline ? kLastAttemptEndTimeout : kAttemptEndTimeout);
 }
 
 std::optional<RefusalReason> HostDispatcher::LimitReached(TimePoint now,
@@ -407,6 +419,14 @@
   actions.emplace_back(CancelAttempt{attempt});
 }
 
+void HostDispatcher::CancelRunning(TimePoint now,
+                                   AttemptId attempt,
+                                   CancelReason reason,
+                                   Actions& actions) {
+  this->attempts.at(attempt).cancelled_at = now;
+  this->Cancel(attempt, reason, actions);
+}
+
 void HostDispatcher::ReturnGrant(HostId broker, const SlotGrant& grant, Actions& actions) {
   // The broker's host may know a new target earlier than this host. An unknown
   // target must not be reported as draining.
@@ -526,7 +546,8 @@
   }
   // The body of such a response is not forwarded and may never end.
   if (header.wrong_attempt_id || header.shed) {
-    this->Cancel(attempt, header.shed ? CancelReason::kShed : CancelReason::kWrongAnswer, actions);
+    this->CancelRunning(now, attempt,
+                        header.shed ? CancelReason::kShed : CancelReason::kWrongAnswer, actions);
     return actions;
   }
   RequestState* state = this->FindRequest(position->second.request);
@@ -728,12 +749,12 @@
 
 std::vector<DispatchAction> HostDispatcher::Tick(TimePoint now) {
   Actions actions;
-  const Duration tick_delay = this->expected_tick ? now - *this->expected_tick : Duration::zero();
+  const bool paused = this->expected_tick && now - *this->expected_tick > kPauseThreshold;
   this->expected_tick = now;
   std::vector<RequestId> ids;
   ids.reserve(this->requests.size());
   for (auto& [id, state] : this->requests) {
-    if (tick_delay > kPauseThreshold) {
+    if (paused) {
       state.requested_at = std::max(state.requested_at, now);
     }
     ids.push_back(id);
@@ -763,17 +784,18 @@
       next = std::min(next, std::max(now, service.reported_at + kReportInterval));
     }
   }
-  this->expected_tick = std::max(next, now);
+  // A tick that is overdue stays so: messages that are handled before it do not end the pause.
+  if (!this->expected_tick || *this->expected_tick >= now) {
+    this->expected_tick = std::max(next, now);
+  }
   return next;
 }
 
 TimePoint HostDispatcher::NextDeadlineOf(const RequestState& state) const {
   if (state.running_attempt) {
-    const TimePoint deadline = this->RunLimit(state);
-    const auto attempt = this->attempts.find(*state.running_attempt);
-    const bool cancelled =
-        attempt != this->attempts.end() && attempt->second.cancel_reason != CancelReason::kNone;
-    return cancelled ? this->FinishLimit(state) : deadline;
+    const AttemptState& attempt = this->attempts.at(*state.running_attempt);
+    return attempt.cancel_reason == CancelReason::kNone ? this->CancelTime(state, attempt)
+                                                        : this->FinishLimit(state, attempt);
   }
   TimePoint next = this->StartLimit(state.description);
   if (state.held_attempt) {
@@ -791,19 +813,31 @@
   return std::min(next, state.last_sent_at + kResendInterval);
 }
 
-void HostDispatcher::TickRequest(TimePoint now, RequestState& state, Actions& actions) {
-  if (state.running_attempt) {
+void HostDispatcher::TickRunning(TimePoint now, RequestState& state, Actions& actions) {
+  AttemptState& attempt = this->attempts.at(*state.running_attempt);
+  if (attempt.cancel_reason == CancelReason::kNone) {
     const TimePoint limit = this->RunLimit(state);
-    if (now >= limit) {
-      this->Cancel(
-          *state.running_attempt,
+    // Once for a limit, as a host that pauses again and again must still end its attempts.
+    if (now - limit > kLateLimit && attempt.readable_until < limit) {
+      attempt.readable_until = now + kReadTurn;
+    }
+    if (now >= this->CancelTime(state, attempt)) {
+      this->CancelRunning(
+          now, *state.running_attempt,
           now >= state.description.deadline ? CancelReason::kDeadline : CancelReason::kHostEnd,
           actions);
     }
-    if (now >= this->FinishLimit(state)) {
-      this->Finish(state, Outcome::kUnknown, LimitReason(now, state.description), Duration::zero(),
-                   actions);
-    }
+    return;
+  }
+  if (now >= this->FinishLimit(state, attempt)) {
+    this->Finish(state, Outcome::kUnknown, LimitReason(now, state.description), Duration::zero(),
+                 actions);
+  }
+}
+
+void HostDispatcher::TickRequest(TimePoint now, RequestState& state, Actions& actions) {
+  if (state.running_attempt) {
+    this->TickRunning(now, state, actions);
     return;
   }
   if (now >= this->StartLimit(state.description)) {
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -104,6 +104,8 @@
              std::optional<HostId> broker,
              Actions& actions);
   void Cancel(AttemptId attempt, CancelReason reason, Actions& actions);
+  // The same for an attempt whose end a request waits for.
+  void CancelRunning(TimePoint now, AttemptId attempt, CancelReason reason, Actions& actions);
   void SendRelease(TimePoint now,
                    const AttemptState& attempt,
                    AttemptId id,
@@ -113,10 +115,13 @@
   bool MayRetry(TimePoint now, const RequestState& state) const;
   // Time until which an attempt may start: the deadline, or earlier if the host ends.
   TimePoint StartLimit(const RequestDescription& request) const;
-  // Time at which a running attempt is cancelled.
+  // Time by which a running attempt must end.
   TimePoint RunLimit(const RequestState& state) const;
+  // Time at which a running attempt is cancelled: its limit, or later after a pause of this
+  // process.
+  TimePoint CancelTime(const RequestState& state, const AttemptState& attempt) const;
   // Time at which a request ends although its cancelled attempt has not.
-  TimePoint FinishLimit(const RequestState& state) const;
+  TimePoint FinishLimit(const RequestState& state, const AttemptState& attempt) const;
   // For a request without further attempts: forwards its held response, if any,
   // or ends the request.
   void ForwardHeldOrFinish(RequestState& state,
@@ -138,6 +143,7 @@
                            bool forwarded,
                            Actions& actions);
   void TickRequest(TimePoint now, RequestState& state, Actions& actions);
+  void TickRunning(TimePoint now, RequestState& state, Actions& actions);
   TimePoint NextDeadlineOf(const RequestState& state) const;
   void TickWaiting(TimePoint now, RequestState& state, Actions& actions);
   void TickService(TimePoint now, DispatchServiceState& service, Actions& actions);
@@ -154,7 +160,8 @@
   // Attempts that wait for a grant or in the local queue.
   std::map<AttemptId, RequestId> pending_attempts;
   // Time at which the next call of Tick() is due, as returned by
-  // NextDeadline(), or time of the last call.
+  // NextDeadline(), or time of the last call. Stays in the past from a pause of this process until
+  // the next tick.
   std::optional<TimePoint> expected_tick;
 };
 
--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -88,6 +88,9 @@
   // Broker that granted the slot or received the claim.
   std::optional<HostId> broker;
   CancelReason cancel_reason = CancelReason::kNone;
+  TimePoint cancelled_at;
+  // After a pause of this process, a response that arrived meanwhile may be read until this time.
+  TimePoint readable_until;
   TimePoint deadline;
   // The response has been or is being forwarded to the caller.
   bool forwarded = false;
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -79,6 +79,10 @@
   CPPUNIT_TEST(TestCallerGoneEndsOnce);
   CPPUNIT_TEST(TestDeadlineCancelsRunningAttempt);
   CPPUNIT_TEST(TestOwnPauseDoesNotTimeOutBroker);
+  CPPUNIT_TEST(TestMessageAfterOwnPauseTimesOutBroker);
+  CPPUNIT_TEST(TestOwnPauseDropsAReadyAnswer);
+  CPPUNIT_TEST(TestOwnPauseAtTheEndOfTheHostDropsAReadyAnswer);
+  CPPUNIT_TEST(TestOwnPausesPutOffACancellationForever);
   CPPUNIT_TEST(TestNextDeadlineFollowsTheRequests);
   CPPUNIT_TEST(TestRouteLimitsAttempts);
   CPPUNIT_TEST(TestWaitingRequestIsCutAtTheEndOfTheHost);
@@ -694,6 +698,63 @@
     CPPUNIT_ASSERT(MessagesOf<SlotCancel>(actions).empty());
   }
 
+  // Guards against a host that forgets its own pause when a message is handled before the tick, and
+  // then considers the broker unavailable.
+  void TestMessageAfterOwnPauseTimesOutBroker() {
+    this->RequestSlot(1);
+    this->dispatcher->NextDeadline(this->now);
+    this->now += milliseconds(500);
+    this->dispatcher->OnView(this->now, this->second_broker, {.service = kService, .sequence = 1});
+    this->dispatcher->NextDeadline(this->now);
+    const auto actions = this->dispatcher->Tick(this->now);
+    CPPUNIT_ASSERT(MessagesOf<SlotCancel>(actions).empty());
+  }
+
+  // Guards against 504 in place of an answer that arrived while the host did not run, and that the
+  // client thread had no turn to read.
+  void TestOwnPauseDropsAReadyAnswer() {
+    const AttemptId attempt = this->Start(1, false);
+    this->dispatcher->NextDeadline(this->now);
+    this->now += seconds(2) + milliseconds(700);
+    const auto actions = this->dispatcher->Tick(this->now);
+    CPPUNIT_ASSERT(ActionsOf<CancelAttempt>(actions).empty());
+    CPPUNIT_ASSERT(ActionsOf<FinishRequest>(actions).empty());
+    this->AssertAnswerIsForwarded(attempt);
+  }
+
+  // Guards against the same at the end of the host, where the signal may be handled before the
+  // tick.
+  void TestOwnPauseAtTheEndOfTheHostDropsAReadyAnswer() {
+    const AttemptId attempt = this->Start(1, false);
+    const HostEnd end = this->EndIn(milliseconds(100));
+    this->dispatcher->SetHostEnd(this->now, end);
+    this->dispatcher->NextDeadline(this->now);
+    this->now += milliseconds(500);
+    this->dispatcher->NextDeadline(this->now);
+    const auto actions = this->dispatcher->SetHostEnd(this->now, end);
+    CPPUNIT_ASSERT(ActionsOf<CancelAttempt>(actions).empty());
+    CPPUNIT_ASSERT(ActionsOf<FinishRequest>(actions).empty());
+    this->AssertAnswerIsForwarded(attempt);
+  }
+
+  // Guards against a host that pauses again and again and never ends an attempt.
+  void TestOwnPausesPutOffACancellationForever() {
+    const AttemptId attempt = this->Start(1, false);
+    this->dispatcher->NextDeadline(this->now);
+    this->now += seconds(2) + milliseconds(700);
+    CPPUNIT_ASSERT(ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now)).empty());
+    CPPUNIT_ASSERT(this->dispatcher->NextDeadline(this->now) <= this->now + milliseconds(20));
+    this->now += milliseconds(300);
+    const auto cancelled = ActionsOf<CancelAttempt>(this->dispatcher->Tick(this->now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cancelled.size());
+    CPPUNIT_ASSERT(cancelled[0].attempt == attempt);
+    const TimePoint next = this->dispatcher->NextDeadline(this->now);
+    CPPUNIT_ASSERT(next > this->now && next <= this->now + milliseconds(500));
+    const auto finished = ActionsOf<FinishRequest>(this->dispatcher->Tick(next));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, finished.size());
+    CPPUNIT_ASSERT(finished[0].outcome == Outcome::kUnknown);
+  }
+
   void setUp() override { this->Reset(); }
 
   // Guards against a host that wakes up without work, or too late for a
@@ -859,6 +920,13 @@
   }
 
  private:
+  // The attempt ends with a complete response, which the caller receives.
+  void AssertAnswerIsForwarded(AttemptId attempt) {
+    const auto actions = this->dispatcher->OnAttemptEnd(
+        this->now, attempt, {.result = AttemptResult::kSuccess, .may_have_been_sent = true});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ActionsOf<ForwardResponse>(actions).size());
+    CPPUNIT_ASSERT(ActionsOf<FinishRequest>(actions).at(0).outcome == Outcome::kTarget);
+  }
   // The limits of a host whose last attempt may start after `delay`.
   HostEnd EndIn(Duration delay) const {
     return {.last_start = this->now + delay, .last_answer = this->now + 2 * delay};
