Dispatch: Do not take the pause of a broker for silence of hosts and targets

What callers saw: after the host of a broker had not run for 0.3 s or more, requests waited for, or were moved to, other targets than the free ones, and slots in use were granted again, which targets answer by queueing or shedding.

Cause: the broker allows for its own pause in Tick(), but messages are handled before the tick (Asio runs descriptors before timers). NextDeadline() after each message moved the time at which the tick was due, so that Tick() found no delay and freed the slots of hosts whose reports lay unread. Besides, the first request that was read recorded all attempts that had lasted for over 0.3 s as overdue, before their releases were read. Pauses below 0.2 s counted in full.

Change: an overdue tick stays overdue until it has run; no attempt is found overdue meanwhile; the tick adds pauses from 50 ms on to the times of the slots.

Evidence: SlotBrokerTest::TestOwnPauseMakesAttemptsOverdue (pause of 0.6 s; the free slot of target 1 granted 0 of 1 times before, 1 after) and TestMessageAfterOwnPauseFreesSlots (1.3 s of reports missing and a pause of 1.0 s; 0 of 1 slots held before, 1 after) fail before the change; then 122 of 122 tests of TestLibDispatch pass. Virtual time, no run with real processes.

Why it works: whether the process has paused is known from its own schedule, and stays known until all that had arrived was read.

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -24,8 +24,8 @@
 // Maximum time for which a request waits for the target of its affinity key.
 constexpr Duration kMaxAffinityWait = std::chrono::milliseconds(250);
 // A tick delayed by more than this means that this process was paused and has
-// not yet processed the hosts' reports that arrived meanwhile.
-constexpr Duration kPauseThreshold = std::chrono::milliseconds(200);
+// not yet processed what hosts sent meanwhile.
+constexpr Duration kPauseThreshold = std::chrono::milliseconds(50);
 // Tick intervals while requests wait, and while only held slots and target
 // health need updates. While hosts receive views, ticks follow
 // kMinViewInterval.
@@ -290,8 +290,12 @@
   return this->ChooseOvercommitted(now, entry, reliable.empty() ? usable : reliable);
 }
 
+bool SlotBroker::HasPaused(TimePoint now) const {
+  return this->expected_tick && now - *this->expected_tick > kPauseThreshold;
+}
+
 void SlotBroker::ObserveOverdue(TimePoint now) {
-  if (now - this->overdue_checked_at < kOverdueCheckInterval) {
+  if (this->HasPaused(now) || now - this->overdue_checked_at < kOverdueCheckInterval) {
     return;
   }
   this->overdue_checked_at = now;
@@ -729,7 +733,7 @@
 }
 
 std::vector<SendToHost> SlotBroker::Tick(TimePoint now) {
-  if (this->expected_tick && now - *this->expected_tick > kPauseThreshold) {
+  if (this->HasPaused(now)) {
     this->table.ExtendTimeouts(now - *this->expected_tick);
   }
   this->expected_tick = now;
@@ -757,7 +761,10 @@
   } else if (!this->hosts.empty() || this->table.size() > 0) {
     next = now + kIdleTickInterval;
   }
-  this->expected_tick = next;
+  // A tick that is overdue stays so: messages that are handled before it do not end the pause.
+  if (!this->expected_tick || *this->expected_tick >= now) {
+    this->expected_tick = next;
+  }
   return next;
 }
 
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -114,6 +114,8 @@
   static double RecentRequests(TimePoint now, const HostActivity& activity);
   // Whether the host uses the service often enough to receive views.
   bool ReceivesViews(TimePoint now, const HostActivity& activity) const;
+  // Whether this process was paused and Tick() has not been called since.
+  bool HasPaused(TimePoint now) const;
   // Records attempts that last much longer than usual as failures of the target,
   // which may hang, long before their deadlines expire.
   void ObserveOverdue(TimePoint now);
@@ -187,7 +189,8 @@
   ServiceView last_pushed_view;
   TimePoint pushed_at;
   // Time at which the next call of Tick() is due, as returned by
-  // NextDeadline(), or time of the last call.
+  // NextDeadline(), or time of the last call. Stays in the past from a pause of this process until
+  // the next tick.
   std::optional<TimePoint> expected_tick;
 };
 
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(TestRetryAvoidsTargetThatFailedBefore);
   CPPUNIT_TEST(TestEveryReliableTargetIsRevisited);
   CPPUNIT_TEST(TestOverdueAttemptsMoveWorkAway);
+  CPPUNIT_TEST(TestOwnPauseMakesAttemptsOverdue);
+  CPPUNIT_TEST(TestMessageAfterOwnPauseFreesSlots);
   CPPUNIT_TEST(TestBulkWorkStaysInItsFailureDomain);
   CPPUNIT_TEST(TestOccasionalHostsGetNoViews);
   CPPUNIT_TEST(TestIdleBrokerNeedsNoTick);
@@ -692,6 +694,55 @@
     CPPUNIT_ASSERT_EQUAL(3, granted[TargetId{2}]);
   }
 
+  // Guards against a broker that takes its own pause for the silence of a target whose responses it
+  // has not heard of yet.
+  void TestOwnPauseMakesAttemptsOverdue() {
+    SlotBroker broker(Configuration(2, 3));
+    for (std::uint64_t attempt = 1; attempt <= 40; ++attempt) {
+      this->CompleteAttempt(broker, attempt, TargetId{1 + attempt % 2}, AttemptResult::kSuccess);
+      this->now += milliseconds(10);
+    }
+    for (std::uint64_t attempt = 50; attempt < 52; ++attempt) {
+      broker.OnClaim(this->now, kHost, kDomain,
+                     {.attempt = AttemptId{attempt}, .service = kService, .target = TargetId{1}});
+    }
+    broker.Tick(this->now);
+    broker.NextDeadline(this->now);
+    this->now += milliseconds(600);
+    // These are read before the releases of the attempts.
+    std::map<TargetId, int> granted;
+    for (std::uint64_t attempt = 60; attempt < 64; ++attempt) {
+      this->Request(broker, ShortRequest(attempt), granted);
+      broker.NextDeadline(this->now);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, granted[TargetId{1}]);
+    CPPUNIT_ASSERT_EQUAL(3, granted[TargetId{2}]);
+    broker.Tick(this->now);
+    for (std::uint64_t attempt = 50; attempt < 52; ++attempt) {
+      this->ReleaseAndGetNextGrant(broker, attempt, milliseconds(20));
+      this->Request(broker, ShortRequest(attempt + 20), granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(3, granted[TargetId{1}]);
+  }
+
+  // Guards against a broker that forgets its own pause when a message is handled before the tick,
+  // and then frees the slots of hosts whose reports it has not read.
+  void TestMessageAfterOwnPauseFreesSlots() {
+    SlotBroker broker(Configuration(2, 3));
+    broker.OnClaim(this->now, HostId{2}, kDomain,
+                   {.attempt = AttemptId{1}, .service = kService, .target = TargetId{1}});
+    for (int step = 0; step < 65; ++step) {
+      broker.Tick(this->now);
+      broker.NextDeadline(this->now);
+      this->now += milliseconds(20);
+    }
+    this->now += milliseconds(1000);
+    broker.OnCancel(this->now, kHost, {.attempt = AttemptId{2}, .service = kService});
+    broker.NextDeadline(this->now);
+    broker.Tick(this->now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, broker.outstanding());
+  }
+
   // Guards against large responses that cross failure domains unnecessarily,
   // and against bulk work that stays in its domain although its only target
   // there fails.
