--- /dev/null
+++ b/Meta/soak_callers.py
@@ -0,0 +1,198 @@
+"""Callers of Meta/soak."""
+
+import asyncio
+import collections
+import itertools
+import math
+import socket
+import time
+
+from soak_targets import read_head
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+HOST_NAME = "shop.example"
+MIN_KEYED_DEADLINE_S = 0.3
+# Aimed requests are sent up to this time after a SIGTERM.
+AIMED_S = 3.4
+
+
+class Caller:
+    """Sends requests on one connection at a time."""
+
+    def __init__(self, soak, rng):
+        self.soak = soak
+        self.rng = rng
+        self.is_slow = rng.random() < 0.25
+        self.is_fresh = rng.random() < 0.3
+        self.kinds = [kind for kind in soak.deployment.kinds if kind.fresh == self.is_fresh]
+        self.pipelines = not self.is_fresh and rng.random() < soak.options.pipelining
+
+    async def run(self):
+        while not self.soak.ended:
+            await self.use_connection()
+            await asyncio.sleep(self.rng.uniform(0.01, 0.2))
+
+    async def connect(self, host):
+        """Returns the host, the reader and the writer of a new connection, or nothing."""
+        connection = socket.socket()
+        if self.is_slow:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        connection.setblocking(False)
+        address, port = host.addresses[0].split(":")
+        try:
+            await asyncio.wait_for(
+                asyncio.get_running_loop().sock_connect(connection, (address, int(port))), 1)
+        except (OSError, asyncio.TimeoutError):
+            connection.close()
+            self.soak.counts["refused connections"] += 1
+            return None
+        return host, *await asyncio.open_connection(sock=connection, limit=4096)
+
+    async def use_connection(self):
+        connected = await self.connect(self.soak.pick_host(self.rng, self.rng.choice(ZONES)))
+        if connected is None:
+            return
+        host, reader, writer = connected
+        outstanding = collections.deque()
+        try:
+            while not self.soak.ended or outstanding:
+                while not self.soak.ended and len(outstanding) < (3 if self.pipelines else 1):
+                    outstanding.append(self.send(writer, host, self.rng.choice(self.kinds)))
+                    if self.rng.random() < 0.7:
+                        break
+                if not await self.receive(reader, outstanding) or self.is_fresh:
+                    break
+                await asyncio.sleep(self.rng.expovariate(1 / 0.05))
+        finally:
+            writer.transport.abort()
+
+    def send(self, writer, host, kind):
+        request = self.soak.new_request(kind, host)
+        body = b"b" * self.rng.randrange(10, 4000) if kind.method == "POST" else b""
+        key = ""
+        if self.soak.options.keyed > 0 and kind.method == "POST" \
+                and self.rng.random() < self.soak.options.keyed:
+            request.is_keyed = True
+            request.deadline_s = self.rng.uniform(MIN_KEYED_DEADLINE_S, kind.deadline_s)
+            key = f"Idempotency-Key: {request.id}\r\n"
+        request.sent_at = time.monotonic()
+        writer.write(
+            f"{kind.method} /{kind.name}/{request.id} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+            f"X-Pimentopin-Attempt-Id: {request.id}\r\n"
+            f"X-Pimentopin-Deadline-Ms: {int(request.deadline_s * 1000)}\r\n{key}"
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        return request
+
+    async def receive(self, reader, outstanding):
+        """Reads the response to the first request; false if the connection has ended."""
+        request = outstanding[0]
+        try:
+            head = await read_head(reader)
+            if head is None:
+                raise ConnectionError("closed")
+            status = int(head[0][1])
+            if head[1].get("transfer-encoding") == "chunked":
+                await self.read_chunks(reader, request)
+            else:
+                await self.read_bytes(reader, int(head[1].get("content-length", "0")), request)
+            request.status = status
+            request.reason = head[1].get("pimentopin-reason", "")
+            request.outcome = head[1].get("pimentopin-outcome", "")
+            request.from_target = "x-pimentopin-response-seal" in head[1]
+        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
+            request.error = f"{type(error).__name__} {error}"
+        for cut in itertools.islice(outstanding, 1 if request.status else len(outstanding)):
+            cut.ended_at = time.monotonic()
+        if request.status is None:
+            return False
+        outstanding.popleft()
+        if head[1].get("connection") == "close":
+            for cut in outstanding:
+                cut.ended_at = time.monotonic()
+                cut.error = "behind a response that closes"
+            return False
+        return True
+
+    async def read_chunks(self, reader, request):
+        while True:
+            size = int((await reader.readline()).strip(), 16)
+            await self.read_bytes(reader, size, request)
+            await reader.readexactly(2)
+            if size == 0:
+                return
+
+    async def read_bytes(self, reader, count, request):
+        while count > 0:
+            part = await reader.read(min(count, 4096))
+            if not part:
+                raise ConnectionError("closed in a body")
+            count -= len(part)
+            request.received += len(part)
+            if self.is_slow and request.received > 4096:
+                await asyncio.sleep(0.01)
+
+
+class OpenLoad(Caller):
+    """Sends requests of one failure domain at a rate that does not depend on the responses."""
+
+    def __init__(self, soak, rng, zone, rate):
+        super().__init__(soak, rng)
+        self.zone = zone
+        self.rate = rate
+        self.is_slow = False
+        # Kept connections without a request in progress.
+        self.idle = []
+        self.exchanges = set()
+
+    async def run(self):
+        kinds = self.soak.deployment.kinds
+        started_at = time.monotonic()
+        while not self.soak.ended:
+            wave = 1 + 0.55 * math.sin(2 * math.pi * (time.monotonic() - started_at) / 17)
+            await asyncio.sleep(self.rng.expovariate(self.rate * wave * self.soak.options.load))
+            kind = self.rng.choices(kinds, [kind.weight for kind in kinds])[0]
+            exchange = asyncio.ensure_future(self.exchange(kind))
+            self.exchanges.add(exchange)
+            exchange.add_done_callback(self.exchanges.discard)
+        if self.exchanges:
+            await asyncio.wait(self.exchanges)
+
+    async def exchange(self, kind):
+        connected = None
+        while self.idle and not kind.fresh and connected is None:
+            connected = self.idle.pop(self.rng.randrange(len(self.idle)))
+            if connected[1].at_eof():
+                connected[2].transport.abort()
+                connected = None
+        connected = connected or await self.connect(self.soak.pick_host(self.rng, self.zone))
+        if connected is None:
+            return
+        host, reader, writer = connected
+        if await self.receive(reader, collections.deque([self.send(writer, host, kind)])) \
+                and not kind.fresh:
+            self.idle.append(connected)
+        else:
+            writer.transport.abort()
+
+
+class AimedRequest(Caller):
+    """Sends one request to a host at a given time after its SIGTERM."""
+
+    def __init__(self, soak, rng, host):
+        super().__init__(soak, rng)
+        self.host = host
+        self.is_slow = False
+        self.kind = rng.choice([kind for kind in soak.deployment.kinds if kind.fresh])
+        self.delay_s = rng.uniform(0.0, AIMED_S)
+        self.work_s = rng.uniform(0.0, 1.1 * self.kind.timeout_s)
+
+    async def run(self):
+        await asyncio.sleep(self.delay_s)
+        connected = await self.connect(self.host)
+        if connected is None:
+            return
+        _, reader, writer = connected
+        request = self.send(writer, self.host, self.kind)
+        request.work_s = self.work_s
+        await self.receive(reader, collections.deque([request]))
+        writer.transport.abort()
--- /dev/null
+++ b/Meta/soak_hosts.py
@@ -0,0 +1,120 @@
+"""Host processes of Meta/soak."""
+
+import asyncio
+import os
+import signal
+import time
+
+import fleet as fleet_module
+
+GRACE_S = 6.0
+RESTART_DELAY_S = 0.5
+SHUTDOWN_DELAY_MS = 3200
+# A pause during a stop begins up to this time after the SIGTERM, so that it ends before the last
+# sixth of the grace if it is shorter than half a second.
+PAUSE_IN_STOP_S = 4.4
+BOUNDS = f"grace-s={GRACE_S:g},retry-budget-ratio=0.2,budget-extra=56,floor-share=0.7"
+
+FIRST_PORT = 12000
+# Soaks that run at the same time use different addresses of the loopback network.
+ADDRESS = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1"
+
+
+class SoakHost:
+    """Host process that keeps its addresses when it is started again."""
+
+    def __init__(self, index, zone, soak):
+        self.name = f"host-{index}"
+        self.zone = zone
+        self.soak = soak
+        # Below the ports that the kernel gives to connections, so that they stay free.
+        self.addresses = [f"{ADDRESS}:{FIRST_PORT + 3 * index + role}" for role in range(3)]
+        self.process = None
+        self.ready = False
+        self.misses = 0
+        self.stopping = False
+        # Times of the SIGTERMs.
+        self.stops = []
+
+    def start(self):
+        caller, operator, peer = self.addresses
+        fleet = self.soak.fleet
+        self.process = fleet_module.Process(
+            f"{self.name}.{len(self.stops)}",
+            [
+                fleet.program("Programs/pimentopin/pimentopin"),
+                "--name", self.name, "--domain", self.zone,
+                "--caller-address", caller, "--operator-address", operator, "--peer-address", peer,
+                "--platform-url", fleet.platform_url, "--configuration", "platform",
+                "--cores", "0.2", "--traffic-threads", "1",
+                "--shutdown-delay-ms", str(SHUTDOWN_DELAY_MS), "--probe-interval-ms", "0",
+                "--retry-percent", "15", "--retry-extra", "40", f"--platform-bounds={BOUNDS}",
+            ],
+            fleet.directory,
+        )
+        # A host writes its log to standard output.
+        self.process.log_path = self.process.out_path
+        fleet.hosts.append(self.process)
+        self.stopping = False
+
+    async def check_ready(self):
+        ok = False
+        try:
+            host, port = self.addresses[1].split(":")
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            ok = b" 200 " in await asyncio.wait_for(reader.readline(), 1)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass
+        self.misses = 0 if ok else self.misses + 1
+        self.ready = ok or (self.ready and self.misses < 2)
+
+    async def pause(self, length_s):
+        """Keeps the process from running."""
+        process = self.process
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(length_s)
+        finally:
+            process.send_signal(signal.SIGCONT)
+        self.soak.counts["pauses"] += 1
+
+    async def pause_later(self, delay_s, length_s):
+        await asyncio.sleep(delay_s)
+        await self.pause(length_s)
+
+    async def pause_for_stop(self):
+        """Starts the pause of a stop; returns when the SIGTERM is due."""
+        options = self.soak.options
+        length_s = self.soak.rng.uniform(0.3, 1.0) * options.pause
+        if options.pause_at == "signal":
+            before_s = self.soak.rng.uniform(0.0, 1.0) * length_s
+            self.soak.start_pause(self.pause(length_s))
+            await asyncio.sleep(before_s)
+        elif options.pause_at == "stop":
+            delay_s = self.soak.rng.uniform(0.0, PAUSE_IN_STOP_S)
+            self.soak.start_pause(self.pause_later(delay_s, length_s))
+
+    async def stop(self):
+        """Stops and restarts the host as the platform does."""
+        self.stopping = True
+        if self.soak.options.pause > 0:
+            await self.pause_for_stop()
+        self.stops.append(time.monotonic())
+        self.soak.aim_requests_at(self)
+        stopped_at_ms = time.time() * 1000
+        self.process.send_signal(signal.SIGTERM)
+        end = self.stops[-1] + GRACE_S
+        while self.process.child.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.01)
+        if self.process.child.poll() is None:
+            self.soak.counts["hosts killed at the end of the grace"] += 1
+        elif self.process.child.returncode != 0:
+            self.soak.fail(f"{self.name} ended with code {self.process.child.returncode}")
+        self.process.kill()
+        for event in self.process.log_events("shutdown_started"):
+            delay_ms = event["time_ms"] - stopped_at_ms
+            self.soak.signal_delay_ms.append(round(delay_ms, 1))
+        await asyncio.sleep(RESTART_DELAY_S)
+        self.start()
--- /dev/null
+++ b/Meta/soak_targets.py
@@ -0,0 +1,179 @@
+"""Targets of Meta/soak, and what they and the callers see of a request."""
+
+import asyncio
+import random
+import time
+
+TROUBLE_S = 9.0
+# Time for which an entry of a target stays in state draining before it is removed.
+DRAINING_S = 3.0
+
+
+class Run:
+    """Work on a request at a target."""
+
+    def __init__(self):
+        self.started_at = time.monotonic()
+        # Empty while the target works.
+        self.ended_at = None
+        # True if the target was not allowed to finish.
+        self.is_cancelled = False
+
+    def is_unfinished_at(self, moment):
+        return self.ended_at is None or self.ended_at >= moment
+
+
+class Request:
+    """What a caller and the targets saw of one request."""
+
+    def __init__(self, request_id, kind, host):
+        self.id = request_id
+        self.kind = kind
+        self.host = host
+        # Time that a target works on it, if it is not drawn at random.
+        self.work_s = None
+        # True if it carries an idempotency key.
+        self.is_keyed = False
+        # The caller's deadline, in seconds after it was sent.
+        self.deadline_s = kind.deadline_s
+        self.sent_at = None
+        self.ended_at = None
+        self.status = None  # Empty if the connection ended without a complete response.
+        self.error = ""
+        # True if a target gave the response.
+        self.from_target = False
+        # Headers of a response of the host.
+        self.outcome = ""
+        self.reason = ""
+        self.received = 0
+        self.runs = []
+        self.target_broke_off = False
+
+
+class Target:
+    """Back end that speaks the platform's headers."""
+
+    def __init__(self, name, service, zone, soak, rng):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.soak = soak
+        self.rng = rng
+        self.slots = asyncio.Semaphore(soak.deployment.slots)
+        self.waiting = 0
+        self.address = None
+        self.entries_written = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    async def register(self, state):
+        """Writes the target's entry; removes it if `state` is None."""
+        self.entries_written += 1
+        entry = None if state is None else {
+            "service": self.service, "zone": self.zone, "version": "v1",
+            "slots": self.soak.deployment.slots, "state": state, "addr": self.address,
+            "cold-remaining-s": 0, "seq": self.entries_written, "born": 1700000000000,
+        }
+        await asyncio.to_thread(self.soak.fleet.write_row, "servers", self.name, entry)
+
+    async def leave(self):
+        await self.register("draining")
+        await asyncio.sleep(DRAINING_S)
+        await self.register(None)
+
+    def trouble(self):
+        """What is wrong with the target now; changes every TROUBLE_S."""
+        period = int(time.monotonic() / TROUBLE_S)
+        return random.Random(f"{self.soak.options.seed}-{self.name}-{period}").choices(
+            ("", "errors", "slow"), (0.6, 0.25, 0.15))[0]
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                body = await reader.readexactly(int(head[1].get("content-length", "0")))
+                if not await self.answer(head, body, reader, writer):
+                    break
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, head, _, reader, writer):
+        request = self.soak.requests.get(head[1].get("x-pimentopin-attempt-id"))
+        if request is None or head[1].get("x-pimentopin-expect-instance", self.name) != self.name:
+            await respond(writer, 421, {"X-Pimentopin-Not-Executed": "1"}, b"")
+            return True
+        if self.waiting >= self.soak.deployment.queue:
+            await respond(writer, 503, {"X-Pimentopin-Not-Executed": "1"}, b"")
+            return True
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
+        run = Run()
+        request.runs.append(run)
+        try:
+            work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
+            trouble = self.trouble()
+            if trouble == "slow":
+                work_s *= 4
+            elif trouble == "errors":
+                work_s /= 4
+            if request.work_s is None and self.rng.random() < 0.03:
+                work_s *= 7
+            # A connection that the caller closes ends the work.
+            gone = asyncio.ensure_future(reader.read(1))
+            done, _ = await asyncio.wait({gone}, timeout=work_s)
+            if done:
+                run.is_cancelled = True
+                return False
+            gone.cancel()
+            try:
+                await gone
+            except asyncio.CancelledError:
+                pass
+        finally:
+            run.ended_at = time.monotonic()
+            self.slots.release()
+        failed = self.rng.random() < (0.9 if trouble == "errors" else 0.02)
+        closes = self.rng.random() < 0.05
+        size = 200 if failed else int(request.kind.body_bytes * self.rng.uniform(0.3, 1.8))
+        headers = {
+            "X-Pimentopin-Attempt-Id": request.id,
+            "X-Pimentopin-Response-Seal": f"seal.{request.id}",
+            "X-Pimentopin-Backend-Load": f"0,{self.waiting},{self.soak.deployment.slots}",
+        }
+        if closes:
+            headers["Connection"] = "close"
+        await respond(writer, 500 if failed else 200, headers, b"x" * size)
+        return not closes
+
+    def draw_work_s(self, kind):
+        if kind.spread is None:
+            return kind.work_s * self.rng.expovariate(1.0)
+        return kind.work_s * self.rng.lognormvariate(-kind.spread ** 2 / 2, kind.spread)
+
+
+async def read_head(reader):
+    first = await reader.readline()
+    if not first:
+        return None
+    headers = {}
+    while True:
+        line = await reader.readline()
+        if line in (b"\r\n", b""):
+            return first.decode("latin1").split(), headers
+        name, _, value = line.decode("latin1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+
+
+async def respond(writer, status, headers, body):
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    await writer.drain()
