Meta: Let the soak signal hosts that start or stop

A process that a signal ends before it has logged its start has accepted nothing and is restarted, as the platform does. A host that ends by itself at any other time now fails every run, not only at its next stop.

--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -33,14 +33,15 @@
         self.ready = False
         self.misses = 0
         self.stopping = False
-        # Times of the SIGTERMs.
+        self.starts = 0
+        # Times of the first SIGTERM of each stop.
         self.stops = []
 
     def start(self):
         caller, operator, peer = self.addresses
         fleet = self.soak.fleet
         self.process = fleet_module.Process(
-            f"{self.name}.{len(self.stops)}",
+            f"{self.name}.{self.starts}",
             [
                 fleet.program("Programs/pimentopin/pimentopin"),
                 "--name", self.name, "--domain", self.zone,
@@ -55,7 +56,7 @@
         # A host writes its log to standard output.
         self.process.log_path = self.process.out_path
         fleet.hosts.append(self.process)
-        self.stopping = False
+        self.starts += 1
 
     async def check_ready(self):
         ok = False
@@ -96,8 +97,61 @@
             delay_s = self.soak.rng.uniform(0.0, PAUSE_IN_STOP_S)
             self.soak.start_pause(self.pause_later(delay_s, length_s))
 
+    def ended_before_start(self):
+        """True if a signal ended the process before it handled signals and accepted connections."""
+        return self.process.child.returncode in (-signal.SIGTERM, -signal.SIGHUP) \
+            and not self.process.log_events("host_started")
+
+    async def restart(self):
+        await asyncio.sleep(RESTART_DELAY_S)
+        self.start()
+
+    async def restart_if_ended(self):
+        """Restarts a process that has ended without a stop."""
+        if self.stopping or self.process.child.poll() is None:
+            return
+        self.stopping = True
+        if self.ended_before_start():
+            self.soak.counts["hosts ended before their start"] += 1
+        else:
+            self.soak.fail(f"{self.name} ended by itself with {self.process.child.returncode}")
+        await self.restart()
+        self.stopping = False
+
+    async def send_signals_in_stop(self):
+        """Repeats SIGTERM and sends SIGHUP at any time of a stop."""
+        rng = self.soak.rng
+        process = self.process
+        signals = sorted(
+            (rng.uniform(0.0, GRACE_S) * rng.random(), rng.choice((signal.SIGTERM, signal.SIGHUP)))
+            for _ in range(rng.randrange(5)))
+        began_at = time.monotonic()
+        for after_s, number in signals:
+            await asyncio.sleep(max(0.0, began_at + after_s - time.monotonic()))
+            if process.child.poll() is None:
+                process.send_signal(number)
+                self.soak.counts[f"{number.name} in a stop"] += 1
+
+    async def send_signals_in_start(self):
+        """Sends SIGHUP to a process that has only just started; true if SIGTERM is due."""
+        rng = self.soak.rng
+        for _ in range(rng.randrange(3)):
+            await asyncio.sleep(rng.uniform(0.0, 1.0) * rng.random())
+            if self.process.child.poll() is None:
+                self.process.send_signal(signal.SIGHUP)
+                self.soak.counts["SIGHUP in a start"] += 1
+        await asyncio.sleep(rng.uniform(0.0, 1.0) * rng.random())
+        return rng.random() < 0.3
+
     async def stop(self):
         """Stops and restarts the host as the platform does."""
+        await self.stop_once()
+        while self.soak.options.signals_anywhere and await self.send_signals_in_start():
+            self.soak.counts["SIGTERM in a start"] += 1
+            await self.stop_once()
+        self.stopping = False
+
+    async def stop_once(self):
         self.stopping = True
         if self.soak.options.pause > 0:
             await self.pause_for_stop()
@@ -105,16 +159,19 @@
         self.soak.aim_requests_at(self)
         stopped_at_ms = time.time() * 1000
         self.process.send_signal(signal.SIGTERM)
+        if self.soak.options.signals_anywhere:
+            self.soak.start_signals(self.send_signals_in_stop())
         end = self.stops[-1] + GRACE_S
         while self.process.child.poll() is None and time.monotonic() < end:
             await asyncio.sleep(0.01)
         if self.process.child.poll() is None:
             self.soak.counts["hosts killed at the end of the grace"] += 1
+        elif self.ended_before_start():
+            self.soak.counts["hosts ended before their start"] += 1
         elif self.process.child.returncode != 0:
             self.soak.fail(f"{self.name} ended with code {self.process.child.returncode}")
         self.process.kill()
         for event in self.process.log_events("shutdown_started"):
             delay_ms = event["time_ms"] - stopped_at_ms
             self.soak.signal_delay_ms.append(round(delay_ms, 1))
-        await asyncio.sleep(RESTART_DELAY_S)
-        self.start()
+        await self.restart()
