--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -33,7 +33,7 @@
         self.ready = False
         self.misses = 0
         self.stopping = False
-        self.starts = 0
+        self.started_at = []
         # Times of the first SIGTERM of each stop.
         self.stops = []
 
@@ -41,7 +41,7 @@
         caller, operator, peer = self.addresses
         fleet = self.soak.fleet
         self.process = fleet_module.Process(
-            f"{self.name}.{self.starts}",
+            f"{self.name}.{len(self.started_at)}",
             [
                 fleet.program("Programs/pimentopin/pimentopin"),
                 "--name", self.name, "--domain", self.zone,
@@ -56,7 +56,7 @@
         # A host writes its log to standard output.
         self.process.log_path = self.process.out_path
         fleet.hosts.append(self.process)
-        self.starts += 1
+        self.started_at.append(time.monotonic())
 
     async def check_ready(self):
         ok = False
--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -12,7 +12,8 @@
 class Run:
     """Work on a request at a target."""
 
-    def __init__(self):
+    def __init__(self, service):
+        self.service = service
         self.started_at = time.monotonic()
         # Empty while the target works.
         self.ended_at = None
@@ -116,7 +117,7 @@
             await self.slots.acquire()
         finally:
             self.waiting -= 1
-        run = Run()
+        run = Run(self.service)
         request.runs.append(run)
         try:
             work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
