--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(TestUnavailableTableDoesNotApplyWrites);
   CPPUNIT_TEST(TestRefusedConnectionDoesNotApplyWrites);
   CPPUNIT_TEST(TestSlowWriteIsUnknownOutcomeAfterTimeout);
+  CPPUNIT_TEST(TestSilentTableIsUnknownOutcomeAfterTimeout);
   CPPUNIT_TEST(TestMalformedWriteResponsesAreUnknownOutcome);
   CPPUNIT_TEST(TestErrorAfterAppliedTransactionIsUnknownOutcome);
   CPPUNIT_TEST(TestErrorAfterRefusedTransactionMeansNotApplied);
@@ -149,6 +150,16 @@
     CPPUNIT_ASSERT(this->Put("key", "x").error.code == ErrorCode::kUnreachable);
   }
 
+  // Guards against waiting for a store that accepts calls and never answers.
+  void TestSilentTableIsUnknownOutcomeAfterTimeout() {
+    this->CreateStore("http://" + this->server->address(), std::chrono::milliseconds(200));
+    this->SetFaults(R"({"table": "silent"})");
+    CPPUNIT_ASSERT(this->Write({{"t/key", 0, "x"}}).error.code == ErrorCode::kUnknownOutcome);
+    CPPUNIT_ASSERT(this->Read("t/key").error.code == ErrorCode::kUnreachable);
+    this->SetFaults(R"({"table": "up"})");
+    CPPUNIT_ASSERT(TableRow{} == *this->Read("t/key").value);
+  }
+
   // Guards against reporting a write as failed that takes effect afterwards.
   void TestSlowWriteIsUnknownOutcomeAfterTimeout() {
     this->CreateStore("http://" + this->server->address(), std::chrono::milliseconds(50));
--- a/Tests/StandIns/Platform/platform.cc
+++ b/Tests/StandIns/Platform/platform.cc
@@ -16,11 +16,12 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::pair<StoreState, std::string_view>, 4> kStoreStateNames{
+constexpr std::array<std::pair<StoreState, std::string_view>, 5> kStoreStateNames{
     {{StoreState::kUp, "up"},
      {StoreState::kDown, "down"},
      {StoreState::kSlow, "slow"},
-     {StoreState::kDropResponses, "lose-answers"}}};
+     {StoreState::kDropResponses, "lose-answers"},
+     {StoreState::kSilent, "silent"}}};
 
 std::string_view StoreStateName(StoreState state) {
   for (const auto& [value, name] : kStoreStateNames) {
@@ -127,6 +128,10 @@
     responder->Respond(503, {}, "down\n");
     return;
   }
+  if (state == StoreState::kSilent) {
+    this->silent_requests.push_back(std::move(responder));
+    return;
+  }
   if (state == StoreState::kSlow) {
     auto timer = std::make_shared<asio::steady_timer>(this->context, this->faults.slow_delay);
     timer->async_wait([this, timer, responder = std::move(responder),
@@ -289,6 +294,12 @@
   }
 }
 
+void Platform::AbortSilentRequests() {
+  for (const auto& responder : std::exchange(this->silent_requests, {})) {
+    responder->Abort();
+  }
+}
+
 Platform::Response Platform::HandleObjects(const HttpServerRequest& request) {
   if (request.path == "/-/blob-list" && request.method == "GET") {
     const Parameters parameters = ParseQuery(request.query);
@@ -348,7 +359,7 @@
       const json document = json::parse(request.body.text());
       if (!ReadStoreState(document, "table", changed.table) ||
           !ReadStoreState(document, "objects", changed.objects)) {
-        return {400, "the state must be up, down, slow or lose-answers\n"};
+        return {400, "the state must be up, down, slow, lose-answers or silent\n"};
       }
       if (document.contains("slow_ms")) {
         changed.slow_delay = std::chrono::milliseconds(document["slow_ms"].get<std::uint32_t>());
@@ -356,9 +367,16 @@
     } catch (const json::exception& exception) {
       return {400, std::string(exception.what()) + "\n"};
     }
+    if (changed != this->faults) {
+      this->AbortSilentRequests();
+    }
     this->faults = changed;
-    // Waiting feed requests fail when the table store does.
-    if (changed.table != StoreState::kUp) {
+    // Waiting feed requests fail when the table store does; a silent one leaves them waiting.
+    if (changed.table == StoreState::kSilent) {
+      for (Waiter& waiter : std::exchange(this->waiters, {})) {
+        this->silent_requests.push_back(std::move(waiter.responder));
+      }
+    } else if (changed.table != StoreState::kUp) {
       for (const Waiter& waiter : std::exchange(this->waiters, {})) {
         waiter.responder->Abort();
       }
--- a/Tests/StandIns/Platform/platform.h
+++ b/Tests/StandIns/Platform/platform.h
@@ -27,6 +27,8 @@
   kSlow,
   // Applies the request and closes the connection without a response.
   kDropResponses,
+  // Accepts the request and does nothing until the state changes, which closes the connection.
+  kSilent,
 };
 
 struct PlatformFaults {
@@ -79,6 +81,8 @@
   Response WriteRow(const std::string& body);
   Response Compact();
   Response HandleFaults(const HttpServerRequest& request);
+  // Closes the connections of requests that a store in state silent has accepted.
+  void AbortSilentRequests();
   // Changes of the table after the version; empty if there are none.
   std::optional<Response> ChangesSince(const std::string& table, std::uint64_t after) const;
   void NotifyWaiters();
@@ -91,6 +95,7 @@
   std::uint64_t compacted_version = 0;
   std::map<std::string, std::string> objects;
   std::list<Waiter> waiters;
+  std::vector<std::shared_ptr<HttpResponder>> silent_requests;
 };
 
 }  // namespace pimentopin
