--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import pathlib
 import signal
 import time
 
@@ -71,6 +72,19 @@
         self.misses = 0 if ok else self.misses + 1
         self.ready = ok or (self.ready and self.misses < 2)
 
+    def check_signal_masks(self):
+        """Only the main thread may handle signals that stop the host: it knows when it ran last."""
+        pid = self.process.child.pid
+        for number in (signal.SIGTERM, signal.SIGINT):
+            handling = []
+            for status in pathlib.Path(f"/proc/{pid}/task").glob("*/status"):
+                mask = next(line for line in status.read_text().splitlines()
+                            if line.startswith("SigBlk:"))
+                if not int(mask.split()[1], 16) >> (number - 1) & 1:
+                    handling.append(int(status.parent.name))
+            if handling != [pid]:
+                self.soak.fail(f"{self.name}, process {pid}: threads {handling} handle {number.name}")
+
     async def pause(self, length_s):
         """Keeps the process from running."""
         process = self.process
