LibHttp: Pass on the requests in front of a refused one

Callers saw, by review: a refusal (400, 413, 431, 501, 503) that arrives as the answer to the request in front of the refused one, when one read brings the end of the former and the beginning of the latter. The former was not run.

Cause: http_parser stops without telling where the last complete request ends, so RequestInspector::Inspect accepted no byte of the read.

Fix: the parser is paused at the end of each request, so that Inspect knows the position. ServerSocket hands RESTinio the bytes up to there and refuses when RESTinio reads again, which it does once it has passed on these requests. The refusal follows their responses.

Evidence: HttpServerTest::TestRefusalArrivesAsResponseToEarlierRequest (5 refusals behind 4 kinds of requests, 4 divisions into reads) and TestRefusalBehindManyRequests (behind more than are passed on at a time) failed before.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -384,6 +384,10 @@
 
   template <typename Handler>
   void async_read_some(const asio::mutable_buffer& buffer, Handler handler) {
+    if (const auto refusal = std::exchange(this->next_refusal, std::nullopt)) {
+      this->Refuse(*refusal, std::move(handler));
+      return;
+    }
     const auto executor = asio::get_associated_executor(handler);
     Base::async_read_some(
         buffer, asio::bind_executor(executor,
@@ -504,7 +508,11 @@
     if (this->connection && this->inspector->in_request()) {
       this->connection->OnPartialRequest();
     }
-    if (result.refusal) {
+    if (result.refusal && result.accepted_bytes > 0) {
+      // RESTinio reads again when it has passed on the requests in front of the refused one.
+      this->next_refusal = result.refusal;
+      handler(error, result.accepted_bytes);
+    } else if (result.refusal) {
       this->Refuse(*result.refusal, std::move(handler));
     } else if (result.accepted_bytes == 0) {
       this->async_read_some(buffer, std::move(handler));
@@ -586,6 +594,8 @@
   TimePoint last_read_at;
   TimePoint request_started_at;
   bool refusing = false;
+  // Refusal of the request behind those that RESTinio has been given.
+  std::optional<RequestRefusal> next_refusal;
   std::array<char, 1024> drain_buffer{};
 };
 
--- a/Libraries/LibHttp/request_inspector.cc
+++ b/Libraries/LibHttp/request_inspector.cc
@@ -124,6 +124,8 @@
     current.in_body = false;
     ++current.complete_requests;
     current.complete_reservations.push_back(std::move(current.reservation));
+    // Inspect learns the position only when the parser stops.
+    http_parser_pause(parser, 1);
     return 0;
   };
 }
@@ -137,9 +139,19 @@
   if (current.after_final_request) {
     return {};
   }
-  const std::size_t parsed =
-      http_parser_execute(&current.parser, &current.settings, bytes.data(), bytes.size());
-  const http_errno error = HTTP_PARSER_ERRNO(&current.parser);
+  std::size_t parsed = 0;
+  // The end of the last request that was received completely.
+  std::size_t end_of_requests = 0;
+  http_errno error = HPE_PAUSED;
+  while (error == HPE_PAUSED) {
+    http_parser_pause(&current.parser, 0);
+    parsed += http_parser_execute(&current.parser, &current.settings, bytes.data() + parsed,
+                                  bytes.size() - parsed);
+    error = HTTP_PARSER_ERRNO(&current.parser);
+    if (error == HPE_PAUSED) {
+      end_of_requests = parsed;
+    }
+  }
   if (error == HPE_OK) {
     return {.accepted_bytes = bytes.size()};
   }
@@ -149,7 +161,8 @@
     current.after_final_request = true;
     return {.accepted_bytes = parsed};
   }
-  return {.refusal = current.refusal ? current.refusal : RefusalFromParserError(error)};
+  return {.accepted_bytes = end_of_requests,
+          .refusal = current.refusal ? current.refusal : RefusalFromParserError(error)};
 }
 
 void RequestInspector::SetLimits(const RequestLimits& limits) {
--- a/Libraries/LibHttp/request_inspector.h
+++ b/Libraries/LibHttp/request_inspector.h
@@ -32,7 +32,8 @@
   RequestInspector& operator=(RequestInspector&&) noexcept;
 
   struct Result {
-    // Number of leading bytes that belong to requests; the rest must be ignored.
+    // Number of leading bytes that belong to requests; the rest must be ignored. With a refusal,
+    // those of the requests that end before the one that is refused.
     std::size_t accepted_bytes = 0;
     std::optional<RequestRefusal> refusal;
   };
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -88,6 +88,8 @@
   CPPUNIT_TEST(TestHeadersCannotBreakFraming);
   CPPUNIT_TEST(TestPipelinedResponsesKeepOrder);
   CPPUNIT_TEST(TestMalformedPipelinedRequestIsRefusedAfterEarlierResponses);
+  CPPUNIT_TEST(TestRefusalArrivesAsResponseToEarlierRequest);
+  CPPUNIT_TEST(TestRefusalBehindManyRequests);
   CPPUNIT_TEST(TestCallerDisconnectIsReportedAfterMalformedRequest);
   CPPUNIT_TEST(TestStopDoesNotCloseBeforePipelinedResponses);
   CPPUNIT_TEST(TestRequestBehindClosingResponseIsNotHandled);
@@ -608,6 +610,70 @@
     CPPUNIT_ASSERT(received.find("HTTP/1.1 400") != std::string::npos);
   }
 
+  // Guards against a refusal that arrives as the response to the request in front of the refused
+  // one, because one read had brought the end of the one and the beginning of the other.
+  void TestRefusalArrivesAsResponseToEarlierRequest() {
+    this->max_body_bytes = 2 * kBudgetBytes;
+    this->max_held_body_bytes = kBudgetBytes;
+    const std::vector<std::pair<std::string, std::string>> refused_requests = {
+        {"nonsense\r\n\r\n", "400"},
+        {"\x01", "400"},
+        {PostHead(4 * kBudgetBytes), "413"},
+        {"GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'a') + "\r\n\r\n", "431"},
+        {"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "501"}};
+    const std::string body = "abc";
+    for (const std::string& complete :
+         {Get("/1"), PostHead(body.size()) + body,
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(3) + "0\r\n\r\n",
+          Get("/0") + Get("/1")}) {
+      for (const auto& [refused, status] : refused_requests) {
+        this->StartServer([](const HttpServerRequest&, const auto& responder) {
+          responder->Respond(200, {}, "done");
+        });
+        this->server->SetLimits({.max_header_bytes = 1000, .max_body_bytes = this->max_body_bytes});
+        // The first read ends within the earlier request or the refused one, or takes both.
+        for (const std::size_t first_read :
+             {std::size_t{0}, std::size_t{20}, complete.size() - 1, complete.size()}) {
+          RawConnection caller = this->Connect();
+          const std::string bytes = complete + refused;
+          caller.Send(bytes.substr(0, first_read));
+          if (first_read > 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+          }
+          caller.Send(bytes.substr(first_read));
+          const std::string received = caller.ReadUntilClosed();
+          CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200 "));
+          const std::size_t refusal = received.find("HTTP/1.1 " + status + " ");
+          CPPUNIT_ASSERT_MESSAGE(received, refusal != std::string::npos);
+          CPPUNIT_ASSERT_EQUAL(refusal - std::string("done").size(), received.rfind("done"));
+        }
+      }
+    }
+  }
+
+  // The same behind more requests than the server passes on at a time.
+  void TestRefusalBehindManyRequests() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    constexpr std::size_t kRequests = 40;
+    std::string bytes;
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      bytes += Get("/" + std::to_string(index));
+    }
+    caller.Send(bytes + "nonsense\r\n\r\n");
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      this->TakeResponder()->Respond(200, {}, "answer-" + std::to_string(index) + ";");
+    }
+    const std::string received = caller.ReadUntilClosed();
+    std::size_t position = 0;
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      position = received.find("answer-" + std::to_string(index) + ";", position);
+      CPPUNIT_ASSERT(position != std::string::npos);
+    }
+    CPPUNIT_ASSERT(received.find("HTTP/1.1 400 ") > position);
+    CPPUNIT_ASSERT(received.find("HTTP/1.1 400 ") != std::string::npos);
+  }
+
   // Guards against work that goes on for a caller that left after a malformed request.
   void TestCallerDisconnectIsReportedAfterMalformedRequest() {
     this->StartRecordingServer();
