Dispatch: Expect the service time of a request's own kind

What callers saw: while requests of one kind took long, all requests of another, quick kind of the same service were refused (manual-pull, 150 ms of work, deadline 1.5 s, beside diagram-view).

Cause: a broker refuses a request if the predicted wait and the mean service time of its work class exceed the time left, before it queues it and again before it grants a slot. On the users' platform nothing marks work as long, so that both kinds are in one class. From a mean of 1.5 s on every manual-pull is refused, which leaves only diagram-view to be measured, so that the mean does not fall again.

Change: slot requests and releases carry the kind of the request (its route). A broker expects a request to take the mean of its kind, but at most that of its class: a kind whose requests are all refused gets no sample that could correct its mean. A kind that was never measured is expected to take no time. Without a route nothing changes. The predicted wait still counts with the mean of the class, as the slots are freed by what runs.

SlotBrokerTest::TestLongKindMakesAShortKindRefused (free slot, mean of the class 2.5 s, budget 1.5 s) fails before. ComponentsTest::TestMeanOfAKind states the limits of the estimate. 124 of 124 tests of TestLibDispatch, 15 of 15 of TestLibProtocol and 51 of 51 of TestLibHost pass.

Why it works: what decides whether a request can end in time is its own service time.

--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -19,6 +19,7 @@
   CallerId caller{};
   OrganisationId organisation{};
   WorkClass work_class = WorkClass::kShort;
+  RequestKind kind{};
   bool idempotent = false;
   // The response is large; targets in the host's failure domain are preferred.
   bool bulk = false;
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -333,7 +333,8 @@
           .excluded = state.excluded,
           .idempotent = description.idempotent,
           .bulk = description.bulk,
-          .forbidden = std::move(forbidden)};
+          .forbidden = std::move(forbidden),
+          .kind = description.kind};
 }
 
 void HostDispatcher::RequestSlot(TimePoint now,
@@ -391,6 +392,7 @@
                                                .target = target,
                                                .organisation = description.organisation,
                                                .work_class = description.work_class,
+                                               .kind = description.kind,
                                                .fingerprint = description.fingerprint,
                                                .broker = broker,
                                                .deadline = description.deadline});
@@ -594,7 +596,8 @@
                             .service_time = end.service_time,
                             .fingerprint = attempt.fingerprint,
                             .target_draining = end.target_draining,
-                            .request_rate_limit = end.request_rate_limit};
+                            .request_rate_limit = end.request_rate_limit,
+                            .kind = attempt.kind};
   // The current broker needs the result even if another broker granted the
   // slot.
   const DispatchServiceState* service = this->FindService(attempt.service);
--- a/Libraries/LibDispatch/service_time_estimate.h
+++ b/Libraries/LibDispatch/service_time_estimate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
 
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibProtocol/slot_messages.h"
@@ -11,9 +12,15 @@
 // times.
 class ServiceTimeEstimate {
  public:
-  void Observe(WorkClass work_class, Duration service_time);
+  // Kinds beyond this number are not told apart.
+  static constexpr std::size_t kMaxKinds = 1024;
+
+  void Observe(WorkClass work_class, RequestKind kind, Duration service_time);
   // Zero until the first sample of the class.
   Duration Mean(WorkClass work_class) const;
+  // Mean of the kind, at most that of its class. Zero until the first sample of the kind; the mean
+  // of the class for kind zero.
+  Duration Mean(WorkClass work_class, RequestKind kind) const;
   // Time in which `slots` slots serve `ahead` requests of the class.
   Duration PredictedWait(WorkClass work_class, std::size_t ahead, std::size_t slots) const;
 
@@ -21,10 +28,13 @@
   struct Average {
     double mean_us = 0;
     std::size_t samples = 0;
+
+    void Add(Duration service_time);
   };
 
   Average short_work;
   Average long_work;
+  std::map<RequestKind, Average> kinds;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -371,7 +371,7 @@
   // not applied.
   // A stated limit is no estimate.
   return (this->table.size() > 0 || this->TotalRateLimit() > 0) &&
-         wait + this->estimate.Mean(request.work_class) > budget;
+         wait + this->estimate.Mean(request.work_class, request.kind) > budget;
 }
 
 SlotRefusal SlotBroker::MakeRefusal(const SlotRequest& request, RefusalReason reason) const {
@@ -546,7 +546,7 @@
   }
   if (!already_released && release.result != AttemptResult::kCancelled) {
     if (release.result == AttemptResult::kSuccess) {
-      this->estimate.Observe(release.work_class, release.service_time);
+      this->estimate.Observe(release.work_class, release.kind, release.service_time);
     }
     const std::uint64_t changes_before = this->health.state_changes();
     this->ranking.RecordResult(now, release.target, release.result);
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -205,6 +205,7 @@
   description.idempotent = traits.idempotent;
   if (route != nullptr) {
     exchange.route = route->name;
+    description.kind = IdFromName<RequestKind>(route->name);
     description.bulk = route->bulk;
     description.max_attempts = route->max_attempts;
   }
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -108,7 +108,8 @@
                                     RawId(value.organisation), RawId(value.caller),
                                     EnumByte(value.work_class), EncodeDuration(value.budget),
                                     RawId(value.fingerprint), value.is_retry, value.affinity_key,
-                                    allowed, excluded, value.idempotent, value.bulk, forbidden)
+                                    allowed, excluded, value.idempotent, value.bulk, forbidden,
+                                    RawId(value.kind))
                 .Union()};
   }
 
@@ -147,7 +148,8 @@
                 RawId(value.organisation), EnumByte(value.work_class), EnumByte(value.result),
                 EncodeDuration(value.service_time), RawId(value.fingerprint), value.target_draining,
                 value.request_rate_limit ? flatbuffers::Optional<double>(*value.request_rate_limit)
-                                         : flatbuffers::nullopt)
+                                         : flatbuffers::nullopt,
+                RawId(value.kind))
                 .Union()};
   }
 
@@ -463,7 +465,8 @@
             .excluded = this->DecodeIds<TargetId>(value.excluded()),
             .idempotent = value.idempotent(),
             .bulk = value.bulk(),
-            .forbidden = this->DecodeIds<TargetId>(value.forbidden())};
+            .forbidden = this->DecodeIds<TargetId>(value.forbidden()),
+            .kind = RequestKind{value.kind()}};
   }
 
   static SlotCancel DecodeMessage(const wire::SlotCancel& value) {
@@ -502,7 +505,8 @@
             .service_time = this->DecodeDuration(value.service_time_us()),
             .fingerprint = Fingerprint{value.fingerprint()},
             .target_draining = value.target_draining(),
-            .request_rate_limit = this->DecodeRate(value.request_rate_limit())};
+            .request_rate_limit = this->DecodeRate(value.request_rate_limit()),
+            .kind = RequestKind{value.kind()}};
   }
 
   HostReport DecodeMessage(const wire::HostReport& value) {
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -332,7 +332,8 @@
     VT_EXCLUDED = 24,
     VT_IDEMPOTENT = 26,
     VT_BULK = 28,
-    VT_FORBIDDEN = 30
+    VT_FORBIDDEN = 30,
+    VT_KIND = 32
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -376,6 +377,9 @@
   const flatbuffers::Vector<uint64_t> *forbidden() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FORBIDDEN);
   }
+  uint64_t kind() const {
+    return GetField<uint64_t>(VT_KIND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -395,6 +399,7 @@
            VerifyField<uint8_t>(verifier, VT_BULK, 1) &&
            VerifyOffset(verifier, VT_FORBIDDEN) &&
            verifier.VerifyVector(forbidden()) &&
+           VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
            verifier.EndTable();
   }
 };
@@ -445,6 +450,9 @@
   void add_forbidden(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden) {
     fbb_.AddOffset(SlotRequest::VT_FORBIDDEN, forbidden);
   }
+  void add_kind(uint64_t kind) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_KIND, kind, 0);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -471,8 +479,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> excluded = 0,
     bool idempotent = false,
     bool bulk = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden = 0,
+    uint64_t kind = 0) {
   SlotRequestBuilder builder_(_fbb);
+  builder_.add_kind(kind);
   builder_.add_affinity_key(affinity_key);
   builder_.add_fingerprint(fingerprint);
   builder_.add_budget_us(budget_us);
@@ -510,7 +520,8 @@
     const std::vector<uint64_t> *excluded = nullptr,
     bool idempotent = false,
     bool bulk = false,
-    const std::vector<uint64_t> *forbidden = nullptr) {
+    const std::vector<uint64_t> *forbidden = nullptr,
+    uint64_t kind = 0) {
   auto allowed__ = allowed ? _fbb.CreateVector<uint64_t>(*allowed) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
   auto forbidden__ = forbidden ? _fbb.CreateVector<uint64_t>(*forbidden) : 0;
@@ -529,7 +540,8 @@
       excluded__,
       idempotent,
       bulk,
-      forbidden__);
+      forbidden__,
+      kind);
 }
 
 struct SlotCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -843,7 +855,8 @@
     VT_SERVICE_TIME_US = 16,
     VT_FINGERPRINT = 18,
     VT_TARGET_DRAINING = 20,
-    VT_REQUEST_RATE_LIMIT = 22
+    VT_REQUEST_RATE_LIMIT = 22,
+    VT_KIND = 24
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -875,6 +888,9 @@
   flatbuffers::Optional<double> request_rate_limit() const {
     return GetOptional<double, double>(VT_REQUEST_RATE_LIMIT);
   }
+  uint64_t kind() const {
+    return GetField<uint64_t>(VT_KIND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -887,6 +903,7 @@
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint8_t>(verifier, VT_TARGET_DRAINING, 1) &&
            VerifyField<double>(verifier, VT_REQUEST_RATE_LIMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
            verifier.EndTable();
   }
 };
@@ -925,6 +942,9 @@
   void add_request_rate_limit(double request_rate_limit) {
     fbb_.AddElement<double>(SlotRelease::VT_REQUEST_RATE_LIMIT, request_rate_limit);
   }
+  void add_kind(uint64_t kind) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_KIND, kind, 0);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -947,8 +967,10 @@
     int64_t service_time_us = 0,
     uint64_t fingerprint = 0,
     bool target_draining = false,
-    flatbuffers::Optional<double> request_rate_limit = flatbuffers::nullopt) {
+    flatbuffers::Optional<double> request_rate_limit = flatbuffers::nullopt,
+    uint64_t kind = 0) {
   SlotReleaseBuilder builder_(_fbb);
+  builder_.add_kind(kind);
   if(request_rate_limit) { builder_.add_request_rate_limit(*request_rate_limit); }
   builder_.add_fingerprint(fingerprint);
   builder_.add_service_time_us(service_time_us);
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -13,6 +13,10 @@
 
 enum class WorkClass : std::uint8_t { kShort, kLong };
 
+// Requests of one kind are expected to take about the same time. Hosts derive it from the route;
+// zero if there is none.
+enum class RequestKind : std::uint64_t {};
+
 // Result of one attempt at a target, as observed by the host.
 enum class AttemptResult : std::uint8_t {
   // A complete response that is not a server error.
@@ -61,6 +65,7 @@
   // Targets that must not receive the request, even if there is no other: those that hold the
   // sender off, and those that refused a non-idempotent request before.
   std::vector<TargetId> forbidden;
+  RequestKind kind{};
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
@@ -142,6 +147,7 @@
   // Requests a second that the target accepts from all hosts together, as stated in its response;
   // zero if it states no limit, empty if there was no response.
   std::optional<double> request_rate_limit;
+  RequestKind kind{};
 
   friend bool operator==(const SlotRelease&, const SlotRelease&) = default;
 };
--- a/Tests/LibDispatch/components_test.cc
+++ b/Tests/LibDispatch/components_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(TestRetryBudgetWindow);
   CPPUNIT_TEST(TestLongWorkShareFollowsOfferedWork);
   CPPUNIT_TEST(TestPredictedWait);
+  CPPUNIT_TEST(TestMeanOfAKind);
   CPPUNIT_TEST(TestSlotTableIgnoresClaimAfterRelease);
   CPPUNIT_TEST(TestSlotTableReportGrace);
   CPPUNIT_TEST(TestSlotTableFreesHostWithoutReports);
@@ -173,12 +174,31 @@
   void TestPredictedWait() {
     ServiceTimeEstimate estimate;
     CPPUNIT_ASSERT(estimate.PredictedWait(WorkClass::kShort, 100, 1) == Duration::zero());
-    estimate.Observe(WorkClass::kShort, milliseconds(20));
-    estimate.Observe(WorkClass::kLong, milliseconds(600));
+    estimate.Observe(WorkClass::kShort, RequestKind{}, milliseconds(20));
+    estimate.Observe(WorkClass::kLong, RequestKind{}, milliseconds(600));
     CPPUNIT_ASSERT(estimate.PredictedWait(WorkClass::kShort, 9, 18) == milliseconds(10));
     CPPUNIT_ASSERT(estimate.PredictedWait(WorkClass::kLong, 1, 2) == milliseconds(300));
   }
 
+  // Guards against a kind that is expected to take as long as another one, and against one that is
+  // refused for ever because of a mean that no sample corrects.
+  void TestMeanOfAKind() {
+    ServiceTimeEstimate estimate;
+    const RequestKind quick{1};
+    const RequestKind slow{2};
+    estimate.Observe(WorkClass::kShort, quick, milliseconds(100));
+    estimate.Observe(WorkClass::kShort, slow, milliseconds(2900));
+    CPPUNIT_ASSERT(estimate.Mean(WorkClass::kShort) == milliseconds(1500));
+    CPPUNIT_ASSERT(estimate.Mean(WorkClass::kShort, RequestKind{}) == milliseconds(1500));
+    CPPUNIT_ASSERT(estimate.Mean(WorkClass::kShort, quick) == milliseconds(100));
+    CPPUNIT_ASSERT(estimate.Mean(WorkClass::kShort, slow) == milliseconds(1500));
+    CPPUNIT_ASSERT(estimate.Mean(WorkClass::kShort, RequestKind{3}) == Duration::zero());
+    for (std::uint64_t kind = 3; kind <= ServiceTimeEstimate::kMaxKinds + 1; ++kind) {
+      estimate.Observe(WorkClass::kLong, RequestKind{kind}, milliseconds(1));
+    }
+    CPPUNIT_ASSERT(estimate.Mean(WorkClass::kShort, RequestKind{5000}) == milliseconds(1500));
+  }
+
   // Guards against a claim that arrives after its release and occupies a slot
   // permanently.
   void TestSlotTableIgnoresClaimAfterRelease() {
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(TestCancelBeforeRequestPreventsGrant);
   CPPUNIT_TEST(TestRefusesWhenBudgetIsTooShort);
   CPPUNIT_TEST(TestRefusesAtGrantWhenTooLittleTimeIsLeft);
+  CPPUNIT_TEST(TestLongKindMakesAShortKindRefused);
   CPPUNIT_TEST(TestQueueLimitHitsLargestOrganisation);
   CPPUNIT_TEST(TestNoTargetAndBlocked);
   CPPUNIT_TEST(TestForbiddenTargetIsNeverGranted);
@@ -195,6 +196,35 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, broker.queued());
   }
 
+  // Guards against a kind of request that is refused, also while slots are free, because another
+  // kind of the same service and work class takes longer than its time budget.
+  void TestLongKindMakesAShortKindRefused() {
+    SlotBroker broker(Configuration(2, 3), {.overcommit_per_target = 0});
+    std::map<TargetId, int> granted;
+    for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
+      SlotRequest slow = ShortRequest(attempt);
+      slow.kind = RequestKind{1};
+      slow.budget = seconds(4);
+      this->Request(broker, slow, granted);
+      if (attempt > 2) {
+        this->ReleaseAndGetNextGrant(broker, attempt, milliseconds(2500), slow.kind);
+      }
+    }
+    SlotRequest quick = ShortRequest(10);
+    quick.kind = RequestKind{2};
+    quick.budget = milliseconds(1500);
+    const auto messages = broker.OnRequest(this->now, kHost, kDomain, quick, false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, messages.size());
+    CPPUNIT_ASSERT(std::holds_alternative<SlotGrant>(messages[0].message));
+    this->ReleaseAndGetNextGrant(broker, 10, milliseconds(150), quick.kind);
+    // The slow kind is still refused if it cannot end in time.
+    SlotRequest slow = ShortRequest(11);
+    slow.kind = RequestKind{1};
+    slow.budget = milliseconds(1500);
+    const auto refused = broker.OnRequest(this->now, kHost, kDomain, slow, false);
+    CPPUNIT_ASSERT(std::holds_alternative<SlotRefusal>(refused.at(0).message));
+  }
+
   // Guards against an organisation that fills the queue and excludes the
   // others.
   void TestQueueLimitHitsLargestOrganisation() {
@@ -849,12 +879,14 @@
 
   AttemptId ReleaseAndGetNextGrant(SlotBroker& broker,
                                    std::uint64_t attempt,
-                                   Duration service_time = Duration::zero()) {
+                                   Duration service_time = Duration::zero(),
+                                   RequestKind kind = RequestKind{}) {
     const auto messages = broker.OnRelease(this->now, kHost, kDomain,
                                            {.attempt = AttemptId{attempt},
                                             .service = kService,
                                             .target = TargetId{1},
-                                            .service_time = service_time});
+                                            .service_time = service_time,
+                                            .kind = kind});
     for (const SendToHost& message : messages) {
       if (const auto* grant = std::get_if<SlotGrant>(&message.message)) {
         return grant->attempt;
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -59,7 +59,8 @@
       rc::gen::set(&SlotRequest::allowed, AnyIds<TargetId>()),
       rc::gen::set(&SlotRequest::excluded, AnyIds<TargetId>()),
       rc::gen::set(&SlotRequest::idempotent), rc::gen::set(&SlotRequest::bulk),
-      rc::gen::set(&SlotRequest::forbidden, AnyIds<TargetId>()));
+      rc::gen::set(&SlotRequest::forbidden, AnyIds<TargetId>()),
+      rc::gen::set(&SlotRequest::kind, AnyId<RequestKind>()));
 }
 
 inline rc::Gen<SlotCancel> AnySlotCancel() {
@@ -103,7 +104,8 @@
       rc::gen::set(&SlotRelease::target_draining),
       rc::gen::set(&SlotRelease::request_rate_limit,
                    rc::gen::element(std::optional<double>(), std::optional<double>(0.0),
-                                    std::optional<double>(2.3))));
+                                    std::optional<double>(2.3))),
+      rc::gen::set(&SlotRelease::kind, AnyId<RequestKind>()));
 }
 
 inline rc::Gen<HostReport> AnyHostReport() {
