--- a/Meta/soak_callers.py
+++ b/Meta/soak_callers.py
@@ -14,6 +14,8 @@
 MIN_KEYED_DEADLINE_S = 0.3
 # Aimed requests are sent up to this time after a SIGTERM.
 AIMED_S = 3.4
+# Mean time between two requests on a connection that is held.
+HOLD_S = 30.0
 
 
 class Caller:
@@ -54,10 +56,13 @@
             return
         host, reader, writer = connected
         outstanding = collections.deque()
+        is_first = True
         try:
             while not self.soak.ended or outstanding:
                 while not self.soak.ended and len(outstanding) < (3 if self.pipelines else 1):
-                    outstanding.append(self.send(writer, host, self.rng.choice(self.kinds)))
+                    outstanding.append(
+                        self.send(writer, host, self.rng.choice(self.kinds), is_first))
+                    is_first = False
                     if self.rng.random() < 0.7:
                         break
                 if not await self.receive(reader, outstanding) or self.is_fresh:
@@ -66,8 +71,9 @@
         finally:
             writer.transport.abort()
 
-    def send(self, writer, host, kind):
+    def send(self, writer, host, kind, is_first):
         request = self.soak.new_request(kind, host)
+        request.is_first = is_first
         body = b"b" * self.rng.randrange(10, 4000) if kind.method == "POST" else b""
         key = ""
         if self.soak.options.keyed > 0 and kind.method == "POST" \
@@ -154,8 +160,14 @@
             exchange = asyncio.ensure_future(self.exchange(kind))
             self.exchanges.add(exchange)
             exchange.add_done_callback(self.exchanges.discard)
-        if self.exchanges:
-            await asyncio.wait(self.exchanges)
+        try:
+            if self.exchanges:
+                await asyncio.wait(self.exchanges)
+        finally:
+            for exchange in self.exchanges:
+                exchange.cancel()
+            for _, _, writer in self.idle:
+                writer.transport.abort()
 
     async def exchange(self, kind):
         connected = None
@@ -164,14 +176,55 @@
             if connected[1].at_eof():
                 connected[2].transport.abort()
                 connected = None
+        is_first = connected is None
         connected = connected or await self.connect(self.soak.pick_host(self.rng, self.zone))
         if connected is None:
             return
         host, reader, writer = connected
-        if await self.receive(reader, collections.deque([self.send(writer, host, kind)])) \
-                and not kind.fresh:
-            self.idle.append(connected)
-        else:
+        request = self.send(writer, host, kind, is_first)
+        is_kept = False
+        try:
+            is_kept = await self.receive(reader, collections.deque([request])) and not kind.fresh
+        finally:
+            if is_kept:
+                self.idle.append(connected)
+            else:
+                writer.transport.abort()
+
+
+class HoldingCaller(Caller):
+    """Holds a connection and rarely sends a request."""
+
+    def __init__(self, soak, rng):
+        super().__init__(soak, rng)
+        self.is_slow = False
+        self.kinds = [kind for kind in soak.deployment.kinds if not kind.fresh]
+
+    async def run(self):
+        while not self.soak.ended:
+            connected = await self.connect(self.soak.pick_host(self.rng, self.rng.choice(ZONES)))
+            if connected is not None:
+                await self.hold(*connected)
+            await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+
+    async def hold(self, host, reader, writer):
+        try:
+            # The first request comes soon, so that no timeout of a new connection ends the hold.
+            wait_s = self.rng.uniform(0.0, 2.0)
+            is_first = True
+            while not self.soak.ended:
+                # Ends the wait early if the host closes the connection.
+                end = time.monotonic() + wait_s
+                while time.monotonic() < end and not reader.at_eof() and not self.soak.ended:
+                    await asyncio.sleep(0.2)
+                if reader.at_eof() or self.soak.ended:
+                    return
+                request = self.send(writer, host, self.rng.choice(self.kinds), is_first)
+                is_first = False
+                if not await self.receive(reader, collections.deque([request])):
+                    return
+                wait_s = self.rng.expovariate(1 / HOLD_S)
+        finally:
             writer.transport.abort()
 
 
@@ -192,7 +245,9 @@
         if connected is None:
             return
         _, reader, writer = connected
-        request = self.send(writer, self.host, self.kind)
+        request = self.send(writer, self.host, self.kind, True)
         request.work_s = self.work_s
-        await self.receive(reader, collections.deque([request]))
-        writer.transport.abort()
+        try:
+            await self.receive(reader, collections.deque([request]))
+        finally:
+            writer.transport.abort()
--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import os
+import pathlib
+import re
+import resource
 import signal
 import time
 
@@ -53,6 +56,12 @@
             ],
             fleet.directory,
         )
+        options = self.soak.options
+        if options.max_fds > 0:
+            resource.prlimit(self.process.child.pid, resource.RLIMIT_NOFILE, (options.max_fds,) * 2)
+        if options.memory_mb > 0:
+            resource.prlimit(
+                self.process.child.pid, resource.RLIMIT_DATA, (options.memory_mb << 20,) * 2)
         # A host writes its log to standard output.
         self.process.log_path = self.process.out_path
         fleet.hosts.append(self.process)
@@ -71,6 +80,16 @@
         self.misses = 0 if ok else self.misses + 1
         self.ready = ok or (self.ready and self.misses < 2)
 
+    def measure(self):
+        """Returns the open descriptors and the peak of the resident memory in MB."""
+        process = pathlib.Path(f"/proc/{self.process.child.pid}")
+        try:
+            descriptors = len(list((process / "fd").iterdir()))
+            peak = re.search(r"VmHWM:\s+(\d+) kB", (process / "status").read_text())
+        except OSError:
+            return 0, 0
+        return descriptors, int(peak[1]) >> 10 if peak else 0
+
     async def pause(self, length_s):
         """Keeps the process from running."""
         process = self.process
--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -31,6 +31,9 @@
         self.id = request_id
         self.kind = kind
         self.host = host
+        # True if it was the first on its connection, and if the host said that it was ready.
+        self.is_first = False
+        self.to_ready_host = host.ready
         # Time that a target works on it, if it is not drawn at random.
         self.work_s = None
         # True if it carries an idempotency key.
