--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(TestRequestIsCutIfTheSignalWasHandledLate);
   CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
   CPPUNIT_TEST(TestAcceptedRequestOutlastsTheGrace);
+  CPPUNIT_TEST(TestRequestStartsThoughTheHostMayEndAtOnce);
+  CPPUNIT_TEST(TestUnknownStartEndsWorkEarly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +79,31 @@
     CPPUNIT_ASSERT(short_stop.Limits().last_start > kStart + milliseconds(100));
   }
 
+  // Guards against requests that are accepted or started by a host that has not run for so long
+  // that the platform may end it at once.
+  void TestRequestStartsThoughTheHostMayEndAtOnce() {
+    const StopAdmission stop{
+        .earliest_start = kStart - seconds(7), .latest_start = kStart, .grace = seconds(6)};
+    CPPUNIT_ASSERT(!stop.Accepts(kStart, Request(seconds(1), true)));
+    CPPUNIT_ASSERT(!stop.Accepts(kStart, Request(milliseconds(1), false)));
+    CPPUNIT_ASSERT(stop.Limits().last_start < kStart);
+    CPPUNIT_ASSERT(stop.Limits().last_answer == kStart + seconds(5));
+  }
+
+  // Guards against work that is ended before the last sixth of the grace, or requests that start
+  // after it, if the start of the stop is not known exactly.
+  void TestUnknownStartEndsWorkEarly() {
+    for (const int unknown_ms : {0, 50, 600, 700, 800, 2000}) {
+      const StopAdmission stop{.earliest_start = kStart - milliseconds(unknown_ms),
+                               .latest_start = kStart,
+                               .grace = seconds(6)};
+      CPPUNIT_ASSERT(stop.Limits().last_answer >= kStart + seconds(5));
+      CPPUNIT_ASSERT(stop.Limits().last_answer < kStart + seconds(6));
+      CPPUNIT_ASSERT(stop.Limits().last_start < stop.earliest_start + seconds(6));
+      CPPUNIT_ASSERT(stop.LastSafeAnswer() < stop.earliest_start + seconds(6));
+    }
+  }
+
  private:
   static constexpr TimePoint kStart = TimePoint(seconds(1000));
 
