--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -20,10 +20,6 @@
 // A tick delayed by more than this means that this process was paused and has
 // not yet processed the messages of brokers that arrived meanwhile.
 constexpr Duration kPauseThreshold = std::chrono::milliseconds(50);
-// Responses that arrive while this process does not run are processed after its timers. If a tick
-// is later than kLateTick, they have this long at the end of the host.
-constexpr Duration kCatchUpTime = std::chrono::milliseconds(10);
-constexpr Duration kLateTick = std::chrono::milliseconds(1);
 // An attempt whose server error is held occupies a slot while the retry waits
 // for another one.
 constexpr Duration kMaxResponseHold = std::chrono::milliseconds(50);
@@ -121,7 +117,6 @@
 
 std::vector<DispatchAction> HostDispatcher::SetHostEnd(TimePoint now, const HostEnd& end) {
   this->host_end = end;
-  this->host_end.last_answer = std::max(end.last_answer, now + kCatchUpTime);
   return this->Tick(now);
 }
 
@@ -735,10 +730,6 @@
   Actions actions;
   const Duration tick_delay = this->expected_tick ? now - *this->expected_tick : Duration::zero();
   this->expected_tick = now;
-  if (now >= this->host_end.last_answer && !std::exchange(this->last_answer_reached, true) &&
-      tick_delay > kLateTick) {
-    this->host_end.last_answer = now + kCatchUpTime;
-  }
   std::vector<RequestId> ids;
   ids.reserve(this->requests.size());
   for (auto& [id, state] : this->requests) {
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -147,8 +147,6 @@
   RandomSource& random;
   TargetChooser chooser;
   HostEnd host_end;
-  // A tick has reached the time of the last answer, which it may have put off.
-  bool last_answer_reached = false;
   std::vector<HostId> members;
   std::map<ServiceId, DispatchServiceState> services;
   std::map<RequestId, RequestState> requests;
