--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -84,10 +84,14 @@
   TargetId target{};
   OrganisationId organisation{};
   WorkClass work_class = WorkClass::kShort;
+  RequestKind kind{};
   Fingerprint fingerprint{};
   // Broker that granted the slot or received the claim.
   std::optional<HostId> broker;
   CancelReason cancel_reason = CancelReason::kNone;
+  TimePoint cancelled_at;
+  // After a pause of this process, a response that arrived meanwhile may be read until this time.
+  TimePoint readable_until;
   TimePoint deadline;
   // The response has been or is being forwarded to the caller.
   bool forwarded = false;
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -15,6 +15,7 @@
 
 #include "Libraries/LibConfig/configuration_reader.h"
 #include "Libraries/LibCore/json_log.h"
+#include "Libraries/LibCore/pause_monitor.h"
 #include "Libraries/LibCore/scoped_signal_mask.h"
 #include "Libraries/LibCore/signal_timestamp.h"
 #include "Libraries/LibHost/configuration_controller.h"
@@ -95,8 +96,10 @@
   // The stop that has begun, if any. Callable from any thread.
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
+  void RecordRunning();
   // Ends the requests in progress before the platform kills the host, which follows a signal only.
   void LimitToGrace();
+  void RenewHostEnd();
   void StopListening();
   void WaitForRequests();
   void Flush(TimePoint deadline);
@@ -114,11 +117,12 @@
   asio::signal_set signals;
   // The control thread may handle a signal late, while other threads accept requests.
   SignalTimestamp stop_signal{{SIGTERM, SIGINT}};
+  PauseMonitor pauses{kRunningCheckInterval};
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
-  // Applied to the requests in progress.
-  HostEnd request_limits;
+  // Limits of the requests in progress; unset before a signal.
+  HostEnd host_end;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
 
@@ -335,8 +339,7 @@
     this->reports->Tick(SteadyNow());
     this->UpdateReadiness();
   });
-  this->loop.RunPeriodically(kRunningCheckInterval,
-                             [this] { this->stop_signal.RecordRunning(SteadyNow()); });
+  this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->RecordRunning(); });
   this->directory->Start();
 }
 
@@ -523,7 +526,18 @@
   const SignalTime start = signal.value_or(SignalTime{drained_at, drained_at});
   return StopAdmission{.earliest_start = start.sent_after,
                        .latest_start = start.sent_before,
-                       .grace = this->settings.shutdown_grace};
+                       .grace = this->settings.shutdown_grace,
+                       .cuttable_request_window = this->settings.cuttable_request_window,
+                       .longest_pause = this->pauses.longest()};
+}
+
+void HostProcess::RecordRunning() {
+  const TimePoint now = SteadyNow();
+  this->stop_signal.RecordRunning(now);
+  this->pauses.Tick(now);
+  if (this->host_end != HostEnd{}) {
+    this->RenewHostEnd();
+  }
 }
 
 void HostProcess::BeginShutdown() {
@@ -535,35 +549,42 @@
   const StopAdmission admission = *this->CurrentStop();
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
-       {"signal_delay_ms", (now - admission.earliest_start).count() / 1000}});
+       {"signal_delay_ms", (now - admission.earliest_start).count() / 1000},
+       {"longest_pause_ms", admission.longest_pause.count() / 1000}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
   // Load balancers need the delay from when they can see that the host is not ready.
-  const Duration remaining = std::max(this->request_limits.last_start - now, Duration::zero());
+  const Duration remaining = std::max(this->host_end.last_start - now, Duration::zero());
   this->loop.RunAfter(std::min(this->settings.shutdown_delay, remaining),
                       [this] { this->StopListening(); });
 }
 
 void HostProcess::LimitToGrace() {
-  if (this->request_limits != HostEnd{}) {
+  if (this->host_end != HostEnd{}) {
     return;
   }
   const StopAdmission stop = *this->CurrentStop();
-  this->request_limits = stop.Limits();
-  this->dispatch->SetHostEnd(this->request_limits);
+  this->host_end = stop.Limits();
+  this->dispatch->SetHostEnd(this->host_end);
   const TimePoint now = SteadyNow();
-  const Duration remaining = stop.earliest_start + stop.grace - now;
-  if (stop.grace > Duration::zero()) {
-    // A connection that stays open can delay the exit, which reports the last period, until the
-    // host is killed. Requests that end later form another period.
-    this->loop.RunAfter(std::max(stop.Limits().last_start - now, Duration::zero()),
-                        [this] { this->reports->Close(SteadyNow()); });
+  if (stop.grace == Duration::zero()) {
+    return;
   }
-  if (remaining > kUnfinishedLogMargin) {
-    this->loop.RunAfter(remaining - kUnfinishedLogMargin, [this, stop] {
-      this->dispatch->LogRequestsInProgress(stop.earliest_start);
-    });
+  // A connection that stays open can delay the exit, which reports the last period, until the host
+  // is killed. Requests that end later form another period.
+  this->loop.RunAfter(std::max(this->host_end.last_start - now, Duration::zero()),
+                      [this] { this->reports->Close(SteadyNow()); });
+  const Duration remaining = stop.earliest_start + stop.grace - now;
+  this->loop.RunAfter(std::max(remaining - kUnfinishedLogMargin, Duration::zero()),
+                      [this, stop] { this->dispatch->LogRequestsInProgress(stop.earliest_start); });
+}
+
+void HostProcess::RenewHostEnd() {
+  const HostEnd renewed = this->CurrentStop()->RenewedLimits(this->host_end);
+  if (renewed != this->host_end) {
+    this->host_end = renewed;
+    this->dispatch->SetHostEnd(renewed);
   }
 }
 
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -10,11 +10,13 @@
   }
   // Most requests end long before their deadline. A caller may repeat an idempotent one that does
   // not.
-  return request.idempotent && now - this->earliest_start < this->grace / 2;
+  return request.idempotent &&
+         now - this->earliest_start <
+             std::min<Duration>(this->grace / 2, this->cuttable_request_window);
 }
 
 TimePoint StopAdmission::LastSafeAnswer() const {
-  const Duration margin = std::min<Duration>(kMargin, this->grace / 10);
+  const Duration margin = std::min<Duration>(kMargin, this->grace / 10) + this->longest_pause;
   return this->earliest_start + this->grace - std::min<Duration>(margin, this->grace / 6);
 }
 
@@ -29,4 +31,9 @@
           .last_answer = std::max(last_safe_answer, this->latest_start + this->grace * 5 / 6)};
 }
 
+HostEnd StopAdmission::RenewedLimits(const HostEnd& current) const {
+  return {.last_start = std::min(current.last_start, this->Limits().last_start),
+          .last_answer = current.last_answer};
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -18,10 +18,18 @@
   TimePoint latest_start;
   // Zero if the platform does not end the host.
   Duration grace{};
+  // Time after the start in which idempotent requests that may outlast the grace are accepted; half
+  // of the grace at most.
+  Duration cuttable_request_window = Duration::max();
+  // Time for which the host may be kept from running when a response is due.
+  Duration longest_pause{};
 
   bool Accepts(TimePoint now, const RequestDescription& request) const;
   // Limits of the requests that have been accepted.
   HostEnd Limits() const;
+  // The same after a pause that was longer than those before. What is at work at a target keeps its
+  // time: it was accepted because of it.
+  HostEnd RenewedLimits(const HostEnd& current) const;
   // A response that is written by then leaves before the host ends, whenever the stop began.
   TimePoint LastSafeAnswer() const;
 
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -14,6 +14,9 @@
   CPPUNIT_TEST_SUITE(StopAdmissionTest);
   CPPUNIT_TEST(TestRequestIsCutAtTheEndOfTheGrace);
   CPPUNIT_TEST(TestRequestIsCutIfTheSignalWasHandledLate);
+  CPPUNIT_TEST(TestLongGraceCutsLateRequests);
+  CPPUNIT_TEST(TestHostPausesWhenTheAnswerIsDue);
+  CPPUNIT_TEST(TestAcceptedRequestIsCutAfterPause);
   CPPUNIT_TEST(TestHostWithoutGraceAcceptsAll);
   CPPUNIT_TEST(TestAcceptedRequestOutlastsTheGrace);
   CPPUNIT_TEST(TestRequestStartsThoughTheHostMayEndAtOnce);
@@ -59,6 +62,51 @@
     std::signal(SIGUSR1, installed);
   }
 
+  // Guards against requests that are cut at the end of a long grace although they were sent when
+  // the platform no longer accepts that.
+  void TestLongGraceCutsLateRequests() {
+    const StopAdmission stop{.earliest_start = kStart,
+                             .latest_start = kStart,
+                             .grace = seconds(10),
+                             .cuttable_request_window = seconds(3)};
+    CPPUNIT_ASSERT(stop.Accepts(kStart + milliseconds(2990), Request(seconds(8), true, 2990)));
+    CPPUNIT_ASSERT(!stop.Accepts(kStart + milliseconds(3500), Request(seconds(8), true, 3500)));
+    CPPUNIT_ASSERT(stop.Accepts(kStart + milliseconds(3500), Request(seconds(6), true, 3500)));
+  }
+
+  // Guards against answers that are due while the host is kept from running until it is killed.
+  void TestHostPausesWhenTheAnswerIsDue() {
+    const StopAdmission stop{.earliest_start = kStart,
+                             .latest_start = kStart,
+                             .grace = seconds(6),
+                             .longest_pause = milliseconds(320)};
+    const HostEnd limits = stop.Limits();
+    CPPUNIT_ASSERT(limits.last_answer + milliseconds(320) < kStart + seconds(6));
+    CPPUNIT_ASSERT(limits.last_start < limits.last_answer);
+    // Work that may go on for the last sixth of the grace is not ended sooner.
+    const StopAdmission long_pause{.earliest_start = kStart,
+                                   .latest_start = kStart,
+                                   .grace = seconds(6),
+                                   .longest_pause = seconds(3)};
+    CPPUNIT_ASSERT(long_pause.Limits().last_answer == kStart + seconds(5));
+  }
+
+  // Guards against requests that were accepted because they end in time, and whose targets are told
+  // to stop sooner, or that wait for longer than planned, after a pause of the host.
+  void TestAcceptedRequestIsCutAfterPause() {
+    StopAdmission stop{.earliest_start = kStart,
+                       .latest_start = kStart + milliseconds(450),
+                       .grace = seconds(6),
+                       .longest_pause = milliseconds(400)};
+    const HostEnd limits = stop.Limits();
+    stop.longest_pause = milliseconds(800);
+    const HostEnd renewed = stop.RenewedLimits(limits);
+    CPPUNIT_ASSERT(renewed.last_answer == limits.last_answer);
+    CPPUNIT_ASSERT(renewed.last_start == limits.last_start - milliseconds(300));
+    stop.longest_pause = milliseconds(100);
+    CPPUNIT_ASSERT(stop.RenewedLimits(renewed) == renewed);
+  }
+
   // Guards against refusals by a host that may take any time to stop.
   void TestHostWithoutGraceAcceptsAll() {
     const StopAdmission admission{.earliest_start = kStart, .latest_start = kStart};
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -1,6 +1,7 @@
 #include "Libraries/LibHttp/http_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 #include <atomic>
 #include <future>
@@ -30,11 +31,30 @@
 constexpr std::chrono::milliseconds kMaxPipeliningTime(1000);
 // Time within which the kernel acknowledges what a caller has read.
 constexpr std::chrono::milliseconds kAcknowledgementTime(300);
+// More than one read takes, and less than the standard limit.
+constexpr std::size_t kLongHeaderBytes = 40 << 10;
 
 std::string Get(const std::string& path) {
   return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
 }
 
+// Makes accept() fail for want of a file descriptor during its lifetime.
+class NoFreeFileDescriptors {
+ public:
+  NoFreeFileDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &this->previous);
+    rlimit limit = this->previous;
+    limit.rlim_cur = 0;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  ~NoFreeFileDescriptors() { ::setrlimit(RLIMIT_NOFILE, &this->previous); }
+  NoFreeFileDescriptors(const NoFreeFileDescriptors&) = delete;
+  NoFreeFileDescriptors& operator=(const NoFreeFileDescriptors&) = delete;
+
+ private:
+  rlimit previous{};
+};
+
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(TestCompleteResponsesOnOneConnection);
@@ -68,6 +88,8 @@
   CPPUNIT_TEST(TestHeadersCannotBreakFraming);
   CPPUNIT_TEST(TestPipelinedResponsesKeepOrder);
   CPPUNIT_TEST(TestMalformedPipelinedRequestIsRefusedAfterEarlierResponses);
+  CPPUNIT_TEST(TestRefusalArrivesAsResponseToEarlierRequest);
+  CPPUNIT_TEST(TestRefusalBehindManyRequests);
   CPPUNIT_TEST(TestCallerDisconnectIsReportedAfterMalformedRequest);
   CPPUNIT_TEST(TestStopDoesNotCloseBeforePipelinedResponses);
   CPPUNIT_TEST(TestRequestBehindClosingResponseIsNotHandled);
@@ -82,6 +104,8 @@
   CPPUNIT_TEST(TestCallerDisconnectIsReportedBehindEarlierRequest);
   CPPUNIT_TEST(TestCallerDisconnectIsNotReportedForWaitingResponse);
   CPPUNIT_TEST(TestStopListeningLetsRequestsFinish);
+  CPPUNIT_TEST(TestStopListeningResetsWaitingConnections);
+  CPPUNIT_TEST(TestStopListeningWaitsForFailedAccept);
   CPPUNIT_TEST(TestRequestReceivedDuringShutdownIsCounted);
   CPPUNIT_TEST(TestDisableKeepAliveClosesConnectionsAfterResponses);
   CPPUNIT_TEST(TestResponseIsCutIfBytesArriveAfterTheClose);
@@ -89,6 +113,7 @@
   CPPUNIT_TEST(TestResponderOutlivesServer);
   CPPUNIT_TEST(TestIncompleteRequestIsRefused);
   CPPUNIT_TEST(TestStalledBodyIsRefused);
+  CPPUNIT_TEST(TestReceivedRequestTimesOutWhileServerDoesNotRun);
   CPPUNIT_TEST(TestIdleConnectionIsClosed);
   CPPUNIT_TEST(TestLongRequestIsNotIdle);
   CPPUNIT_TEST(TestLargeHeaderGets431);
@@ -585,6 +610,70 @@
     CPPUNIT_ASSERT(received.find("HTTP/1.1 400") != std::string::npos);
   }
 
+  // Guards against a refusal that arrives as the response to the request in front of the refused
+  // one, because one read had brought the end of the one and the beginning of the other.
+  void TestRefusalArrivesAsResponseToEarlierRequest() {
+    this->max_body_bytes = 2 * kBudgetBytes;
+    this->max_held_body_bytes = kBudgetBytes;
+    const std::vector<std::pair<std::string, std::string>> refused_requests = {
+        {"nonsense\r\n\r\n", "400"},
+        {"\x01", "400"},
+        {PostHead(4 * kBudgetBytes), "413"},
+        {"GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'a') + "\r\n\r\n", "431"},
+        {"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "501"}};
+    const std::string body = "abc";
+    for (const std::string& complete :
+         {Get("/1"), PostHead(body.size()) + body,
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(3) + "0\r\n\r\n",
+          Get("/0") + Get("/1")}) {
+      for (const auto& [refused, status] : refused_requests) {
+        this->StartServer([](const HttpServerRequest&, const auto& responder) {
+          responder->Respond(200, {}, "done");
+        });
+        this->server->SetLimits({.max_header_bytes = 1000, .max_body_bytes = this->max_body_bytes});
+        // The first read ends within the earlier request or the refused one, or takes both.
+        for (const std::size_t first_read :
+             {std::size_t{0}, std::size_t{20}, complete.size() - 1, complete.size()}) {
+          RawConnection caller = this->Connect();
+          const std::string bytes = complete + refused;
+          caller.Send(bytes.substr(0, first_read));
+          if (first_read > 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+          }
+          caller.Send(bytes.substr(first_read));
+          const std::string received = caller.ReadUntilClosed();
+          CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 200 "));
+          const std::size_t refusal = received.find("HTTP/1.1 " + status + " ");
+          CPPUNIT_ASSERT_MESSAGE(received, refusal != std::string::npos);
+          CPPUNIT_ASSERT_EQUAL(refusal - std::string("done").size(), received.rfind("done"));
+        }
+      }
+    }
+  }
+
+  // The same behind more requests than the server passes on at a time.
+  void TestRefusalBehindManyRequests() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    constexpr std::size_t kRequests = 40;
+    std::string bytes;
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      bytes += Get("/" + std::to_string(index));
+    }
+    caller.Send(bytes + "nonsense\r\n\r\n");
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      this->TakeResponder()->Respond(200, {}, "answer-" + std::to_string(index) + ";");
+    }
+    const std::string received = caller.ReadUntilClosed();
+    std::size_t position = 0;
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      position = received.find("answer-" + std::to_string(index) + ";", position);
+      CPPUNIT_ASSERT(position != std::string::npos);
+    }
+    CPPUNIT_ASSERT(received.find("HTTP/1.1 400 ") > position);
+    CPPUNIT_ASSERT(received.find("HTTP/1.1 400 ") != std::string::npos);
+  }
+
   // Guards against work that goes on for a caller that left after a malformed request.
   void TestCallerDisconnectIsReportedAfterMalformedRequest() {
     this->StartRecordingServer();
@@ -873,6 +962,40 @@
     CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
   }
 
+  // Guards against requests that a stopping host never reads, because it closes the listening
+  // socket while their connections still wait to be accepted.
+  void TestStopListeningResetsWaitingConnections() {
+    const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer();
+    std::vector<RawConnection> waiting;
+    for (int index = 0; index < 20; ++index) {
+      waiting.push_back(this->Connect());
+      waiting.back().Send(Get("/waiting"));
+    }
+    const std::future<void> stopped = this->StopListeningLater();
+    blocked->release.set_value();
+    stopped.wait();
+    for (RawConnection& caller : waiting) {
+      CPPUNIT_ASSERT(caller.ReadUntilClosed().ends_with("\r\n\r\ndone"));
+      CPPUNIT_ASSERT(caller.last_read_error() == asio::error::eof);
+    }
+    CPPUNIT_ASSERT_THROW(this->Connect(), std::system_error);
+  }
+
+  // Guards against a stop that waits for connections that can't be accepted.
+  void TestStopListeningWaitsForFailedAccept() {
+    const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer();
+    RawConnection first = this->Connect();
+    RawConnection second = this->Connect();
+    const std::future<void> stopped = this->StopListeningLater();
+    {
+      const NoFreeFileDescriptors no_descriptors;
+      blocked->release.set_value();
+      CPPUNIT_ASSERT(stopped.wait_for(kTestTimeout) == std::future_status::ready);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), first.ReadUntilClosed());
+    CPPUNIT_ASSERT_EQUAL(std::string(), second.ReadUntilClosed());
+  }
+
   // Guards against a process that exits while a request is partly received: the connection stays
   // open, and no request is counted yet.
   void TestRequestReceivedDuringShutdownIsCounted() {
@@ -992,6 +1115,27 @@
     CPPUNIT_ASSERT(!this->HasReceivedRequest());
   }
 
+  // Guards against status 408 for a request that has arrived in time, while the server did not run.
+  void TestReceivedRequestTimesOutWhileServerDoesNotRun() {
+    const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer([this] {
+      this->server->SetLimits({.header_timeout = std::chrono::milliseconds(100)});
+      std::vector<RawConnection> callers;
+      for (int index = 0; index < 10; ++index) {
+        callers.push_back(this->Connect());
+        callers.back().Send("GET /late HTTP/1.1\r\nHost: ");
+      }
+      return callers;
+    });
+    for (RawConnection& caller : blocked->earlier) {
+      caller.Send(std::string(kLongHeaderBytes, 'h') + "\r\n\r\n");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    blocked->release.set_value();
+    for (RawConnection& caller : blocked->earlier) {
+      CPPUNIT_ASSERT(caller.ReadUntil("done").starts_with("HTTP/1.1 200 "));
+    }
+  }
+
   // Guards against idle connections that are never closed.
   void TestIdleConnectionIsClosed() {
     this->StartServer([](const HttpServerRequest&, const auto& responder) {
@@ -1093,7 +1237,7 @@
   void StartServer(HttpServer::Handler handler, std::size_t max_concurrent_requests = 100) {
     Error error;
     this->server = HttpServer::Create({.address = "127.0.0.1:0",
-                                       .threads = 2,
+                                       .threads = this->threads,
                                        .limits = {.max_body_bytes = this->max_body_bytes},
                                        .max_concurrent_requests = max_concurrent_requests,
                                        .max_held_body_bytes = this->max_held_body_bytes,
@@ -1117,6 +1261,47 @@
         max_concurrent_requests);
   }
 
+  struct BlockedServer {
+    std::promise<void> release;
+    std::shared_future<void> released = this->release.get_future().share();
+    std::optional<RawConnection> caller;
+    // Connections whose first bytes the server has read.
+    std::vector<RawConnection> earlier;
+  };
+
+  // Starts a server whose only thread does not run until the test releases it.
+  std::shared_ptr<BlockedServer> StartBlockedServer(
+      const std::function<std::vector<RawConnection>()>& connect_earlier = [] {
+        return std::vector<RawConnection>();
+      }) {
+    this->threads = 1;
+    const auto blocked = std::make_shared<BlockedServer>();
+    std::promise<void> reached;
+    this->StartServer([blocked, &reached](const HttpServerRequest& request, const auto& responder) {
+      if (request.path == "/blocking") {
+        reached.set_value();
+        blocked->released.wait();
+      }
+      responder->Respond(200, {}, "done");
+    });
+    blocked->earlier = connect_earlier();
+    // The server takes this connection last, so that it has read from the others.
+    blocked->caller = this->Connect();
+    blocked->caller->Send(Get("/first"));
+    blocked->caller->ReadUntil("done");
+    blocked->caller->Send(Get("/blocking"));
+    CPPUNIT_ASSERT(reached.get_future().wait_for(kTestTimeout) == std::future_status::ready);
+    return blocked;
+  }
+
+  // Returns when the stop has begun.
+  std::future<void> StopListeningLater() {
+    std::future<void> stopped =
+        std::async(std::launch::async, [this] { this->server->StopListening(); });
+    std::this_thread::sleep_for(kCloseTime);
+    return stopped;
+  }
+
   RawConnection Connect() { return RawConnection::Open(this->context, this->server->address()); }
 
   bool WaitForRequests(std::size_t count) {
@@ -1207,6 +1392,7 @@
   }
 
   std::size_t max_body_bytes = kMaxBodyBytes;
+  std::size_t threads = 2;
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   asio::io_context context;
   std::unique_ptr<HttpServer> server;
