LibHttp, Host: Exit as soon as everything is answered and delivered

Seen: hosts that pause for 0.32 s of each 0.4 s are killed at the end of the grace although all their requests have ended.

Cause: measured from the log, the last answer is due 0.3 s before the end, and between it and shutdown_complete lay two rounds of a poll with an interval of 50 ms. Such a host runs for 80 ms at a time, so the exit fell into its next pause and then past the end.

Fix: the poll has an interval of 2 ms. A closed connection counts as open only while its caller may lack part of the response: bytes are not acknowledged, or the caller pipelines, so that what it sends could reset the connection. From the time of the last answers on no request is started, so that the exit waits only for requests in progress; the kernel delivers what has been written. A kill would leave these connections in the same state 0.3 s later, but also without a last flush.

Evidence: HttpServerTest::TestStopWaitsForCallerThatHasReceivedEverything (failed before: 1 s and more).

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -46,7 +46,7 @@
 constexpr std::size_t kMaxLoggedTextBytes = 128;
 // Before the end of the grace, requests in progress are logged, as a killed process logs nothing.
 constexpr Duration kUnfinishedLogMargin = std::chrono::milliseconds(200);
-constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
+constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(2);
 // Limits how long pending writes to the platform delay the exit.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
@@ -560,11 +560,14 @@
 }
 
 void HostProcess::WaitForRequests() {
+  // From then on no request is started. What has been written is delivered by the kernel.
+  const bool leaves_connections =
+      this->limited_to_grace && SteadyNow() >= this->CurrentStop()->Limits().last_answer;
   // The server closes idle connections; one that is still open may carry a request that is
   // not counted yet.
   if (this->dispatch->requests_in_progress() > 0 ||
       this->caller_server->requests_in_progress() > 0 ||
-      this->caller_server->open_connections() > 0) {
+      (this->caller_server->open_connections() > 0 && !leaves_connections)) {
     this->loop.RunAfter(kShutdownPollInterval, [this] { this->WaitForRequests(); });
     return;
   }
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -96,6 +96,8 @@
 // it or still sends.
 constexpr std::chrono::seconds kMaxLingerTime(10);
 
+constexpr std::chrono::milliseconds kDeliveryCheckInterval(5);
+
 // A read that has taken its bytes from the socket may still wait for the strand, so a connection
 // that seems idle is closed only if it is still idle after this time.
 constexpr std::chrono::milliseconds kIdleCloseDelay(20);
@@ -180,6 +182,8 @@
   // discarded.
   void SetClosing() { this->is_closing = true; }
   bool closing() const { return this->is_closing; }
+  // True if the caller has sent a request before it had received the response to an earlier one.
+  bool pipelined() const { return this->pipelines; }
   void DiscardRequest() { ++this->requests_handled; }
   // Takes the reservation for the body of the request that RESTinio passes on.
   BodyReservation TakeBodyReservation();
@@ -216,7 +220,6 @@
   std::uint64_t requests_handled = 0;
   bool is_closed = false;
   bool is_closing = false;
-  // The caller has sent a request before it had received the response to an earlier one.
   bool pipelines = false;
   // Set when the server has stopped listening.
   std::optional<TimePoint> pipelining_end;
@@ -296,8 +299,9 @@
   ConnectionRegistry registry;
   // Set before the server listens. Bodies may outlive the server.
   std::shared_ptr<BodyBudget> body_budget;
-  // Sockets that LingeringSocket still reads.
-  std::atomic<std::size_t> lingering_sockets = 0;
+  // Sockets that LingeringSocket reads and whose peers lack part of what was written, or may do so
+  // as a reset would drop it.
+  std::atomic<std::size_t> undelivered_sockets = 0;
   std::atomic<std::uint64_t> accepted_connections = 0;
 };
 
@@ -314,20 +318,23 @@
 // and drops the part of the last response that the peer has not acknowledged.
 class LingeringSocket : public std::enable_shared_from_this<LingeringSocket> {
  public:
-  LingeringSocket(ServerContext& context, asio::ip::tcp::socket open_socket)
+  // `may_receive`: the peer may have sent requests before it reads that the connection closes.
+  LingeringSocket(ServerContext& context, asio::ip::tcp::socket open_socket, bool may_receive)
       : context(context),
         strand(context.get_executor()),
         socket(std::move(open_socket)),
-        timer(context) {
-    ++this->context.lingering_sockets;
+        timer(context),
+        may_receive(may_receive) {
+    ++this->context.undelivered_sockets;
   }
-  ~LingeringSocket() { --this->context.lingering_sockets; }
+  ~LingeringSocket() { this->SetDelivered(); }
   LingeringSocket(const LingeringSocket&) = delete;
   LingeringSocket& operator=(const LingeringSocket&) = delete;
 
   void Start() {
     // A read that fails cancels the timer, maybe on another thread.
-    this->CloseLater(std::chrono::steady_clock::now() + kMaxLingerTime);
+    const auto now = std::chrono::steady_clock::now();
+    this->CheckLater(now + kRefusalDrainTime, now + kMaxLingerTime);
     this->Discard();
   }
 
@@ -346,30 +353,55 @@
         }));
   }
 
-  void CloseLater(std::chrono::steady_clock::time_point limit) {
-    this->timer.expires_after(kRefusalDrainTime);
+  void CheckLater(std::chrono::steady_clock::time_point close_at,
+                  std::chrono::steady_clock::time_point limit) {
+    const bool holds_up_exit = !this->is_delivered && this->context.registry.listening_stopped;
+    this->timer.expires_at(holds_up_exit ? std::min(close_at, std::chrono::steady_clock::now() +
+                                                                  kDeliveryCheckInterval)
+                                         : close_at);
     this->timer.async_wait(asio::bind_executor(
-        this->strand, [self = this->shared_from_this(), limit](const asio::error_code& error) {
-          if (error) {
-            return;
-          }
-          // Many callers read the response only after they have sent their request.
-          const bool is_busy =
-              std::exchange(self->received, false) || UnacknowledgedBytes(self->socket) > 0;
-          if (is_busy && std::chrono::steady_clock::now() < limit) {
-            self->CloseLater(limit);
-            return;
+        this->strand,
+        [self = this->shared_from_this(), close_at, limit](const asio::error_code& error) {
+          if (!error) {
+            self->Check(close_at, limit);
           }
-          asio::error_code ignored;
-          self->socket.close(ignored);
         }));
   }
 
+  void Check(std::chrono::steady_clock::time_point close_at,
+             std::chrono::steady_clock::time_point limit) {
+    const auto now = std::chrono::steady_clock::now();
+    const bool is_acknowledged = UnacknowledgedBytes(this->socket) == 0;
+    if (is_acknowledged && !this->may_receive && !this->received) {
+      this->SetDelivered();
+    }
+    if (now < close_at) {
+      this->CheckLater(close_at, limit);
+      return;
+    }
+    // Many callers read the response only after they have sent their request.
+    const bool is_busy = std::exchange(this->received, false) || !is_acknowledged;
+    if (is_busy && now < limit) {
+      this->CheckLater(now + kRefusalDrainTime, limit);
+      return;
+    }
+    asio::error_code ignored;
+    this->socket.close(ignored);
+  }
+
+  void SetDelivered() {
+    if (!std::exchange(this->is_delivered, true)) {
+      --this->context.undelivered_sockets;
+    }
+  }
+
   ServerContext& context;
   asio::strand<asio::io_context::executor_type> strand;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
-  // Bytes have arrived since the last check.
+  const bool may_receive;
+  bool is_delivered = false;
+  // Bytes have arrived since the socket was last kept open for them.
   bool received = false;
   std::array<char, 4096> discarded{};
 };
@@ -432,7 +464,7 @@
     }
     asio::ip::tcp::socket rest(context, protocol, this->release(error));
     if (!error) {
-      std::make_shared<LingeringSocket>(context, std::move(rest))->Start();
+      std::make_shared<LingeringSocket>(context, std::move(rest), this->MayReceive())->Start();
     }
   }
   // True if bytes wait in the socket; false if it is closed.
@@ -474,6 +506,8 @@
   }
 
  private:
+  // True if bytes of a request may arrive after the close.
+  bool MayReceive() const;
   static std::string FormatRefusal(const RequestRefusal& refusal) {
     const std::string body = ErrorResponseBody(refusal);
     const ResponseFraming framing{.content_length = body.size(), .keep_alive = false};
@@ -599,6 +633,10 @@
   std::array<char, 1024> drain_buffer{};
 };
 
+bool ServerSocket::MayReceive() const {
+  return this->refusing || !this->connection || this->connection->pipelined();
+}
+
 // Overload that RESTinio finds by argument-dependent lookup in place of its function for plain
 // sockets. The first read starts on the strand, because other functions may use the socket from
 // here on.
@@ -1271,7 +1309,7 @@
   std::size_t requests_in_progress() const override { return this->state->requests_in_progress; }
 
   std::size_t open_connections() const override {
-    return this->state->context.registry.size() + this->state->context.lingering_sockets;
+    return this->state->context.registry.size() + this->state->context.undelivered_sockets;
   }
 
   std::size_t held_body_bytes() const override {
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -93,8 +93,9 @@
   // Number of requests on open connections whose response has been neither written completely nor
   // aborted.
   virtual std::size_t requests_in_progress() const = 0;
-  // Number of open caller connections. After StopListening(), each remaining one has a request in
-  // progress or partly received.
+  // Number of caller connections that the process must not leave yet: those that are open, and
+  // those that are closed whose callers may lack part of the last response. After StopListening(),
+  // each open one has a request in progress or partly received, or unread responses.
   virtual std::size_t open_connections() const = 0;
   // Bytes that count toward max_held_body_bytes.
   virtual std::size_t held_body_bytes() const = 0;
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds kMaxPipeliningTime(1000);
 // Time within which the kernel acknowledges what a caller has read.
 constexpr std::chrono::milliseconds kAcknowledgementTime(300);
+// Time for which the server reads at least from a connection that it has closed.
+constexpr std::chrono::milliseconds kShortestLingerTime(1000);
 // More than one read takes, and less than the standard limit.
 constexpr std::size_t kLongHeaderBytes = 40 << 10;
 
@@ -105,6 +107,7 @@
   CPPUNIT_TEST(TestCallerDisconnectIsNotReportedForWaitingResponse);
   CPPUNIT_TEST(TestStopListeningLetsRequestsFinish);
   CPPUNIT_TEST(TestStopListeningResetsWaitingConnections);
+  CPPUNIT_TEST(TestStopWaitsForCallerThatHasReceivedEverything);
   CPPUNIT_TEST(TestStopListeningWaitsForFailedAccept);
   CPPUNIT_TEST(TestRequestReceivedDuringShutdownIsCounted);
   CPPUNIT_TEST(TestDisableKeepAliveClosesConnectionsAfterResponses);
@@ -981,6 +984,31 @@
     CPPUNIT_ASSERT_THROW(this->Connect(), std::system_error);
   }
 
+  // Guards against an exit that is held up by a caller that has received its response and leaves
+  // its side of the connection open, and against one that does not wait for the rest of a response.
+  void TestStopWaitsForCallerThatHasReceivedEverything() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    RawConnection slow = this->Connect();
+    caller.Send(Get("/1"));
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    slow.Send(Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    this->server->StopListening();
+    const std::string body(kUnreadBodyBytes, 'x');
+    this->responders[1]->Respond(200, {}, body);
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 1; }));
+    this->responders[0]->Respond(200, {}, "whole");
+    const auto answered_at = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 1; }));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - answered_at < kShortestLingerTime);
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().ends_with("\r\n\r\nwhole"));
+    std::this_thread::sleep_for(kCloseTime);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server->open_connections());
+    CPPUNIT_ASSERT(slow.ReadUntilClosed().ends_with("\r\n\r\n" + body));
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 0; }));
+  }
+
   // Guards against a stop that waits for connections that can't be accepted.
   void TestStopListeningWaitsForFailedAccept() {
     const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer();
