Host: Keep the time of requests that are accepted when a pause is no longer recent

A caller whose request arrives in the second half of a stop, and is accepted because its deadline lies before the end, gets the host's own answer while the target works. LOST counts it. Found by the model of the stop, not in a run with real processes.

Order of events: the host pauses for 1 s 25.5 to 28.5 s before SIGTERM; SIGTERM sets last_answer 1.0 s before the end because of it; 0.5 or 3 s later PauseMonitor forgets the pause; an unsafe request that is sent at 3.1 s with 2 s is accepted, as answers are safe until 0.3 s before the end again; it is cut at last_answer, 5.0 s, while its target works until 5.0 s and has 0.1 s left.

Cause: Accepts() follows the longest pause of the moment, while RenewedLimits() only moved limits earlier. Limits of work at targets now also become later with it. Waiting for slots does not.

The model follows: PauseMonitor and RenewedLimits() are the product's.

--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -32,8 +32,9 @@
 }
 
 HostEnd StopAdmission::RenewedLimits(const HostEnd& current) const {
-  return {.last_start = std::min(current.last_start, this->Limits().last_start),
-          .last_answer = current.last_answer};
+  const HostEnd next = this->Limits();
+  return {.last_start = std::min(current.last_start, next.last_start),
+          .last_answer = std::max(current.last_answer, next.last_answer)};
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -27,8 +27,9 @@
   bool Accepts(TimePoint now, const RequestDescription& request) const;
   // Limits of the requests that have been accepted.
   HostEnd Limits() const;
-  // The same after a pause that was longer than those before. What is at work at a target keeps its
-  // time: it was accepted because of it.
+  // The same after a pause that was longer than those before, or when one is no longer recent. What
+  // is at work at a target keeps its time, and later requests get theirs: they were accepted
+  // because of it.
   HostEnd RenewedLimits(const HostEnd& current) const;
   // A response that is written by then leaves before the host ends, whenever the stop began.
   TimePoint LastSafeAnswer() const;
--- a/Tests/LibHost/stop_model_test.cc
+++ b/Tests/LibHost/stop_model_test.cc
@@ -171,6 +171,7 @@
   CPPUNIT_TEST(TestPauseUntilTheKillLosesMoreThanItMust);
   CPPUNIT_TEST(TestRequestIsLostIfAPauseBeginsAtAnyStep);
   CPPUNIT_TEST(TestRequestIsLostIfAStopIsAnnouncedTwice);
+  CPPUNIT_TEST(TestRequestIsLostWhenAPauseIsForgotten);
   CPPUNIT_TEST(TestRequestIsLostAmongMany);
   CPPUNIT_TEST(TestRequestIsLostInARandomOrder);
   CPPUNIT_TEST_SUITE_END();
@@ -311,6 +312,22 @@
     walk.Check({});
   }
 
+  // Guards against requests that are accepted for longer than the limits of a stop, which follow
+  // from an earlier pause, allow.
+  void TestRequestIsLostWhenAPauseIsForgotten() {
+    Walk walk("stops in which a pause is forgotten");
+    const std::vector<ModelRequest> requests =
+        Requests({milliseconds(1500), milliseconds(3100), milliseconds(3700), milliseconds(4700)});
+    for (const Duration forgotten_at : {milliseconds(500), milliseconds(3000)}) {
+      const Duration history = 2 * PauseMonitor::kWindow - forgotten_at;
+      for (ModelOrder& order : Orders({{{-history + seconds(1), -history + seconds(2)}}})) {
+        order.history = history;
+        walk.Run(order, requests);
+      }
+    }
+    walk.Check({});
+  }
+
   // Guards against requests that are ended late by a dispatcher that does not look for the next
   // deadline, as it has many.
   void TestRequestIsLostAmongMany() {
