--- a/Meta/soak_configuration.py
+++ b/Meta/soak_configuration.py
@@ -10,7 +10,7 @@
 # A version is in force at most this long after the confirmation of the next one.
 CONFIG_APPLY_S = 2.0
 
-# `services` has the service of each kind of request; it has none if the route is dropped.
+# `services` has the services of each kind of request; it has none if the route is dropped.
 Version = collections.namedtuple("Version", "services sent_at confirmed_at")
 
 
@@ -18,7 +18,7 @@
     def __init__(self, deployment, fleet):
         self.kinds = deployment.kinds
         self.fleet = fleet
-        self.services = {kind.name: kind.service for kind in self.kinds}
+        self.services = {kind.name: (kind.service,) for kind in self.kinds}
         self.timeouts = {kind.name: kind.timeout_s for kind in self.kinds}
         self.unused_routes = 0
         self.versions = []
@@ -40,8 +40,8 @@
              "spec": {"host": HOST_NAME, "prefix": f"/{kind.name}/", "kind": kind.kind,
                       "timeout-s": self.timeouts[kind.name],
                       "target-latency-s": kind.timeout_s / 2,
-                      "priority": 1, "max-attempts": 2, "service": self.services[kind.name]}}
-            for kind in self.kinds if self.services[kind.name] is not None
+                      "priority": 1, "max-attempts": 2, **self.destination(kind)}}
+            for kind in self.kinds if self.services[kind.name]
         ]
         routes += [
             {"type": "routes", "metadata": {"name": f"unused-{index}"},
@@ -57,8 +57,14 @@
         ]
         return routes + services
 
+    def destination(self, kind):
+        services = self.services[kind.name]
+        if len(services) == 1:
+            return {"service": services[0]}
+        return {"traffic-split": [{"service": name, "weight": 1} for name in services]}
+
     def allowed_services(self, kind, begin, end):
-        """Services of the kind in all versions that may be in force from begin to end."""
+        """Services of the kind in each version that may be in force from begin to end."""
         nexts = [*self.versions[1:], None]
         return {version.services[kind.name] for version, following in zip(self.versions, nexts)
                 if version.sent_at <= end
--- a/Meta/soak_deployments.py
+++ b/Meta/soak_deployments.py
@@ -5,8 +5,11 @@
 # Timeout of the route, deadline of the caller, work and mean size of the response. A fresh kind
 # opens a connection for each request; `weight` is its share of the arrivals.
 # `spread` is the deviation of the logarithm of the work; without one, work is exponential.
+# Planned work may move the kind to the services of `also`.
 Kind = collections.namedtuple(
-    "Kind", "name service method kind timeout_s deadline_s work_s body_bytes fresh weight spread")
+    "Kind",
+    "name service method kind timeout_s deadline_s work_s body_bytes fresh weight spread also",
+    defaults=((),))
 
 # `hosts` and the lists of `targets` have one entry for each failure domain, as has `rates`, the
 # mean arrivals a second. Without rates, a fixed number of callers sends one request after another.
