LibHttp, Host: Let a stopping host serve callers that pipeline until its end is near

Cause: 0.5 s after the end of listening a connection with pipelined requests is closed like others, with however many unread bytes in front of the announcement.

Fix: StopListening is told when the process is about to end, and such connections are closed like others only from then on (last_answer of the stop). The limit of 0.5 s stays for servers that are not told.

Evidence: HttpServerTest::TestStopDiscardsPipelinedRequestLongBeforeTheProcessEnds (failed before). The calls in the tests and in the stand-in pass no end, so that these check the same limit as before.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -555,7 +555,9 @@
 }
 
 void HostProcess::StopListening() {
-  this->caller_server->StopListening();
+  this->caller_server->StopListening(this->limited_to_grace
+                                         ? std::optional(this->CurrentStop()->Limits().last_answer)
+                                         : std::nullopt);
   this->WaitForRequests();
 }
 
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -107,8 +107,8 @@
 constexpr std::chrono::milliseconds kPipelinedIdleCloseDelay(300);
 
 // Time after the end of listening from which connections with pipelined requests are closed like
-// others. One whose caller always has further requests outstanding stays open until the process
-// ends.
+// others, if the process is not told until when it runs. One whose caller always has further
+// requests outstanding stays open until the process ends.
 constexpr std::chrono::milliseconds kMaxPipeliningTime(500);
 
 // A caller that sends requests before it has read the last response sends more until it reads that
@@ -207,9 +207,7 @@
   void CheckTimeouts();
   bool IsIdle() const;
   // True if the close waits until the caller has read the responses.
-  bool WaitsForReader() const {
-    return this->pipelines && (!this->pipelining_end || SteadyNow() < *this->pipelining_end);
-  }
+  bool WaitsForReader() const;
 
   std::uint64_t connection_id;
   ServerSocket& socket;
@@ -221,8 +219,6 @@
   bool is_closed = false;
   bool is_closing = false;
   bool pipelines = false;
-  // Set when the server has stopped listening.
-  std::optional<TimePoint> pipelining_end;
   std::function<void()> after_responses;
   asio::steady_timer timer;
   bool timer_active = false;
@@ -278,6 +274,16 @@
     this->limits = new_limits;
   }
 
+  // Connections with pipelined requests are closed like others from then on.
+  TimePoint PipeliningEnd() {
+    const std::scoped_lock lock(this->mutex);
+    return this->pipelining_end;
+  }
+  void SetPipeliningEnd(TimePoint end) {
+    const std::scoped_lock lock(this->mutex);
+    this->pipelining_end = end;
+  }
+
   // Set before the server listens.
   std::function<void(const RefusedRequest&)> on_refusal;
   // Set by StopListening; idle connections are closed from then on.
@@ -290,6 +296,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<ServerConnection>> connections;
   // Set by RefuseNewConnections when the server is destroyed.
   bool refuses_connections = false;
+  TimePoint pipelining_end = TimePoint::max();
   RequestLimits limits;
 };
 
@@ -1043,6 +1050,10 @@
           this->socket.UnacknowledgedBytes() + size <= kMaxUnreadBytesAtClose);
 }
 
+bool ServerConnection::WaitsForReader() const {
+  return this->pipelines && SteadyNow() < this->registry.PipeliningEnd();
+}
+
 bool ServerConnection::IsIdle() const {
   return !this->is_closed && !this->has_pending_responses() &&
          this->socket.IsIdle(this->requests_handled);
@@ -1060,9 +1071,6 @@
   if (!this->registry.listening_stopped) {
     return;
   }
-  if (!this->pipelining_end) {
-    this->pipelining_end = SteadyNow() + kMaxPipeliningTime;
-  }
   if (!this->IsIdle()) {
     return;
   }
@@ -1266,7 +1274,7 @@
     if (this->threads.empty()) {
       return;
     }
-    this->StopListening();
+    this->StopListening(std::nullopt);
     this->state->context.registry.RefuseNewConnections();
     for (const auto& connection : this->state->context.registry.All()) {
       connection->Post([](ServerConnection& self) { self.CloseOrReset(); });
@@ -1326,11 +1334,13 @@
 
   void DisableKeepAlive() override { this->state->context.registry.keep_alive_disabled = true; }
 
-  void StopListening() override {
+  void StopListening(std::optional<TimePoint> process_end) override {
     this->DisableKeepAlive();
     if (this->state->context.registry.listening_stopped.exchange(true)) {
       return;
     }
+    this->state->context.registry.SetPipeliningEnd(
+        process_end.value_or(SteadyNow() + kMaxPipeliningTime));
     const auto close = std::make_shared<ListenerClose>(this->state->context);
     asio::post(this->state->context, [this, close] { this->CloseListener(close); });
     if (!is_server_thread) {
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -4,10 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/request_limits.h"
+#include "Libraries/LibCore/time.h"
 #include "Libraries/LibHttp/http_body.h"
 #include "Libraries/LibHttp/http_message.h"
 #include "Libraries/LibHttp/request_inspector.h"
@@ -107,8 +109,10 @@
   // streamed response leaves its connection open for one more request, as does one that is far
   // from being read by a caller that pipelines requests.
   virtual void DisableKeepAlive() = 0;
-  // Closes the listening socket and idle keep-alive connections; requests in progress continue.
-  virtual void StopListening() = 0;
+  // Closes the listening socket and idle keep-alive connections; requests in progress continue. A
+  // connection whose caller pipelines requests is closed when the caller is about to have read its
+  // responses, or at the latest when the process is about to end.
+  virtual void StopListening(std::optional<TimePoint> process_end) = 0;
 };
 
 }  // namespace pimentopin
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(TestRequestBehindShortUnreadResponseIsDiscarded);
   CPPUNIT_TEST(TestStopClosesConnectionWhileCallerReads);
   CPPUNIT_TEST(TestStopIsHeldUpByCallerThatPipelines);
+  CPPUNIT_TEST(TestStopDiscardsPipelinedRequestLongBeforeTheProcessEnds);
   CPPUNIT_TEST(TestAbortCutsEarlierResponse);
   CPPUNIT_TEST(TestCallerDisconnectIsReportedBehindEarlierRequest);
   CPPUNIT_TEST(TestCallerDisconnectIsNotReportedForWaitingResponse);
@@ -698,7 +699,7 @@
     caller.Send(Get("/1") + Get("/2") + Get("/3"));
     CPPUNIT_ASSERT(this->WaitForRequests(3));
     this->responders[1]->Respond(200, {}, "answer-to-/2");
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     this->responders[0]->Respond(200, {}, "answer-to-/1");
     const std::string first = caller.ReadUntil("answer-to-/2");
     CPPUNIT_ASSERT(first.find("answer-to-/1") < first.find("answer-to-/2"));
@@ -858,7 +859,7 @@
     this->responders[0]->Respond(200, {}, "answer-to-/1");
     this->responders[1]->Respond(200, {}, "answer-to-/2");
     CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     std::this_thread::sleep_for(kCloseTime);
     caller.Send(Get("/3"));
     CPPUNIT_ASSERT(this->WaitForRequests(3));
@@ -876,7 +877,7 @@
     RawConnection caller = this->Connect();
     caller.Send(Get("/1") + Get("/2"));
     CPPUNIT_ASSERT(this->WaitForRequests(2));
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     std::this_thread::sleep_for(kMaxPipeliningTime);
     const std::string body(kLargeBodyBytes, 'x');
     this->responders[0]->Respond(200, {}, "answer-to-/1");
@@ -887,6 +888,31 @@
     CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 0; }));
   }
 
+  // Guards against a request that is read but never answered, because a large response in front of
+  // it announced the close although the process still ran for long.
+  void TestStopDiscardsPipelinedRequestLongBeforeTheProcessEnds() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    this->server->StopListening(SteadyNow() + kTestTimeout);
+    std::this_thread::sleep_for(kMaxPipeliningTime);
+    const std::string body = std::string(kLargeBodyBytes, 'x') + "end-of-/2";
+    this->responders[0]->Respond(200, {}, "answer-to-/1");
+    this->responders[1]->Respond(200, {}, body);
+    std::string received = caller.ReadUntil("xxx");
+    caller.Send(Get("/3"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    received += caller.ReadUntil("end-of-/2");
+    CPPUNIT_ASSERT(received.find("Connection: close\r\n") == std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n" + body));
+    std::this_thread::sleep_for(kAcknowledgementTime);
+    this->responders[2]->Respond(200, {}, "answer-to-/3");
+    const std::string last = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(last.find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(last.ends_with("answer-to-/3"));
+  }
+
   // Guards against a response that is lost because one behind it fails first.
   void TestAbortCutsEarlierResponse() {
     this->StartRecordingServer();
@@ -950,7 +976,7 @@
     pending.Send(Get("/pending"));
     const auto waiting = this->TakeResponder();
 
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     CPPUNIT_ASSERT_THROW(RawConnection::Open(this->context, address), std::system_error);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->server->requests_in_progress());
 
@@ -994,7 +1020,7 @@
     CPPUNIT_ASSERT(this->WaitForRequests(1));
     slow.Send(Get("/2"));
     CPPUNIT_ASSERT(this->WaitForRequests(2));
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     const std::string body(kUnreadBodyBytes, 'x');
     this->responders[1]->Respond(200, {}, body);
     CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 1; }));
@@ -1031,7 +1057,7 @@
     RawConnection caller = this->Connect();
     caller.Send("GET /late HTTP/1.1\r\n");
     CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 1; }));
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->server->requests_in_progress());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server->open_connections());
     caller.Send("Host: test\r\n\r\n");
@@ -1091,7 +1117,7 @@
     this->TakeResponder()->Respond(200, {}, "three");
     used.ReadUntil("three");
 
-    this->server->StopListening();
+    this->server->StopListening(std::nullopt);
     CPPUNIT_ASSERT_EQUAL(std::string(), unused.ReadUntilClosed());
     CPPUNIT_ASSERT_EQUAL(std::string(), used.ReadUntilClosed());
     partial.Send("\r\n");
@@ -1325,7 +1351,7 @@
   // Returns when the stop has begun.
   std::future<void> StopListeningLater() {
     std::future<void> stopped =
-        std::async(std::launch::async, [this] { this->server->StopListening(); });
+        std::async(std::launch::async, [this] { this->server->StopListening(std::nullopt); });
     std::this_thread::sleep_for(kCloseTime);
     return stopped;
   }
--- a/Tests/StandIns/Target/main.cc
+++ b/Tests/StandIns/Target/main.cc
@@ -67,7 +67,7 @@
   asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const asio::error_code& failure, int) {
     if (!failure) {
-      server->StopListening();
+      server->StopListening(std::nullopt);
       stop_when_idle();
     }
   });
