--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -589,7 +589,9 @@
 }
 
 void HostProcess::StopListening() {
-  this->caller_server->StopListening();
+  this->caller_server->StopListening(this->limited_to_grace
+                                         ? std::optional(this->CurrentStop()->Limits().last_answer)
+                                         : std::nullopt);
   this->WaitForRequests();
 }
 
