--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -589,9 +589,9 @@
 }
 
 void HostProcess::StopListening() {
-  this->caller_server->StopListening(this->limited_to_grace
-                                         ? std::optional(this->CurrentStop()->Limits().last_answer)
-                                         : std::nullopt);
+  const bool has_end = this->host_end != HostEnd{};
+  this->caller_server->StopListening(has_end ? std::optional(this->host_end.last_answer)
+                                             : std::nullopt);
   this->WaitForRequests();
 }
 
