LibHttp: Do not wait for callers when the server is destroyed

Seen: hosts that have logged shutdown_complete are killed 0.3 s later, at the end of the grace.

Cause: the destructor of the server joins its threads, and they run as long as a socket lingers: at least 1 s if the caller keeps its side open, up to 10 s if it reads slowly.

Fix: when the server is destroyed, lingering sockets read what has arrived and are closed at their next check, at most 5 ms later once the server has stopped listening. The kernel goes on delivering what has been written, as no unread bytes are left that would reset the connection. A caller that sends more before it has read everything can still lose the rest, as it did when the host was killed.

Evidence: HttpServerTest::TestDestructorWaitsForCallers (failed before: 1 s and more; two responses of 512 KiB that are read afterwards arrive whole).

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -309,6 +309,8 @@
   // Sockets that LingeringSocket reads and whose peers lack part of what was written, or may do so
   // as a reset would drop it.
   std::atomic<std::size_t> undelivered_sockets = 0;
+  // Set when the server is destroyed; it does not wait for the peers of closed connections.
+  std::atomic<bool> is_ending = false;
   std::atomic<std::uint64_t> accepted_connections = 0;
 };
 
@@ -362,10 +364,9 @@
 
   void CheckLater(std::chrono::steady_clock::time_point close_at,
                   std::chrono::steady_clock::time_point limit) {
-    const bool holds_up_exit = !this->is_delivered && this->context.registry.listening_stopped;
-    this->timer.expires_at(holds_up_exit ? std::min(close_at, std::chrono::steady_clock::now() +
-                                                                  kDeliveryCheckInterval)
-                                         : close_at);
+    const auto next_check = std::chrono::steady_clock::now() + kDeliveryCheckInterval;
+    this->timer.expires_at(this->context.registry.listening_stopped ? std::min(close_at, next_check)
+                                                                    : close_at);
     this->timer.async_wait(asio::bind_executor(
         this->strand,
         [self = this->shared_from_this(), close_at, limit](const asio::error_code& error) {
@@ -382,6 +383,10 @@
     if (is_acknowledged && !this->may_receive && !this->received) {
       this->SetDelivered();
     }
+    if (this->context.is_ending) {
+      this->CloseNow();
+      return;
+    }
     if (now < close_at) {
       this->CheckLater(close_at, limit);
       return;
@@ -396,6 +401,17 @@
     this->socket.close(ignored);
   }
 
+  // The kernel delivers what has been written if no unread bytes are left.
+  void CloseNow() {
+    asio::error_code error;
+    std::size_t unread = this->socket.available(error);
+    while (!error && unread > 0) {
+      unread -= this->socket.read_some(
+          asio::buffer(this->discarded, std::min(unread, this->discarded.size())), error);
+    }
+    this->socket.close(error);
+  }
+
   void SetDelivered() {
     if (!std::exchange(this->is_delivered, true)) {
       --this->context.undelivered_sockets;
@@ -1275,6 +1291,7 @@
       return;
     }
     this->StopListening(std::nullopt);
+    this->state->context.is_ending = true;
     this->state->context.registry.RefuseNewConnections();
     for (const auto& connection : this->state->context.registry.All()) {
       connection->Post([](ServerConnection& self) { self.CloseOrReset(); });
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(TestStopListeningLetsRequestsFinish);
   CPPUNIT_TEST(TestStopListeningResetsWaitingConnections);
   CPPUNIT_TEST(TestStopWaitsForCallerThatHasReceivedEverything);
+  CPPUNIT_TEST(TestDestructorWaitsForCallers);
   CPPUNIT_TEST(TestStopListeningWaitsForFailedAccept);
   CPPUNIT_TEST(TestRequestReceivedDuringShutdownIsCounted);
   CPPUNIT_TEST(TestDisableKeepAliveClosesConnectionsAfterResponses);
@@ -1035,6 +1036,34 @@
     CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 0; }));
   }
 
+  // Guards against an exit that is held up by callers after all responses have been written, and
+  // against one that cuts these responses.
+  void TestDestructorWaitsForCallers() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    RawConnection slow = this->Connect();
+    RawConnection kept = this->Connect();
+    slow.Send(Get("/1"));
+    CPPUNIT_ASSERT(this->WaitForRequests(1));
+    caller.Send(Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    kept.Send(Get("/3"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    const std::string body(kUnreadBodyBytes, 'x');
+    this->responders[2]->Respond(200, {}, body);
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 2; }));
+    this->server->StopListening(std::nullopt);
+    this->responders[0]->Respond(200, {}, body);
+    this->responders[1]->Respond(200, {}, "whole");
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+    const auto answered_at = std::chrono::steady_clock::now();
+    this->server.reset();
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - answered_at < kShortestLingerTime);
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().ends_with("\r\n\r\nwhole"));
+    CPPUNIT_ASSERT(slow.ReadUntilClosed().ends_with("\r\n\r\n" + body));
+    CPPUNIT_ASSERT(kept.ReadUntilClosed().ends_with("\r\n\r\n" + body));
+  }
+
   // Guards against a stop that waits for connections that can't be accepted.
   void TestStopListeningWaitsForFailedAccept() {
     const std::shared_ptr<BlockedServer> blocked = this->StartBlockedServer();
