Tests: State the shared steps of two pairs of tests once

Two tests of requests behind a large response and two of attempts that seem overdue repeated their steps.

--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -708,14 +708,7 @@
   // the first one expires.
   void TestOverdueAttemptsMoveWorkAway() {
     SlotBroker broker(Configuration(2, 3));
-    for (std::uint64_t attempt = 1; attempt <= 40; ++attempt) {
-      this->CompleteAttempt(broker, attempt, TargetId{1 + attempt % 2}, AttemptResult::kSuccess);
-      this->now += milliseconds(10);
-    }
-    for (std::uint64_t attempt = 50; attempt < 52; ++attempt) {
-      broker.OnClaim(this->now, kHost, kDomain,
-                     {.attempt = AttemptId{attempt}, .service = kService, .target = TargetId{1}});
-    }
+    this->StartAttemptsAtMeasuredTarget(broker);
     this->now += milliseconds(400);
     std::map<TargetId, int> granted;
     for (std::uint64_t attempt = 60; attempt < 63; ++attempt) {
@@ -728,14 +721,7 @@
   // has not heard of yet.
   void TestOwnPauseMakesAttemptsOverdue() {
     SlotBroker broker(Configuration(2, 3));
-    for (std::uint64_t attempt = 1; attempt <= 40; ++attempt) {
-      this->CompleteAttempt(broker, attempt, TargetId{1 + attempt % 2}, AttemptResult::kSuccess);
-      this->now += milliseconds(10);
-    }
-    for (std::uint64_t attempt = 50; attempt < 52; ++attempt) {
-      broker.OnClaim(this->now, kHost, kDomain,
-                     {.attempt = AttemptId{attempt}, .service = kService, .target = TargetId{1}});
-    }
+    this->StartAttemptsAtMeasuredTarget(broker);
     broker.Tick(this->now);
     broker.NextDeadline(this->now);
     this->now += milliseconds(600);
@@ -829,6 +815,18 @@
   }
 
  private:
+  // Attempts 50 and 51 run at target 1, after both targets have served others quickly.
+  void StartAttemptsAtMeasuredTarget(SlotBroker& broker) {
+    for (std::uint64_t attempt = 1; attempt <= 40; ++attempt) {
+      this->CompleteAttempt(broker, attempt, TargetId{1 + attempt % 2}, AttemptResult::kSuccess);
+      this->now += milliseconds(10);
+    }
+    for (std::uint64_t attempt = 50; attempt < 52; ++attempt) {
+      broker.OnClaim(this->now, kHost, kDomain,
+                     {.attempt = AttemptId{attempt}, .service = kService, .target = TargetId{1}});
+    }
+  }
+
   // Releases an attempt at the first target, whose response states this limit.
   void StateLimit(SlotBroker& broker, AttemptId attempt, double limit) {
     broker.OnRelease(this->now, kHost, kDomain,
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -811,20 +811,7 @@
     caller.Send(Get("/1") + Get("/2"));
     CPPUNIT_ASSERT(this->WaitForRequests(2));
     this->server->DisableKeepAlive();
-    const std::string body = std::string(kLargeBodyBytes, 'x') + "end-of-/2";
-    this->responders[0]->Respond(200, {}, "answer-to-/1");
-    this->responders[1]->Respond(200, {}, body);
-    std::string received = caller.ReadUntil("xxx");
-    caller.Send(Get("/3"));
-    CPPUNIT_ASSERT(this->WaitForRequests(3));
-    received += caller.ReadUntil("end-of-/2");
-    CPPUNIT_ASSERT(received.find("Connection: close\r\n") == std::string::npos);
-    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n" + body));
-    std::this_thread::sleep_for(kAcknowledgementTime);
-    this->responders[2]->Respond(200, {}, "answer-to-/3");
-    const std::string last = caller.ReadUntilClosed();
-    CPPUNIT_ASSERT(last.find("Connection: close\r\n") != std::string::npos);
-    CPPUNIT_ASSERT(last.ends_with("answer-to-/3"));
+    this->AssertRequestBehindLargeResponseIsAnswered(caller);
   }
 
   // The same for a short response behind a large one.
@@ -898,20 +885,7 @@
     CPPUNIT_ASSERT(this->WaitForRequests(2));
     this->server->StopListening(SteadyNow() + kTestTimeout);
     std::this_thread::sleep_for(kMaxPipeliningTime);
-    const std::string body = std::string(kLargeBodyBytes, 'x') + "end-of-/2";
-    this->responders[0]->Respond(200, {}, "answer-to-/1");
-    this->responders[1]->Respond(200, {}, body);
-    std::string received = caller.ReadUntil("xxx");
-    caller.Send(Get("/3"));
-    CPPUNIT_ASSERT(this->WaitForRequests(3));
-    received += caller.ReadUntil("end-of-/2");
-    CPPUNIT_ASSERT(received.find("Connection: close\r\n") == std::string::npos);
-    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n" + body));
-    std::this_thread::sleep_for(kAcknowledgementTime);
-    this->responders[2]->Respond(200, {}, "answer-to-/3");
-    const std::string last = caller.ReadUntilClosed();
-    CPPUNIT_ASSERT(last.find("Connection: close\r\n") != std::string::npos);
-    CPPUNIT_ASSERT(last.ends_with("answer-to-/3"));
+    this->AssertRequestBehindLargeResponseIsAnswered(caller);
   }
 
   // Guards against a response that is lost because one behind it fails first.
@@ -1385,6 +1359,25 @@
     return stopped;
   }
 
+  // The caller has sent two requests. It sends another while it reads the second, large response,
+  // which must not announce the close.
+  void AssertRequestBehindLargeResponseIsAnswered(RawConnection& caller) {
+    const std::string body = std::string(kLargeBodyBytes, 'x') + "end-of-/2";
+    this->responders[0]->Respond(200, {}, "answer-to-/1");
+    this->responders[1]->Respond(200, {}, body);
+    std::string received = caller.ReadUntil("xxx");
+    caller.Send(Get("/3"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    received += caller.ReadUntil("end-of-/2");
+    CPPUNIT_ASSERT(received.find("Connection: close\r\n") == std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("\r\n\r\n" + body));
+    std::this_thread::sleep_for(kAcknowledgementTime);
+    this->responders[2]->Respond(200, {}, "answer-to-/3");
+    const std::string last = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(last.find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(last.ends_with("answer-to-/3"));
+  }
+
   RawConnection Connect() { return RawConnection::Open(this->context, this->server->address()); }
 
   bool WaitForRequests(std::size_t count) {
