LibHost, pimentopin: Log what a stopping host waits for

The log of a host that was killed at the end of the grace ended with shutdown_started, or with request_unfinished if requests were at the dispatcher. Whether it waited for responses that callers do not read, for open connections, for the listener or for writes to the platform could not be told, nor whether it ran at all, nor which requests it had accepted after the signal although they could outlast it.

Each part of a stop now ends with a line that states what is outstanding; 0.2 s before the end shutdown_unfinished states the part, its length and the longest pause; shutdown_complete has the length of each part; process_ended follows when all threads have ended. A request that is accepted although its deadline is later than the last answer has a line, one for each such request, as refusals have.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -54,6 +54,16 @@
 // Limits how long pending writes to the platform delay the exit.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
+// What a stopping host waits for, in this order.
+enum class StopPhase : std::uint8_t { kDelay, kListener, kRequests, kWrites, kEnd };
+constexpr std::size_t kStopPhases = 4;
+constexpr std::array<const char*, kStopPhases + 1> kStopPhaseNames = {"delay", "listener",
+                                                                      "requests", "writes", "end"};
+
+std::int64_t Milliseconds(Duration duration) {
+  return duration.count() / 1000;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -103,6 +113,12 @@
   void StopListening();
   void WaitForRequests();
   void Flush(TimePoint deadline);
+  void EnterStopPhase(StopPhase phase);
+  // What the stopping host still waits for.
+  nlohmann::json Outstanding() const;
+  void LogUnfinished(TimePoint stop_started_at);
+  // Logs a request that arrived after the signal and may be cut off by the end of the host.
+  void LogCuttable(const Exchange& exchange, const StopAdmission& admission) const;
 
   const HostSettings settings;
   const PlatformAdapter adapter;
@@ -125,6 +141,9 @@
   HostEnd host_end;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
+  StopPhase stop_phase = StopPhase::kDelay;
+  // When the phase, and each one before it, began.
+  std::array<TimePoint, kStopPhases + 1> stop_phase_began{};
 
   std::unique_ptr<HttpClient> platform_client;
   std::unique_ptr<PlatformStore> store;
@@ -394,6 +413,9 @@
     return;
   }
   exchange->request_id = std::move(request_id);
+  if (admission) {
+    this->LogCuttable(*exchange, *admission);
+  }
   exchange->responder = responder;
   auto shared = std::make_shared<Exchange>(std::move(*exchange));
   this->loop.Post([this, shared] { this->dispatch->Submit(shared); });
@@ -551,6 +573,7 @@
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
        {"signal_delay_ms", (now - admission.earliest_start).count() / 1000},
        {"longest_pause_ms", admission.longest_pause.count() / 1000}});
+  this->EnterStopPhase(StopPhase::kDelay);
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
@@ -577,7 +600,7 @@
                       [this] { this->reports->Close(SteadyNow()); });
   const Duration remaining = stop.earliest_start + stop.grace - now;
   this->loop.RunAfter(std::max(remaining - kUnfinishedLogMargin, Duration::zero()),
-                      [this, stop] { this->dispatch->LogRequestsInProgress(stop.earliest_start); });
+                      [this, stop] { this->LogUnfinished(stop.earliest_start); });
 }
 
 void HostProcess::RenewHostEnd() {
@@ -588,10 +611,51 @@
   }
 }
 
+void HostProcess::EnterStopPhase(StopPhase phase) {
+  this->stop_phase = phase;
+  this->stop_phase_began.at(static_cast<std::size_t>(phase)) = SteadyNow();
+}
+
+nlohmann::json HostProcess::Outstanding() const {
+  return {{"requests_in_progress", this->dispatch->requests_in_progress()},
+          {"server_requests", this->caller_server->requests_in_progress()},
+          {"open_connections", this->caller_server->open_connections()},
+          {"pending_claims", this->claims->pending_writes()},
+          {"pending_reports", this->reports->pending_writes()}};
+}
+
+void HostProcess::LogUnfinished(TimePoint stop_started_at) {
+  const auto phase = static_cast<std::size_t>(this->stop_phase);
+  const TimePoint now = SteadyNow();
+  nlohmann::json line = this->Outstanding();
+  line["phase"] = kStopPhaseNames.at(phase);
+  line["phase_ms"] = Milliseconds(now - this->stop_phase_began.at(phase));
+  line["after_stop_ms"] = Milliseconds(now - stop_started_at);
+  line["longest_pause_ms"] = Milliseconds(this->pauses.longest());
+  Log(LogLevel::kWarning, "shutdown_unfinished", line);
+  this->dispatch->LogRequestsInProgress(stop_started_at);
+}
+
+void HostProcess::LogCuttable(const Exchange& exchange, const StopAdmission& admission) const {
+  const TimePoint last_answer = admission.LastSafeAnswer();
+  if (admission.grace == Duration::zero() || exchange.description.deadline <= last_answer) {
+    return;
+  }
+  Log(LogLevel::kInfo, "request_may_outlast_host",
+      {{"request_id", exchange.request_id},
+       {"route", exchange.route},
+       {"arrived_after_stop_ms", Milliseconds(exchange.arrived - admission.earliest_start)},
+       {"deadline_ms", Milliseconds(exchange.description.deadline - exchange.arrived)},
+       {"last_answer_ms", Milliseconds(last_answer - exchange.arrived)}});
+}
+
 void HostProcess::StopListening() {
+  this->EnterStopPhase(StopPhase::kListener);
   const bool has_end = this->host_end != HostEnd{};
   this->caller_server->StopListening(has_end ? std::optional(this->host_end.last_answer)
                                              : std::nullopt);
+  this->EnterStopPhase(StopPhase::kRequests);
+  Log(LogLevel::kInfo, "listening_stopped", this->Outstanding());
   this->WaitForRequests();
 }
 
@@ -606,7 +670,9 @@
     this->loop.RunAfter(kShutdownPollInterval, [this] { this->WaitForRequests(); });
     return;
   }
+  this->EnterStopPhase(StopPhase::kWrites);
   this->reports->Close(SteadyNow());
+  Log(LogLevel::kInfo, "requests_ended", this->Outstanding());
   this->Flush(SteadyNow() + kFlushTimeout);
 }
 
@@ -616,8 +682,14 @@
     this->loop.RunAfter(kShutdownPollInterval, [this, deadline] { this->Flush(deadline); });
     return;
   }
-  Log(pending == 0 ? LogLevel::kInfo : LogLevel::kWarning, "shutdown_complete",
-      {{"unconfirmed_writes", pending}});
+  this->EnterStopPhase(StopPhase::kEnd);
+  nlohmann::json line = {{"unconfirmed_writes", pending},
+                         {"longest_pause_ms", Milliseconds(this->pauses.longest())}};
+  for (std::size_t phase = 0; phase < kStopPhases; ++phase) {
+    line[std::string(kStopPhaseNames.at(phase)) + "_ms"] =
+        Milliseconds(this->stop_phase_began.at(phase + 1) - this->stop_phase_began.at(phase));
+  }
+  Log(pending == 0 ? LogLevel::kInfo : LogLevel::kWarning, "shutdown_complete", line);
   this->loop.Stop();
 }
 
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -94,12 +95,14 @@
     adapter.dialect = std::make_shared<NativeDialect>();
   }
   Error error;
-  const auto host = Host::Create(settings, std::move(adapter), error);
+  auto host = Host::Create(settings, std::move(adapter), error);
   if (!host) {
     std::cerr << error.message << "\n";
     return ToInt(ExitCode::kInternalError);
   }
   host->Run();
+  host.reset();
+  Log(LogLevel::kInfo, "process_ended", nlohmann::json::object());
   StopLog();
   return ToInt(ExitCode::kSuccess);
 }
