LibHost: End the wait for writes before the platform kills the host

A stopping host waited up to 2 s for writes of claims and of its report, from whenever its last request had ended. With a connection that stays open until the last answers are due, 0.3 s before the end of the grace, a platform that does not confirm kept it waiting until it was killed, with no shutdown_complete and no list of what is unconfirmed.

The wait now ends half way between the last answer and the earliest end of the grace, so that the process has the other half to end; both follow from the measured pauses. A signal that follows an operator's drain counts too. Without a signal the limit is 2 s as before.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -51,7 +51,7 @@
 // The time of a stop signal is known this exactly while the process runs.
 constexpr Duration kRunningCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(2);
-// Limits how long pending writes to the platform delay the exit.
+// Limits how long pending writes to the platform delay the exit, if the host's end does not.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
 // What a stopping host waits for, in this order.
@@ -112,7 +112,9 @@
   void RenewHostEnd();
   void StopListening();
   void WaitForRequests();
-  void Flush(TimePoint deadline);
+  void Flush();
+  // Until when the stopping host waits for writes to the platform.
+  TimePoint LastWrite() const;
   void EnterStopPhase(StopPhase phase);
   // What the stopping host still waits for.
   nlohmann::json Outstanding() const;
@@ -673,13 +675,22 @@
   this->EnterStopPhase(StopPhase::kWrites);
   this->reports->Close(SteadyNow());
   Log(LogLevel::kInfo, "requests_ended", this->Outstanding());
-  this->Flush(SteadyNow() + kFlushTimeout);
+  this->Flush();
 }
 
-void HostProcess::Flush(TimePoint deadline) {
+TimePoint HostProcess::LastWrite() const {
+  const TimePoint began = this->stop_phase_began.at(static_cast<std::size_t>(StopPhase::kWrites));
+  const TimePoint limit = began + kFlushTimeout;
+  // A signal may follow an operator's drain while the host waits.
+  return this->host_end == HostEnd{}
+             ? limit
+             : std::min(limit, this->CurrentStop()->LastWrite(this->host_end.last_answer));
+}
+
+void HostProcess::Flush() {
   const std::size_t pending = this->claims->pending_writes() + this->reports->pending_writes();
-  if (pending > 0 && SteadyNow() < deadline) {
-    this->loop.RunAfter(kShutdownPollInterval, [this, deadline] { this->Flush(deadline); });
+  if (pending > 0 && SteadyNow() < this->LastWrite()) {
+    this->loop.RunAfter(kShutdownPollInterval, [this] { this->Flush(); });
     return;
   }
   this->EnterStopPhase(StopPhase::kEnd);
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -20,6 +20,14 @@
   return this->earliest_start + this->grace - std::min<Duration>(margin, this->grace / 6);
 }
 
+TimePoint StopAdmission::LastWrite(TimePoint last_answer) const {
+  if (this->grace == Duration::zero()) {
+    return TimePoint::max();
+  }
+  const Duration left = this->earliest_start + this->grace - last_answer;
+  return last_answer + std::max<Duration>(left, Duration::zero()) / 2;
+}
+
 HostEnd StopAdmission::Limits() const {
   if (this->grace == Duration::zero()) {
     return {};
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -33,6 +33,9 @@
   HostEnd RenewedLimits(const HostEnd& current) const;
   // A response that is written by then leaves before the host ends, whenever the stop began.
   TimePoint LastSafeAnswer() const;
+  // The host waits until then for writes to the platform. Half of what is left of the grace after
+  // the last answer remains for the end of the process.
+  TimePoint LastWrite(TimePoint last_answer) const;
 
   friend bool operator==(const StopAdmission&, const StopAdmission&) = default;
 };
--- a/Tests/LibHost/stop_admission_test.cc
+++ b/Tests/LibHost/stop_admission_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(TestAcceptedRequestOutlastsTheGrace);
   CPPUNIT_TEST(TestRequestStartsThoughTheHostMayEndAtOnce);
   CPPUNIT_TEST(TestUnknownStartEndsWorkEarly);
+  CPPUNIT_TEST(TestHostIsKilledWhileItWaitsForWrites);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +173,29 @@
     }
   }
 
+  // Guards against a host that has answered everything and is killed as a write is not confirmed.
+  void TestHostIsKilledWhileItWaitsForWrites() {
+    for (const Duration pause : {milliseconds(0), milliseconds(400), milliseconds(2000)}) {
+      for (const Duration signal_delay : {milliseconds(0), milliseconds(50), milliseconds(990)}) {
+        const StopAdmission stop{.earliest_start = kStart,
+                                 .latest_start = kStart + signal_delay,
+                                 .grace = seconds(6),
+                                 .longest_pause = pause};
+        const TimePoint last_answer = stop.Limits().last_answer;
+        const TimePoint last_write = stop.LastWrite(last_answer);
+        // The last answers are written too, and the process needs time to end.
+        CPPUNIT_ASSERT(last_write > last_answer);
+        CPPUNIT_ASSERT(last_write < kStart + seconds(6));
+      }
+    }
+    // Nothing is left, but the answers have gone out.
+    const StopAdmission late{
+        .earliest_start = kStart, .latest_start = kStart + milliseconds(1500), .grace = seconds(6)};
+    CPPUNIT_ASSERT(late.LastWrite(late.Limits().last_answer) == late.Limits().last_answer);
+    const StopAdmission endless{.earliest_start = kStart, .latest_start = kStart};
+    CPPUNIT_ASSERT(endless.LastWrite(endless.Limits().last_answer) == TimePoint::max());
+  }
+
  private:
   static constexpr TimePoint kStart = TimePoint(seconds(1000));
 
