LibReport, LibHost: Repeat failed report writes while a host ends

A host that ends waits for its report to be written, for at most 2 s, but a write that had failed was repeated after 5 s, and a second summary was written up to 1 s after the first. The wait delayed the end without a chance that the report would be complete, and the last periods of the host were lost after one failed write.

While the host waits, the writer continues as soon as a write has ended and repeats a failed one every 100 ms. The new test failed with the interval of 5 s (2 summaries pending) and passes with this one.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -688,6 +688,7 @@
 }
 
 void HostProcess::Flush() {
+  this->reports->Flush(SteadyNow());
   const std::size_t pending = this->claims->pending_writes() + this->reports->pending_writes();
   if (pending > 0 && SteadyNow() < this->LastWrite()) {
     this->loop.RunAfter(kShutdownPollInterval, [this] { this->Flush(); });
--- a/Libraries/LibHost/report_controller.h
+++ b/Libraries/LibHost/report_controller.h
@@ -29,6 +29,8 @@
   void Tick(TimePoint now);
   // Ends the current period early. Call before the host exits.
   void Close(TimePoint now);
+  // Writes what is pending without the usual delays. Call until nothing is or the host ends.
+  void Flush(TimePoint now) { this->writer.Flush(now); }
   std::size_t pending_writes() const { return this->writer.pending_writes(); }
 
  private:
--- a/Libraries/LibReport/summary_writer.cc
+++ b/Libraries/LibReport/summary_writer.cc
@@ -14,10 +14,10 @@
   }
 }
 
-void SummaryWriter::Tick(TimePoint now) {
+void SummaryWriter::Write(TimePoint now, Duration retry_interval) {
   State& current = *this->state;
   const bool is_waiting_to_retry =
-      current.last_write_failed && now - current.last_write_started_at < kRetryInterval;
+      current.last_write_failed && now - current.last_write_started_at < retry_interval;
   if (current.summaries.empty() || current.is_writing || is_waiting_to_retry) {
     return;
   }
--- a/Libraries/LibReport/summary_writer.h
+++ b/Libraries/LibReport/summary_writer.h
@@ -19,6 +19,8 @@
   // longer outage reduces the resolution in time but loses no counts.
   static constexpr std::size_t kMaxPendingWrites = 60;
   static constexpr Duration kRetryInterval = std::chrono::seconds(5);
+  // The same while the host waits for the writes in order to end.
+  static constexpr Duration kFlushRetryInterval = std::chrono::milliseconds(100);
 
   // Receives each summary that is discarded because no two could be merged.
   using DropHandler = std::function<void(const HostSummary&)>;
@@ -29,7 +31,9 @@
   void Add(HostSummary summary);
   // Call every 100 ms. Starts to write the oldest summary unless a write is in
   // progress or a failed one was started less than kRetryInterval ago.
-  void Tick(TimePoint now);
+  void Tick(TimePoint now) { this->Write(now, kRetryInterval); }
+  // Call instead of Tick, as often as possible, until the host ends.
+  void Flush(TimePoint now) { this->Write(now, kFlushRetryInterval); }
 
   // Number of summaries that are not yet stored; zero before a clean exit.
   std::size_t pending_writes() const { return this->state->summaries.size(); }
@@ -49,6 +53,7 @@
     Error last_error;
   };
 
+  void Write(TimePoint now, Duration retry_interval);
   void MergeOldest();
 
   ObjectStore& store;
--- a/Tests/LibReport/summary_test.cc
+++ b/Tests/LibReport/summary_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(TestDroppedSummaryIsReported);
   CPPUNIT_TEST(TestSummaryWithLostResponseIsNotMerged);
   CPPUNIT_TEST(TestWriterRetryInterval);
+  CPPUNIT_TEST(TestEndingHostLosesItsReportAfterAFailedWrite);
   CPPUNIT_TEST(TestLateResponseAfterWriterIsDestroyed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -348,6 +349,30 @@
     CPPUNIT_ASSERT_EQUAL(2, store.puts);
   }
 
+  // Guards against a report that lacks the last periods of a host that ends soon after a write has
+  // failed: the host waits for the writes, but not as long as for the next try.
+  void TestEndingHostLosesItsReportAfterAFailedWrite() {
+    MockObjectStore store;
+    store.is_down = true;
+    SummaryWriter writer(store);
+    writer.Add(MakeSummary(0));
+    writer.Tick(AtSecond(0));
+    store.is_down = false;
+    writer.Add(MakeSummary(1));
+    for (int tick = 1; tick <= 50; ++tick) {
+      writer.Flush(AtSecond(0) + std::chrono::milliseconds(10 * tick));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, writer.pending_writes());
+    CPPUNIT_ASSERT_EQUAL(3, store.puts);
+    // A store that stays unavailable is not flooded.
+    store.is_down = true;
+    writer.Add(MakeSummary(2));
+    for (int tick = 0; tick < 50; ++tick) {
+      writer.Flush(AtSecond(1) + std::chrono::milliseconds(10 * tick));
+    }
+    CPPUNIT_ASSERT_EQUAL(3 + 5, store.puts);
+  }
+
   // Guards against a callback that uses a destroyed writer, and against two
   // concurrent writes.
   void TestLateResponseAfterWriterIsDestroyed() {
