LibHost: End the shutdown delay of a drain before the platform kills the host

A host that an operator had drained and that then got SIGTERM kept its shutdown delay, which was limited to the grace only if the signal came first. With a delay that is longer than the grace it was killed while it still listened, and accepted requests until then.

The end of listening is an alarm now, which a signal, and later a longer pause, set earlier: to the time from which no request is started.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -110,6 +110,8 @@
   // Ends the requests in progress before the platform kills the host, which follows a signal only.
   void LimitToGrace();
   void RenewHostEnd();
+  // Ends the shutdown delay when no request is started any more.
+  void LimitDelay();
   void StopListening();
   void WaitForRequests();
   void Flush();
@@ -144,6 +146,8 @@
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
   StopPhase stop_phase = StopPhase::kDelay;
+  // Ends the shutdown delay.
+  std::unique_ptr<Alarm> listening_end = this->loop.CreateAlarm([this] { this->StopListening(); });
   // When the phase, and each one before it, began.
   std::array<TimePoint, kStopPhases + 1> stop_phase_began{};
 
@@ -568,6 +572,7 @@
   if (std::exchange(this->shutting_down, true)) {
     return;
   }
+  this->EnterStopPhase(StopPhase::kDelay);
   const TimePoint now = SteadyNow();
   this->drained_at = now;
   const StopAdmission admission = *this->CurrentStop();
@@ -575,14 +580,12 @@
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
        {"signal_delay_ms", (now - admission.earliest_start).count() / 1000},
        {"longest_pause_ms", admission.longest_pause.count() / 1000}});
-  this->EnterStopPhase(StopPhase::kDelay);
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
   // Load balancers need the delay from when they can see that the host is not ready.
   const Duration remaining = std::max(this->host_end.last_start - now, Duration::zero());
-  this->loop.RunAfter(std::min(this->settings.shutdown_delay, remaining),
-                      [this] { this->StopListening(); });
+  this->listening_end->Set(now + std::min(this->settings.shutdown_delay, remaining));
 }
 
 void HostProcess::LimitToGrace() {
@@ -592,6 +595,7 @@
   const StopAdmission stop = *this->CurrentStop();
   this->host_end = stop.Limits();
   this->dispatch->SetHostEnd(this->host_end);
+  this->LimitDelay();
   const TimePoint now = SteadyNow();
   if (stop.grace == Duration::zero()) {
     return;
@@ -610,6 +614,13 @@
   if (renewed != this->host_end) {
     this->host_end = renewed;
     this->dispatch->SetHostEnd(renewed);
+    this->LimitDelay();
+  }
+}
+
+void HostProcess::LimitDelay() {
+  if (this->stop_phase == StopPhase::kDelay && this->shutting_down) {
+    this->listening_end->Set(this->host_end.last_start);
   }
 }
 
