LibIdempotency, LibHost: Repeat failed claim writes soon while a host ends

After an outage of the table, a host repeats the write of a keyed response up to 5 s later. A host that ends waits for its writes for at most 2 s, so that it ended without another try although the table answered again, and callers that repeat the key were told in-progress-or-lost.

While the host waits for its writes, the time between two tries is 100 ms.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -685,6 +685,7 @@
     return;
   }
   this->EnterStopPhase(StopPhase::kWrites);
+  this->claims->BeginFlush(SteadyNow());
   this->reports->Close(SteadyNow());
   Log(LogLevel::kInfo, "requests_ended", this->Outstanding());
   this->Flush();
--- a/Libraries/LibIdempotency/claim_store.cc
+++ b/Libraries/LibIdempotency/claim_store.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(50);
-constexpr Duration kMaxRetryDelay = std::chrono::seconds(5);
 // The table client replies within 2 s; a call without a reply is repeated.
 constexpr Duration kTableCallTimeout = std::chrono::seconds(5);
 
@@ -97,6 +96,13 @@
   ++entry.operation_id;
 }
 
+void ClaimStore::BeginFlush(TimePoint now) {
+  this->max_retry_delay = kFlushRetryDelay;
+  for (auto& [attempt, entry] : this->entries) {
+    entry.not_before = std::min(entry.not_before, now + kFlushRetryDelay);
+  }
+}
+
 void ClaimStore::Tick(TimePoint now) {
   this->last_call_at = std::max(this->last_call_at, now);
   std::vector<AttemptId> expired_claims;
@@ -299,8 +305,8 @@
     return;
   }
   // Read the row to find out whether the write was applied.
-  const Duration delay =
-      std::min(kMinRetryDelay * (1 << std::min(entry->consecutive_failures, 10U)), kMaxRetryDelay);
+  const Duration delay = std::min(
+      kMinRetryDelay * (1 << std::min(entry->consecutive_failures, 10U)), this->max_retry_delay);
   ++entry->consecutive_failures;
   this->StartStep(*entry, entry->phase, Step::kRead, this->last_call_at + delay);
 }
--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -75,6 +75,8 @@
   static constexpr std::size_t kMaxBatchBytes = 512 * 1024;
   // Claims that arrive within this time are sent in one batch.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(5);
+  // Time between two tries while the host waits for its writes.
+  static constexpr Duration kFlushRetryDelay = std::chrono::milliseconds(100);
 
   // Arranges a call of Tick at `when` or soon after. Of several times requested before that
   // call, only the earliest counts. Must not call Tick itself.
@@ -106,6 +108,9 @@
   // Drops a request that was sent and whose result is unknown: the row stays claimed
   // forever. No effect unless the claim is held.
   void Abandon(AttemptId attempt);
+  // From now on, failed calls are repeated every kFlushRetryDelay. Call when the host only waits
+  // for its writes in order to end.
+  void BeginFlush(TimePoint now);
   // Sends batched writes and retries. While writes are pending, the TickScheduler is asked for
   // the next call, which is every kBatchDelay.
   void Tick(TimePoint now);
@@ -154,6 +159,7 @@
   const ClaimLossHandler on_claim_lost;
   std::map<AttemptId, Entry> entries;
   TimePoint common_limit = TimePoint::max();
+  Duration max_retry_delay = std::chrono::seconds(5);
   // Time of the last call; replies of the table carry no time.
   TimePoint last_call_at{};
   // Expires with this object, so that later callbacks of the table have no effect.
--- a/Tests/LibIdempotency/claim_store_test.cc
+++ b/Tests/LibIdempotency/claim_store_test.cc
@@ -219,6 +219,7 @@
   CPPUNIT_TEST(TestLostClaimIsReported);
   CPPUNIT_TEST(TestReleasedClaimIsNotReportedAsLost);
   CPPUNIT_TEST(TestCompletionIsRetriedWhileTableIsDown);
+  CPPUNIT_TEST(TestEndingHostLosesAResponseAfterAnOutage);
   CPPUNIT_TEST(TestLargeBodyIsNotStored);
   CPPUNIT_TEST(TestWritesAreBatched);
   CPPUNIT_TEST(TestRowKeepsItsFields);
@@ -534,6 +535,25 @@
     CPPUNIT_ASSERT(Claim(host, "a", AttemptId{2}).decision == ClaimDecision::kReplay);
   }
 
+  // Guards against losing a response because the host ends before the next try after an outage.
+  void TestEndingHostLosesAResponseAfterAnOutage() {
+    FaultyDatabase database(5);
+    SimulatedHost host(database);
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{1}).decision == ClaimDecision::kRun);
+    database.fault_script = [] { return TableFault::kNotApplied; };
+    host.claim_store->Complete(database.now, AttemptId{1}, {200, {}, "x"});
+    database.RunUntil(database.now + seconds(61));
+    const std::uint64_t calls = database.calls;
+    host.claim_store->BeginFlush(database.now);
+    database.RunUntil(database.now + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.claim_store->pending_writes());
+    CPPUNIT_ASSERT(database.calls - calls <= seconds(1) / ClaimStore::kFlushRetryDelay);
+    database.fault_script = nullptr;
+    database.RunUntil(database.now + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
+    CPPUNIT_ASSERT(Claim(host, "a", AttemptId{2}).decision == ClaimDecision::kReplay);
+  }
+
   void TestLargeBodyIsNotStored() {
     FaultyDatabase database(6);
     SimulatedHost host(database);
