LibHost: Report a host as not ready while its stop signal is pending

Load balancers went on to open connections to a host whose control thread did not run: /readyz answered 200 until that thread had handled SIGTERM, although the host already refused requests because of the signal.

It now also asks for the current stop, as the traffic threads do, which finds a signal that is pending.

OperatorEndpointTest holds the control loop back and sends the process a signal: 200 in place of 503 without the change.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -306,7 +306,8 @@
       .host_name = this->settings.name,
       .domain_name = this->settings.domain,
       .on_drain = [this] { this->BeginShutdown(); },
-      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); }};
+      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); },
+      .is_stopping = [this] { return this->CurrentStop().has_value(); }};
   this->operator_endpoint = OperatorEndpoint::Create(
       this->loop, this->shared_state, *this->configuration, *this->configuration_store,
       *this->store, this->metrics, std::move(operator_settings), error);
--- a/Libraries/LibHost/operator_endpoint.cc
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -221,7 +221,8 @@
 
 void OperatorEndpoint::SendReadiness(const Responder& responder) const {
   const auto readiness = this->shared_state.readiness.Read();
-  const Readiness current = readiness ? *readiness : Readiness{};
+  Readiness current = readiness ? *readiness : Readiness{};
+  current.shutting_down = current.shutting_down || this->settings.is_stopping();
   SendJson(responder, current.ready() ? 200 : 503,
            {{"ready", current.ready()},
             {"has_configuration", current.has_configuration},
--- a/Libraries/LibHost/operator_endpoint.h
+++ b/Libraries/LibHost/operator_endpoint.h
@@ -25,6 +25,9 @@
     // Starts the graceful shutdown of this host.
     std::function<void()> on_drain;
     std::function<std::size_t()> requests_in_progress;
+    // Whether this host has been told to stop, which the control thread may not have handled yet.
+    // Callable from any thread.
+    std::function<bool()> is_stopping;
   };
 
   static std::unique_ptr<OperatorEndpoint> Create(ControlLoop& loop,
