LibHttp, LibHost: Count deadlines from the arrival of a request

A host that was kept from running, or whose traffic thread was busy, answered callers late by that time, and told targets that they had as much more time: deadlines counted from when a request was read. Callers wait from when they have sent it.

--- a/Libraries/LibHost/request_reader.h
+++ b/Libraries/LibHost/request_reader.h
@@ -20,7 +20,6 @@
                                     const HttpDialect& dialect,
                                     HttpServerRequest& request,
                                     const std::string& request_id,
-                                    TimePoint now,
                                     ErrorResponse& refusal);
 
 }  // namespace pimentopin
--- a/Tests/LibHost/request_reader_test.cc
+++ b/Tests/LibHost/request_reader_test.cc
@@ -225,8 +225,9 @@
     return this->ReadFrom(this->configuration, request);
   }
   std::optional<Exchange> ReadFrom(const Configuration& from, HttpServerRequest request) {
+    request.received_at = kNow;
     return ReadRequest(from, this->dialect, request, this->dialect.CallerRequestId(request.headers),
-                       kNow, this->refusal);
+                       this->refusal);
   }
 
   static Configuration RoutedConfiguration() {
--- a/Tests/LibHost/stop_model.cc
+++ b/Tests/LibHost/stop_model.cc
@@ -24,6 +24,7 @@
 constexpr Duration kViewInterval = milliseconds(20);
 // Of the rules.
 constexpr Duration kRefusalLimit = milliseconds(200);
+constexpr Duration kLateEndLimit = milliseconds(500);
 constexpr Duration kLatestExcused = seconds(3);
 
 double Seconds(Duration duration) {
@@ -48,6 +49,8 @@
       return "broken off at work";
     case ModelFault::kLateRefusal:
       return "refused late";
+    case ModelFault::kLateEnd:
+      return "ended late";
     case ModelFault::kToldNotRun:
       return "told not-run";
     case ModelFault::kAnswerReplaced:
@@ -257,7 +260,7 @@
       .request = RequestId{index + 1},
       .service = kService,
       .idempotent = request.idempotent,
-      .deadline = this->now + request.budget,
+      .deadline = kSignalSent + request.sent + request.budget,
       .fingerprint = Fingerprint{index + 1},
       .allowed = {TargetOf(index)},
   };
@@ -489,6 +492,10 @@
       return ModelFault::kBrokenOff;
     }
   }
+  if (course.ended &&
+      *course.ended > this->AfterRunning(request.sent + request.budget, kLateEndLimit)) {
+    return ModelFault::kLateEnd;
+  }
   if (course.ended && !course.closed) {
     const bool waits = request.slot_free_at != Duration::min();
     if (!passed_on && !waits && *course.ended > this->AfterRunning(*course.read, kRefusalLimit)) {
--- a/Tests/LibHost/stop_model.h
+++ b/Tests/LibHost/stop_model.h
@@ -86,6 +86,8 @@
   kBrokenOff,
   // Not passed on although it waited for no slot, and told so late.
   kLateRefusal,
+  // Ended long after its deadline.
+  kLateEnd,
   kToldNotRun,
   // The host's own answer in place of one that its target had given in time.
   kAnswerReplaced,
