LibCore: Date a signal by all threads that have looked for it

A host whose control thread does not run for more than a sixth of the grace around SIGTERM did not know any time at which it may end the work of targets before it is killed. Requests that waited in the queue of their target then were cut without an answer, although other threads had run and looked for the signal with each request and readiness check.

SignalTimestamp keeps what they found: a signal that is pending was not sent before any earlier look that found none, and not after this one. A look that finds none counts only once the signal has been seen pending, as it may have left the queue while its handler has yet to run.

--- a/Libraries/LibCore/signal_timestamp.h
+++ b/Libraries/LibCore/signal_timestamp.h
@@ -22,7 +22,10 @@
 // block them.
 class SignalTimestamp {
  public:
-  explicit SignalTimestamp(const std::vector<int>& signals);
+  // Callable from a signal handler.
+  using Clock = TimePoint (*)();
+
+  explicit SignalTimestamp(const std::vector<int>& signals, Clock clock = SteadyNow);
   // Restores the handlers that were installed before.
   ~SignalTimestamp();
   SignalTimestamp(const SignalTimestamp&) = delete;
@@ -33,7 +36,8 @@
   void RecordRunning(TimePoint now);
   // Time of the first signal: between the last call of RecordRunning() before it was handled, or
   // the start of the process, and its handling. Empty if no signal has arrived. Callable from any
-  // thread, and also finds a signal that waits for the thread that handles it.
+  // thread, and also finds a signal that waits for the thread that handles it. Calls in which it
+  // was not yet pending, and in which it was, bound its time more closely.
   std::optional<SignalTime> first() const;
 
  private:
--- a/Tests/LibCore/signal_timestamp_test.cc
+++ b/Tests/LibCore/signal_timestamp_test.cc
@@ -9,6 +9,12 @@
 namespace {
 
 volatile std::sig_atomic_t handled_signals = 0;
+TimePoint clock_time;
+
+TimePoint At(int seconds) {
+  clock_time = TimePoint(std::chrono::seconds(seconds));
+  return clock_time;
+}
 
 void CountSignal(int /*number*/) {
   handled_signals = handled_signals + 1;
@@ -19,6 +25,7 @@
   CPPUNIT_TEST(TestSignalIsDatedWhenItsTaskRuns);
   CPPUNIT_TEST(TestSignalIsDatedAfterPause);
   CPPUNIT_TEST(TestPendingSignalIsUnknown);
+  CPPUNIT_TEST(TestSightingsOfOtherThreadsAreForgotten);
   CPPUNIT_TEST(TestHandlerIsLost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +73,25 @@
     CPPUNIT_ASSERT(timestamp.first()->sent_after == last_running);
   }
 
+  // Guards against a stop that is dated by the thread that handles its signal alone, which does not
+  // run for long, although others were running when it was sent.
+  void TestSightingsOfOtherThreadsAreForgotten() {
+    SignalTimestamp timestamp({SIGUSR1}, [] { return clock_time; });
+    timestamp.RecordRunning(At(100));
+    {
+      const ScopedSignalMask blocked(SIG_BLOCK, {SIGUSR1});
+      const TimePoint last_clear = At(102);
+      CPPUNIT_ASSERT(!timestamp.first());
+      std::raise(SIGUSR1);
+      const SignalTime seen{last_clear, At(103)};
+      CPPUNIT_ASSERT(timestamp.first() == seen);
+      At(105);
+      CPPUNIT_ASSERT(timestamp.first() == seen);
+    }
+    CPPUNIT_ASSERT((timestamp.first() == SignalTime{TimePoint(std::chrono::seconds(102)),
+                                                    TimePoint(std::chrono::seconds(103))}));
+  }
+
   // Guards against signals that no longer reach the handler that was installed before.
   void TestHandlerIsLost() {
     handled_signals = 0;
--- a/Tests/LibHost/stop_model.h
+++ b/Tests/LibHost/stop_model.h
@@ -54,10 +54,12 @@
 // What a target does with an attempt.
 struct ModelAttempt {
   AttemptResult result = AttemptResult::kSuccess;
-  // Until the response begins.
+  // Until the response begins, or the connection fails.
   Duration work{};
   // From the beginning of the response to its end.
   Duration body{};
+  // In the queue of the target, before its work.
+  Duration queued{};
 
   friend bool operator==(const ModelAttempt&, const ModelAttempt&) = default;
 };
@@ -94,8 +96,8 @@
   // Not answered: its target ended its work, or it was read, when the host, or its control thread,
   // no longer ran.
   kNoTimeToAnswer,
-  // Not answered: it waited for a slot when the host ran for the last time, which was before the
-  // end of such waits.
+  // Not answered: it waited for a slot or a connection when the host ran for the last time, which
+  // was before the end of such waits.
   kWaitedAtTheEnd,
 };
 
@@ -114,6 +116,7 @@
       AttemptResult result{};
       // When the target received it; empty if it never did.
       std::optional<Duration> passed_on;
+      Duration target_begin{};
       // When the target ends its work by itself.
       Duration target_end{};
       // When the host broke it off.
@@ -200,6 +203,8 @@
   void SendGrant(HostId broker, AttemptId attempt, std::size_t index);
 
   ModelFault Judge(std::size_t index) const;
+  // Time that the attempts of a request took that did not reach a target.
+  Duration ConnectTime(std::size_t index) const;
   bool MayBeBrokenOff(const ModelRequest& request, Duration time) const;
   // When the control thread has run for `time` since `from`.
   Duration AfterRunning(Duration from, Duration time) const;
@@ -214,10 +219,10 @@
   std::uint64_t next_sequence = 0;
   std::priority_queue<Event, std::vector<Event>, IsLater> events;
 
+  static inline const StopModel* playing = nullptr;
   // One thread plays all of them. The signal waits until the control thread runs.
   const ScopedSignalMask blocked_signal{SIG_BLOCK, {kStopSignal}};
-  SignalTimestamp stop_signal{{kStopSignal}};
-  std::optional<TimePoint> handled_at;
+  SignalTimestamp stop_signal{{kStopSignal}, [] { return playing->now; }};
   std::optional<TimePoint> drained_at;
   PauseMonitor pauses{kCheckInterval};
   HostEnd host_end;
--- a/Tests/LibHost/stop_model_test.cc
+++ b/Tests/LibHost/stop_model_test.cc
@@ -9,6 +9,7 @@
 #include <set>
 #include <sstream>
 
+#include "Libraries/LibHttp/http_client.h"
 #include "Tests/property.h"
 
 namespace pimentopin {
@@ -19,6 +20,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kGrace = seconds(6);
+constexpr Duration kConnectTimeout = HttpClientSettings().connect_timeout;
 // Requests of one model, few enough that the dispatcher looks for their next deadline.
 constexpr std::size_t kBatch = 60;
 constexpr std::array<Duration, 3> kCheckPhases = {milliseconds(0), milliseconds(10),
@@ -106,6 +108,7 @@
        {AttemptResult::kShed, AttemptResult::kServerError, AttemptResult::kConnectFailure}) {
     shapes.push_back({.attempts = {{result, milliseconds(300)}, {.work = seconds(1)}}});
   }
+  shapes.push_back({.attempts = {{AttemptResult::kConnectFailure, kConnectTimeout}}});
   for (ModelRequest& shape : shapes) {
     shape.sent = sent;
   }
@@ -166,6 +169,7 @@
   CPPUNIT_TEST_SUITE(StopModelTest);
   CPPUNIT_TEST(TestRequestIsLostWithoutPause);
   CPPUNIT_TEST(TestRequestIsLostIfThePausePreventsHandlingTheSignal);
+  CPPUNIT_TEST(TestQueuedRequestIsLostAlthoughTheSignalWasSeen);
   CPPUNIT_TEST(TestRequestIsLostAfterAPauseOfTheStop);
   CPPUNIT_TEST(TestRequestIsLostBetweenRepeatedPauses);
   CPPUNIT_TEST(TestPauseUntilTheKillLosesMoreThanItMust);
@@ -206,6 +210,34 @@
     walk.Check({});
   }
 
+  // Guards against requests that are cut in the queue of their target, because the thread that
+  // handles the signal does not know when it was sent although others have seen it pending.
+  void TestQueuedRequestIsLostAlthoughTheSignalWasSeen() {
+    std::vector<ModelRequest> requests;
+    for (const int sent_ms : {-500, -1, 1, 2000}) {
+      for (const int queued_ms : {100, 3000, 20'000}) {
+        requests.push_back({.sent = milliseconds(sent_ms),
+                            .budget = seconds(9),
+                            .attempts = {{.work = seconds(1), .queued = milliseconds(queued_ms)}}});
+      }
+    }
+    Walk walk("queued requests");
+    for (const int length_ms : {0, 800, 1500, 2000, 3500}) {
+      for (const int begin_ms : {-1200, -400, -20}) {
+        const Duration begin = milliseconds(begin_ms);
+        const Duration end = begin + milliseconds(length_ms);
+        walk.Run({.pauses = {{begin, end, false}}}, requests);
+        // No thread sees the signal in a pause of the process. If it is longer than the last sixth
+        // of the grace, which is the time in which work of targets may be ended, the host does not
+        // know of any such time before it may be killed.
+        if (milliseconds(length_ms) < kGrace / 6) {
+          walk.Run({.pauses = {{begin, end, true}}}, requests);
+        }
+      }
+    }
+    walk.Check({});
+  }
+
   // Guards against answers that are not given, or replace those of targets, after a pause within
   // the stop.
   void TestRequestIsLostAfterAPauseOfTheStop() {
@@ -253,7 +285,8 @@
   // - Their target ends its work in the pause, before the last sixth of the grace.
   // - They are read when the pause begins, or later if only the control thread pauses. Another
   //   thread could refuse the latter.
-  // - They wait for a slot when the pause begins, which is before such waits end. Shorter waits
+  // - They wait for a slot or a connection when the pause begins, which is before such waits end.
+  // Shorter waits
   //   would refuse requests at each stop.
   void TestPauseUntilTheKillLosesMoreThanItMust() {
     std::vector<std::vector<std::pair<Duration, Duration>>> pauses;
