--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -331,7 +331,8 @@
       .host_name = this->settings.name,
       .domain_name = this->settings.domain,
       .on_drain = [this] { this->BeginShutdown(); },
-      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); }};
+      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); },
+      .is_stopping = [this] { return this->CurrentStop().has_value(); }};
   this->operator_endpoint = OperatorEndpoint::Create(
       this->loop, this->shared_state, *this->configuration, *this->configuration_store,
       *this->store, this->metrics, std::move(operator_settings), error);
@@ -395,8 +396,8 @@
                         "this host has no configuration yet"};
   std::optional<Exchange> exchange;
   if (active_configuration) {
-    exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
-                           SteadyNow(), refusal);
+    exchange =
+        ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id, refusal);
   }
   const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
