--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -104,6 +104,8 @@
                     break
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
+        except asyncio.CancelledError:
+            pass  # The soak is over.
         finally:
             writer.close()
 
