--- a/Meta/soak_callers.py
+++ b/Meta/soak_callers.py
@@ -82,6 +82,7 @@
             request.deadline_s = self.rng.uniform(MIN_KEYED_DEADLINE_S, kind.deadline_s)
             key = f"Idempotency-Key: {request.id}\r\n"
         request.sent_at = time.monotonic()
+        host.unanswered.add(request)
         writer.write(
             f"{kind.method} /{kind.name}/{request.id} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
             f"X-Pimentopin-Attempt-Id: {request.id}\r\n"
@@ -108,13 +109,13 @@
         except (OSError, asyncio.IncompleteReadError, ValueError) as error:
             request.error = f"{type(error).__name__} {error}"
         for cut in itertools.islice(outstanding, 1 if request.status else len(outstanding)):
-            cut.ended_at = time.monotonic()
+            cut.end()
         if request.status is None:
             return False
         outstanding.popleft()
         if head[1].get("connection") == "close":
             for cut in outstanding:
-                cut.ended_at = time.monotonic()
+                cut.end()
                 cut.error = "behind a response that closes"
             return False
         return True
@@ -141,13 +142,15 @@
 class OpenLoad(Caller):
     """Sends requests of one failure domain at a rate that does not depend on the responses."""
 
-    def __init__(self, soak, rng, zone, rate):
+    def __init__(self, soak, rng, zone, rate, count):
         super().__init__(soak, rng)
         self.zone = zone
         self.rate = rate
         self.is_slow = False
-        # Kept connections without a request in progress.
-        self.idle = []
+        # Numbers of the callers, or one without a number whom the balancer does not know.
+        self.callers = range(count) if count else [None]
+        # Kept connections without a request in progress, by caller.
+        self.idle = {caller: [] for caller in self.callers}
         self.exchanges = set()
 
     async def run(self):
@@ -166,18 +169,21 @@
         finally:
             for exchange in self.exchanges:
                 exchange.cancel()
-            for _, _, writer in self.idle:
+            for _, _, writer in itertools.chain.from_iterable(self.idle.values()):
                 writer.transport.abort()
 
     async def exchange(self, kind):
+        caller = self.rng.choice(self.callers) if len(self.callers) > 1 else self.callers[0]
+        idle = self.idle[caller]
         connected = None
-        while self.idle and not kind.fresh and connected is None:
-            connected = self.idle.pop(self.rng.randrange(len(self.idle)))
+        while idle and not kind.fresh and connected is None:
+            connected = idle.pop(self.rng.randrange(len(idle)))
             if connected[1].at_eof():
                 connected[2].transport.abort()
                 connected = None
         is_first = connected is None
-        connected = connected or await self.connect(self.soak.pick_host(self.rng, self.zone))
+        connected = connected or await self.connect(
+            self.soak.pick_host(self.rng, self.zone, caller))
         if connected is None:
             return
         host, reader, writer = connected
@@ -187,7 +193,7 @@
             is_kept = await self.receive(reader, collections.deque([request])) and not kind.fresh
         finally:
             if is_kept:
-                self.idle.append(connected)
+                idle.append(connected)
             else:
                 writer.transport.abort()
 
--- a/Meta/soak_deployments.py
+++ b/Meta/soak_deployments.py
@@ -11,10 +11,16 @@
     "name service method kind timeout_s deadline_s work_s body_bytes fresh weight spread also",
     defaults=((),))
 
+# What is wrong with targets by themselves: one draw for each target and period. A target with
+# errors fails this share of its requests, a slow one works four times as long.
+Noise = collections.namedtuple("Noise", "period_s errors fails slow")
+
 # `hosts` and the lists of `targets` have one entry for each failure domain, as has `rates`, the
 # mean arrivals a second. Without rates, a fixed number of callers sends one request after another.
+# `callers` is the number of callers of each failure domain, if the balancer tells them apart.
 Deployment = collections.namedtuple(
-    "Deployment", "hosts targets slots queue kinds rates")
+    "Deployment", "hosts targets slots queue kinds rates noise callers",
+    defaults=(Noise(9.0, 0.25, 0.9, 0.15), None))
 
 SMALL = Deployment(
     hosts=None,
--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -39,6 +39,8 @@
         self.started_at = []
         # Times of the first SIGTERM of each stop.
         self.stops = []
+        # Requests that were sent to it and have no response yet.
+        self.unanswered = set()
 
     def start(self):
         caller, operator, peer = self.addresses
@@ -93,6 +95,10 @@
             if handling != [pid]:
                 self.soak.fail(f"{self.name}, process {pid}: threads {handling} handle {number.name}")
 
+    def is_answering(self):
+        """True if a target works on one of its requests."""
+        return any(run.ended_at is None for request in self.unanswered for run in request.runs)
+
     def measure(self):
         """Returns the open descriptors and the peak of the resident memory in MB."""
         process = pathlib.Path(f"/proc/{self.process.child.pid}")
--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -1,11 +1,18 @@
-"""Reads a site file of the platform's users, and plays the planned work of one of its days."""
+"""Reads a site file of the platform's users, and plays one of its days.
+
+Of the disturbances that are not planned, those are played that concern targets and
+what they answer; the others are counted as not played.
+"""
 
 import asyncio
 import time
 
 from soak_callers import ZONES
-from soak_deployments import Deployment, Kind
+from soak_deployments import Deployment, Kind, Noise
 
+POLL_S = 0.01
+# What a fault makes of the requests at a target, by the word of a day.
+FAULTS = ("errors", "shed", "hang", "reset")
 UNUSED_ROUTES = (0, 20, 350)
 
 
@@ -20,7 +27,8 @@
         raise ValueError(f"{path} has no day {day_name}")
     zones = [zone["name"] for zone in site["zones"]]
     limits = {(service["slots"], service["queue"]) for service in site["services"]}
-    if len(zones) != len(ZONES) or len(limits) != 1:
+    noises = {read_noise(service["noise"]) for service in site["services"]}
+    if len(zones) != len(ZONES) or len(limits) != 1 or len(noises) != 1:
         raise ValueError(f"{path} does not have {len(ZONES)} zones, and services of one size")
     slots, queue = limits.pop()
     traffic = sorted(days[0]["traffic"], key=lambda entry: zones.index(entry["zone"]))
@@ -34,10 +42,18 @@
         queue=queue,
         kinds=tuple(read_kind(entry, traffic[0]["mix"]) for entry in site["classes"]),
         rates=tuple(entry["per_s"] for entry in traffic),
+        noise=noises.pop(),
+        callers=tuple(entry["clients"] for entry in traffic),
     )
     return deployment, days[0], site["length_s"]
 
 
+def read_noise(entry):
+    if entry["how"] != "errors":
+        raise ValueError(f"noise {entry['how']} is not known")
+    return Noise(entry["every_ms"] / 1000, entry["share"], entry["fails"], 0.0)
+
+
 def read_kind(entry, weights):
     deadline_s = entry["deadline_ms"] / 1000
     return Kind(
@@ -48,17 +64,17 @@
         tuple(entry["also"]))
 
 
-class PlannedWork:
-    """Planned work of a day. Its other disturbances are not played."""
+class Day:
+    """Planned work of a day, and the faults of its targets."""
 
     def __init__(self, day, length_s, soak):
-        self.plan = day["plan"]
+        self.entries = day["plan"] + day["faults"]
         self.length_s = length_s
         self.soak = soak
 
     async def play(self):
         end = time.monotonic() + self.length_s
-        await asyncio.gather(*(self.play_entry(entry) for entry in self.plan))
+        await asyncio.gather(*(self.play_entry(entry) for entry in self.entries))
         await asyncio.sleep(max(0.0, end - time.monotonic()))
 
     async def play_entry(self, entry):
@@ -73,15 +89,26 @@
         hosts = self.soak.hosts
         order = self.soak.rng.sample(hosts, max(1, round(entry["share"] * len(hosts))))
         at_once = int(entry.get("x", 1))
+        is_busy = "busy" in entry.get("how", "")
         stops = []
         for index in range(0, len(order), at_once):
             for host in order[index:index + at_once]:
-                if not host.stopping:
-                    self.soak.counts["SIGTERM"] += 1
-                    stops.append(asyncio.ensure_future(host.stop()))
+                stops.append(asyncio.ensure_future(
+                    self.stop_host(host, entry["gap_s"] if is_busy else 0.0)))
             await asyncio.sleep(entry["gap_s"])
         await asyncio.gather(*stops)
 
+    async def stop_host(self, host, longest_wait_s):
+        """Stops a host, if possible while a target works on one of its requests."""
+        end = time.monotonic() + longest_wait_s
+        while time.monotonic() < end and not host.is_answering():
+            await asyncio.sleep(POLL_S)
+        if host.stopping:
+            return
+        self.soak.counts["SIGTERM"] += 1
+        self.soak.counts["SIGTERM while it answers"] += host.is_answering()
+        await host.stop()
+
     async def play_hup(self, entry):
         hosts = self.soak.hosts
         order = self.soak.rng.sample(hosts, max(1, round(entry["share"] * len(hosts))))
@@ -147,3 +174,26 @@
                 if target not in self.soak.departures:
                     self.soak.start_departure(target)
             await asyncio.sleep(entry["gap_s"])
+
+    def draw_targets(self, entry):
+        """Draws the share of the targets of each service that the entry concerns."""
+        rng = self.soak.rng
+        return [target for _, present in self.present_targets(entry)
+                for target in rng.sample(present, max(1, round(entry["share"] * len(present))))]
+
+    async def play_srv_slow(self, entry):
+        targets = self.draw_targets(entry)
+        for target in targets:
+            target.work_factor *= entry["x"]
+        await asyncio.sleep(entry["for_s"])
+        for target in targets:
+            target.work_factor /= entry["x"]
+
+    async def play_srv_grey(self, entry):
+        fault = next(word for word in FAULTS if word in entry["how"])
+        targets = self.draw_targets({**entry, "share": 1.0} if "all" in entry["how"] else entry)
+        for target in targets:
+            target.faults.append((fault, entry["x"]))
+        await asyncio.sleep(entry["for_s"])
+        for target in targets:
+            target.faults.remove((fault, entry["x"]))
--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -4,7 +4,6 @@
 import random
 import time
 
-TROUBLE_S = 9.0
 # Time for which an entry of a target stays in state draining before it is removed.
 DRAINING_S = 3.0
 
@@ -51,7 +50,11 @@
         self.reason = ""
         self.received = 0
         self.runs = []
-        self.target_broke_off = False
+
+    def end(self):
+        """Notes that its caller has the response, or that its connection has ended."""
+        self.ended_at = time.monotonic()
+        self.host.unanswered.discard(self)
 
 
 class Target:
@@ -67,6 +70,9 @@
         self.waiting = 0
         self.address = None
         self.entries_written = 0
+        # Faults in force: a factor on its work, and what it does to which share of its requests.
+        self.work_factor = 1.0
+        self.faults = []
 
     async def start(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -88,10 +94,11 @@
         await self.register(None)
 
     def trouble(self):
-        """What is wrong with the target now; changes every TROUBLE_S."""
-        period = int(time.monotonic() / TROUBLE_S)
+        """What is wrong with the target now by itself; changes after each period of the noise."""
+        noise = self.soak.deployment.noise
+        period = int(time.monotonic() / noise.period_s)
         return random.Random(f"{self.soak.options.seed}-{self.name}-{period}").choices(
-            ("", "errors", "slow"), (0.6, 0.25, 0.15))[0]
+            ("", "errors", "slow"), (1 - noise.errors - noise.slow, noise.errors, noise.slow))[0]
 
     async def serve(self, reader, writer):
         try:
@@ -114,7 +121,8 @@
         if request is None or head[1].get("x-pimentopin-expect-instance", self.name) != self.name:
             await respond(writer, 421, {"X-Pimentopin-Not-Executed": "1"}, b"")
             return True
-        if self.waiting >= self.soak.deployment.queue:
+        fault = self.draw_fault()
+        if fault == "shed" or self.waiting >= self.soak.deployment.queue:
             await respond(writer, 503, {"X-Pimentopin-Not-Executed": "1"}, b"")
             return True
         self.waiting += 1
@@ -126,6 +134,7 @@
         request.runs.append(run)
         try:
             work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
+            work_s *= self.work_factor
             trouble = self.trouble()
             if trouble == "slow":
                 work_s *= 4
@@ -135,7 +144,7 @@
                 work_s *= 7
             # A connection that the caller closes ends the work.
             gone = asyncio.ensure_future(reader.read(1))
-            done, _ = await asyncio.wait({gone}, timeout=work_s)
+            done, _ = await asyncio.wait({gone}, timeout=None if fault == "hang" else work_s)
             if done:
                 run.is_cancelled = True
                 return False
@@ -147,7 +156,11 @@
         finally:
             run.ended_at = time.monotonic()
             self.slots.release()
-        failed = self.rng.random() < (0.9 if trouble == "errors" else 0.02)
+        if fault == "reset":
+            writer.transport.abort()
+            return False
+        failed = fault == "errors" or self.rng.random() < (
+            self.soak.deployment.noise.fails if trouble == "errors" else 0.02)
         closes = self.rng.random() < 0.05
         size = 200 if failed else int(request.kind.body_bytes * self.rng.uniform(0.3, 1.8))
         headers = {
@@ -160,6 +173,10 @@
         await respond(writer, 500 if failed else 200, headers, b"x" * size)
         return not closes
 
+    def draw_fault(self):
+        """Draws which of the faults in force the next request meets."""
+        return next((fault for fault, share in self.faults if self.rng.random() < share), "")
+
     def draw_work_s(self, kind):
         if kind.spread is None:
             return kind.work_s * self.rng.expovariate(1.0)
