--- a/Meta/soak_callers.py
+++ b/Meta/soak_callers.py
@@ -155,11 +155,13 @@
 
     async def run(self):
         kinds = self.soak.deployment.kinds
+        fresh = self.soak.options.fresh
+        weights = [kind.weight * (fresh if kind.fresh else 1.0) for kind in kinds]
         started_at = time.monotonic()
         while not self.soak.ended:
             wave = 1 + 0.55 * math.sin(2 * math.pi * (time.monotonic() - started_at) / 17)
             await asyncio.sleep(self.rng.expovariate(self.rate * wave * self.soak.options.load))
-            kind = self.rng.choices(kinds, [kind.weight for kind in kinds])[0]
+            kind = self.rng.choices(kinds, weights)[0]
             exchange = asyncio.ensure_future(self.exchange(kind))
             self.exchanges.add(exchange)
             exchange.add_done_callback(self.exchanges.discard)
