LibHost: Refuse nothing for the grace after an operator's drain

A host that an operator had drained refused unsafe requests whose deadline was later than the grace, and soon all long ones, as if it would be killed. Nothing kills such a host: it lets every request complete, however long it takes.

CurrentStop counts a grace only after a signal.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -527,7 +527,8 @@
   const SignalTime start = signal.value_or(SignalTime{drained_at, drained_at});
   return StopAdmission{.earliest_start = start.sent_after,
                        .latest_start = start.sent_before,
-                       .grace = this->settings.shutdown_grace,
+                       // Nothing ends a host that only an operator stops.
+                       .grace = signal ? this->settings.shutdown_grace : Duration::zero(),
                        .cuttable_request_window = this->settings.cuttable_request_window,
                        .longest_pause = this->pauses.longest()};
 }
--- a/Tests/LibHost/stop_model.cc
+++ b/Tests/LibHost/stop_model.cc
@@ -51,6 +51,8 @@
       return "refused late";
     case ModelFault::kLateEnd:
       return "ended late";
+    case ModelFault::kRefusedWithoutNeed:
+      return "refused without need";
     case ModelFault::kToldNotRun:
       return "told not-run";
     case ModelFault::kAnswerReplaced:
@@ -224,7 +226,7 @@
   }
   return StopAdmission{.earliest_start = signal ? signal->sent_after : *this->drained_at,
                        .latest_start = signal ? signal->sent_before : *this->drained_at,
-                       .grace = this->order.grace,
+                       .grace = signal ? this->order.grace : Duration::zero(),
                        .longest_pause = this->pauses.longest()};
 }
 
@@ -507,6 +509,9 @@
       return ModelFault::kBrokenOff;
     }
   }
+  if (course.refused && *course.read < Duration::zero()) {
+    return ModelFault::kRefusedWithoutNeed;
+  }
   if (course.ended &&
       *course.ended > this->AfterRunning(request.sent + request.budget, kLateEndLimit)) {
     return ModelFault::kLateEnd;
--- a/Tests/LibHost/stop_model.h
+++ b/Tests/LibHost/stop_model.h
@@ -90,6 +90,8 @@
   kLateRefusal,
   // Ended long after its deadline.
   kLateEnd,
+  // Refused before the platform has announced that it ends the host.
+  kRefusedWithoutNeed,
   kToldNotRun,
   // The host's own answer in place of one that its target had given in time.
   kAnswerReplaced,
