--- a/Libraries/LibCore/signal_timestamp.cc
+++ b/Libraries/LibCore/signal_timestamp.cc
@@ -33,15 +33,15 @@
   return current_clock.load()().time_since_epoch().count();
 }
 
-void Raise(std::atomic<std::int64_t>& value, std::int64_t minimum) {
+void StoreMaximum(std::atomic<std::int64_t>& value, std::int64_t candidate) {
   std::int64_t current = value;
-  while (current < minimum && !value.compare_exchange_weak(current, minimum)) {
+  while (current < candidate && !value.compare_exchange_weak(current, candidate)) {
   }
 }
 
-void Lower(std::atomic<std::int64_t>& value, std::int64_t maximum) {
+void StoreMinimum(std::atomic<std::int64_t>& value, std::int64_t candidate) {
   std::int64_t current = value;
-  while (current > maximum && !value.compare_exchange_weak(current, maximum)) {
+  while (current > candidate && !value.compare_exchange_weak(current, candidate)) {
   }
 }
 
@@ -103,11 +103,11 @@
                       TimePoint(Duration(std::min<std::int64_t>(handled_us, seen_before_us)))};
   }
   if (!is_pending) {
-    Raise(last_clear_us, checked_at);
+    StoreMaximum(last_clear_us, checked_at);
     return std::nullopt;
   }
-  Raise(seen_after_us, std::max(last_running, last_clear));
-  Lower(seen_before_us, NowUs());
+  StoreMaximum(seen_after_us, std::max(last_running, last_clear));
+  StoreMinimum(seen_before_us, NowUs());
   return SignalTime{TimePoint(Duration(seen_after_us)), TimePoint(Duration(seen_before_us))};
 }
 
