LibHttp: Read the clock after the kernel's time of an arrival

A thread that did not run between reading the clock and TCP_INFO took a request for older than it was by as long, so that its deadline ended early: the host could break off the work of a target and answer in its place. Found by review. The clock is read last, so that a pause can only make the arrival later, as it was before arrivals were known.

--- a/Libraries/LibHttp/arrival_time.h
+++ b/Libraries/LibHttp/arrival_time.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <functional>
+
 #include "Libraries/LibCore/time.h"
 
 namespace pimentopin {
 
-// Time at which the kernel received the last bytes of a TCP connection, or a little later. `now` if
-// it does not tell.
-TimePoint LastArrival(int descriptor, TimePoint now);
+// Time at which the kernel received the last bytes of a TCP connection, or a little later. The
+// present time if it does not tell.
+TimePoint LastArrival(int descriptor, const std::function<TimePoint()>& clock = SteadyNow);
 
 }  // namespace pimentopin
