LibHost: Log when the grace of a stopping host begins

shutdown_started has the delay of the signal only if the signal began the stop. After an operator's drain the log did not tell that a signal came, and no log told the times from which a host starts no request and answers all.

grace_started has these.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -601,6 +601,12 @@
   if (stop.grace == Duration::zero()) {
     return;
   }
+  Log(LogLevel::kInfo, "grace_started",
+      {{"signal_delay_ms", Milliseconds(now - stop.earliest_start)},
+       {"longest_pause_ms", Milliseconds(stop.longest_pause)},
+       {"last_start_ms", Milliseconds(this->host_end.last_start - stop.earliest_start)},
+       {"last_answer_ms", Milliseconds(this->host_end.last_answer - stop.earliest_start)},
+       {"grace_ms", Milliseconds(stop.grace)}});
   // A connection that stays open can delay the exit, which reports the last period, until the host
   // is killed. Requests that end later form another period.
   this->loop.RunAfter(std::max(this->host_end.last_start - now, Duration::zero()),
