--- a/Meta/soak_site.py
+++ b/Meta/soak_site.py
@@ -86,8 +86,7 @@
             await play(entry)
 
     async def play_roll_term(self, entry):
-        hosts = self.soak.hosts
-        order = self.soak.rng.sample(hosts, max(1, round(entry["share"] * len(hosts))))
+        order = self.soak.draw_series(entry["share"])
         at_once = int(entry.get("x", 1))
         is_busy = "busy" in entry.get("how", "")
         stops = []
