--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -51,9 +51,19 @@
 // The time of a stop signal is known this exactly while the process runs.
 constexpr Duration kRunningCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(2);
-// Limits how long pending writes to the platform delay the exit.
+// Limits how long pending writes to the platform delay the exit, if the host's end does not.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
+// What a stopping host waits for, in this order.
+enum class StopPhase : std::uint8_t { kDelay, kListener, kRequests, kWrites, kEnd };
+constexpr std::size_t kStopPhases = 4;
+constexpr std::array<const char*, kStopPhases + 1> kStopPhaseNames = {"delay", "listener",
+                                                                      "requests", "writes", "end"};
+
+std::int64_t Milliseconds(Duration duration) {
+  return duration.count() / 1000;
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -100,9 +110,19 @@
   // Ends the requests in progress before the platform kills the host, which follows a signal only.
   void LimitToGrace();
   void RenewHostEnd();
+  // Ends the shutdown delay when no request is started any more.
+  void LimitDelay();
   void StopListening();
   void WaitForRequests();
-  void Flush(TimePoint deadline);
+  void Flush();
+  // Until when the stopping host waits for writes to the platform.
+  TimePoint LastWrite() const;
+  void EnterStopPhase(StopPhase phase);
+  // What the stopping host still waits for.
+  nlohmann::json Outstanding() const;
+  void LogUnfinished(TimePoint stop_started_at);
+  // Logs a request that arrived after the signal and may be cut off by the end of the host.
+  void LogCuttable(const Exchange& exchange, const StopAdmission& admission) const;
 
   const HostSettings settings;
   const PlatformAdapter adapter;
@@ -125,6 +145,11 @@
   HostEnd host_end;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
+  StopPhase stop_phase = StopPhase::kDelay;
+  // Ends the shutdown delay.
+  std::unique_ptr<Alarm> listening_end = this->loop.CreateAlarm([this] { this->StopListening(); });
+  // When the phase, and each one before it, began.
+  std::array<TimePoint, kStopPhases + 1> stop_phase_began{};
 
   std::unique_ptr<HttpClient> platform_client;
   std::unique_ptr<PlatformStore> store;
@@ -306,7 +331,8 @@
       .host_name = this->settings.name,
       .domain_name = this->settings.domain,
       .on_drain = [this] { this->BeginShutdown(); },
-      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); }};
+      .requests_in_progress = [this] { return this->dispatch->requests_in_progress(); },
+      .is_stopping = [this] { return this->CurrentStop().has_value(); }};
   this->operator_endpoint = OperatorEndpoint::Create(
       this->loop, this->shared_state, *this->configuration, *this->configuration_store,
       *this->store, this->metrics, std::move(operator_settings), error);
@@ -370,8 +396,8 @@
                         "this host has no configuration yet"};
   std::optional<Exchange> exchange;
   if (active_configuration) {
-    exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
-                           SteadyNow(), refusal);
+    exchange =
+        ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id, refusal);
   }
   const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
@@ -394,6 +420,9 @@
     return;
   }
   exchange->request_id = std::move(request_id);
+  if (admission) {
+    this->LogCuttable(*exchange, *admission);
+  }
   exchange->responder = responder;
   auto shared = std::make_shared<Exchange>(std::move(*exchange));
   this->loop.Post([this, shared] { this->dispatch->Submit(shared); });
@@ -526,7 +555,8 @@
   const SignalTime start = signal.value_or(SignalTime{drained_at, drained_at});
   return StopAdmission{.earliest_start = start.sent_after,
                        .latest_start = start.sent_before,
-                       .grace = this->settings.shutdown_grace,
+                       // Nothing ends a host that only an operator stops.
+                       .grace = signal ? this->settings.shutdown_grace : Duration::zero(),
                        .cuttable_request_window = this->settings.cuttable_request_window,
                        .longest_pause = this->pauses.longest()};
 }
@@ -544,6 +574,7 @@
   if (std::exchange(this->shutting_down, true)) {
     return;
   }
+  this->EnterStopPhase(StopPhase::kDelay);
   const TimePoint now = SteadyNow();
   this->drained_at = now;
   const StopAdmission admission = *this->CurrentStop();
@@ -556,8 +587,7 @@
   this->caller_server->DisableKeepAlive();
   // Load balancers need the delay from when they can see that the host is not ready.
   const Duration remaining = std::max(this->host_end.last_start - now, Duration::zero());
-  this->loop.RunAfter(std::min(this->settings.shutdown_delay, remaining),
-                      [this] { this->StopListening(); });
+  this->listening_end->Set(now + std::min(this->settings.shutdown_delay, remaining));
 }
 
 void HostProcess::LimitToGrace() {
@@ -567,6 +597,7 @@
   const StopAdmission stop = *this->CurrentStop();
   this->host_end = stop.Limits();
   this->dispatch->SetHostEnd(this->host_end);
+  this->LimitDelay();
   const TimePoint now = SteadyNow();
   if (stop.grace == Duration::zero()) {
     return;
@@ -577,7 +608,7 @@
                       [this] { this->reports->Close(SteadyNow()); });
   const Duration remaining = stop.earliest_start + stop.grace - now;
   this->loop.RunAfter(std::max(remaining - kUnfinishedLogMargin, Duration::zero()),
-                      [this, stop] { this->dispatch->LogRequestsInProgress(stop.earliest_start); });
+                      [this, stop] { this->LogUnfinished(stop.earliest_start); });
 }
 
 void HostProcess::RenewHostEnd() {
@@ -585,13 +616,61 @@
   if (renewed != this->host_end) {
     this->host_end = renewed;
     this->dispatch->SetHostEnd(renewed);
+    this->LimitDelay();
   }
 }
 
+void HostProcess::LimitDelay() {
+  if (this->stop_phase == StopPhase::kDelay && this->shutting_down) {
+    this->listening_end->Set(this->host_end.last_start);
+  }
+}
+
+void HostProcess::EnterStopPhase(StopPhase phase) {
+  this->stop_phase = phase;
+  this->stop_phase_began.at(static_cast<std::size_t>(phase)) = SteadyNow();
+}
+
+nlohmann::json HostProcess::Outstanding() const {
+  return {{"requests_in_progress", this->dispatch->requests_in_progress()},
+          {"server_requests", this->caller_server->requests_in_progress()},
+          {"open_connections", this->caller_server->open_connections()},
+          {"pending_claims", this->claims->pending_writes()},
+          {"pending_reports", this->reports->pending_writes()}};
+}
+
+void HostProcess::LogUnfinished(TimePoint stop_started_at) {
+  const auto phase = static_cast<std::size_t>(this->stop_phase);
+  const TimePoint now = SteadyNow();
+  nlohmann::json line = this->Outstanding();
+  line["phase"] = kStopPhaseNames.at(phase);
+  line["phase_ms"] = Milliseconds(now - this->stop_phase_began.at(phase));
+  line["after_stop_ms"] = Milliseconds(now - stop_started_at);
+  line["longest_pause_ms"] = Milliseconds(this->pauses.longest());
+  Log(LogLevel::kWarning, "shutdown_unfinished", line);
+  this->dispatch->LogRequestsInProgress(stop_started_at);
+}
+
+void HostProcess::LogCuttable(const Exchange& exchange, const StopAdmission& admission) const {
+  const TimePoint last_answer = admission.LastSafeAnswer();
+  if (admission.grace == Duration::zero() || exchange.description.deadline <= last_answer) {
+    return;
+  }
+  Log(LogLevel::kInfo, "request_may_outlast_host",
+      {{"request_id", exchange.request_id},
+       {"route", exchange.route},
+       {"arrived_after_stop_ms", Milliseconds(exchange.arrived - admission.earliest_start)},
+       {"deadline_ms", Milliseconds(exchange.description.deadline - exchange.arrived)},
+       {"last_answer_ms", Milliseconds(last_answer - exchange.arrived)}});
+}
+
 void HostProcess::StopListening() {
+  this->EnterStopPhase(StopPhase::kListener);
   const bool has_end = this->host_end != HostEnd{};
   this->caller_server->StopListening(has_end ? std::optional(this->host_end.last_answer)
                                              : std::nullopt);
+  this->EnterStopPhase(StopPhase::kRequests);
+  Log(LogLevel::kInfo, "listening_stopped", this->Outstanding());
   this->WaitForRequests();
 }
 
@@ -606,18 +685,37 @@
     this->loop.RunAfter(kShutdownPollInterval, [this] { this->WaitForRequests(); });
     return;
   }
+  this->EnterStopPhase(StopPhase::kWrites);
+  this->claims->BeginFlush(SteadyNow());
   this->reports->Close(SteadyNow());
-  this->Flush(SteadyNow() + kFlushTimeout);
+  Log(LogLevel::kInfo, "requests_ended", this->Outstanding());
+  this->Flush();
 }
 
-void HostProcess::Flush(TimePoint deadline) {
+TimePoint HostProcess::LastWrite() const {
+  const TimePoint began = this->stop_phase_began.at(static_cast<std::size_t>(StopPhase::kWrites));
+  const TimePoint limit = began + kFlushTimeout;
+  // A signal may follow an operator's drain while the host waits.
+  return this->host_end == HostEnd{}
+             ? limit
+             : std::min(limit, this->CurrentStop()->LastWrite(this->host_end.last_answer));
+}
+
+void HostProcess::Flush() {
+  this->reports->Flush(SteadyNow());
   const std::size_t pending = this->claims->pending_writes() + this->reports->pending_writes();
-  if (pending > 0 && SteadyNow() < deadline) {
-    this->loop.RunAfter(kShutdownPollInterval, [this, deadline] { this->Flush(deadline); });
+  if (pending > 0 && SteadyNow() < this->LastWrite()) {
+    this->loop.RunAfter(kShutdownPollInterval, [this] { this->Flush(); });
     return;
   }
-  Log(pending == 0 ? LogLevel::kInfo : LogLevel::kWarning, "shutdown_complete",
-      {{"unconfirmed_writes", pending}});
+  this->EnterStopPhase(StopPhase::kEnd);
+  nlohmann::json line = {{"unconfirmed_writes", pending},
+                         {"longest_pause_ms", Milliseconds(this->pauses.longest())}};
+  for (std::size_t phase = 0; phase < kStopPhases; ++phase) {
+    line[std::string(kStopPhaseNames.at(phase)) + "_ms"] =
+        Milliseconds(this->stop_phase_began.at(phase + 1) - this->stop_phase_began.at(phase));
+  }
+  Log(pending == 0 ? LogLevel::kInfo : LogLevel::kWarning, "shutdown_complete", line);
   this->loop.Stop();
 }
 
