--- a/Libraries/LibConfig/configuration_difference.cc
+++ b/Libraries/LibConfig/configuration_difference.cc
@@ -26,7 +26,7 @@
 }
 
 // An integer if possible; documents of other formats may state fractions of a millisecond.
-json Milliseconds(Duration duration) {
+json JsonMilliseconds(Duration duration) {
   const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
   if (whole == duration) {
     return whole.count();
@@ -70,7 +70,7 @@
 json EntryJson(const Service& service) {
   return {{"floor_slots", service.floor_slots},
           {"floor_share", service.floor_share},
-          {"deadline_ms", Milliseconds(service.deadline)},
+          {"deadline_ms", JsonMilliseconds(service.deadline)},
           {"queue_limit", service.queue_limit},
           {"target_connections", service.target_connections},
           {"health_path", service.health_path}};
@@ -105,7 +105,7 @@
     value["methods"] = rule.methods;
   }
   if (rule.deadline) {
-    value["deadline_ms"] = Milliseconds(*rule.deadline);
+    value["deadline_ms"] = JsonMilliseconds(*rule.deadline);
   }
   return value;
 }
@@ -123,16 +123,16 @@
           {"idempotent", route.idempotent},
           {"bulk", route.bulk},
           {"max_attempts", route.max_attempts},
-          {"timeout_ms", Milliseconds(route.timeout)},
-          {"latency_objective_ms", Milliseconds(route.latency_objective)},
+          {"timeout_ms", JsonMilliseconds(route.timeout)},
+          {"latency_objective_ms", JsonMilliseconds(route.latency_objective)},
           {"priority", route.priority}};
 }
 
 json EntryJson(const RequestLimits& limits) {
   return {{"max_header_bytes", limits.max_header_bytes},
           {"max_body_bytes", limits.max_body_bytes},
-          {"header_timeout_ms", Milliseconds(limits.header_timeout)},
-          {"idle_timeout_ms", Milliseconds(limits.idle_timeout)}};
+          {"header_timeout_ms", JsonMilliseconds(limits.header_timeout)},
+          {"idle_timeout_ms", JsonMilliseconds(limits.idle_timeout)}};
 }
 
 using NamedEntries = std::map<std::string, json>;
--- a/Libraries/LibCore/time.h
+++ b/Libraries/LibCore/time.h
@@ -18,6 +18,11 @@
 
 using TimePoint = ControlClock::time_point;
 
+// Whole milliseconds, for log lines.
+constexpr std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Current time of the process's steady clock.
 inline TimePoint SteadyNow() {
   return TimePoint(
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -13,10 +13,6 @@
 
 constexpr std::size_t kMaxLoggedRequestsInProgress = 50;
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 bool IsLeaving(const SharedState& shared_state, TargetId target) {
   if (shared_state.leaving_targets.IsLeaving(target)) {
     return true;
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -29,6 +29,7 @@
 #include "Libraries/LibHost/report_controller.h"
 #include "Libraries/LibHost/request_reader.h"
 #include "Libraries/LibHost/stop_admission.h"
+#include "Libraries/LibHost/stop_progress.h"
 #include "Libraries/LibHost/wall_clock.h"
 
 namespace pimentopin {
@@ -54,16 +55,6 @@
 // Limits how long pending writes to the platform delay the exit, if the host's end does not.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
-// What a stopping host waits for, in this order.
-enum class StopPhase : std::uint8_t { kDelay, kListener, kRequests, kWrites, kEnd };
-constexpr std::size_t kStopPhases = 4;
-constexpr std::array<const char*, kStopPhases + 1> kStopPhaseNames = {"delay", "listener",
-                                                                      "requests", "writes", "end"};
-
-std::int64_t Milliseconds(Duration duration) {
-  return duration.count() / 1000;
-}
-
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -117,7 +108,6 @@
   void Flush();
   // Until when the stopping host waits for writes to the platform.
   TimePoint LastWrite() const;
-  void EnterStopPhase(StopPhase phase);
   // What the stopping host still waits for.
   nlohmann::json Outstanding() const;
   void LogUnfinished(TimePoint stop_started_at);
@@ -145,11 +135,9 @@
   HostEnd host_end;
   // Set when an operator stops the host; read by the traffic threads.
   std::atomic<TimePoint> drained_at = TimePoint();
-  StopPhase stop_phase = StopPhase::kDelay;
+  StopProgress stop_progress;
   // Ends the shutdown delay.
   std::unique_ptr<Alarm> listening_end = this->loop.CreateAlarm([this] { this->StopListening(); });
-  // When the phase, and each one before it, began.
-  std::array<TimePoint, kStopPhases + 1> stop_phase_began{};
 
   std::unique_ptr<HttpClient> platform_client;
   std::unique_ptr<PlatformStore> store;
@@ -481,7 +469,7 @@
   Log(LogLevel::kWarning, name,
       {{"service", configured_service->name},
        {"target", target->name},
-       {"detection_ms", event.detection_time.count() / 1000}});
+       {"detection_ms", Milliseconds(event.detection_time)}});
   this->metrics.IncrementCounter(
       "pimentopin_health_events_total",
       "event=\"" + std::string(name) + "\",service=\"" + configured_service->name + "\"");
@@ -574,14 +562,14 @@
   if (std::exchange(this->shutting_down, true)) {
     return;
   }
-  this->EnterStopPhase(StopPhase::kDelay);
+  this->stop_progress.Enter(StopPhase::kDelay);
   const TimePoint now = SteadyNow();
   this->drained_at = now;
   const StopAdmission admission = *this->CurrentStop();
   Log(LogLevel::kInfo, "shutdown_started",
       {{"requests_in_progress", this->dispatch->requests_in_progress()},
-       {"signal_delay_ms", (now - admission.earliest_start).count() / 1000},
-       {"longest_pause_ms", admission.longest_pause.count() / 1000}});
+       {"signal_delay_ms", Milliseconds(now - admission.earliest_start)},
+       {"longest_pause_ms", Milliseconds(admission.longest_pause)}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
   this->caller_server->DisableKeepAlive();
@@ -627,16 +615,11 @@
 }
 
 void HostProcess::LimitDelay() {
-  if (this->stop_phase == StopPhase::kDelay && this->shutting_down) {
+  if (this->stop_progress.phase() == StopPhase::kDelay && this->shutting_down) {
     this->listening_end->Set(this->host_end.last_start);
   }
 }
 
-void HostProcess::EnterStopPhase(StopPhase phase) {
-  this->stop_phase = phase;
-  this->stop_phase_began.at(static_cast<std::size_t>(phase)) = SteadyNow();
-}
-
 nlohmann::json HostProcess::Outstanding() const {
   return {{"requests_in_progress", this->dispatch->requests_in_progress()},
           {"server_requests", this->caller_server->requests_in_progress()},
@@ -646,11 +629,11 @@
 }
 
 void HostProcess::LogUnfinished(TimePoint stop_started_at) {
-  const auto phase = static_cast<std::size_t>(this->stop_phase);
+  const StopPhase phase = this->stop_progress.phase();
   const TimePoint now = SteadyNow();
   nlohmann::json line = this->Outstanding();
-  line["phase"] = kStopPhaseNames.at(phase);
-  line["phase_ms"] = Milliseconds(now - this->stop_phase_began.at(phase));
+  line["phase"] = StopPhaseName(phase);
+  line["phase_ms"] = Milliseconds(now - this->stop_progress.BeganAt(phase));
   line["after_stop_ms"] = Milliseconds(now - stop_started_at);
   line["longest_pause_ms"] = Milliseconds(this->pauses.longest());
   Log(LogLevel::kWarning, "shutdown_unfinished", line);
@@ -671,11 +654,11 @@
 }
 
 void HostProcess::StopListening() {
-  this->EnterStopPhase(StopPhase::kListener);
+  this->stop_progress.Enter(StopPhase::kListener);
   const bool has_end = this->host_end != HostEnd{};
   this->caller_server->StopListening(has_end ? std::optional(this->host_end.last_answer)
                                              : std::nullopt);
-  this->EnterStopPhase(StopPhase::kRequests);
+  this->stop_progress.Enter(StopPhase::kRequests);
   Log(LogLevel::kInfo, "listening_stopped", this->Outstanding());
   this->WaitForRequests();
 }
@@ -691,7 +674,7 @@
     this->loop.RunAfter(kShutdownPollInterval, [this] { this->WaitForRequests(); });
     return;
   }
-  this->EnterStopPhase(StopPhase::kWrites);
+  this->stop_progress.Enter(StopPhase::kWrites);
   this->claims->BeginFlush(SteadyNow());
   this->reports->Close(SteadyNow());
   Log(LogLevel::kInfo, "requests_ended", this->Outstanding());
@@ -699,7 +682,7 @@
 }
 
 TimePoint HostProcess::LastWrite() const {
-  const TimePoint began = this->stop_phase_began.at(static_cast<std::size_t>(StopPhase::kWrites));
+  const TimePoint began = this->stop_progress.BeganAt(StopPhase::kWrites);
   const TimePoint limit = began + kFlushTimeout;
   // A signal may follow an operator's drain while the host waits.
   return this->host_end == HostEnd{}
@@ -714,13 +697,10 @@
     this->loop.RunAfter(kShutdownPollInterval, [this] { this->Flush(); });
     return;
   }
-  this->EnterStopPhase(StopPhase::kEnd);
-  nlohmann::json line = {{"unconfirmed_writes", pending},
-                         {"longest_pause_ms", Milliseconds(this->pauses.longest())}};
-  for (std::size_t phase = 0; phase < kStopPhases; ++phase) {
-    line[std::string(kStopPhaseNames.at(phase)) + "_ms"] =
-        Milliseconds(this->stop_phase_began.at(phase + 1) - this->stop_phase_began.at(phase));
-  }
+  this->stop_progress.Enter(StopPhase::kEnd);
+  nlohmann::json line = this->stop_progress.EndedPhases();
+  line["unconfirmed_writes"] = pending;
+  line["longest_pause_ms"] = Milliseconds(this->pauses.longest());
   Log(pending == 0 ? LogLevel::kInfo : LogLevel::kWarning, "shutdown_complete", line);
   this->loop.Stop();
 }
--- a/Tests/LibHost/stop_model_test.cc
+++ b/Tests/LibHost/stop_model_test.cc
@@ -286,8 +286,7 @@
   // - They are read when the pause begins, or later if only the control thread pauses. Another
   //   thread could refuse the latter.
   // - They wait for a slot or a connection when the pause begins, which is before such waits end.
-  // Shorter waits
-  //   would refuse requests at each stop.
+  //   Shorter waits would refuse requests at each stop.
   void TestPauseUntilTheKillLosesMoreThanItMust() {
     std::vector<std::vector<std::pair<Duration, Duration>>> pauses;
     for (Duration begin = -milliseconds(500); begin < kGrace; begin += milliseconds(250)) {
--- a/Tests/LibIdempotency/claim_store_test.cc
+++ b/Tests/LibIdempotency/claim_store_test.cc
@@ -547,7 +547,8 @@
     host.claim_store->BeginFlush(database.now);
     database.RunUntil(database.now + seconds(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.claim_store->pending_writes());
-    CPPUNIT_ASSERT(database.calls - calls <= seconds(1) / ClaimStore::kFlushRetryDelay);
+    constexpr std::uint64_t kMaxCalls = seconds(1) / ClaimStore::kFlushRetryDelay;
+    CPPUNIT_ASSERT(database.calls - calls <= kMaxCalls);
     database.fault_script = nullptr;
     database.RunUntil(database.now + seconds(1));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, host.claim_store->pending_writes());
