--- a/Libraries/LibHttp/arrival_time.cc
+++ b/Libraries/LibHttp/arrival_time.cc
@@ -21,14 +21,11 @@
 
 }  // namespace
 
-TimePoint LastArrival(int descriptor, const std::function<TimePoint()>& clock) {
+TimePoint LastArrival(int descriptor, TimePoint now) {
   static const Duration tick = KernelTick();
   tcp_info info{};
   socklen_t size = sizeof(info);
-  const bool is_known = getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
-  // Read last: a pause in between makes the result later. An earlier one would end work too soon.
-  const TimePoint now = clock();
-  if (!is_known) {
+  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
     return now;
   }
   // Both ends of the time are rounded to ticks, so that it may be almost one too long.
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -1018,7 +1018,7 @@
 }
 
 TimePoint ServerConnection::last_arrival() const {
-  return LastArrival(this->socket.native_handle());
+  return LastArrival(this->socket.native_handle(), SteadyNow());
 }
 
 void ServerConnection::ReportRefusal(const RequestRefusal& refusal, bool response_sent) const {
