--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -384,8 +384,8 @@
                         "this host has no configuration yet"};
   std::optional<Exchange> exchange;
   if (active_configuration) {
-    exchange =
-        ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id, refusal);
+    exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
+                           SteadyNow(), refusal);
   }
   const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -149,6 +149,7 @@
                                     const HttpDialect& dialect,
                                     HttpServerRequest& request,
                                     const std::string& request_id,
+                                    TimePoint now,
                                     ErrorResponse& refusal) {
   const Route* const route =
       configuration.FindRoute(HostWithoutPort(FindHeader(request.headers, "Host")), request.path);
@@ -208,8 +209,7 @@
     description.bulk = route->bulk;
     description.max_attempts = route->max_attempts;
   }
-  // The caller does not wait longer because the host was kept from reading.
-  description.deadline = request.received_at + *timeout;
+  description.deadline = now + *timeout;
   description.fingerprint =
       ComputeFingerprint(service.name, request.method, exchange.target_path, request.body.text());
   description.affinity_key =
@@ -220,7 +220,7 @@
   if (!traits.idempotent && !key.empty()) {
     exchange.claim_key = ClaimKey{service.name, caller.organisation, std::string(key)};
   }
-  exchange.arrived = request.received_at;
+  exchange.arrived = now;
   exchange.request = std::move(request);
   return exchange;
 }
--- a/Libraries/LibHost/request_reader.h
+++ b/Libraries/LibHost/request_reader.h
@@ -20,6 +20,7 @@
                                     const HttpDialect& dialect,
                                     HttpServerRequest& request,
                                     const std::string& request_id,
+                                    TimePoint now,
                                     ErrorResponse& refusal);
 
 }  // namespace pimentopin
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -34,7 +34,6 @@
 #include <variant>
 #include <vector>
 
-#include "Libraries/LibHttp/arrival_time.h"
 #include "Libraries/LibHttp/body_budget.h"
 #include "Libraries/LibHttp/request_inspector.h"
 #include "Libraries/LibHttp/response_head.h"
@@ -150,7 +149,6 @@
   bool closed() const { return this->is_closed; }
   bool has_pending_responses() const { return !this->pending_responses.empty(); }
   RequestLimits limits() const;
-  TimePoint last_arrival() const;
   void ReportRefusal(const RequestRefusal& refusal, bool response_sent) const;
 
   // Starts enforcing the time limits of the connection.
@@ -1017,10 +1015,6 @@
   return this->registry.Limits();
 }
 
-TimePoint ServerConnection::last_arrival() const {
-  return LastArrival(this->socket.native_handle(), SteadyNow());
-}
-
 void ServerConnection::ReportRefusal(const RequestRefusal& refusal, bool response_sent) const {
   this->registry.on_refusal({refusal, this->requests_handled, response_sent});
 }
@@ -1441,7 +1435,6 @@
       return;
     }
     HttpServerRequest request;
-    request.received_at = connection->last_arrival();
     request.method = restinio_request.header().method().c_str();
     const bool has_path = SplitRequestTarget(restinio_request.header().request_target(), request);
     restinio_request.header().for_each_field([&](const restinio::http_header_field_t& field) {
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -26,9 +26,6 @@
   std::string query;
   HttpHeaders headers;
   HttpBody body;
-  // When the last bytes of its connection arrived at this machine, which may be long before the
-  // server reads them.
-  TimePoint received_at;
 };
 
 // Sends the response to one request. All functions are thread-safe and take effect in the order of
