LibHost: Decide in one place how a stop has begun

StopAdmission::BegunBy does it now, so that the model tests the code of the host. No change of behaviour.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -536,17 +536,11 @@
 
 std::optional<StopAdmission> HostProcess::CurrentStop() const {
   const TimePoint drained_at = this->drained_at;
-  const std::optional<SignalTime> signal = this->stop_signal.first();
-  if (!signal && drained_at == TimePoint()) {
-    return std::nullopt;
-  }
-  const SignalTime start = signal.value_or(SignalTime{drained_at, drained_at});
-  return StopAdmission{.earliest_start = start.sent_after,
-                       .latest_start = start.sent_before,
-                       // Nothing ends a host that only an operator stops.
-                       .grace = signal ? this->settings.shutdown_grace : Duration::zero(),
-                       .cuttable_request_window = this->settings.cuttable_request_window,
-                       .longest_pause = this->pauses.longest()};
+  const StopAdmission limits{.grace = this->settings.shutdown_grace,
+                             .cuttable_request_window = this->settings.cuttable_request_window,
+                             .longest_pause = this->pauses.longest()};
+  return limits.BegunBy(this->stop_signal.first(),
+                        drained_at == TimePoint() ? std::nullopt : std::optional(drained_at));
 }
 
 void HostProcess::RecordRunning() {
--- a/Libraries/LibHost/stop_admission.cc
+++ b/Libraries/LibHost/stop_admission.cc
@@ -4,6 +4,20 @@
 
 namespace pimentopin {
 
+std::optional<StopAdmission> StopAdmission::BegunBy(
+    const std::optional<SignalTime>& signal,
+    const std::optional<TimePoint>& drained_at) const {
+  if (!signal && !drained_at) {
+    return std::nullopt;
+  }
+  StopAdmission stop = *this;
+  stop.earliest_start = signal ? signal->sent_after : *drained_at;
+  stop.latest_start = signal ? signal->sent_before : *drained_at;
+  // Nothing ends a host that only an operator stops.
+  stop.grace = signal ? this->grace : Duration::zero();
+  return stop;
+}
+
 bool StopAdmission::Accepts(TimePoint now, const RequestDescription& request) const {
   if (this->grace == Duration::zero() || request.deadline <= this->LastSafeAnswer()) {
     return true;
--- a/Libraries/LibHost/stop_admission.h
+++ b/Libraries/LibHost/stop_admission.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+
+#include "Libraries/LibCore/signal_timestamp.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/dispatch_types.h"
 
@@ -24,6 +27,10 @@
   // Time for which the host may be kept from running when a response is due.
   Duration longest_pause{};
 
+  // These limits for a stop that a signal has begun or, without one, an operator at `drained_at`.
+  // Empty if neither has.
+  std::optional<StopAdmission> BegunBy(const std::optional<SignalTime>& signal,
+                                       const std::optional<TimePoint>& drained_at) const;
   bool Accepts(TimePoint now, const RequestDescription& request) const;
   // Limits of the requests that have been accepted.
   HostEnd Limits() const;
--- a/Tests/LibHost/stop_model.cc
+++ b/Tests/LibHost/stop_model.cc
@@ -217,14 +217,8 @@
 }
 
 std::optional<StopAdmission> StopModel::CurrentStop() const {
-  const std::optional<SignalTime> signal = this->stop_signal.first();
-  if (!signal && !this->drained_at) {
-    return std::nullopt;
-  }
-  return StopAdmission{.earliest_start = signal ? signal->sent_after : *this->drained_at,
-                       .latest_start = signal ? signal->sent_before : *this->drained_at,
-                       .grace = signal ? this->order.grace : Duration::zero(),
-                       .longest_pause = this->pauses.longest()};
+  const StopAdmission limits{.grace = this->order.grace, .longest_pause = this->pauses.longest()};
+  return limits.BegunBy(this->stop_signal.first(), this->drained_at);
 }
 
 void StopModel::CheckRunning() {
