LibCore: Do not look for a pending signal that has been handled

SignalTimestamp::first() called sigpending() also when the first signal had been handled, whose time it then returns without it. A stopping host asks with each request, readiness check and, while it waits for writes, every 2 ms. No change of what it returns.

--- a/Libraries/LibCore/signal_timestamp.cc
+++ b/Libraries/LibCore/signal_timestamp.cc
@@ -97,7 +97,7 @@
   // have left the queue while its handler has yet to run.
   const std::int64_t last_clear = last_clear_us;
   const std::int64_t checked_at = NowUs();
-  const bool is_pending = this->IsPending();
+  const bool is_pending = handled_us == 0 && this->IsPending();
   if (handled_us != 0) {
     return SignalTime{TimePoint(Duration(std::max<std::int64_t>(sent_after_us, seen_after_us))),
                       TimePoint(Duration(std::min<std::int64_t>(handled_us, seen_before_us)))};
