--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -75,7 +75,9 @@
   static constexpr std::size_t kMaxBatchBytes = 512 * 1024;
   // Claims that arrive within this time are sent in one batch.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(5);
-  // Time between two tries while the host waits for its writes.
+  // Longest time between two tries.
+  static constexpr Duration kMaxRetryDelay = std::chrono::seconds(5);
+  // The same while the host waits for its writes.
   static constexpr Duration kFlushRetryDelay = std::chrono::milliseconds(100);
 
   // Arranges a call of Tick at `when` or soon after. Of several times requested before that
@@ -159,7 +161,7 @@
   const ClaimLossHandler on_claim_lost;
   std::map<AttemptId, Entry> entries;
   TimePoint common_limit = TimePoint::max();
-  Duration max_retry_delay = std::chrono::seconds(5);
+  Duration max_retry_delay = kMaxRetryDelay;
   // Time of the last call; replies of the table carry no time.
   TimePoint last_call_at{};
   // Expires with this object, so that later callbacks of the table have no effect.
