LibHost: Log the limits in force and where each comes from

Nothing in a host's log told which limits it had: a host that does not know when the platform kills it looks like one that does until it stops, and then a line (grace_started) is missing. limits_in_force is logged at each start. The limits of the platform and their use are moved from main() and platform/ to LibHost, so that a test covers them; no behaviour changes.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -22,6 +22,7 @@
 #include "Libraries/LibHost/control_loop.h"
 #include "Libraries/LibHost/directory_controller.h"
 #include "Libraries/LibHost/dispatch_controller.h"
+#include "Libraries/LibHost/limits_in_force.h"
 #include "Libraries/LibHost/metrics.h"
 #include "Libraries/LibHost/operator_endpoint.h"
 #include "Libraries/LibHost/platform_configuration_source.h"
@@ -177,6 +178,7 @@
        {"caller_address", this->caller_server->address()},
        {"operator_address", this->operator_endpoint->address()},
        {"peer_address", this->peers->address()}});
+  Log(LogLevel::kInfo, "limits_in_force", LimitsInForce(this->settings));
   return true;
 }
 
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -14,9 +14,6 @@
 constexpr double kPercentScale = 100.0;
 constexpr double kMaxCores = 1024.0;
 constexpr double kMillicoresPerCore = 1000.0;
-// Part of the platform's limit on retries that brokers use. The platform counts arrivals at targets
-// in windows of its own, and hosts without a broker retry on their own account.
-constexpr double kRetryLimitShare = 0.95;
 
 std::string CheckName(const std::string& value) {
   const bool is_name =
@@ -193,9 +190,4 @@
   return result;
 }
 
-void ApplyRetryLimits(double ratio, double extra, HostSettings& settings) {
-  settings.retry_fraction = ratio * kRetryLimitShare;
-  settings.retry_extra = extra * kRetryLimitShare;
-}
-
 }  // namespace pimentopin
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -12,6 +12,9 @@
 
 namespace pimentopin {
 
+// Where a limit comes from.
+enum class LimitSource : std::uint8_t { kNone, kFlag, kPlatform };
+
 // Settings of a host process.
 struct HostSettings {
   std::string name;
@@ -30,6 +33,7 @@
   Duration shutdown_delay = std::chrono::seconds(5);
   // Time after which the platform ends a host that it told to stop; zero if it does not.
   Duration shutdown_grace{};
+  LimitSource grace_source = LimitSource::kNone;
   // Time after the platform's signal in which a host accepts idempotent requests that may outlast
   // the grace; half of the grace at most.
   Duration cuttable_request_window = Duration::max();
@@ -41,12 +45,14 @@
   // Retries of a service within 10 s: per first attempt, and in addition.
   double retry_fraction = 0.08;
   double retry_extra = 0;
+  LimitSource retry_source = LimitSource::kFlag;
   // CPU time available to this host, in thousandths of a core. Hosts with less than half of
   // the largest capacity in the fleet are not broker candidates.
   std::uint32_t capacity_millicores = 1000;
   // Share of a service's slots that ejection leaves in use, unless the configuration of the
   // service sets a number of slots.
   double floor_share = 0;
+  LimitSource floor_source = LimitSource::kFlag;
   // Limits of the platform, in its own format.
   std::string platform_bounds;
   // The platform's operator writes the configuration.
@@ -62,8 +68,4 @@
 // Converts settings that were parsed with HostSettingDescriptions().
 HostSettings ReadHostSettings(const Settings& settings);
 
-// Derives the retry limits from those of the platform: the number of retries of a service within
-// 10 s per request (0 to 1) and in addition.
-void ApplyRetryLimits(double ratio, double extra, HostSettings& settings);
-
 }  // namespace pimentopin
--- /dev/null
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -0,0 +1,55 @@
+#include "Libraries/LibHost/limits_in_force.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace pimentopin {
+namespace {
+
+// Part of the platform's limit on retries that brokers use. The platform counts arrivals at targets
+// in windows of its own, and hosts without a broker retry on their own account.
+constexpr double kRetryLimitShare = 0.95;
+
+const char* SourceName(LimitSource source) {
+  switch (source) {
+    case LimitSource::kFlag:
+      return "flag";
+    case LimitSource::kPlatform:
+      return "platform";
+    case LimitSource::kNone:
+      break;
+  }
+  return "none";
+}
+
+}  // namespace
+
+void ApplyPlatformLimits(const PlatformLimits& limits, HostSettings& settings) {
+  if (limits.retry_ratio && limits.retry_extra) {
+    settings.retry_fraction = *limits.retry_ratio * kRetryLimitShare;
+    settings.retry_extra = *limits.retry_extra * kRetryLimitShare;
+    settings.retry_source = LimitSource::kPlatform;
+  }
+  if (limits.floor_share) {
+    settings.floor_share = *limits.floor_share;
+    settings.floor_source = LimitSource::kPlatform;
+  }
+  if (limits.shutdown_grace_s) {
+    settings.shutdown_grace = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(*limits.shutdown_grace_s));
+    settings.grace_source = LimitSource::kPlatform;
+  }
+}
+
+nlohmann::json LimitsInForce(const HostSettings& settings) {
+  const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(settings.shutdown_grace);
+  return {{"grace_ms", grace.count()},
+          {"grace_source", SourceName(settings.grace_source)},
+          {"retry_fraction", settings.retry_fraction},
+          {"retry_extra", settings.retry_extra},
+          {"retry_source", SourceName(settings.retry_source)},
+          {"floor_share", settings.floor_share},
+          {"floor_source", SourceName(settings.floor_source)}};
+}
+
+}  // namespace pimentopin
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -14,6 +14,7 @@
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibHost/host.h"
 #include "Libraries/LibHost/host_settings.h"
+#include "Libraries/LibHost/limits_in_force.h"
 #include "Libraries/LibHost/native_dialect.h"
 #include "platform/adapter.h"
 #include "platform/bounds.h"
@@ -71,18 +72,12 @@
     return ReportFindings(findings);
   }
   HostSettings settings = ReadHostSettings(*result.settings);
-  const platform::PlatformBounds bounds =
-      platform::ReadPlatformBounds(settings.platform_bounds, findings);
+  const PlatformLimits limits = platform::ReadPlatformBounds(settings.platform_bounds, findings);
   if (!findings.empty()) {
     return ReportFindings(findings);
   }
-  if (bounds.retry_ratio && bounds.retry_extra) {
-    ApplyRetryLimits(*bounds.retry_ratio, *bounds.retry_extra, settings);
-  }
-  settings.shutdown_grace = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(bounds.shutdown_grace_s.value_or(0)));
+  ApplyPlatformLimits(limits, settings);
   settings.cuttable_request_window = platform::kCuttableRequestWindow;
-  settings.floor_share = bounds.floor_share.value_or(settings.floor_share);
   if (result.action == SettingsAction::kCheck) {
     std::cout << "settings are valid\n";
     return ToInt(ExitCode::kSuccess);
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
+
+#include "Libraries/LibHost/limits_in_force.h"
+
 namespace pimentopin {
 namespace {
 
@@ -9,6 +13,7 @@
   CPPUNIT_TEST_SUITE(HostSettingsTest);
   CPPUNIT_TEST(TestAllErrorsAreReportedTogether);
   CPPUNIT_TEST(TestRetryLimitsStayBelowThePlatformLimits);
+  CPPUNIT_TEST(TestLimitWithoutEffectIsNotLogged);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -32,11 +37,29 @@
   // Guards against using up the platform's limit, which counts in windows of its own.
   void TestRetryLimitsStayBelowThePlatformLimits() {
     HostSettings settings;
-    ApplyRetryLimits(0.2, 630, settings);
+    ApplyPlatformLimits({.retry_ratio = 0.2, .retry_extra = 630}, settings);
     CPPUNIT_ASSERT(settings.retry_fraction > 0.15 && settings.retry_fraction < 0.2);
     CPPUNIT_ASSERT(settings.retry_extra > 500 && settings.retry_extra < 630);
   }
 
+  // Guards against a host whose log does not tell that the platform's limits did not reach it.
+  void TestLimitWithoutEffectIsNotLogged() {
+    HostSettings settings{.retry_fraction = 0.15, .retry_extra = 40, .floor_share = 0.5};
+    const nlohmann::json before = LimitsInForce(settings);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, before["grace_ms"].get<std::int64_t>());
+    CPPUNIT_ASSERT_EQUAL(std::string("none"), before["grace_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("flag"), before["retry_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("flag"), before["floor_source"].get<std::string>());
+
+    ApplyPlatformLimits({.floor_share = 0.7, .shutdown_grace_s = 2.5}, settings);
+    const nlohmann::json after = LimitsInForce(settings);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2500}, after["grace_ms"].get<std::int64_t>());
+    CPPUNIT_ASSERT_EQUAL(std::string("platform"), after["grace_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("flag"), after["retry_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("platform"), after["floor_source"].get<std::string>());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, after["floor_share"].get<double>(), 1e-9);
+  }
+
   void TestValidSettings() {
     const Findings findings =
         this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
--- a/Tests/PlatformAdapter/bounds_test.cc
+++ b/Tests/PlatformAdapter/bounds_test.cc
@@ -22,9 +22,9 @@
     CPPUNIT_ASSERT(findings.empty());
     CPPUNIT_ASSERT(
         (bounds ==
-         platform::PlatformBounds{
+         PlatformLimits{
              .retry_ratio = 0.2, .retry_extra = 630, .floor_share = 0.7, .shutdown_grace_s = 6}));
-    CPPUNIT_ASSERT(platform::ReadPlatformBounds("", findings) == platform::PlatformBounds{});
+    CPPUNIT_ASSERT(platform::ReadPlatformBounds("", findings) == PlatformLimits{});
   }
 
   // Guards against a limit that is silently read as zero or as unlimited.
