--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -15,6 +15,8 @@
 import urllib.error
 import urllib.request
 
+import deploy_file
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 START_LIMIT_S = 20
 STOP_LIMIT_S = 30
@@ -108,24 +110,10 @@
 
 
 class Host(Process):
-    """Host process."""
+    """Host process that listens on ports of the kernel's choice."""
 
-    def __init__(self, name, domain, platform_url, binary, directory, shutdown_delay_ms, extra=()):
-        super().__init__(
-            name,
-            [
-                binary,
-                "--name", name,
-                "--domain", domain,
-                "--caller-address", "127.0.0.1:0",
-                "--operator-address", "127.0.0.1:0",
-                "--peer-address", "127.0.0.1:0",
-                "--platform-url", platform_url,
-                "--shutdown-delay-ms", str(shutdown_delay_ms),
-                *extra,
-            ],
-            directory,
-        )
+    def __init__(self, name, domain, arguments, directory):
+        super().__init__(name, arguments, directory)
         # A host writes its log to standard output.
         self.log_path = self.out_path
         self.domain = domain
@@ -218,14 +206,25 @@
         )
 
     def start_host(self, name, domain):
-        host = Host(
-            name,
-            domain,
-            self.platform_url,
+        arguments = [
             self.program("Programs/pimentopin/pimentopin"),
-            self.directory,
-            self.shutdown_delay_ms,
-        )
+            "--name", name,
+            "--domain", domain,
+            "--caller-address", "127.0.0.1:0",
+            "--operator-address", "127.0.0.1:0",
+            "--peer-address", "127.0.0.1:0",
+            "--platform-url", self.platform_url,
+            "--shutdown-delay-ms", str(self.shutdown_delay_ms),
+        ]
+        host = Host(name, domain, arguments, self.directory)
+        self.hosts.append(host)
+        return host
+
+    def start_deployed_host(self, name, domain, bounds, overrides):
+        """Starts a host with the command line of the deploy file."""
+        settings = deploy_file.host_settings(name, domain, self.platform_url, bounds)
+        host = Host(name, domain, deploy_file.command(self.build, settings, overrides),
+                    self.directory)
         self.hosts.append(host)
         return host
 
--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -8,15 +8,16 @@
 import signal
 import time
 
+import deploy_file
 import fleet as fleet_module
 
 GRACE_S = 6.0
 RESTART_DELAY_S = 0.5
-SHUTDOWN_DELAY_MS = 3200
 # A pause during a stop begins up to this time after the SIGTERM, so that it ends before the last
 # sixth of the grace if it is shorter than half a second.
 PAUSE_IN_STOP_S = 4.4
-BOUNDS = f"grace-s={GRACE_S:g},retry-budget-ratio=0.2,budget-extra=56,floor-share=0.7"
+BOUNDS = {"drain-s": 2, "grace-s": GRACE_S, "loss-slack-s": 0.2, "retry-budget-ratio": 0.2,
+          "budget-extra": 56, "floor-share": 0.7}
 
 FIRST_PORT = 12000
 # Soaks that run at the same time use different addresses of the loopback network.
@@ -43,21 +44,12 @@
         self.unanswered = set()
 
     def start(self):
-        caller, operator, peer = self.addresses
         fleet = self.soak.fleet
+        settings = deploy_file.host_settings(
+            self.name, self.zone, fleet.platform_url, BOUNDS, self.addresses)
         self.process = fleet_module.Process(
             f"{self.name}.{len(self.started_at)}",
-            [
-                fleet.program("Programs/pimentopin/pimentopin"),
-                "--name", self.name, "--domain", self.zone,
-                "--caller-address", caller, "--operator-address", operator, "--peer-address", peer,
-                "--platform-url", fleet.platform_url, "--configuration", "platform",
-                "--cores", "0.2", "--traffic-threads", "1",
-                "--shutdown-delay-ms", str(SHUTDOWN_DELAY_MS), "--probe-interval-ms", "0",
-                "--retry-percent", "15", "--retry-extra", "40", f"--platform-bounds={BOUNDS}",
-            ],
-            fleet.directory,
-        )
+            deploy_file.command(fleet.build, settings), fleet.directory)
         options = self.soak.options
         if options.max_fds > 0:
             resource.prlimit(self.process.child.pid, resource.RLIMIT_NOFILE, (options.max_fds,) * 2)
