Platform: Read the limits of the platform in the form in which it passes them

The platform renders the placeholder {{bounds}} of deploy/system.toml as a JSON object; the parser splits at commas and '=', found no known name and ignored all entries. So no host of the platform has ever known its grace, nor the retry limits and the floor of the platform; everything that builds on the grace was active in our own tests only, which pass name=value.

The parser takes the JSON object as well as the list. Text that is neither ends the start with a finding; names that are not known are still ignored.

--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -141,7 +141,8 @@
        .default_value = "0",
        .maximum = 100},
       {.name = "platform-bounds",
-       .help = "limits of the platform, as name=value separated by commas; they replace "
+       .help = "limits of the platform, as a JSON object or name=value separated by commas; they "
+               "replace "
                "retry-percent, retry-extra and floor-percent"},
       {.name = "cores",
        .help =
--- a/Tests/PlatformAdapter/bounds_test.cc
+++ b/Tests/PlatformAdapter/bounds_test.cc
@@ -8,7 +8,9 @@
 class PlatformBoundsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformBoundsTest);
   CPPUNIT_TEST(TestKnownBoundsAreRead);
+  CPPUNIT_TEST(TestBoundsOfTableAreNotIgnored);
   CPPUNIT_TEST(TestInvalidBoundsAreReported);
+  CPPUNIT_TEST(TestTextOfAnotherFormIsNotIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -17,7 +19,8 @@
   void TestKnownBoundsAreRead() {
     Findings findings;
     const auto bounds = platform::ReadPlatformBounds(
-        "drain-s=2,new=a=b,,grace-s=6,retry-budget-ratio=0.2,budget-extra=630,flag,floor-share=0.7",
+        "drain-s=2,new=a=b,,grace-s=6,retry-budget-ratio=0.2,budget-extra=630,flag=,floor-share=0."
+        "7",
         findings);
     CPPUNIT_ASSERT(findings.empty());
     CPPUNIT_ASSERT(
@@ -27,10 +30,37 @@
     CPPUNIT_ASSERT(platform::ReadPlatformBounds("", findings) == PlatformLimits{});
   }
 
+  // Guards against a host of the platform that does not know when it is killed.
+  void TestBoundsOfTableAreNotIgnored() {
+    Findings findings;
+    const auto bounds = platform::ReadPlatformBounds(
+        R"({"drain-s":2,"new":[1,{"a":","}],"strict":true,"grace-s":6,"retry-budget-ratio":0.2,)"
+        R"("budget-extra":630,"floor-share":"0.7"})",
+        findings);
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    CPPUNIT_ASSERT(
+        (bounds ==
+         PlatformLimits{
+             .retry_ratio = 0.2, .retry_extra = 630, .floor_share = 0.7, .shutdown_grace_s = 6}));
+    CPPUNIT_ASSERT(platform::ReadPlatformBounds("{}", findings) == PlatformLimits{});
+  }
+
+  // Guards against limits that are not in force because their text has another form.
+  void TestTextOfAnotherFormIsNotIgnored() {
+    for (const char* text : {"{\"grace-s\":6", "{\"grace-s\":6}x", "[\"grace-s=6\"]", "grace-s:6",
+                             " {\"grace-s\":6}", "=6", "flag", "grace-s = 6"}) {
+      Findings findings;
+      platform::ReadPlatformBounds(text, findings);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{1}, findings.all().size());
+    }
+  }
+
   // Guards against a limit that is silently read as zero or as unlimited.
   void TestInvalidBoundsAreReported() {
-    for (const char* text : {"budget-extra=", "budget-extra=-1", "budget-extra", "floor-share=70",
-                             "retry-budget-ratio=nan", "retry-budget-ratio=0.2s"}) {
+    for (const char* text :
+         {"budget-extra=", "budget-extra=-1", "budget-extra", "floor-share=70",
+          "retry-budget-ratio=nan", "retry-budget-ratio=0.2s", R"({"grace-s":"6 s"})",
+          R"({"grace-s":null})", R"({"grace-s":true})", R"({"budget-extra":-1})"}) {
       Findings findings;
       platform::ReadPlatformBounds(text, findings);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{1}, findings.all().size());
