--- a/Meta/deploy_file.py
+++ b/Meta/deploy_file.py
@@ -15,6 +15,8 @@
 PLACEHOLDER = re.compile(r"\{\{([^{}]+)\}\}")
 # The build of the deploy file puts its programs there.
 BUILD_PREFIX = "target/"
+# Fields of a role that say where it runs, not how.
+ROLE_FIELDS = {"run", "on", "share", "count", "apart", "serves", "metrics"}
 
 
 def to_json(value):
@@ -22,7 +24,9 @@
 
 
 def look_up(settings, path):
-    """Returns the value at a path such as listen.front, or None."""
+    """Returns the value at a path such as listen.front, all settings for ".", or None."""
+    if path == ".":
+        return settings
     value = settings
     for key in path.split("."):
         if isinstance(value, list):
@@ -50,12 +54,26 @@
         value = look_up(settings, path)
         return to_json(value) if form == "json" else render_value(value)
 
+    if "{{" in PLACEHOLDER.sub("", word):
+        raise ValueError(f"{word}: the placeholder is not closed or empty")
     rendered = PLACEHOLDER.sub(replace, word)
     if " " in rendered:
         raise ValueError(f"{word}: a word of the command line contains a space: {rendered}")
     return rendered
 
 
+def role_command(role, program_directory, settings):
+    """Returns the command line of a role of the deploy file.
+
+    Raises ValueError if the role has fields that change its processes in another way.
+    """
+    if unknown := role.keys() - ROLE_FIELDS:
+        raise ValueError(f"the checks do not apply {', '.join(sorted(unknown))} of the role")
+    program, *words = role["run"].split()
+    return [str(pathlib.Path(program_directory) / program.removeprefix(BUILD_PREFIX)),
+            *(render_word(word, settings) for word in words)]
+
+
 def command(program_directory, settings, overrides=None, role="host"):
     """Returns the command line of the role's program in `program_directory`.
 
@@ -63,13 +81,12 @@
     Raises KeyError if the deploy file has no such flag.
     """
     with open(DEPLOY_FILE, "rb") as file:
-        program, *words = tomllib.load(file)["roles"][role]["run"].split()
-    arguments = [render_word(word, settings) for word in words]
+        arguments = role_command(tomllib.load(file)["roles"][role], program_directory, settings)
     for flag, value in (overrides or {}).items():
         if flag not in arguments:
             raise KeyError(f"{flag} is not in the command line of the role {role}")
         arguments[arguments.index(flag) + 1] = value
-    return [str(pathlib.Path(program_directory) / program.removeprefix(BUILD_PREFIX)), *arguments]
+    return arguments
 
 
 def host_settings(name, zone, platform_url, bounds, addresses=("127.0.0.1:0",) * 3):
