LibCore: Name environment variables that set nothing

A host with PIMENTOPIN_RETRY_PERCNT=3 in its environment started with the default and said nothing: each setting looks its own variable up, and no code looks at the others. A misspelt flag has always been an error.

Such a variable is a note, not an error, because the platform sets variables of that prefix itself (PIMENTOPIN_BOOT, which is exempt) and may add others. A host logs one warning, `settings_ignored`, with the names and not the values, and `--check` prints them. pimentopinctl does not: it shares its environment with hosts, and its own variables are required settings.

--- a/Libraries/LibCore/settings.cc
+++ b/Libraries/LibCore/settings.cc
@@ -1,9 +1,12 @@
 #include "Libraries/LibCore/settings.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <set>
 
 #include "Libraries/LibCore/socket_address.h"
 
@@ -12,6 +15,7 @@
 
 constexpr std::size_t kMaxQuotedBytes = 80;
 constexpr std::size_t kHelpColumns = 100;
+constexpr std::string_view kVariablePrefix = "PIMENTOPIN_";
 constexpr const char* kTrue = "true";
 constexpr const char* kFalse = "false";
 
@@ -338,8 +342,17 @@
   return value == nullptr ? std::nullopt : std::optional<std::string>(value);
 }
 
+std::vector<std::string> ProcessVariableNames() {
+  std::vector<std::string> names;
+  for (char** variable = environ; variable != nullptr && *variable != nullptr; ++variable) {
+    const std::string_view text(*variable);
+    names.emplace_back(text.substr(0, text.find('=')));
+  }
+  return names;
+}
+
 std::string EnvironmentVariableName(const std::string& setting) {
-  std::string name = "PIMENTOPIN_";
+  std::string name(kVariablePrefix);
   for (const char letter : setting) {
     const bool is_lower = letter >= 'a' && letter <= 'z';
     name += letter == '-' ? '_' : static_cast<char>(is_lower ? letter - 'a' + 'A' : letter);
@@ -381,4 +394,19 @@
   return result;
 }
 
+void NoteUnknownVariables(const std::vector<SettingDescription>& descriptions,
+                          const std::vector<std::string>& variable_names,
+                          const std::vector<std::string>& other_variables,
+                          Findings& findings) {
+  std::set<std::string> known(other_variables.begin(), other_variables.end());
+  for (const SettingDescription& description : WithCommonSettings(descriptions)) {
+    known.insert(EnvironmentVariableName(description.name));
+  }
+  for (const std::string& name : variable_names) {
+    if (name.starts_with(kVariablePrefix) && !known.contains(name)) {
+      findings.AddNote(QuoteForMessage(name), "no setting has this variable; it has no effect");
+    }
+  }
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibCore/settings.h
+++ b/Libraries/LibCore/settings.h
@@ -93,6 +93,9 @@
 // EnvironmentReader for the environment of this process.
 std::optional<std::string> ReadProcessEnvironment(const std::string& name);
 
+// Names of the environment variables of this process.
+std::vector<std::string> ProcessVariableNames();
+
 // Environment variable of a setting, for example PIMENTOPIN_SHUTDOWN_DELAY_MS for
 // shutdown-delay-ms.
 std::string EnvironmentVariableName(const std::string& setting);
@@ -107,4 +110,11 @@
                             const EnvironmentReader& environment,
                             Findings& findings);
 
+// Adds a note for each name that starts like the variable of a setting but is neither that of a
+// setting nor one of `other_variables`.
+void NoteUnknownVariables(const std::vector<SettingDescription>& descriptions,
+                          const std::vector<std::string>& variable_names,
+                          const std::vector<std::string>& other_variables,
+                          Findings& findings);
+
 }  // namespace pimentopin
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "Libraries/LibConfig/document_scanner.h"
 #include "Libraries/LibCore/exit_code.h"
 #include "Libraries/LibCore/json_log.h"
 #include "Libraries/LibCore/scoped_signal_mask.h"
@@ -18,6 +19,7 @@
 #include "Libraries/LibHost/native_dialect.h"
 #include "platform/adapter.h"
 #include "platform/bounds.h"
+#include "platform/wire_names.h"
 
 namespace {
 
@@ -27,6 +29,8 @@
 // length takes seconds to process, which is longer than callers wait.
 constexpr std::uint32_t kPlatformQueueLimit = 200;
 
+constexpr std::size_t kMaxLoggedNoteBytes = 1024;
+
 constexpr int ToInt(ExitCode code) {
   return static_cast<int>(code);
 }
@@ -71,6 +75,8 @@
   if (!result.settings) {
     return ReportFindings(findings);
   }
+  NoteUnknownVariables(HostSettingDescriptions(), ProcessVariableNames(),
+                       {platform::kSettingsFileVariable}, findings);
   HostSettings settings = ReadHostSettings(*result.settings);
   const PlatformLimits limits = platform::ReadPlatformBounds(settings.platform_bounds, findings);
   if (!findings.empty()) {
@@ -79,11 +85,16 @@
   ApplyPlatformLimits(limits, settings);
   settings.cuttable_request_window = platform::kCuttableRequestWindow;
   if (result.action == SettingsAction::kCheck) {
+    std::cerr << findings.NotesToText();
     std::cout << "settings are valid\n";
     return ToInt(ExitCode::kSuccess);
   }
 
   StartLog(settings.name, settings.log_level);
+  if (!findings.notes().empty()) {
+    Log(LogLevel::kWarning, "settings_ignored",
+        {{"notes", Truncate(findings.NotesToText(), kMaxLoggedNoteBytes)}});
+  }
   PlatformAdapter adapter = platform::CreateAdapter(
       {.floor_share = settings.floor_share, .queue_limit = kPlatformQueueLimit});
   if (!settings.platform_configuration) {
--- a/Tests/LibCore/settings_test.cc
+++ b/Tests/LibCore/settings_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <regex>
 
 #include "Tests/property.h"
@@ -17,6 +19,7 @@
   CPPUNIT_TEST(TestFlagTakesPrecedenceOverVariableAndDefault);
   CPPUNIT_TEST(TestFindingsAreReportedTogether);
   CPPUNIT_TEST(TestFindingsNameTheEnvironmentVariable);
+  CPPUNIT_TEST(TestMisspeltVariableIsIgnoredSilently);
   CPPUNIT_TEST(TestMissingValue);
   CPPUNIT_TEST(TestRepeatedFlags);
   CPPUNIT_TEST(TestHelpListsUnitsRangesAndVariables);
@@ -81,6 +84,26 @@
         findings.ToText());
   }
 
+  // Guards against a setting that is not in force, without a word, because of its variable's name.
+  void TestMisspeltVariableIsIgnoredSilently() {
+    Findings findings;
+    NoteUnknownVariables(Descriptions(),
+                         {"PATH", "PIMENTOPIN_NAME", "PIMENTOPIN_CHECK", "PIMENTOPIN_BOOT",
+                          "PIMENTOPIN_THREDS", "PIMENTOPIN_log_level", "pimentopin_name"},
+                         {"PIMENTOPIN_BOOT"}, findings);
+    CPPUNIT_ASSERT(findings.empty());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("'PIMENTOPIN_THREDS': no setting has this variable; it has no effect\n"
+                    "'PIMENTOPIN_log_level': no setting has this variable; it has no effect\n"),
+        findings.NotesToText());
+
+    setenv("PIMENTOPIN_THREDS", "a=b", 1);
+    const std::vector<std::string> names = ProcessVariableNames();
+    unsetenv("PIMENTOPIN_THREDS");
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                         std::count(names.begin(), names.end(), "PIMENTOPIN_THREDS"));
+  }
+
   // Guards against a flag without a value that uses the next flag as its value.
   void TestMissingValue() {
     Findings last;
