Platform: Note the fields of a configuration that have no effect

The platform's operator could set a field that no host applies, and nothing said so: an unknown field of a route, a service, a split or the limits, a service with `protocol` other than h1 or with `tls`, to which requests go in plain HTTP/1.1, and a `max-header-bytes` above 80 KiB, which the HTTP parser refuses first. Unknown types and kinds have had a note.

The document still applies: new fields are to be ignored.

--- a/Libraries/LibConfig/configuration_reader.cc
+++ b/Libraries/LibConfig/configuration_reader.cc
@@ -23,8 +23,6 @@
 constexpr std::int64_t kMaxQueueLimit = 100'000;
 constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
 constexpr std::int64_t kMaxAttempts = 16;
-// http_parser rejects headers of 80 KiB or more.
-constexpr std::int64_t kMaxHeaderBytes = 80 << 10;
 constexpr std::int64_t kMaxPriority = 1000;
 constexpr std::int64_t kMaxWeight = 1'000'000;
 // Label key that holds the name of a caller's organisation.
@@ -134,7 +132,7 @@
     reader.RejectUnknownFields(
         {"max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"});
     this->configuration.request_limits = RequestLimits{
-        .max_header_bytes = reader.ReadUint32("max_header_bytes", 1, kMaxHeaderBytes),
+        .max_header_bytes = reader.ReadUint32("max_header_bytes", 1, kMaxHeaderLimitBytes),
         .max_body_bytes = reader.ReadUint32("max_body_bytes", 0, kMaxBodyLimitBytes),
         .header_timeout =
             std::chrono::milliseconds(reader.ReadUint32("header_timeout_ms", 1, kMaxDeadlineMs)),
--- a/Libraries/LibCore/request_limits.h
+++ b/Libraries/LibCore/request_limits.h
@@ -9,6 +9,9 @@
 // Upper bound for RequestLimits::max_body_bytes.
 inline constexpr std::size_t kMaxBodyLimitBytes = 1 << 30;
 
+// Upper bound for RequestLimits::max_header_bytes. http_parser rejects headers of 80 KiB or more.
+inline constexpr std::size_t kMaxHeaderLimitBytes = 80 << 10;
+
 // Limits on the size and the duration of a caller's request.
 struct RequestLimits {
   // Sum of request target, field names and field values.
--- a/Tests/PlatformAdapter/documents_test.cc
+++ b/Tests/PlatformAdapter/documents_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(TestErrorsNameTheirPlace);
   CPPUNIT_TEST(TestUploadIsNotIdempotent);
   CPPUNIT_TEST(TestUnknownWordsDoNotRejectDocument);
+  CPPUNIT_TEST(TestFieldHasNoEffectSilently);
   CPPUNIT_TEST(TestTargetEntry);
   CPPUNIT_TEST(TestInvalidEntriesAreRefused);
   CPPUNIT_TEST(TestOddEntryEndsTheProcess);
@@ -112,6 +113,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("/resources/0/spec/kind"), findings.notes().front().place);
   }
 
+  // Guards against a field that the operator sets and that has no effect without a word. There is
+  // one note for each kind of field, because a document may have thousands of routes.
+  void TestFieldHasNoEffectSilently() {
+    constexpr char kUnusedFields[] = R"({"version":"0000001c","resources":[
+      {"type":"routes","metadata":{"name":"r-1"},"spec":{"host":"a.example","prefix":"/x/",
+       "kind":"safe","timeout-s":1.5,"target-latency-s":0.8,"priority":2,"max-attempts":2,
+       "service":"s1","hedge-after-s":0.1}},
+      {"type":"routes","metadata":{"name":"r-2"},"spec":{"host":"a.example","prefix":"/y/",
+       "kind":"safe","timeout-s":1.5,"target-latency-s":0.8,"priority":2,"max-attempts":2,
+       "traffic-split":[{"service":"s1","weight":90,"mirror":true}],"hedge-after-s":0.2}},
+      {"type":"services","metadata":{"name":"s1"},
+       "spec":{"health-path":"/h","max-conns":330,"protocol":"h2","tls":true}},
+      {"type":"services","metadata":{"name":"s2"},
+       "spec":{"health-path":"/h","max-conns":330,"protocol":"h1","tls":false}},
+      {"type":"services","metadata":{"name":"s3"},
+       "spec":{"health-path":"/h","max-conns":330,"protocol":"h2","tls":null}},
+      {"type":"limits","metadata":{},
+       "spec":{"max-header-bytes":100000,"body-timeout-s":3}}]})";
+    Findings findings;
+    CPPUNIT_ASSERT(platform::ReadOperatorDocument(kUnusedFields, {}, findings));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            "/resources/0/spec/hedge-after-s: unknown field is ignored\n"
+            "/resources/1/spec/traffic-split/0/mirror: unknown field is ignored\n"
+            "/resources/2/spec/protocol: requests are sent as HTTP/1.1\n"
+            "/resources/2/spec/tls: requests are sent without TLS\n"
+            "/resources/5/spec/max-header-bytes: larger headers than 81920 bytes are refused\n"
+            "/resources/5/spec/body-timeout-s: unknown field is ignored\n"),
+        findings.NotesToText());
+  }
+
   void TestTargetEntry() {
     Error error;
     const auto target = platform::ReadTargetEntry("i-1", kEntry, error);
