--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -395,6 +395,7 @@
   }
   const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
+    request = std::move(exchange->request);
     exchange.reset();
     refusal = {503, Outcome::kNotRun, "stopping",
                "this host will have stopped before the request can end"};
