Platform: Start on a platform that states limits otherwise than today

Found in review. A retry ratio without budget-extra had no effect, and limits_in_force did not tell.

--- a/Libraries/LibCore/settings.cc
+++ b/Libraries/LibCore/settings.cc
@@ -92,7 +92,9 @@
   switch (description.kind) {
     case SettingKind::kText:
       if (value.empty()) {
-        findings.Add(place, "must not be empty");
+        if (!description.may_be_empty) {
+          findings.Add(place, "must not be empty");
+        }
       } else if (description.check != nullptr) {
         const std::string error_text = description.check(value);
         if (!error_text.empty()) {
--- a/Libraries/LibCore/settings.h
+++ b/Libraries/LibCore/settings.h
@@ -36,6 +36,8 @@
   std::string unit;
   std::optional<std::string> default_value;
   bool required = false;
+  // For kText.
+  bool may_be_empty = false;
   std::int64_t minimum = 0;
   std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
   std::vector<std::string> choices;
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -141,9 +141,11 @@
        .default_value = "0",
        .maximum = 100},
       {.name = "platform-bounds",
-       .help = "limits of the platform, as a JSON object or name=value separated by commas; they "
-               "replace "
-               "retry-percent, retry-extra and floor-percent"},
+       .help =
+           "limits of the platform (retry-budget-ratio, budget-extra, floor-share, grace-s), as a "
+           "JSON object or as name=value separated by commas; they replace retry-percent, "
+           "retry-extra and floor-percent",
+       .may_be_empty = true},
       {.name = "cores",
        .help =
            "CPU time available to this host; hosts with less than half of the largest value are no "
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -45,7 +45,8 @@
   // Retries of a service within 10 s: per first attempt, and in addition.
   double retry_fraction = 0.08;
   double retry_extra = 0;
-  LimitSource retry_source = LimitSource::kFlag;
+  LimitSource retry_fraction_source = LimitSource::kFlag;
+  LimitSource retry_extra_source = LimitSource::kFlag;
   // CPU time available to this host, in thousandths of a core. Hosts with less than half of
   // the largest capacity in the fleet are not broker candidates.
   std::uint32_t capacity_millicores = 1000;
--- a/Libraries/LibHost/limits_in_force.cc
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -25,10 +25,13 @@
 }  // namespace
 
 void ApplyPlatformLimits(const PlatformLimits& limits, HostSettings& settings) {
-  if (limits.retry_ratio && limits.retry_extra) {
+  if (limits.retry_ratio) {
     settings.retry_fraction = *limits.retry_ratio * kRetryLimitShare;
+    settings.retry_fraction_source = LimitSource::kPlatform;
+  }
+  if (limits.retry_extra) {
     settings.retry_extra = *limits.retry_extra * kRetryLimitShare;
-    settings.retry_source = LimitSource::kPlatform;
+    settings.retry_extra_source = LimitSource::kPlatform;
   }
   if (limits.floor_share) {
     settings.floor_share = *limits.floor_share;
@@ -41,13 +44,22 @@
   }
 }
 
+bool HasLimitOfOtherSource(const HostSettings& settings) {
+  return settings.platform_configuration &&
+         !(settings.grace_source == LimitSource::kPlatform &&
+           settings.retry_fraction_source == LimitSource::kPlatform &&
+           settings.retry_extra_source == LimitSource::kPlatform &&
+           settings.floor_source == LimitSource::kPlatform);
+}
+
 nlohmann::json LimitsInForce(const HostSettings& settings) {
   const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(settings.shutdown_grace);
   return {{"grace_ms", grace.count()},
           {"grace_source", SourceName(settings.grace_source)},
           {"retry_fraction", settings.retry_fraction},
+          {"retry_fraction_source", SourceName(settings.retry_fraction_source)},
           {"retry_extra", settings.retry_extra},
-          {"retry_source", SourceName(settings.retry_source)},
+          {"retry_extra_source", SourceName(settings.retry_extra_source)},
           {"floor_share", settings.floor_share},
           {"floor_source", SourceName(settings.floor_source)}};
 }
--- a/Libraries/LibHost/limits_in_force.h
+++ b/Libraries/LibHost/limits_in_force.h
@@ -23,6 +23,9 @@
 // Replaces the host's limits by those that the platform sets.
 void ApplyPlatformLimits(const PlatformLimits& limits, HostSettings& settings);
 
+// True if the platform runs the host but does not set all of its limits.
+bool HasLimitOfOtherSource(const HostSettings& settings);
+
 // The limits of a host with these settings, and whether the platform or a flag sets each of them.
 nlohmann::json LimitsInForce(const HostSettings& settings);
 
--- a/Meta/soak_hosts.py
+++ b/Meta/soak_hosts.py
@@ -87,6 +87,11 @@
             if handling != [pid]:
                 self.soak.fail(f"{self.name}, process {pid}: threads {handling} handle {number.name}")
 
+    def check_grace(self):
+        """The platform kills the host at the end of the grace, so the host must know it."""
+        if [line["grace_ms"] for line in self.process.log_events("limits_in_force")] != [GRACE_S * 1000]:
+            self.soak.fail(f"{self.name} does not know its grace")
+
     def is_answering(self):
         """True if a target works on one of its requests."""
         return any(run.ended_at is None for request in self.unanswered for run in request.runs)
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -13,7 +13,8 @@
   CPPUNIT_TEST_SUITE(HostSettingsTest);
   CPPUNIT_TEST(TestAllErrorsAreReportedTogether);
   CPPUNIT_TEST(TestRetryLimitsStayBelowThePlatformLimits);
-  CPPUNIT_TEST(TestLimitWithoutEffectIsNotLogged);
+  CPPUNIT_TEST(TestLogHidesWhereLimitsComeFrom);
+  CPPUNIT_TEST(TestPlatformWithoutLimitsEndsTheStart);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -43,21 +44,42 @@
   }
 
   // Guards against a host whose log does not tell that the platform's limits did not reach it.
-  void TestLimitWithoutEffectIsNotLogged() {
+  void TestLogHidesWhereLimitsComeFrom() {
     HostSettings settings{.retry_fraction = 0.15, .retry_extra = 40, .floor_share = 0.5};
     const nlohmann::json before = LimitsInForce(settings);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, before["grace_ms"].get<std::int64_t>());
     CPPUNIT_ASSERT_EQUAL(std::string("none"), before["grace_source"].get<std::string>());
-    CPPUNIT_ASSERT_EQUAL(std::string("flag"), before["retry_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("flag"), before["retry_fraction_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("flag"), before["retry_extra_source"].get<std::string>());
     CPPUNIT_ASSERT_EQUAL(std::string("flag"), before["floor_source"].get<std::string>());
 
-    ApplyPlatformLimits({.floor_share = 0.7, .shutdown_grace_s = 2.5}, settings);
+    ApplyPlatformLimits({.retry_ratio = 0.2, .floor_share = 0.7, .shutdown_grace_s = 2.5},
+                        settings);
     const nlohmann::json after = LimitsInForce(settings);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{2500}, after["grace_ms"].get<std::int64_t>());
     CPPUNIT_ASSERT_EQUAL(std::string("platform"), after["grace_source"].get<std::string>());
-    CPPUNIT_ASSERT_EQUAL(std::string("flag"), after["retry_source"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("platform"),
+                         after["retry_fraction_source"].get<std::string>());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.19, after["retry_fraction"].get<double>(), 1e-9);
+    CPPUNIT_ASSERT_EQUAL(std::string("flag"), after["retry_extra_source"].get<std::string>());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(40, after["retry_extra"].get<double>(), 1e-9);
     CPPUNIT_ASSERT_EQUAL(std::string("platform"), after["floor_source"].get<std::string>());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, after["floor_share"].get<double>(), 1e-9);
+
+    settings.platform_configuration = true;
+    CPPUNIT_ASSERT(HasLimitOfOtherSource(settings));
+    ApplyPlatformLimits({.retry_extra = 56}, settings);
+    CPPUNIT_ASSERT(!HasLimitOfOtherSource(settings));
+  }
+
+  // Guards against a fleet that does not start on a platform that states no limits.
+  void TestPlatformWithoutLimitsEndsTheStart() {
+    const Findings findings =
+        this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
+                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+                    "--platform-url", "http://127.0.0.1:1", "--platform-bounds="});
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    CPPUNIT_ASSERT_EQUAL(std::string(), ReadHostSettings(*this->result.settings).platform_bounds);
   }
 
   void TestValidSettings() {
--- a/Tests/PlatformAdapter/bounds_test.cc
+++ b/Tests/PlatformAdapter/bounds_test.cc
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(PlatformBoundsTest);
   CPPUNIT_TEST(TestKnownBoundsAreRead);
   CPPUNIT_TEST(TestBoundsOfTableAreNotIgnored);
+  CPPUNIT_TEST(TestDeepValueOfUnknownBoundEndsTheProcess);
   CPPUNIT_TEST(TestInvalidBoundsAreReported);
   CPPUNIT_TEST(TestTextOfAnotherFormIsNotIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -19,7 +20,8 @@
   void TestKnownBoundsAreRead() {
     Findings findings;
     const auto bounds = platform::ReadPlatformBounds(
-        "drain-s=2,new=a=b,,grace-s=6,retry-budget-ratio=0.2,budget-extra=630,flag=,floor-share=0."
+        "drain-s=2,new=a=b,new_name=3,p99.9=1,,grace-s=6,retry-budget-ratio=0.2,budget-extra=630,"
+        "flag=,floor-share=0."
         "7",
         findings);
     CPPUNIT_ASSERT(findings.empty());
@@ -45,6 +47,17 @@
     CPPUNIT_ASSERT(platform::ReadPlatformBounds("{}", findings) == PlatformLimits{});
   }
 
+  // Guards against a recursion that is as deep as a value that is ignored.
+  void TestDeepValueOfUnknownBoundEndsTheProcess() {
+    constexpr std::size_t kLevels = 200'000;
+    Findings findings;
+    const auto bounds = platform::ReadPlatformBounds(
+        R"({"new":)" + std::string(kLevels, '[') + std::string(kLevels, ']') + R"(,"grace-s":6})",
+        findings);
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    CPPUNIT_ASSERT(bounds == PlatformLimits{.shutdown_grace_s = 6});
+  }
+
   // Guards against limits that are not in force because their text has another form.
   void TestTextOfAnotherFormIsNotIgnored() {
     for (const char* text : {"{\"grace-s\":6", "{\"grace-s\":6}x", "[\"grace-s=6\"]", "grace-s:6",
@@ -58,9 +71,10 @@
   // Guards against a limit that is silently read as zero or as unlimited.
   void TestInvalidBoundsAreReported() {
     for (const char* text :
-         {"budget-extra=", "budget-extra=-1", "budget-extra", "floor-share=70",
-          "retry-budget-ratio=nan", "retry-budget-ratio=0.2s", R"({"grace-s":"6 s"})",
-          R"({"grace-s":null})", R"({"grace-s":true})", R"({"budget-extra":-1})"}) {
+         {"budget-extra=", "budget-extra=-1", R"({"grace-s":[6]})", R"({"grace-s":{"s":6}})",
+          "budget-extra", "floor-share=70", "retry-budget-ratio=nan", "retry-budget-ratio=0.2s",
+          R"({"grace-s":"6 s"})", R"({"grace-s":null})", R"({"grace-s":true})",
+          R"({"budget-extra":-1})"}) {
       Findings findings;
       platform::ReadPlatformBounds(text, findings);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{1}, findings.all().size());
