LibHost: Log a body limit of the configuration that is not in force

A larger one was lowered without a word, so that callers got 413 for bodies that the operator had allowed (DENIED on the platform). A host now logs `request_limit_lowered` with both values, once for each new limit.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -82,6 +82,7 @@
   bool CreateServers(Error& error);
   // Limits that apply unless the configuration sets its own.
   RequestLimits DefaultRequestLimits() const;
+  void ApplyRequestLimits(const Configuration& active_configuration);
   void ScheduleTasks();
   void WaitForSignals();
   void OnPeerMessage(const Envelope& envelope);
@@ -132,6 +133,8 @@
   SharedState shared_state;
   Metrics metrics;
   bool shutting_down = false;
+  // Of the active configuration.
+  std::size_t configured_body_bytes = 0;
   // Limits of the requests in progress; unset before a signal.
   HostEnd host_end;
   // Set when an operator stops the host; read by the traffic threads.
@@ -311,8 +314,7 @@
                                                    *this->probe_client, std::move(probe_settings));
   this->shared_state.configuration.Observe([this](const Configuration& active_configuration) {
     this->directory->SetConfigurationRevision(active_configuration.revision);
-    this->caller_server->SetLimits(
-        active_configuration.request_limits.value_or(this->DefaultRequestLimits()));
+    this->ApplyRequestLimits(active_configuration);
     this->UpdateReadiness();
   });
   this->shared_state.readiness.Write(Readiness{});
@@ -351,6 +353,21 @@
   return {.max_body_bytes = this->settings.max_body_bytes};
 }
 
+void HostProcess::ApplyRequestLimits(const Configuration& active_configuration) {
+  const RequestLimits limits =
+      active_configuration.request_limits.value_or(this->DefaultRequestLimits());
+  this->caller_server->SetLimits(limits);
+  // The active configuration also changes with the registered targets.
+  const bool is_new =
+      std::exchange(this->configured_body_bytes, limits.max_body_bytes) != limits.max_body_bytes;
+  if (is_new && limits.max_body_bytes > this->settings.max_body_bytes) {
+    Log(LogLevel::kWarning, "request_limit_lowered",
+        {{"limit", "max_body_bytes"},
+         {"configured", limits.max_body_bytes},
+         {"in_force", this->settings.max_body_bytes}});
+  }
+}
+
 void HostProcess::ScheduleTasks() {
   if (this->settings.probe_interval > Duration::zero()) {
     this->loop.RunPeriodically(kProbeTickInterval, [this] { this->probes->Tick(SteadyNow()); });
