LibHost: Warn of each limit that does not come from the platform

A host whose platform stops stating one of the retry limits or the floor used the flags of the deploy file in place of the platform's limits and logged that at the level of information: of `retry-budget-ratio` and `budget-extra` alone, neither was in force. Only a missing grace was a warning.

`limits_in_force` is a warning now with `--configuration platform` if the grace, the retry limits or the floor does not come from the platform. The limits themselves are as before; the sites in force state all of them.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -181,11 +181,10 @@
        {"caller_address", this->caller_server->address()},
        {"operator_address", this->operator_endpoint->address()},
        {"peer_address", this->peers->address()}});
-  // The platform kills hosts that stop, so that one without the grace loses requests.
-  const bool lacks_grace =
-      this->settings.platform_configuration && this->settings.grace_source == LimitSource::kNone;
-  Log(lacks_grace ? LogLevel::kWarning : LogLevel::kInfo, "limits_in_force",
-      LimitsInForce(this->settings));
+  // Without the grace, a host that stops is killed while it works on requests; without the others,
+  // the fleet may exceed the limits of the platform.
+  Log(HasAllPlatformLimits(this->settings) ? LogLevel::kInfo : LogLevel::kWarning,
+      "limits_in_force", LimitsInForce(this->settings));
   return true;
 }
 
--- a/Libraries/LibHost/limits_in_force.cc
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -41,6 +41,12 @@
   }
 }
 
+bool HasAllPlatformLimits(const HostSettings& settings) {
+  return !settings.platform_configuration || (settings.grace_source == LimitSource::kPlatform &&
+                                              settings.retry_source == LimitSource::kPlatform &&
+                                              settings.floor_source == LimitSource::kPlatform);
+}
+
 nlohmann::json LimitsInForce(const HostSettings& settings) {
   const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(settings.shutdown_grace);
   return {{"grace_ms", grace.count()},
--- a/Libraries/LibHost/limits_in_force.h
+++ b/Libraries/LibHost/limits_in_force.h
@@ -23,6 +23,9 @@
 // Replaces the host's limits by those that the platform sets.
 void ApplyPlatformLimits(const PlatformLimits& limits, HostSettings& settings);
 
+// False if the platform writes the configuration and a limit in force does not come from it.
+bool HasAllPlatformLimits(const HostSettings& settings);
+
 // The limits of a host with these settings, and whether the platform or a flag sets each of them.
 nlohmann::json LimitsInForce(const HostSettings& settings);
 
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(TestAllErrorsAreReportedTogether);
   CPPUNIT_TEST(TestRetryLimitsStayBelowThePlatformLimits);
   CPPUNIT_TEST(TestLimitWithoutEffectIsNotLogged);
+  CPPUNIT_TEST(TestLimitOfThePlatformThatIsMissingIsNoWarning);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +61,27 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, after["floor_share"].get<double>(), 1e-9);
   }
 
+  // Guards against a host of the platform on which one limit of the platform is not in force, as
+  // half of the retry limits, and whose log has no warning.
+  void TestLimitOfThePlatformThatIsMissingIsNoWarning() {
+    const PlatformLimits all{
+        .retry_ratio = 0.2, .retry_extra = 56, .floor_share = 0.7, .shutdown_grace_s = 6};
+    const auto is_complete = [](const PlatformLimits& limits, bool platform_configuration) {
+      HostSettings settings{.platform_configuration = platform_configuration};
+      ApplyPlatformLimits(limits, settings);
+      return HasAllPlatformLimits(settings);
+    };
+    CPPUNIT_ASSERT(is_complete(all, true));
+    for (std::optional<double> PlatformLimits::*limit :
+         {&PlatformLimits::retry_ratio, &PlatformLimits::retry_extra, &PlatformLimits::floor_share,
+          &PlatformLimits::shutdown_grace_s}) {
+      PlatformLimits incomplete = all;
+      incomplete.*limit = std::nullopt;
+      CPPUNIT_ASSERT(!is_complete(incomplete, true));
+      CPPUNIT_ASSERT(is_complete(incomplete, false));
+    }
+  }
+
   void TestValidSettings() {
     const Findings findings =
         this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
