--- a/Libraries/LibHost/limits_in_force.cc
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -44,12 +44,12 @@
   }
 }
 
-bool HasLimitOfOtherSource(const HostSettings& settings) {
-  return settings.platform_configuration &&
-         !(settings.grace_source == LimitSource::kPlatform &&
-           settings.retry_fraction_source == LimitSource::kPlatform &&
-           settings.retry_extra_source == LimitSource::kPlatform &&
-           settings.floor_source == LimitSource::kPlatform);
+bool HasAllPlatformLimits(const HostSettings& settings) {
+  return !settings.platform_configuration ||
+         (settings.grace_source == LimitSource::kPlatform &&
+          settings.retry_fraction_source == LimitSource::kPlatform &&
+          settings.retry_extra_source == LimitSource::kPlatform &&
+          settings.floor_source == LimitSource::kPlatform);
 }
 
 nlohmann::json LimitsInForce(const HostSettings& settings) {
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(TestRetryLimitsStayBelowThePlatformLimits);
   CPPUNIT_TEST(TestLogHidesWhereLimitsComeFrom);
   CPPUNIT_TEST(TestPlatformWithoutLimitsEndsTheStart);
+  CPPUNIT_TEST(TestLimitOfThePlatformThatIsMissingIsNoWarning);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -65,11 +66,6 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(40, after["retry_extra"].get<double>(), 1e-9);
     CPPUNIT_ASSERT_EQUAL(std::string("platform"), after["floor_source"].get<std::string>());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, after["floor_share"].get<double>(), 1e-9);
-
-    settings.platform_configuration = true;
-    CPPUNIT_ASSERT(HasLimitOfOtherSource(settings));
-    ApplyPlatformLimits({.retry_extra = 56}, settings);
-    CPPUNIT_ASSERT(!HasLimitOfOtherSource(settings));
   }
 
   // Guards against a fleet that does not start on a platform that states no limits.
@@ -82,6 +78,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), ReadHostSettings(*this->result.settings).platform_bounds);
   }
 
+  // Guards against a host of the platform on which one limit of the platform is not in force, as
+  // half of the retry limits, and whose log has no warning.
+  void TestLimitOfThePlatformThatIsMissingIsNoWarning() {
+    const PlatformLimits all{
+        .retry_ratio = 0.2, .retry_extra = 56, .floor_share = 0.7, .shutdown_grace_s = 6};
+    const auto is_complete = [](const PlatformLimits& limits, bool platform_configuration) {
+      HostSettings settings{.platform_configuration = platform_configuration};
+      ApplyPlatformLimits(limits, settings);
+      return HasAllPlatformLimits(settings);
+    };
+    CPPUNIT_ASSERT(is_complete(all, true));
+    for (std::optional<double> PlatformLimits::*limit :
+         {&PlatformLimits::retry_ratio, &PlatformLimits::retry_extra, &PlatformLimits::floor_share,
+          &PlatformLimits::shutdown_grace_s}) {
+      PlatformLimits incomplete = all;
+      incomplete.*limit = std::nullopt;
+      CPPUNIT_ASSERT(!is_complete(incomplete, true));
+      CPPUNIT_ASSERT(is_complete(incomplete, false));
+    }
+  }
+
   void TestValidSettings() {
     const Findings findings =
         this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
