LibDispatch: Pass the spent retries on when the broker of a service changes

Cause: the window of RetryBudget is the memory of one broker process. Each broker kept its own window, and each new one began with an empty one, while the rule counts the arrivals of all machines in any 10 s.

Change: each process counts in intervals of its own that only grow. RetryUsage reports them with their ages, and RetryBudget merges them by the larger count of each interval of each process, so that a report may be repeated, come back or cross another one. RetryUsageExchange holds the budgets apart from the brokers, so that receiving counts makes no host a broker, counts of a service that is not configured yet are kept, and a removed service keeps its window. It reports to the other candidates when they change (the leaving host too), within 250 ms of a retry, and when a new broker asks. Nothing is sent while nothing is retried. With known counts the extra grows from the oldest known start.

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -47,10 +47,13 @@
 
 }  // namespace
 
-SlotBroker::SlotBroker(BrokerConfiguration initial, BrokerPolicy broker_policy)
+SlotBroker::SlotBroker(BrokerConfiguration initial,
+                       BrokerPolicy broker_policy,
+                       std::shared_ptr<RetryBudget> shared_retries)
     : configuration(std::move(initial)),
       policy(broker_policy),
-      retries(broker_policy.retry_limits),
+      retries(shared_retries ? std::move(shared_retries)
+                             : std::make_shared<RetryBudget>(broker_policy.retry_limits)),
       long_share(broker_policy.long_headroom) {
   this->ConfigureHealth(TimePoint());
 }
@@ -410,7 +413,7 @@
   if (full && !evicted) {
     return this->MakeRefusal(request, RefusalReason::kQueueFull);
   }
-  if (request.is_retry && !this->retries.TryRetry(now)) {
+  if (request.is_retry && !this->retries->TryRetry(now)) {
     return this->MakeRefusal(request, RefusalReason::kRetryBudget);
   }
   if (evicted) {
@@ -516,9 +519,9 @@
     this->rate_limits.RecordSend(now, claim.target);
     this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
     if (claim.is_retry) {
-      this->retries.RecordRetry(now);
+      this->retries->RecordRetry(now);
     } else {
-      this->retries.RecordFirstAttempt(now);
+      this->retries->RecordFirstAttempt(now);
     }
   }
   return {};
@@ -629,7 +632,7 @@
   // An attempt that follows one that reached no target is not a retry, but the
   // request counts as one first attempt.
   if (!request.is_retry && request.excluded.empty()) {
-    this->retries.RecordFirstAttempt(now);
+    this->retries->RecordFirstAttempt(now);
     this->trials.RecordFirstAttempt(now);
   }
   messages.push_back(
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -43,10 +44,14 @@
 // Allocates the slots of one service to the hosts. Implements queueing,
 // fairness between organisations, the adaptive share of long work, the
 // fleet-wide retry budget and target health. Its state is soft: a new broker
-// rebuilds it from the hosts' reports.
+// rebuilds it from the hosts' reports, and
+// RetryUsageExchange passes the retry budget on.
 class SlotBroker {
  public:
-  explicit SlotBroker(BrokerConfiguration initial, BrokerPolicy broker_policy = {});
+  // Uses a retry budget of its own if there is no shared one.
+  explicit SlotBroker(BrokerConfiguration initial,
+                      BrokerPolicy broker_policy = {},
+                      std::shared_ptr<RetryBudget> shared_retries = nullptr);
 
   std::vector<SendToHost> Configure(TimePoint now, BrokerConfiguration changed);
   std::vector<SendToHost> OnRequest(TimePoint now,
@@ -175,7 +180,7 @@
   TimePoint overdue_checked_at;
   SlotTable table;
   FairQueue queue;
-  RetryBudget retries;
+  std::shared_ptr<RetryBudget> retries;
   EjectionTrials trials;
   TargetRateLimits rate_limits;
   ServiceTimeEstimate estimate;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -118,6 +118,9 @@
       random(random),
       settings(std::move(settings)),
       dispatcher(DispatcherSettings(this->settings, shared_state), random),
+      retry_usage(this->settings.self,
+                  RetryCounterId{random.Next()},
+                  this->settings.broker_policy.retry_limits),
       alarm(loop.CreateAlarm([this] { this->Tick(); })) {
   shared_state.configuration.Observe(
       [this](const Configuration& configuration) { this->Configure(configuration); });
@@ -173,6 +176,8 @@
 }
 
 void DispatchController::OnBrokerCandidates(const std::vector<HostId>& hosts) {
+  // First, so that a new broker gets the counts before requests.
+  this->Execute(this->retry_usage.SetMembers(this->Now(), hosts));
   this->Execute(this->dispatcher.SetMembers(this->Now(), hosts));
   this->Reschedule();
 }
@@ -343,6 +348,8 @@
           if (SlotBroker* broker = this->GetOrCreateBroker(message.service)) {
             this->Execute(broker->OnReport(now, sender, domain, message));
           }
+        } else if constexpr (std::is_same_v<T, RetryUsage>) {
+          this->Execute(this->retry_usage.OnUsage(now, sender, message));
         } else if constexpr (std::is_same_v<T, ProbeReport>) {
           if (SlotBroker* broker = this->GetOrCreateBroker(message.service)) {
             broker->OnProbe(now, {.target = message.target,
@@ -375,9 +382,13 @@
   }
   auto found = this->brokers.find(service);
   if (found == this->brokers.end()) {
+    std::vector<SendToHost> messages;
+    std::shared_ptr<RetryBudget> retries = this->retry_usage.Open(this->Now(), service, messages);
+    this->Execute(messages);
     found = this->brokers
                 .emplace(service, std::make_unique<SlotBroker>(configuration->second,
-                                                               this->settings.broker_policy))
+                                                               this->settings.broker_policy,
+                                                               std::move(retries)))
                 .first;
   }
   return found->second.get();
@@ -386,6 +397,7 @@
 void DispatchController::Tick() {
   const TimePoint now = this->Now();
   this->Execute(this->dispatcher.Tick(now));
+  this->Execute(this->retry_usage.Tick(now));
   for (auto& [service, broker] : this->brokers) {
     this->Execute(broker->Tick(now));
     for (const HealthEvent& event : broker->TakeHealthEvents()) {
@@ -397,7 +409,8 @@
 
 void DispatchController::Reschedule() {
   const TimePoint now = this->Now();
-  TimePoint next = this->dispatcher.NextDeadline(now);
+  TimePoint next =
+      std::min(this->dispatcher.NextDeadline(now), this->retry_usage.NextDeadline(now));
   for (auto& [service, broker] : this->brokers) {
     next = std::min(next, broker->NextDeadline(now));
   }
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -8,6 +8,7 @@
 
 #include "Libraries/LibCore/random_source.h"
 #include "Libraries/LibDispatch/host_dispatcher.h"
+#include "Libraries/LibDispatch/retry_usage_exchange.h"
 #include "Libraries/LibDispatch/slot_broker.h"
 #include "Libraries/LibHost/attempt_transfer.h"
 #include "Libraries/LibHost/control_loop.h"
@@ -82,7 +83,7 @@
                      Settings settings);
 
   void Submit(std::shared_ptr<Exchange> exchange);
-  // Handles messages about slots, views, host reports and probes; ignores others.
+  // Handles messages about slots, views, host reports, retries and probes; ignores others.
   void OnMessage(const Envelope& envelope);
   // Sends the result of a probe by this host to the broker of the service.
   void OnProbe(ServiceId service, const HealthObservation& observation);
@@ -161,6 +162,7 @@
   RandomSource& random;
   const Settings settings;
   HostDispatcher dispatcher;
+  RetryUsageExchange retry_usage;
   std::map<ServiceId, std::unique_ptr<SlotBroker>> brokers;
   std::map<ServiceId, BrokerConfiguration> broker_configurations;
   std::map<RequestId, ActiveRequest> active;
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -186,6 +186,28 @@
                 .Union()};
   }
 
+  TypedMessage EncodeMessage(const RetryUsage& value) {
+    this->CheckLimit(value.counters.size() <= kMaxWireRetryCounters);
+    std::vector<Offset<wire::RetryCounter>> counters;
+    for (const RetryCounter& counter : value.counters) {
+      this->CheckLimit(counter.intervals.size() <= kMaxWireRetryIntervals &&
+                       counter.first_interval <= kMaxWireRetryInterval);
+      std::vector<wire::RetryCounts> intervals;
+      for (const RetryCounts& counts : counter.intervals) {
+        intervals.emplace_back(counts.first_attempts, counts.retries);
+      }
+      const auto list = this->EncodeStructs(intervals);
+      counters.push_back(wire::CreateRetryCounter(this->builder, RawId(counter.counter),
+                                                  counter.first_interval,
+                                                  EncodeDuration(counter.age), list));
+    }
+    const auto list = this->EncodeTables(counters);
+    return {wire::Message::RetryUsage,
+            wire::CreateRetryUsage(this->builder, RawId(value.service), value.asks,
+                                   EncodeDuration(value.known_for), list)
+                .Union()};
+  }
+
   TypedMessage EncodeMessage(const Notices& value) {
     std::vector<wire::LeavingTarget> leaving;
     for (const LeavingTarget& notice : value.leaving_targets) {
@@ -344,6 +366,9 @@
       case wire::Message::ProbeReport:
         result.message = this->DecodeMessage(*envelope.message_as_ProbeReport());
         break;
+      case wire::Message::RetryUsage:
+        result.message = this->DecodeMessage(*envelope.message_as_RetryUsage());
+        break;
       default:
         this->Reject("message type is unknown");
         break;
@@ -520,6 +545,39 @@
     return report;
   }
 
+  RetryUsage DecodeMessage(const wire::RetryUsage& value) {
+    RetryUsage usage{.service = ServiceId{value.service()},
+                     .asks = value.asks(),
+                     .known_for = this->DecodeDuration(value.known_for_us()),
+                     .counters = {}};
+    const std::uint32_t count = this->ElementCount(value.counters());
+    if (count > kMaxWireRetryCounters) {
+      this->Reject("too many counters of retries");
+      return usage;
+    }
+    for (std::uint32_t index = 0; index < count; ++index) {
+      usage.counters.push_back(this->DecodeCounter(*value.counters()->Get(index)));
+    }
+    return usage;
+  }
+
+  RetryCounter DecodeCounter(const wire::RetryCounter& value) {
+    RetryCounter counter{.counter = RetryCounterId{value.counter()},
+                         .first_interval = value.first_interval(),
+                         .age = this->DecodeDuration(value.age_us()),
+                         .intervals = {}};
+    const std::uint32_t count = this->ElementCount(value.intervals());
+    if (count > kMaxWireRetryIntervals || counter.first_interval > kMaxWireRetryInterval) {
+      this->Reject("intervals of a counter of retries are out of range");
+      return counter;
+    }
+    for (std::uint32_t index = 0; index < count; ++index) {
+      const wire::RetryCounts& counts = *value.intervals()->Get(index);
+      counter.intervals.push_back({counts.first_attempts(), counts.retries()});
+    }
+    return counter;
+  }
+
   ServiceView DecodeMessage(const wire::ServiceView& value) {
     ServiceView view{
         ServiceId{value.service()}, value.sequence(), value.queued(), value.active_hosts(), {}};
--- a/Libraries/LibProtocol/codec.h
+++ b/Libraries/LibProtocol/codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,11 @@
 constexpr std::size_t kMaxWireAddressBytes = 64;
 // Maximum number of elements in one list of a message.
 constexpr std::size_t kMaxWireListEntries = 16384;
+// Maximum number of counters, of intervals of each, and of the number of an interval in a message
+// about retries.
+constexpr std::size_t kMaxWireRetryCounters = 8;
+constexpr std::size_t kMaxWireRetryIntervals = 100;
+constexpr std::uint64_t kMaxWireRetryInterval = 1'000'000'000'000;
 // Maximum duration in a message; the minimum is zero.
 constexpr Duration kMaxWireDuration = std::chrono::hours(24 * 30);
 
--- a/Libraries/LibProtocol/envelope.h
+++ b/Libraries/LibProtocol/envelope.h
@@ -24,7 +24,8 @@
                              ConfigurationRequest,
                              ConfigurationDocument,
                              ProbeReport,
-                             CompressedConfigurationDocument>;
+                             CompressedConfigurationDocument,
+                             RetryUsage>;
 
 // A message with its sender's host and failure domain.
 struct Envelope {
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -84,6 +84,14 @@
 struct ProbeReport;
 struct ProbeReportBuilder;
 
+struct RetryCounts;
+
+struct RetryCounter;
+struct RetryCounterBuilder;
+
+struct RetryUsage;
+struct RetryUsageBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -106,11 +114,12 @@
   ConfigurationDocument = 15,
   ProbeReport = 16,
   CompressedConfigurationDocument = 17,
+  RetryUsage = 18,
   MIN = NONE,
-  MAX = CompressedConfigurationDocument
+  MAX = RetryUsage
 };
 
-inline const Message (&EnumValuesMessage())[18] {
+inline const Message (&EnumValuesMessage())[19] {
   static const Message values[] = {
     Message::NONE,
     Message::SlotRequest,
@@ -129,13 +138,14 @@
     Message::ConfigurationRequest,
     Message::ConfigurationDocument,
     Message::ProbeReport,
-    Message::CompressedConfigurationDocument
+    Message::CompressedConfigurationDocument,
+    Message::RetryUsage
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[19] = {
+  static const char * const names[20] = {
     "NONE",
     "SlotRequest",
     "SlotCancel",
@@ -154,13 +164,14 @@
     "ConfigurationDocument",
     "ProbeReport",
     "CompressedConfigurationDocument",
+    "RetryUsage",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CompressedConfigurationDocument)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RetryUsage)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -237,6 +248,10 @@
   static const Message enum_value = Message::CompressedConfigurationDocument;
 };
 
+template<> struct MessageTraits<pimentopin::wire::RetryUsage> {
+  static const Message enum_value = Message::RetryUsage;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -315,6 +330,34 @@
   using type = LeavingTarget;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RetryCounts FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t first_attempts_;
+  uint32_t retries_;
+
+ public:
+  struct Traits;
+  RetryCounts()
+      : first_attempts_(0),
+        retries_(0) {
+  }
+  RetryCounts(uint32_t _first_attempts, uint32_t _retries)
+      : first_attempts_(flatbuffers::EndianScalar(_first_attempts)),
+        retries_(flatbuffers::EndianScalar(_retries)) {
+  }
+  uint32_t first_attempts() const {
+    return flatbuffers::EndianScalar(first_attempts_);
+  }
+  uint32_t retries() const {
+    return flatbuffers::EndianScalar(retries_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RetryCounts, 8);
+
+struct RetryCounts::Traits {
+  using type = RetryCounts;
+};
+
 struct SlotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SlotRequestBuilder Builder;
   struct Traits;
@@ -2267,6 +2310,193 @@
   static auto constexpr Create = CreateProbeReport;
 };
 
+struct RetryCounter FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RetryCounterBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COUNTER = 4,
+    VT_FIRST_INTERVAL = 6,
+    VT_AGE_US = 8,
+    VT_INTERVALS = 10
+  };
+  uint64_t counter() const {
+    return GetField<uint64_t>(VT_COUNTER, 0);
+  }
+  uint64_t first_interval() const {
+    return GetField<uint64_t>(VT_FIRST_INTERVAL, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  const flatbuffers::Vector<const pimentopin::wire::RetryCounts *> *intervals() const {
+    return GetPointer<const flatbuffers::Vector<const pimentopin::wire::RetryCounts *> *>(VT_INTERVALS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_INTERVAL, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_INTERVALS) &&
+           verifier.VerifyVector(intervals()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RetryCounterBuilder {
+  typedef RetryCounter Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_counter(uint64_t counter) {
+    fbb_.AddElement<uint64_t>(RetryCounter::VT_COUNTER, counter, 0);
+  }
+  void add_first_interval(uint64_t first_interval) {
+    fbb_.AddElement<uint64_t>(RetryCounter::VT_FIRST_INTERVAL, first_interval, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(RetryCounter::VT_AGE_US, age_us, 0);
+  }
+  void add_intervals(flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::RetryCounts *>> intervals) {
+    fbb_.AddOffset(RetryCounter::VT_INTERVALS, intervals);
+  }
+  explicit RetryCounterBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RetryCounter> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RetryCounter>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RetryCounter> CreateRetryCounter(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t counter = 0,
+    uint64_t first_interval = 0,
+    int64_t age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::RetryCounts *>> intervals = 0) {
+  RetryCounterBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_first_interval(first_interval);
+  builder_.add_counter(counter);
+  builder_.add_intervals(intervals);
+  return builder_.Finish();
+}
+
+struct RetryCounter::Traits {
+  using type = RetryCounter;
+  static auto constexpr Create = CreateRetryCounter;
+};
+
+inline flatbuffers::Offset<RetryCounter> CreateRetryCounterDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t counter = 0,
+    uint64_t first_interval = 0,
+    int64_t age_us = 0,
+    const std::vector<pimentopin::wire::RetryCounts> *intervals = nullptr) {
+  auto intervals__ = intervals ? _fbb.CreateVectorOfStructs<pimentopin::wire::RetryCounts>(*intervals) : 0;
+  return pimentopin::wire::CreateRetryCounter(
+      _fbb,
+      counter,
+      first_interval,
+      age_us,
+      intervals__);
+}
+
+struct RetryUsage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RetryUsageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ASKS = 6,
+    VT_KNOWN_FOR_US = 8,
+    VT_COUNTERS = 10
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  bool asks() const {
+    return GetField<uint8_t>(VT_ASKS, 0) != 0;
+  }
+  int64_t known_for_us() const {
+    return GetField<int64_t>(VT_KNOWN_FOR_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *counters() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *>(VT_COUNTERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
+           VerifyField<int64_t>(verifier, VT_KNOWN_FOR_US, 8) &&
+           VerifyOffset(verifier, VT_COUNTERS) &&
+           verifier.VerifyVector(counters()) &&
+           verifier.VerifyVectorOfTables(counters()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RetryUsageBuilder {
+  typedef RetryUsage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(RetryUsage::VT_SERVICE, service, 0);
+  }
+  void add_asks(bool asks) {
+    fbb_.AddElement<uint8_t>(RetryUsage::VT_ASKS, static_cast<uint8_t>(asks), 0);
+  }
+  void add_known_for_us(int64_t known_for_us) {
+    fbb_.AddElement<int64_t>(RetryUsage::VT_KNOWN_FOR_US, known_for_us, 0);
+  }
+  void add_counters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>> counters) {
+    fbb_.AddOffset(RetryUsage::VT_COUNTERS, counters);
+  }
+  explicit RetryUsageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RetryUsage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RetryUsage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RetryUsage> CreateRetryUsage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    bool asks = false,
+    int64_t known_for_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>> counters = 0) {
+  RetryUsageBuilder builder_(_fbb);
+  builder_.add_known_for_us(known_for_us);
+  builder_.add_service(service);
+  builder_.add_counters(counters);
+  builder_.add_asks(asks);
+  return builder_.Finish();
+}
+
+struct RetryUsage::Traits {
+  using type = RetryUsage;
+  static auto constexpr Create = CreateRetryUsage;
+};
+
+inline flatbuffers::Offset<RetryUsage> CreateRetryUsageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    bool asks = false,
+    int64_t known_for_us = 0,
+    const std::vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *counters = nullptr) {
+  auto counters__ = counters ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>(*counters) : 0;
+  return pimentopin::wire::CreateRetryUsage(
+      _fbb,
+      service,
+      asks,
+      known_for_us,
+      counters__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -2340,6 +2570,9 @@
   const pimentopin::wire::CompressedConfigurationDocument *message_as_CompressedConfigurationDocument() const {
     return message_type() == pimentopin::wire::Message::CompressedConfigurationDocument ? static_cast<const pimentopin::wire::CompressedConfigurationDocument *>(message()) : nullptr;
   }
+  const pimentopin::wire::RetryUsage *message_as_RetryUsage() const {
+    return message_type() == pimentopin::wire::Message::RetryUsage ? static_cast<const pimentopin::wire::RetryUsage *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SENDER, 8) &&
@@ -2419,6 +2652,10 @@
   return message_as_CompressedConfigurationDocument();
 }
 
+template<> inline const pimentopin::wire::RetryUsage *Envelope::message_as<pimentopin::wire::RetryUsage>() const {
+  return message_as_RetryUsage();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2538,6 +2775,10 @@
       auto ptr = reinterpret_cast<const pimentopin::wire::CompressedConfigurationDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::RetryUsage: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::RetryUsage *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -206,6 +206,43 @@
   friend bool operator==(const ServiceView&, const ServiceView&) = default;
 };
 
+// Attempts that the broker of a service counted in one interval.
+struct RetryCounts {
+  std::uint32_t first_attempts = 0;
+  std::uint32_t retries = 0;
+
+  friend bool operator==(const RetryCounts&, const RetryCounts&) = default;
+};
+
+// Identifies one process that counts. A restarted host is another one.
+enum class RetryCounterId : std::uint64_t {};
+
+// Counts of one process in consecutive intervals. They only grow, so that the larger one of two
+// reports of an interval is the newer one.
+struct RetryCounter {
+  RetryCounterId counter{};
+  // Number of the first interval, the same in all messages.
+  std::uint64_t first_interval = 0;
+  // Time since the first interval began.
+  Duration age{};
+  std::vector<RetryCounts> intervals;
+
+  friend bool operator==(const RetryCounter&, const RetryCounter&) = default;
+};
+
+// Tells another host that is, or may become, the broker of a service which attempts count
+// towards the retry budget.
+struct RetryUsage {
+  ServiceId service{};
+  // The sender asks for what the receiver knows.
+  bool asks = false;
+  // Time for which the sender knows all counts.
+  Duration known_for{};
+  std::vector<RetryCounter> counters;
+
+  friend bool operator==(const RetryUsage&, const RetryUsage&) = default;
+};
+
 // Reports the result of a health probe to the broker of the service.
 struct ProbeReport {
   ServiceId service{};
--- a/Tests/LibProtocol/codec_test.cc
+++ b/Tests/LibProtocol/codec_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(TestSharedListsAreRejected);
   CPPUNIT_TEST(TestEncoderLimits);
   CPPUNIT_TEST(TestDecoderLimits);
+  CPPUNIT_TEST(TestRetryUsageOutOfRange);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -257,6 +258,33 @@
     AssertRejected(std::string(kMaxFramePayloadBytes + 1, '\0'));
   }
 
+  // Guards against a forged message that makes a broker keep any number of counters, or whose
+  // times overflow.
+  void TestRetryUsageOutOfRange() {
+    const auto encode = [](std::size_t counters, std::size_t intervals, std::uint64_t first) {
+      flatbuffers::FlatBufferBuilder builder;
+      std::vector<flatbuffers::Offset<wire::RetryCounter>> list;
+      for (std::size_t index = 0; index < counters; ++index) {
+        const auto counts =
+            builder.CreateVectorOfStructs(std::vector<wire::RetryCounts>(intervals, {1, 1}));
+        list.push_back(wire::CreateRetryCounter(builder, index, first, 0, counts));
+      }
+      const auto vector = builder.CreateVector(list);
+      const auto usage = wire::CreateRetryUsage(builder, 1, false, 0, vector).Union();
+      return BuildPayload(builder, wire::Message::RetryUsage, usage);
+    };
+    Error error;
+    CPPUNIT_ASSERT(DecodeFrame(
+        encode(kMaxWireRetryCounters, kMaxWireRetryIntervals, kMaxWireRetryInterval), error));
+    AssertRejected(encode(kMaxWireRetryCounters + 1, 1, 0));
+    AssertRejected(encode(1, kMaxWireRetryIntervals + 1, 0));
+    AssertRejected(encode(1, 1, kMaxWireRetryInterval + 1));
+    RetryUsage usage{.counters = {{.intervals = std::vector<RetryCounts>(kMaxWireRetryIntervals)}}};
+    CPPUNIT_ASSERT(!EncodeFrame({HostId{1}, {}, usage}).empty());
+    usage.counters[0].intervals.emplace_back();
+    CPPUNIT_ASSERT(EncodeFrame({HostId{1}, {}, usage}).empty());
+  }
+
  private:
   static std::string RandomBytes(std::mt19937_64& engine) {
     std::string bytes(engine() % 300, '\0');
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -216,6 +216,29 @@
       rc::gen::set(&ProbeReport::service_time, AnyDuration()));
 }
 
+inline rc::Gen<std::vector<RetryCounts>> AnyRetryCounts() {
+  return rc::gen::resize(
+      static_cast<int>(kMaxWireRetryIntervals),
+      rc::gen::container<std::vector<RetryCounts>>(rc::gen::build<RetryCounts>(
+          rc::gen::set(&RetryCounts::first_attempts), rc::gen::set(&RetryCounts::retries))));
+}
+
+inline rc::Gen<RetryUsage> AnyRetryUsage() {
+  return rc::gen::build<RetryUsage>(
+      rc::gen::set(&RetryUsage::service, AnyId<ServiceId>()), rc::gen::set(&RetryUsage::asks),
+      rc::gen::set(&RetryUsage::known_for, AnyDuration()),
+      rc::gen::set(
+          &RetryUsage::counters,
+          rc::gen::resize(
+              static_cast<int>(kMaxWireRetryCounters),
+              rc::gen::container<std::vector<RetryCounter>>(rc::gen::build<RetryCounter>(
+                  rc::gen::set(&RetryCounter::counter, AnyId<RetryCounterId>()),
+                  rc::gen::set(&RetryCounter::first_interval,
+                               rc::gen::inRange<std::uint64_t>(0, kMaxWireRetryInterval + 1)),
+                  rc::gen::set(&RetryCounter::age, AnyDuration()),
+                  rc::gen::set(&RetryCounter::intervals, AnyRetryCounts()))))));
+}
+
 template <typename Value>
 rc::Gen<Envelope> EnvelopeOf(rc::Gen<Value> message) {
   return rc::gen::build<Envelope>(
@@ -244,7 +267,8 @@
           EnvelopeOf(AnyConfigurationRequest()),
           EnvelopeOf(AnyConfigurationDocument()),
           EnvelopeOf(AnyProbeReport()),
-          EnvelopeOf(AnyCompressedConfigurationDocument())};
+          EnvelopeOf(AnyCompressedConfigurationDocument()),
+          EnvelopeOf(AnyRetryUsage())};
 }
 
 }  // namespace pimentopin
