--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(TestChangesResumeAndWait);
   CPPUNIT_TEST(TestDiscardedHistoryIsReported);
   CPPUNIT_TEST(TestCallbacksRunOnControlThread);
+  CPPUNIT_TEST(TestFaultThatTheStandInDoesNotKnowIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -340,6 +341,15 @@
     CPPUNIT_ASSERT(this->control_thread.get_id() == thread.get_future().get());
   }
 
+  // Guards against a check that passes because its fault never begins, or never ends.
+  void TestFaultThatTheStandInDoesNotKnowIsIgnored() {
+    for (const char* faults : {R"({"tabel":"down"})", R"({"table":"down","object":"down"})",
+                               R"({"table":"broken"})", "{}", "[]", "down"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(faults, 400, this->StatusOfPost("/faults", faults));
+      CPPUNIT_ASSERT(this->Read("t/k").value.has_value());
+    }
+  }
+
  private:
   std::unique_ptr<HttpServer> StartServer(HttpServer::Handler handler) {
     Error error;
@@ -384,6 +394,10 @@
   void SetFaults(const std::string& text) { this->Post("/faults", text); }
 
   void Post(const std::string& path, const std::string& text) {
+    CPPUNIT_ASSERT_EQUAL(200, this->StatusOfPost(path, text));
+  }
+
+  int StatusOfPost(const std::string& path, const std::string& text) {
     TransferRecorder record;
     this->client->Start({.method = "POST",
                          .url = "http://" + this->server->address() + path,
@@ -391,7 +405,7 @@
                          .timeout = std::chrono::seconds(20)},
                         record.Callbacks());
     CPPUNIT_ASSERT(record.Wait());
-    CPPUNIT_ASSERT_EQUAL(200, record.status);
+    return record.status;
   }
 
   // Starts a call and waits for its callback.
--- a/Tests/StandIns/Platform/platform.cc
+++ b/Tests/StandIns/Platform/platform.cc
@@ -46,6 +46,20 @@
   return false;
 }
 
+// A request without a known member would change nothing, and its check would pass without a fault.
+bool HasOnlyFaults(const json& document) {
+  constexpr std::array<std::string_view, 3> kMembers = {"table", "objects", "slow_ms"};
+  if (!document.is_object() || document.empty()) {
+    return false;
+  }
+  for (const auto& item : document.items()) {
+    if (std::find(kMembers.begin(), kMembers.end(), item.key()) == kMembers.end()) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::string SerializeJson(const json& document) {
   return document.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
@@ -357,6 +371,9 @@
     PlatformFaults changed = this->faults;
     try {
       const json document = json::parse(request.body.text());
+      if (!HasOnlyFaults(document)) {
+        return {400, "the body must be an object with table, objects or slow_ms\n"};
+      }
       if (!ReadStoreState(document, "table", changed.table) ||
           !ReadStoreState(document, "objects", changed.objects)) {
         return {400, "the state must be up, down, slow, lose-answers or silent\n"};
