--- a/Libraries/LibOperator/operator_commands.cc
+++ b/Libraries/LibOperator/operator_commands.cc
@@ -310,7 +310,10 @@
               std::to_string(current->revision) + "\n");
     }
     (*target)["leaving"] = true;
-    return this->Commit(current->revision, document.dump(2) + "\n");
+    const std::uint64_t base_revision =
+        this->settings.Has("base") ? static_cast<std::uint64_t>(this->settings.Number("base"))
+                                   : current->revision;
+    return this->Commit(base_revision, document.dump(2) + "\n");
   }
 
   static ordered_json* FindTarget(ordered_json& document, const std::string& name) {
--- a/Tests/LibOperator/operator_commands_test.cc
+++ b/Tests/LibOperator/operator_commands_test.cc
@@ -17,6 +17,7 @@
 class OperatorCommandsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OperatorCommandsTest);
   CPPUNIT_TEST(TestUsageErrors);
+  CPPUNIT_TEST(TestDrainOfTargetIgnoresTheBase);
   CPPUNIT_TEST(TestValidate);
   CPPUNIT_TEST(TestApply);
   CPPUNIT_TEST(TestApplyPrintsChangeIdBeforeSending);
@@ -74,6 +75,19 @@
     CPPUNIT_ASSERT(this->fleet->requests.empty());
   }
 
+  // Guards against a drain that is committed on another revision than the operator named.
+  void TestDrainOfTargetIgnoresTheBase() {
+    for (const char* change : {"--change-id=first", "--change-id=second"}) {
+      CPPUNIT_ASSERT(this->Run({"apply", "f", change}).code == ExitCode::kSuccess);
+    }
+    const CommandResult on_old_base = this->Run({"drain", "target", "parts-2", "--base=1"});
+    CPPUNIT_ASSERT_EQUAL(std::string(), on_old_base.output);
+    CPPUNIT_ASSERT(on_old_base.code == ExitCode::kConflict);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, this->fleet->revision());
+    CPPUNIT_ASSERT(this->Run({"drain", "target", "parts-2", "--base=2"}).code ==
+                   ExitCode::kSuccess);
+  }
+
   void TestValidate() {
     CPPUNIT_ASSERT((CommandResult{.output = "valid\n"}) ==
                    this->RunWithoutDefaults({"validate", "f"}));
