--- a/Libraries/LibOperator/operator_commands.cc
+++ b/Libraries/LibOperator/operator_commands.cc
@@ -487,31 +487,59 @@
   bool needs_host;
   bool needs_author;
   CommandResult (CommandRunner::*run)();
+  // Those of kCommandOptions that it uses.
+  std::array<std::string_view, 2> options = {};
 };
 
+// Settings that only some of the commands use.
+constexpr std::array<const char*, 4> kCommandOptions = {"base", "change-id", "change", "month"};
+
 constexpr std::array kCommands{
     CommandDescription{"validate", "validate FILE",
                        "Report all errors in a document without contacting a host", 2, false, false,
                        &CommandRunner::Validate},
-    CommandDescription{"apply", "apply FILE", "Commit a document as the next revision", 2, true,
-                       true, &CommandRunner::Apply},
+    CommandDescription{"apply",
+                       "apply FILE",
+                       "Commit a document as the next revision",
+                       2,
+                       true,
+                       true,
+                       &CommandRunner::Apply,
+                       {"base", "change-id"}},
     CommandDescription{"show", "show", "Print the current document", 1, true, false,
                        &CommandRunner::Show},
     CommandDescription{"diff", "diff FILE", "Show the changes from the current document to FILE", 2,
                        true, false, &CommandRunner::Diff},
-    CommandDescription{"history", "history [--change ID]",
-                       "List the revisions, or show the state of one change", 1, true, false,
-                       &CommandRunner::History},
+    CommandDescription{"history",
+                       "history [--change ID]",
+                       "List the revisions, or show the state of one change",
+                       1,
+                       true,
+                       false,
+                       &CommandRunner::History,
+                       {"change", "base"}},
     CommandDescription{"audit", "audit", "List the audit records", 1, true, false,
                        &CommandRunner::Audit},
     CommandDescription{"status", "status", "Show the state of the fleet as seen by one host", 1,
                        true, false, &CommandRunner::Status},
     CommandDescription{"drain", "drain host", "Shut down the host at --host gracefully", 2, true,
                        true, &CommandRunner::Drain},
-    CommandDescription{"drain", "drain target NAME", "Stop assigning new work to a target", 3, true,
-                       true, &CommandRunner::Drain},
-    CommandDescription{"report", "report --month YYYY-MM", "Print the monthly report per service",
-                       1, true, false, &CommandRunner::Report}};
+    CommandDescription{"drain",
+                       "drain target NAME",
+                       "Stop assigning new work to a target",
+                       3,
+                       true,
+                       true,
+                       &CommandRunner::Drain,
+                       {"base", "change-id"}},
+    CommandDescription{"report",
+                       "report --month YYYY-MM",
+                       "Print the monthly report per service",
+                       1,
+                       true,
+                       false,
+                       &CommandRunner::Report,
+                       {"month"}}};
 
 // Returns nullptr and adds a finding if the arguments match no command.
 const CommandDescription* SelectCommand(const std::vector<std::string>& arguments,
@@ -551,6 +579,16 @@
                                  ? "is required (or set PIMENTOPIN_AUTHOR)"
                                  : "is longer than " + std::to_string(kMaxAuthorBytes) + " bytes");
   }
+  for (const char* option : kCommandOptions) {
+    const bool is_used =
+        std::find(command.options.begin(), command.options.end(), option) != command.options.end();
+    if (settings.Has(option) && !is_used) {
+      findings.Add(std::string("--") + option, "has no effect with " + std::string(command.usage));
+    }
+  }
+  if (command.name == "history" && settings.Has("base") && !settings.Has("change")) {
+    findings.Add("--base", "has no effect without --change");
+  }
   if (settings.Has("change-id") && !IsValidChangeId(settings.Text("change-id"))) {
     findings.Add("--change-id", "must match [A-Za-z0-9._-]{1,64}");
   }
--- a/Tests/LibOperator/operator_commands_test.cc
+++ b/Tests/LibOperator/operator_commands_test.cc
@@ -17,6 +17,7 @@
 class OperatorCommandsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OperatorCommandsTest);
   CPPUNIT_TEST(TestUsageErrors);
+  CPPUNIT_TEST(TestOptionOfAnotherCommandIsIgnored);
   CPPUNIT_TEST(TestDrainOfTargetIgnoresTheBase);
   CPPUNIT_TEST(TestValidate);
   CPPUNIT_TEST(TestApply);
@@ -75,6 +76,27 @@
     CPPUNIT_ASSERT(this->fleet->requests.empty());
   }
 
+  // Guards against an option that an operator relies on and that has no effect, such as a change id
+  // without which a repeated command commits a second change.
+  void TestOptionOfAnotherCommandIsIgnored() {
+    const std::vector<std::pair<std::vector<std::string>, std::string>> cases{
+        {{"apply", "f", "--change=mine", "--month=2026-12"},
+         "--change: has no effect with apply FILE\n--month: has no effect with apply FILE\n"},
+        {{"history", "--change-id=mine"},
+         "--change-id: has no effect with history [--change ID]\n"},
+        {{"history", "--base=1"}, "--base: has no effect without --change\n"},
+        {{"drain", "host", "--base=1"}, "--base: has no effect with drain host\n"},
+        {{"diff", "f", "--base=1"}, "--base: has no effect with diff FILE\n"},
+        {{"report", "--month=2026-12", "--change=mine"},
+         "--change: has no effect with report --month YYYY-MM\n"}};
+    for (const auto& [arguments, expected] : cases) {
+      const CommandResult result = this->Run(arguments);
+      CPPUNIT_ASSERT_EQUAL(expected, result.error_output);
+      CPPUNIT_ASSERT(result.code == ExitCode::kUsage);
+    }
+    CPPUNIT_ASSERT(this->fleet->requests.empty());
+  }
+
   // Guards against a drain that is committed on another revision than the operator named.
   void TestDrainOfTargetIgnoresTheBase() {
     for (const char* change : {"--change-id=first", "--change-id=second"}) {
