LibHttp, LibHost: Leave requests unread that cross the close of an idle connection

Callers whose request crossed the close of a kept connection got no answer. The server had closed the connection for sending and went on reading: it took the whole request and discarded it. So the caller learned only by the end of the stream, which may be late on a busy link, and could not send an order again, as the host had read it.

Cause: ServerConnection::Close() handed idle connections to LingeringSocket. That reading keeps a reset from dropping a response, but an idle connection whose caller has acknowledged everything has none to drop. Such a connection is now closed at once: the kernel answers what arrives with a reset, unread. Connections of callers that pipeline and refused ones are read as before.

Both new tests of idle connections fail before the change (the second request is still taken).

The new line input_discarded states what a host reads and discards after a close: bytes, times, and the time since its stop began.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -88,6 +88,8 @@
   void OnCallerRequest(HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder);
   // Records a request that the server refused itself.
   void OnServerRefusal(const RefusedRequest& refused);
+  // Records what a caller has sent on a connection that the server had closed.
+  void OnDiscardedInput(const DiscardedInput& discarded);
   // Unique within the fleet. Callable from any thread.
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
@@ -339,7 +341,9 @@
        .limits = this->DefaultRequestLimits(),
        .max_concurrent_requests = this->settings.max_concurrent_requests,
        .max_held_body_bytes = this->settings.max_held_body_bytes,
-       .on_refusal = [this](const RefusedRequest& refused) { this->OnServerRefusal(refused); }},
+       .on_refusal = [this](const RefusedRequest& refused) { this->OnServerRefusal(refused); },
+       .on_discarded_input =
+           [this](const DiscardedInput& discarded) { this->OnDiscardedInput(discarded); }},
       [this](HttpServerRequest request, const std::shared_ptr<HttpResponder>& responder) {
         this->OnCallerRequest(std::move(request), responder);
       },
@@ -433,6 +437,17 @@
        {"response_sent", refused.response_sent}});
 }
 
+void HostProcess::OnDiscardedInput(const DiscardedInput& discarded) {
+  this->metrics.IncrementCounter("pimentopin_discarded_input_total", "");
+  nlohmann::json line = {{"bytes", discarded.bytes},
+                         {"arrived_after_close_ms", Milliseconds(discarded.arrived_after_close)},
+                         {"ended_after_close_ms", Milliseconds(discarded.ended_after_close)}};
+  if (const std::optional<StopAdmission> stop = this->CurrentStop()) {
+    line["after_stop_ms"] = Milliseconds(SteadyNow() - stop->earliest_start);
+  }
+  Log(LogLevel::kInfo, "input_discarded", line);
+}
+
 std::string HostProcess::NewRequestId() {
   return fmt::format("{}-{:x}-{}", this->settings.name, this->incarnation,
                      this->next_request_number.fetch_add(1));
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -286,6 +286,7 @@
 
   // Set before the server listens.
   std::function<void(const RefusedRequest&)> on_refusal;
+  std::function<void(const DiscardedInput&)> on_discarded_input;
   // Set by StopListening; idle connections are closed from then on.
   std::atomic<bool> listening_stopped = false;
   // Every response closes its connection.
@@ -333,6 +334,7 @@
         strand(context.get_executor()),
         socket(std::move(open_socket)),
         timer(context),
+        closed_at(SteadyNow()),
         may_receive(may_receive) {
     ++this->context.undelivered_sockets;
   }
@@ -352,11 +354,13 @@
     this->socket.async_read_some(
         asio::buffer(this->discarded),
         asio::bind_executor(this->strand, [self = this->shared_from_this()](
-                                              const asio::error_code& error, std::size_t) {
+                                              const asio::error_code& error, std::size_t length) {
           if (error) {
             self->timer.cancel();
+            self->ReportDiscardedInput();
           } else {
             self->received = true;
+            self->CountDiscarded(length);
             self->Discard();
           }
         }));
@@ -397,6 +401,7 @@
       this->CheckLater(now + kRefusalDrainTime, limit);
       return;
     }
+    this->ReportDiscardedInput();
     asio::error_code ignored;
     this->socket.close(ignored);
   }
@@ -406,12 +411,30 @@
     asio::error_code error;
     std::size_t unread = this->socket.available(error);
     while (!error && unread > 0) {
-      unread -= this->socket.read_some(
+      const std::size_t length = this->socket.read_some(
           asio::buffer(this->discarded, std::min(unread, this->discarded.size())), error);
+      this->CountDiscarded(length);
+      unread -= length;
     }
+    this->ReportDiscardedInput();
     this->socket.close(error);
   }
 
+  void CountDiscarded(std::size_t length) {
+    if (this->discarded_input.bytes == 0) {
+      this->discarded_input.arrived_after_close = SteadyNow() - this->closed_at;
+    }
+    this->discarded_input.bytes += length;
+  }
+
+  // Reports once for each socket.
+  void ReportDiscardedInput() {
+    if (this->discarded_input.bytes > 0 && !std::exchange(this->is_reported, true)) {
+      this->discarded_input.ended_after_close = SteadyNow() - this->closed_at;
+      this->context.registry.on_discarded_input(this->discarded_input);
+    }
+  }
+
   void SetDelivered() {
     if (!std::exchange(this->is_delivered, true)) {
       --this->context.undelivered_sockets;
@@ -422,7 +445,10 @@
   asio::strand<asio::io_context::executor_type> strand;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
+  const TimePoint closed_at;
   const bool may_receive;
+  DiscardedInput discarded_input;
+  bool is_reported = false;
   bool is_delivered = false;
   // Bytes have arrived since the socket was last kept open for them.
   bool received = false;
@@ -490,6 +516,17 @@
       std::make_shared<LingeringSocket>(context, std::move(rest), this->MayReceive())->Start();
     }
   }
+  // Closes a connection that carries no request. A request that crosses the close stays unread if
+  // that can drop no response: the kernel resets the connection, so that the caller learns soon
+  // that the request has not been read, and may send it again.
+  void CloseIdle() {
+    if (this->MayReceive() || this->UnacknowledgedBytes() > 0) {
+      this->CloseGracefully();
+      return;
+    }
+    asio::error_code ignored;
+    this->Base::close(ignored);
+  }
   // True if bytes wait in the socket; false if it is closed.
   bool HasUnreadBytes() const {
     asio::error_code error;
@@ -1079,7 +1116,7 @@
   if (this->is_closed) {
     return;
   }
-  this->socket.CloseGracefully();
+  this->socket.CloseIdle();
   this->OnClosed();
 }
 
@@ -1283,6 +1320,7 @@
         work_guard(asio::make_work_guard(this->state->context)) {
     this->state->context.registry.SetLimits(this->settings.limits);
     this->state->context.registry.on_refusal = this->settings.on_refusal;
+    this->state->context.registry.on_discarded_input = this->settings.on_discarded_input;
     this->state->context.body_budget =
         std::make_shared<BodyBudget>(this->settings.max_held_body_bytes);
   }
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -62,6 +62,15 @@
   friend bool operator==(const RefusedRequest&, const RefusedRequest&) = default;
 };
 
+// What the server has read and discarded on one connection after it had closed it for sending.
+struct DiscardedInput {
+  std::size_t bytes = 0;
+  Duration arrived_after_close{};
+  Duration ended_after_close{};
+
+  friend bool operator==(const DiscardedInput&, const DiscardedInput&) = default;
+};
+
 struct HttpServerSettings {
   // IP:port; with port 0 the kernel assigns a port.
   std::string address;
@@ -76,6 +85,8 @@
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   // Called on a server thread.
   std::function<void(const RefusedRequest&)> on_refusal = [](const RefusedRequest&) {};
+  // Called on a server thread, at most once for each connection.
+  std::function<void(const DiscardedInput&)> on_discarded_input = [](const DiscardedInput&) {};
 };
 
 // HTTP/1.1 server based on RESTinio with its own threads.
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -115,6 +115,9 @@
   CPPUNIT_TEST(TestDisableKeepAliveClosesConnectionsAfterResponses);
   CPPUNIT_TEST(TestResponseIsCutIfBytesArriveAfterTheClose);
   CPPUNIT_TEST(TestStopListeningClosesIdleConnections);
+  CPPUNIT_TEST(TestStopDoesNotReadFromClosedIdleConnections);
+  CPPUNIT_TEST(TestIdleTimeoutDoesNotReadFromClosedConnections);
+  CPPUNIT_TEST(TestDiscardedInputIsReported);
   CPPUNIT_TEST(TestResponderOutlivesServer);
   CPPUNIT_TEST(TestIncompleteRequestIsRefused);
   CPPUNIT_TEST(TestStalledBodyIsRefused);
@@ -1128,6 +1131,56 @@
     CPPUNIT_ASSERT(partial.ReadUntilClosed().ends_with("two"));
   }
 
+  // Guards against a request that crosses the close of an idle connection and that the server reads
+  // without answering it: its caller may not send it again.
+  void TestStopDoesNotReadFromClosedIdleConnections() {
+    this->StartRecordingServer();
+    RawConnection unused = this->Connect();
+    RawConnection used = this->Connect();
+    used.Send(Get("/1"));
+    this->TakeResponder()->Respond(200, {}, "one");
+    used.ReadUntil("one");
+    this->server->StopListening(std::nullopt);
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->open_connections() == 0; }));
+    this->AssertNothingIsRead(unused);
+    this->AssertNothingIsRead(used);
+  }
+
+  // The same for a connection that is closed because its caller has been idle for too long.
+  void TestIdleTimeoutDoesNotReadFromClosedConnections() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1"));
+    this->TakeResponder()->Respond(200, {}, "one");
+    caller.ReadUntil("one");
+    this->server->SetLimits({.idle_timeout = std::chrono::milliseconds(100)});
+    RawConnection unused = this->Connect();
+    CPPUNIT_ASSERT_EQUAL(std::string(), unused.ReadUntilClosed());
+    this->AssertNothingIsRead(unused);
+  }
+
+  // Guards against requests that end at a stopping host without a trace.
+  void TestDiscardedInputIsReported() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    this->server->DisableKeepAlive();
+    caller.Send(Get("/1"));
+    this->TakeResponder()->Respond(200, {}, "one");
+    CPPUNIT_ASSERT(caller.ReadUntilClosed().ends_with("one"));
+    caller.Send(Get("/2"));
+    std::this_thread::sleep_for(kCloseTime);
+    caller.Close();
+    CPPUNIT_ASSERT(Eventually([this] {
+      const std::scoped_lock lock(this->mutex);
+      return !this->discarded.empty();
+    }));
+    const std::scoped_lock lock(this->mutex);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->discarded.size());
+    CPPUNIT_ASSERT_EQUAL(Get("/2").size(), this->discarded.front().bytes);
+    CPPUNIT_ASSERT(this->discarded.front().ended_after_close >= kCloseTime);
+    CPPUNIT_ASSERT(this->discarded.front().arrived_after_close <= kCloseTime);
+  }
+
   // Guards against a crash when a handler thread still holds a responder after the server has been
   // destroyed.
   void TestResponderOutlivesServer() {
@@ -1302,11 +1355,25 @@
                                            [this](const RefusedRequest& refused_request) {
                                              const std::scoped_lock lock(this->mutex);
                                              this->refused.push_back(refused_request);
+                                           },
+                                       .on_discarded_input =
+                                           [this](const DiscardedInput& discarded_input) {
+                                             const std::scoped_lock lock(this->mutex);
+                                             this->discarded.push_back(discarded_input);
                                            }},
                                       std::move(handler), error);
     CPPUNIT_ASSERT_MESSAGE(error.message, this->server != nullptr);
   }
 
+  // The caller sends a request on a connection that the server has closed; the kernel resets it.
+  void AssertNothingIsRead(RawConnection& caller) {
+    caller.Send(Get("/crosses-the-close"));
+    std::this_thread::sleep_for(kCloseTime);
+    CPPUNIT_ASSERT_THROW(caller.Send(Get("/later")), std::system_error);
+    const std::scoped_lock lock(this->mutex);
+    CPPUNIT_ASSERT(this->discarded.empty());
+  }
+
   // Starts a server that stores every request and responder for the test.
   void StartRecordingServer(std::size_t max_concurrent_requests = 100) {
     this->StartServer(
@@ -1477,6 +1544,7 @@
   std::vector<std::shared_ptr<HttpResponder>> responders;
   std::size_t taken_responders = 0;
   std::vector<RefusedRequest> refused;
+  std::vector<DiscardedInput> discarded;
   std::size_t expected_refusals = 0;
 };
 
