LibHttp: Hold a response in front of others back until it is complete

Cause: a response above 256 KiB or without a length is sent as it arrives. A failure after its header (target lost, wrong digest, timeout while a slow caller reads) can only be told by a reset, which ends all that is behind it.

On a connection whose caller pipelines, a streamed response is now held back until it is complete, for at most 1 s, 1 MiB and 16 MiB over all connections (a BodyBudget, which counts the bytes until they are written). A failure before that is replaced by 502 or 504 (HttpResponder::Replace), and the responses behind it follow. The target no longer waits for a slow caller meanwhile, so that the timeout does not cut the response. A complete one has a length and may announce the close of a stopping host.

Open: responses beyond a limit, and those that begin before the first early request arrives, still reset what is behind them.

--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -619,7 +619,8 @@
   const ErrorResponse response = ErrorResponseFor(action);
   finished.status = response.StatusFor(*this->settings.dialect);
   if (action.abort_connection) {
-    exchange.responder->Abort();
+    response.SendInPlaceOfStarted(*exchange.responder, exchange.request_id,
+                                  *this->settings.dialect);
   } else {
     response.Send(*exchange.responder, exchange.request_id, *this->settings.dialect);
   }
--- a/Libraries/LibHost/error_response.cc
+++ b/Libraries/LibHost/error_response.cc
@@ -108,6 +108,13 @@
                     this->Body(request_id));
 }
 
+void ErrorResponse::SendInPlaceOfStarted(HttpResponder& responder,
+                                         std::string_view request_id,
+                                         const HttpDialect& dialect) const {
+  responder.Replace(this->StatusFor(dialect), this->Headers(request_id, dialect),
+                    this->Body(request_id));
+}
+
 HttpHeaders ErrorResponse::Headers(std::string_view request_id, const HttpDialect& dialect) const {
   HttpHeaders headers = {
       {"Content-Type", "application/json"},
--- a/Libraries/LibHost/error_response.h
+++ b/Libraries/LibHost/error_response.h
@@ -38,6 +38,11 @@
   void Send(HttpResponder& responder,
             std::string_view request_id,
             const HttpDialect& dialect) const;
+  // Sends it in place of a response that was started; resets the connection if part of that has
+  // been sent.
+  void SendInPlaceOfStarted(HttpResponder& responder,
+                            std::string_view request_id,
+                            const HttpDialect& dialect) const;
 
   friend bool operator==(const ErrorResponse&, const ErrorResponse&) = default;
 
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -115,6 +115,10 @@
 // the connection closes. Bytes that it may have to read until then, at most.
 constexpr std::size_t kMaxUnreadBytesAtClose = 16 * 1024;
 
+// Limits on a response that is held back until it is complete.
+constexpr std::size_t kMaxHeldResponseBytes = 1 << 20;
+constexpr std::chrono::seconds kMaxHoldTime(1);
+
 constexpr std::chrono::milliseconds kListenerCheckInterval(1);
 
 // RESTinio accepts nothing more after accept() has failed. The end of listening gives up after this
@@ -306,6 +310,8 @@
   ConnectionRegistry registry;
   // Set before the server listens. Bodies may outlive the server.
   std::shared_ptr<BodyBudget> body_budget;
+  // Bounds the responses that are held back until they are complete.
+  std::shared_ptr<BodyBudget> response_budget;
   // Sockets that LingeringSocket reads and whose peers lack part of what was written, or may do so
   // as a reset would drop it.
   std::atomic<std::size_t> undelivered_sockets = 0;
@@ -740,6 +746,9 @@
   HttpHeaders headers;
   std::string body;
 };
+struct ReplaceResponse {
+  CompleteResponse replacement;
+};
 struct SetDisconnectCallback {
   std::function<void()> callback;
 };
@@ -748,8 +757,17 @@
                                        EndResponse,
                                        AbortResponse,
                                        CompleteResponse,
+                                       ReplaceResponse,
                                        SetDisconnectCallback>;
 
+// A response that has begun and of which nothing has been sent.
+struct HeldResponse {
+  int status;
+  HttpHeaders headers;
+  std::string body;
+  BodyReservation reservation;
+};
+
 // Performs the operations of one response on the connection's strand, once the responses to earlier
 // requests on the connection have been written. Operations that are queued before that are sent
 // with one write.
@@ -794,6 +812,7 @@
     const bool was_ended = std::exchange(this->ended, true) || this->ended_by_handler;
     const std::function<void()> callback = std::exchange(this->disconnect_callback, nullptr);
     this->builder.reset();
+    this->TakeHeldResponse();
     this->EndRequestInProgress();
     if (!was_ended && callback) {
       callback();
@@ -832,6 +851,7 @@
     return std::ranges::any_of(this->queue, [](const auto& operation) {
       return std::holds_alternative<EndResponse>(operation) ||
              std::holds_alternative<CompleteResponse>(operation) ||
+             std::holds_alternative<ReplaceResponse>(operation) ||
              std::holds_alternative<AbortResponse>(operation);
     });
   }
@@ -842,23 +862,38 @@
     }
     this->started = true;
     this->bodiless = this->is_head || IsBodilessStatus(start.status);
+    // A failure after the header has been sent resets the connection, and with it the requests
+    // behind.
+    if (!this->bodiless && this->connection->pipelined()) {
+      this->Hold(start);
+      return;
+    }
+    this->SendHead(start.status, start.headers);
+  }
+
+  void SendHead(int status, const HttpHeaders& headers) {
     ResponseFraming framing{.chunked = !this->bodiless};
     if (this->is_head) {
-      framing.content_length = ParseContentLength(start.headers);
+      framing.content_length = ParseContentLength(headers);
     }
     // Requests may arrive until the response ends.
-    this->AddResponseHead(start.status, start.headers, framing, false);
+    this->AddResponseHead(status, headers, framing, false);
   }
 
   void Apply(WriteBytes& write) {
     if (this->ended || !this->started) {
       return;
     }
-    if (!write.bytes.empty() && !this->bodiless) {
-      this->items.emplace_back(fmt::format("{:x}\r\n", write.bytes.size()));
-      this->items.emplace_back(std::move(write.bytes));
-      this->items.emplace_back(restinio::const_buffer("\r\n", 2));
+    if (this->held) {
+      if (this->TryHold(write.bytes)) {
+        if (write.written) {
+          write.written();
+        }
+        return;
+      }
+      this->SendHeldPart();
     }
+    this->AddChunk(std::move(write.bytes));
     if (write.written) {
       this->written_callbacks.push_back(std::move(write.written));
     }
@@ -868,6 +903,11 @@
     if (this->ended || !this->started) {
       return;
     }
+    if (std::optional<HeldResponse> response = this->TakeHeldResponse()) {
+      this->ReleaseWhenWritten(std::move(response->reservation));
+      this->SendComplete(response->status, response->headers, std::move(response->body));
+      return;
+    }
     if (!this->bodiless) {
       this->items.emplace_back(restinio::const_buffer("0\r\n\r\n", 5));
     }
@@ -879,17 +919,20 @@
       return;
     }
     this->started = true;
+    this->SendComplete(response.status, response.headers, std::move(response.body));
+  }
+
+  void SendComplete(int status, const HttpHeaders& headers, std::string body) {
     ResponseFraming framing;
-    if (!IsBodilessStatus(response.status)) {
-      framing.content_length = response.body.size();
+    if (!IsBodilessStatus(status)) {
+      framing.content_length = body.size();
     }
-    const std::size_t sent_body_size =
-        this->is_head || !framing.content_length ? 0 : response.body.size();
-    this->AddResponseHead(response.status, response.headers, framing,
+    const std::size_t sent_body_size = this->is_head || !framing.content_length ? 0 : body.size();
+    this->AddResponseHead(status, headers, framing,
                           this->server->context.registry.keep_alive_disabled &&
                               this->connection->MayCloseAfter(this, sent_body_size));
     if (sent_body_size > 0) {
-      this->items.emplace_back(std::move(response.body));
+      this->items.emplace_back(std::move(body));
     }
     this->Flush(true);
   }
@@ -902,11 +945,24 @@
     this->ended = true;
     this->ended_by_handler = true;
     this->disconnect_callback = nullptr;
+    this->TakeHeldResponse();
     if (const auto live_builder = std::exchange(this->builder, std::nullopt)) {
       this->connection->Reset();
     }
   }
 
+  void Apply(ReplaceResponse& replace) {
+    if (this->TakeHeldResponse()) {
+      this->started = false;
+    }
+    if (!this->started) {
+      this->Apply(replace.replacement);
+      return;
+    }
+    AbortResponse abort;
+    this->Apply(abort);
+  }
+
   void Apply(SetDisconnectCallback& set) {
     if (this->connection->closed()) {
       // The caller disconnected before the handler ended the response.
@@ -920,6 +976,64 @@
     }
   }
 
+  void Hold(StartResponse& start) {
+    this->held.emplace(
+        HeldResponse{.status = start.status,
+                     .headers = std::move(start.headers),
+                     .reservation = BodyReservation(this->server->context.response_budget)});
+    this->hold_timer.emplace(this->connection->strand());
+    this->hold_timer->expires_after(kMaxHoldTime);
+    this->hold_timer->async_wait([weak_self = this->weak_from_this()](const asio::error_code&) {
+      if (const auto self = weak_self.lock()) {
+        self->SendHeldPart();
+        self->Flush(false);
+      }
+    });
+  }
+
+  // Appends the bytes to the held response; false if that would exceed a limit.
+  bool TryHold(const std::string& bytes) {
+    const std::size_t size = this->held->body.size() + bytes.size();
+    if (size > kMaxHeldResponseBytes || !this->held->reservation.GrowTo(size)) {
+      return false;
+    }
+    this->held->body += bytes;
+    return true;
+  }
+
+  std::optional<HeldResponse> TakeHeldResponse() {
+    if (!this->held) {
+      return std::nullopt;
+    }
+    this->hold_timer->cancel();
+    return std::exchange(this->held, std::nullopt);
+  }
+
+  // Sends what is held; the rest of the response follows as it arrives.
+  void SendHeldPart() {
+    std::optional<HeldResponse> response = this->TakeHeldResponse();
+    if (!response) {
+      return;
+    }
+    this->SendHead(response->status, response->headers);
+    this->AddChunk(std::move(response->body));
+    this->ReleaseWhenWritten(std::move(response->reservation));
+  }
+
+  void ReleaseWhenWritten(BodyReservation reservation) {
+    this->written_callbacks.emplace_back(
+        [reservation = std::make_shared<BodyReservation>(std::move(reservation))] {});
+  }
+
+  void AddChunk(std::string bytes) {
+    if (bytes.empty() || this->bodiless) {
+      return;
+    }
+    this->items.emplace_back(fmt::format("{:x}\r\n", bytes.size()));
+    this->items.emplace_back(std::move(bytes));
+    this->items.emplace_back(restinio::const_buffer("\r\n", 2));
+  }
+
   static std::optional<std::size_t> ParseContentLength(const HttpHeaders& headers) {
     const std::string_view text = FindHeader(headers, "Content-Length");
     std::size_t length = 0;
@@ -998,6 +1112,8 @@
   restinio::writable_items_container_t items;
   std::vector<std::function<void()>> written_callbacks;
   std::function<void()> disconnect_callback;
+  std::optional<HeldResponse> held;
+  std::optional<asio::steady_timer> hold_timer;
   bool started = false;
   bool bodiless = false;
   bool keep_alive = true;
@@ -1206,6 +1322,9 @@
   void Respond(int status, HttpHeaders headers, std::string body) override {
     this->writer->Enqueue(CompleteResponse{status, std::move(headers), std::move(body)});
   }
+  void Replace(int status, HttpHeaders headers, std::string body) override {
+    this->writer->Enqueue(ReplaceResponse{{status, std::move(headers), std::move(body)}});
+  }
   void OnCallerDisconnect(std::function<void()> callback) override {
     this->writer->Enqueue(SetDisconnectCallback{std::move(callback)});
   }
@@ -1285,6 +1404,8 @@
     this->state->context.registry.on_refusal = this->settings.on_refusal;
     this->state->context.body_budget =
         std::make_shared<BodyBudget>(this->settings.max_held_body_bytes);
+    this->state->context.response_budget =
+        std::make_shared<BodyBudget>(this->settings.max_held_response_bytes);
   }
   ~RestinioServer() override {
     if (this->threads.empty()) {
@@ -1341,6 +1462,10 @@
     return this->state->context.body_budget->held_bytes();
   }
 
+  std::size_t held_response_bytes() const override {
+    return this->state->context.response_budget->held_bytes();
+  }
+
   void SetLimits(const RequestLimits& limits) override {
     RequestLimits effective_limits = limits;
     // RESTinio's own limit cannot change after construction.
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -17,6 +17,7 @@
 namespace pimentopin {
 
 inline constexpr std::size_t kDefaultMaxHeldBodyBytes = 128 << 20;
+inline constexpr std::size_t kDefaultMaxHeldResponseBytes = 16 << 20;
 
 // A request with its complete body.
 struct HttpServerRequest {
@@ -35,9 +36,11 @@
  public:
   virtual ~HttpResponder() = default;
 
-  // Starts a streamed response (chunked transfer coding).
+  // Starts a streamed response (chunked transfer coding). If the caller sends requests before it
+  // has read the last response, it is held back until it is complete, within limits of time and
+  // size.
   virtual void Start(int status, HttpHeaders headers) = 0;
-  // Calls `written` after the bytes have been written to the socket.
+  // Calls `written` after the bytes have been written to the socket, or are held back.
   virtual void Write(std::string bytes, std::function<void()> written) = 0;
   virtual void End() = 0;
   // Resets the connection so that the caller cannot mistake the response for a complete one.
@@ -45,6 +48,9 @@
   virtual void Abort() = 0;
   // Sends a complete response.
   virtual void Respond(int status, HttpHeaders headers, std::string body) = 0;
+  // Sends a complete response in place of one that was started, if nothing of that has been sent.
+  // Otherwise resets the connection like Abort().
+  virtual void Replace(int status, HttpHeaders headers, std::string body) = 0;
   // Sets a callback that a server thread calls when the caller's connection closes before End(). A
   // caller that shuts down only its sending side also counts as disconnected.
   virtual void OnCallerDisconnect(std::function<void()> callback) = 0;
@@ -74,6 +80,9 @@
   // they are read, and those that never fit with 413. Bodies larger than
   // BodyBudget::kSmallBodyBytes leave an eighth free.
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
+  // Maximum sum of the responses that are held back until they are complete. Others are sent as
+  // they arrive.
+  std::size_t max_held_response_bytes = kDefaultMaxHeldResponseBytes;
   // Called on a server thread.
   std::function<void(const RefusedRequest&)> on_refusal = [](const RefusedRequest&) {};
 };
@@ -101,6 +110,8 @@
   virtual std::size_t open_connections() const = 0;
   // Bytes that count toward max_held_body_bytes.
   virtual std::size_t held_body_bytes() const = 0;
+  // Bytes that count toward max_held_response_bytes.
+  virtual std::size_t held_response_bytes() const = 0;
   // Replaces the limits. Size limits apply to requests that begin later. max_body_bytes cannot
   // exceed the value in the server's settings.
   virtual void SetLimits(const RequestLimits& limits) = 0;
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -56,6 +56,9 @@
     this->body = std::move(bytes);
     this->ended = true;
   }
+  void Replace(int /*code*/, HttpHeaders /*headers*/, std::string /*bytes*/) override {
+    this->Abort();
+  }
   void OnCallerDisconnect(std::function<void()>) override {}
 
   int status = 0;
--- a/Tests/LibHost/dispatch_controller_test.cc
+++ b/Tests/LibHost/dispatch_controller_test.cc
@@ -43,6 +43,7 @@
     this->status = code;
     this->headers = std::move(response_headers);
   }
+  void Replace(int /*status*/, HttpHeaders /*headers*/, std::string /*body*/) override {}
   void OnCallerDisconnect(std::function<void()> /*callback*/) override {}
 
   int status = 0;
--- a/Tests/LibHttp/http_server_test.cc
+++ b/Tests/LibHttp/http_server_test.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t kLargePartBytes = 500'000;
 // More than the buffers of a loopback connection hold.
 constexpr std::size_t kLargeBodyBytes = 16 << 20;
+// Requests that the server takes from one connection at a time.
+constexpr std::size_t kMaxPipelinedRequests = 16;
 // More than the peer's buffer holds, but not more than both buffers do.
 constexpr std::size_t kUnreadBodyBytes = 512 << 10;
 // Time for the server to close a connection after a response, and for a reset to arrive.
@@ -104,6 +106,15 @@
   CPPUNIT_TEST(TestStopIsHeldUpByCallerThatPipelines);
   CPPUNIT_TEST(TestStopDiscardsPipelinedRequestLongBeforeTheProcessEnds);
   CPPUNIT_TEST(TestAbortCutsEarlierResponse);
+  CPPUNIT_TEST(TestFailingBodyCutsResponsesBehind);
+  CPPUNIT_TEST(TestFailingBodyBehindEarlierResponseCutsOthers);
+  CPPUNIT_TEST(TestFailureReplacesResponseThatWasSentInPart);
+  CPPUNIT_TEST(TestHeldResponseStopsItsTarget);
+  CPPUNIT_TEST(TestHeldResponseGrowsWithoutBound);
+  CPPUNIT_TEST(TestHeldResponsesGrowWithoutBoundTogether);
+  CPPUNIT_TEST(TestHeldResponseOutlivesItsCaller);
+  CPPUNIT_TEST(TestCompleteResponsesOfSlowCallerAreNotCounted);
+  CPPUNIT_TEST(TestHeldResponseLeavesConnectionOpenAtStop);
   CPPUNIT_TEST(TestCallerDisconnectIsReportedBehindEarlierRequest);
   CPPUNIT_TEST(TestCallerDisconnectIsNotReportedForWaitingResponse);
   CPPUNIT_TEST(TestStopListeningLetsRequestsFinish);
@@ -907,6 +918,177 @@
     CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
   }
 
+  // Guards against requests that are lost because the response in front of them fails in its body.
+  void TestFailingBodyCutsResponsesBehind() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    this->responders[0]->Start(200, {});
+    this->responders[0]->Write("first-half", {});
+    this->responders[0]->Replace(502, {}, "failed");
+    this->responders[1]->Respond(200, {}, "answer-to-/2");
+    const std::string received = caller.ReadUntil("answer-to-/2");
+    CPPUNIT_ASSERT(received.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(received.find("first-half") == std::string::npos);
+    CPPUNIT_ASSERT(received.find("failedHTTP/1.1 200 ") != std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("answer-to-/2"));
+  }
+
+  // The same for one that has failed before the response in front of it has been sent.
+  void TestFailingBodyBehindEarlierResponseCutsOthers() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2") + Get("/3"));
+    CPPUNIT_ASSERT(this->WaitForRequests(3));
+    this->responders[1]->Start(200, {});
+    this->responders[1]->Write("first-half", {});
+    this->responders[1]->Replace(502, {}, "failed");
+    this->responders[2]->Respond(200, {}, "answer-to-/3");
+    this->responders[0]->Respond(200, {}, "answer-to-/1");
+    const std::string received = caller.ReadUntil("answer-to-/3");
+    CPPUNIT_ASSERT(received.find("answer-to-/1HTTP/1.1 502 ") != std::string::npos);
+    CPPUNIT_ASSERT(received.find("first-half") == std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("answer-to-/3"));
+  }
+
+  // Guards against a second header in the body of a response that has been sent in part.
+  void TestFailureReplacesResponseThatWasSentInPart() {
+    this->CheckIncompleteResponse(
+        [](std::shared_ptr<HttpResponder>& responder) { responder->Replace(502, {}, "failed"); });
+  }
+
+  // Guards against a response that waits for the bytes of its target while the target waits until
+  // the caller has read them.
+  void TestHeldResponseStopsItsTarget() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    std::atomic<int> written = 0;
+    this->responders[0]->Start(200, {{"Content-Length", "20"}});
+    this->responders[0]->Write("first-half", [&written] { ++written; });
+    CPPUNIT_ASSERT(Eventually([&written] { return written == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, this->server->held_response_bytes());
+    this->responders[0]->Write("other-half", [&written] { ++written; });
+    this->responders[0]->End();
+    const std::string received = caller.ReadUntil("other-half");
+    CPPUNIT_ASSERT(received.find("Content-Length: 20\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("\r\n\r\nfirst-halfother-half"));
+    CPPUNIT_ASSERT_EQUAL(2, written.load());
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->held_response_bytes() == 0; }));
+  }
+
+  // Guards against a response without end that fills the memory.
+  void TestHeldResponseGrowsWithoutBound() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    const std::string part(kLargePartBytes, 'x');
+    std::atomic<int> written = 0;
+    this->responders[0]->Start(200, {});
+    for (int index = 0; index < 3; ++index) {
+      this->responders[0]->Write(part, [&written] { ++written; });
+    }
+    CPPUNIT_ASSERT(caller.ReadUntil("xxx").find("Transfer-Encoding: chunked") != std::string::npos);
+    this->responders[0]->Write("end-of-/1", {});
+    this->responders[0]->End();
+    caller.ReadUntil("end-of-/1");
+    CPPUNIT_ASSERT(Eventually([&written] { return written == 3; }));
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->held_response_bytes() == 0; }));
+    this->responders[1]->Respond(200, {}, "answer-to-/2");
+    CPPUNIT_ASSERT(caller.ReadUntil("answer-to-/2").ends_with("answer-to-/2"));
+  }
+
+  // The same for the responses of many callers.
+  void TestHeldResponsesGrowWithoutBoundTogether() {
+    this->max_held_response_bytes = kLargePartBytes;
+    this->StartRecordingServer();
+    std::vector<RawConnection> callers;
+    const std::string part(kLargePartBytes / 3, 'x');
+    for (std::size_t index = 0; index < 4; ++index) {
+      callers.push_back(this->Connect());
+      callers.back().Send(Get("/1") + Get("/2"));
+      CPPUNIT_ASSERT(this->WaitForRequests(2 * (index + 1)));
+      this->responders[2 * index]->Start(200, {});
+      this->responders[2 * index]->Write(part, {});
+    }
+    CPPUNIT_ASSERT(callers.back().ReadUntil("xxx").find("Transfer-Encoding: chunked") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(this->server->held_response_bytes() <= kLargePartBytes);
+    for (std::size_t index = 0; index < 4; ++index) {
+      this->responders[2 * index]->End();
+      this->responders[2 * index + 1]->Respond(200, {}, "answer-to-/2");
+      CPPUNIT_ASSERT(callers[index].ReadUntil("answer-to-/2").ends_with("answer-to-/2"));
+    }
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->held_response_bytes() == 0; }));
+  }
+
+  // Guards against memory that is held for a caller that has left.
+  void TestHeldResponseOutlivesItsCaller() {
+    this->StartRecordingServer();
+    std::atomic<int> disconnects = 0;
+    {
+      RawConnection caller = this->Connect();
+      caller.Send(Get("/1") + Get("/2"));
+      CPPUNIT_ASSERT(this->WaitForRequests(2));
+      this->responders[0]->OnCallerDisconnect([&disconnects] { ++disconnects; });
+      this->responders[0]->Start(200, {});
+      this->responders[0]->Write("first-half", {});
+      CPPUNIT_ASSERT(Eventually([this] { return this->server->held_response_bytes() > 0; }));
+    }
+    CPPUNIT_ASSERT(Eventually([&disconnects] { return disconnects == 1; }));
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->held_response_bytes() == 0; }));
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->requests_in_progress() == 0; }));
+  }
+
+  // Guards against memory without bound for complete responses whose caller does not read them.
+  void TestCompleteResponsesOfSlowCallerAreNotCounted() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    std::string all_requests;
+    for (std::size_t index = 0; index < kMaxPipelinedRequests; ++index) {
+      all_requests += Get("/" + std::to_string(index));
+    }
+    caller.Send(all_requests);
+    CPPUNIT_ASSERT(this->WaitForRequests(kMaxPipelinedRequests));
+    const std::string part(kLargeBodyBytes / kMaxPipelinedRequests, 'x');
+    for (const std::shared_ptr<HttpResponder>& responder : this->responders) {
+      responder->Start(200, {});
+      responder->Write(part, {});
+      responder->End();
+    }
+    std::this_thread::sleep_for(kAcknowledgementTime);
+    CPPUNIT_ASSERT(this->server->held_response_bytes() >= part.size());
+    std::size_t received = 0;
+    while (received < kLargeBodyBytes) {
+      const std::size_t read = caller.ReadUntil("xxx").size();
+      CPPUNIT_ASSERT(read > 0);
+      received += read;
+    }
+    CPPUNIT_ASSERT(Eventually([this] { return this->server->held_response_bytes() == 0; }));
+  }
+
+  // Guards against a stop in which no streamed response closes the connection of a caller that
+  // sends requests before it has read the last response.
+  void TestHeldResponseLeavesConnectionOpenAtStop() {
+    this->StartRecordingServer();
+    RawConnection caller = this->Connect();
+    caller.Send(Get("/1") + Get("/2"));
+    CPPUNIT_ASSERT(this->WaitForRequests(2));
+    this->server->DisableKeepAlive();
+    for (const std::shared_ptr<HttpResponder>& responder : this->responders) {
+      responder->Start(200, {});
+      responder->Write("answer", {});
+      responder->End();
+    }
+    const std::string received = caller.ReadUntilClosed();
+    CPPUNIT_ASSERT(received.find("Connection: keep-alive\r\n\r\nanswerHTTP/1.1 200 ") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(received.ends_with("Connection: close\r\n\r\nanswer"));
+  }
+
   // Guards against work for a caller that has left while its earlier request was in progress.
   void TestCallerDisconnectIsReportedBehindEarlierRequest() {
     this->StartRecordingServer();
@@ -1298,6 +1480,7 @@
                                        .limits = {.max_body_bytes = this->max_body_bytes},
                                        .max_concurrent_requests = max_concurrent_requests,
                                        .max_held_body_bytes = this->max_held_body_bytes,
+                                       .max_held_response_bytes = this->max_held_response_bytes,
                                        .on_refusal =
                                            [this](const RefusedRequest& refused_request) {
                                              const std::scoped_lock lock(this->mutex);
@@ -1470,6 +1653,7 @@
   std::size_t max_body_bytes = kMaxBodyBytes;
   std::size_t threads = 2;
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
+  std::size_t max_held_response_bytes = kDefaultMaxHeldResponseBytes;
   asio::io_context context;
   std::unique_ptr<HttpServer> server;
   std::mutex mutex;
