LibDispatch: Count retries that the broker granted in the budget of the fallback too

Seen in review: without a broker a host limits retries by a budget of its own, a share of all its first attempts, those that a broker granted included. Retries that a broker granted did not count there, so that a host that loses its brokers makes its share of the window again.

Cause: HostDispatcher::Start recorded each first attempt and only TryRetry() in fallback recorded a retry.

Change: Start records a retry that a broker granted.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -398,6 +398,8 @@
                                                .deadline = description.deadline});
   if (state.attempts_started == 0) {
     service.retries.RecordFirstAttempt(now);
+  } else if (broker && state.reached_target()) {
+    service.retries.RecordRetry(now);
   }
   ++state.attempts_started;
   state.running_attempt = attempt;
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(TestBrokerTimeoutMovesToSecondThenFallback);
   CPPUNIT_TEST(TestQueuedRequestKeepsItsBroker);
   CPPUNIT_TEST(TestFallbackCapAndLocalQueue);
+  CPPUNIT_TEST(TestFallbackRepeatsRetriesThatTheBrokerGranted);
   CPPUNIT_TEST(TestFallbackUsesConnectionSubset);
   CPPUNIT_TEST(TestFallbackExceedsTheShareOfAStatedLimit);
   CPPUNIT_TEST(TestReportsWhileOutstandingAndOnBrokerChange);
@@ -583,6 +584,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ActionsOf<StartAttempt>(actions).size());
   }
 
+  // Guards against a host that without a broker makes its share of the retries once more.
+  void TestFallbackRepeatsRetriesThatTheBrokerGranted() {
+    for (std::uint64_t index = 1; index <= 100; ++index) {
+      AttemptId attempt = this->Start(index, true);
+      if (index <= 8) {
+        attempt = MessagesOf<SlotRequest>(this->EndShed(attempt)).at(0).second.attempt;
+        this->Grant(attempt, this->broker, TargetId{2});
+      }
+      this->dispatcher->OnAttemptEnd(this->now, attempt, SuccessfulEnd());
+    }
+    this->dispatcher->SetMembers(this->now, {});
+    std::size_t retries = 0;
+    for (std::uint64_t index = 101; index <= 120; ++index) {
+      const auto starts =
+          ActionsOf<StartAttempt>(this->dispatcher->Begin(this->now, this->Request(index, true)));
+      for (const StartAttempt& retry :
+           ActionsOf<StartAttempt>(this->EndShed(starts.at(0).attempt))) {
+        ++retries;
+        this->dispatcher->OnAttemptEnd(this->now, retry.attempt, SuccessfulEnd());
+      }
+    }
+    // 8 % of 120 are 9, and 8 were made before.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, retries);
+  }
+
   // Guards against more connections to a target than it accepts.
   void TestFallbackUsesConnectionSubset() {
     this->ReceiveView(3, 0, 200);
