LibProtocol: Carry RetryUsage within Notices, so that earlier versions keep the connection

Seen in review: a host of an earlier version closes the connection on an unknown kind of message (PeerNetwork, Deliver), with all that waits on it. In a rolling update each RetryUsage to such a host would do that.

Cause: RetryUsage was a new member of the union of messages, which only fields may be appended to without that.

Change: on the wire it is an appended field of Notices, which earlier versions take for notices without entries.

Evidence: TestEarlierVersionsRejectRetryUsage fails without this change by its first assertion (the kind of the message); mixed versions were not played.

--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -202,10 +202,9 @@
                                                   EncodeDuration(counter.age), list));
     }
     const auto list = this->EncodeTables(counters);
-    return {wire::Message::RetryUsage,
-            wire::CreateRetryUsage(this->builder, RawId(value.service), value.asks,
-                                   EncodeDuration(value.known_for), list)
-                .Union()};
+    const auto usage = wire::CreateRetryUsage(this->builder, RawId(value.service), value.asks,
+                                              EncodeDuration(value.known_for), list);
+    return {wire::Message::Notices, wire::CreateNotices(this->builder, {}, {}, usage).Union()};
   }
 
   TypedMessage EncodeMessage(const Notices& value) {
@@ -336,7 +335,11 @@
         result.message = this->DecodeMessage(*envelope.message_as_ServiceView());
         break;
       case wire::Message::Notices:
-        result.message = this->DecodeMessage(*envelope.message_as_Notices());
+        if (const wire::RetryUsage* usage = envelope.message_as_Notices()->retry_usage()) {
+          result.message = this->DecodeMessage(*usage);
+        } else {
+          result.message = this->DecodeMessage(*envelope.message_as_Notices());
+        }
         break;
       case wire::Message::StoreDigest:
         result.message = this->DecodeMessage(*envelope.message_as_StoreDigest());
@@ -366,9 +369,6 @@
       case wire::Message::ProbeReport:
         result.message = this->DecodeMessage(*envelope.message_as_ProbeReport());
         break;
-      case wire::Message::RetryUsage:
-        result.message = this->DecodeMessage(*envelope.message_as_RetryUsage());
-        break;
       default:
         this->Reject("message type is unknown");
         break;
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -51,6 +51,14 @@
 struct FingerprintRecord;
 struct FingerprintRecordBuilder;
 
+struct RetryCounts;
+
+struct RetryCounter;
+struct RetryCounterBuilder;
+
+struct RetryUsage;
+struct RetryUsageBuilder;
+
 struct Notices;
 struct NoticesBuilder;
 
@@ -84,14 +92,6 @@
 struct ProbeReport;
 struct ProbeReportBuilder;
 
-struct RetryCounts;
-
-struct RetryCounter;
-struct RetryCounterBuilder;
-
-struct RetryUsage;
-struct RetryUsageBuilder;
-
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -114,12 +114,11 @@
   ConfigurationDocument = 15,
   ProbeReport = 16,
   CompressedConfigurationDocument = 17,
-  RetryUsage = 18,
   MIN = NONE,
-  MAX = RetryUsage
+  MAX = CompressedConfigurationDocument
 };
 
-inline const Message (&EnumValuesMessage())[19] {
+inline const Message (&EnumValuesMessage())[18] {
   static const Message values[] = {
     Message::NONE,
     Message::SlotRequest,
@@ -138,14 +137,13 @@
     Message::ConfigurationRequest,
     Message::ConfigurationDocument,
     Message::ProbeReport,
-    Message::CompressedConfigurationDocument,
-    Message::RetryUsage
+    Message::CompressedConfigurationDocument
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[20] = {
+  static const char * const names[19] = {
     "NONE",
     "SlotRequest",
     "SlotCancel",
@@ -164,14 +162,13 @@
     "ConfigurationDocument",
     "ProbeReport",
     "CompressedConfigurationDocument",
-    "RetryUsage",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RetryUsage)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CompressedConfigurationDocument)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -248,10 +245,6 @@
   static const Message enum_value = Message::CompressedConfigurationDocument;
 };
 
-template<> struct MessageTraits<pimentopin::wire::RetryUsage> {
-  static const Message enum_value = Message::RetryUsage;
-};
-
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -1405,12 +1398,200 @@
       remaining_us);
 }
 
+struct RetryCounter FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RetryCounterBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COUNTER = 4,
+    VT_FIRST_INTERVAL = 6,
+    VT_AGE_US = 8,
+    VT_INTERVALS = 10
+  };
+  uint64_t counter() const {
+    return GetField<uint64_t>(VT_COUNTER, 0);
+  }
+  uint64_t first_interval() const {
+    return GetField<uint64_t>(VT_FIRST_INTERVAL, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  const flatbuffers::Vector<const pimentopin::wire::RetryCounts *> *intervals() const {
+    return GetPointer<const flatbuffers::Vector<const pimentopin::wire::RetryCounts *> *>(VT_INTERVALS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_INTERVAL, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyOffset(verifier, VT_INTERVALS) &&
+           verifier.VerifyVector(intervals()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RetryCounterBuilder {
+  typedef RetryCounter Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_counter(uint64_t counter) {
+    fbb_.AddElement<uint64_t>(RetryCounter::VT_COUNTER, counter, 0);
+  }
+  void add_first_interval(uint64_t first_interval) {
+    fbb_.AddElement<uint64_t>(RetryCounter::VT_FIRST_INTERVAL, first_interval, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(RetryCounter::VT_AGE_US, age_us, 0);
+  }
+  void add_intervals(flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::RetryCounts *>> intervals) {
+    fbb_.AddOffset(RetryCounter::VT_INTERVALS, intervals);
+  }
+  explicit RetryCounterBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RetryCounter> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RetryCounter>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RetryCounter> CreateRetryCounter(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t counter = 0,
+    uint64_t first_interval = 0,
+    int64_t age_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::RetryCounts *>> intervals = 0) {
+  RetryCounterBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_first_interval(first_interval);
+  builder_.add_counter(counter);
+  builder_.add_intervals(intervals);
+  return builder_.Finish();
+}
+
+struct RetryCounter::Traits {
+  using type = RetryCounter;
+  static auto constexpr Create = CreateRetryCounter;
+};
+
+inline flatbuffers::Offset<RetryCounter> CreateRetryCounterDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t counter = 0,
+    uint64_t first_interval = 0,
+    int64_t age_us = 0,
+    const std::vector<pimentopin::wire::RetryCounts> *intervals = nullptr) {
+  auto intervals__ = intervals ? _fbb.CreateVectorOfStructs<pimentopin::wire::RetryCounts>(*intervals) : 0;
+  return pimentopin::wire::CreateRetryCounter(
+      _fbb,
+      counter,
+      first_interval,
+      age_us,
+      intervals__);
+}
+
+struct RetryUsage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RetryUsageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ASKS = 6,
+    VT_KNOWN_FOR_US = 8,
+    VT_COUNTERS = 10
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  bool asks() const {
+    return GetField<uint8_t>(VT_ASKS, 0) != 0;
+  }
+  int64_t known_for_us() const {
+    return GetField<int64_t>(VT_KNOWN_FOR_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *counters() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *>(VT_COUNTERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
+           VerifyField<int64_t>(verifier, VT_KNOWN_FOR_US, 8) &&
+           VerifyOffset(verifier, VT_COUNTERS) &&
+           verifier.VerifyVector(counters()) &&
+           verifier.VerifyVectorOfTables(counters()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RetryUsageBuilder {
+  typedef RetryUsage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(RetryUsage::VT_SERVICE, service, 0);
+  }
+  void add_asks(bool asks) {
+    fbb_.AddElement<uint8_t>(RetryUsage::VT_ASKS, static_cast<uint8_t>(asks), 0);
+  }
+  void add_known_for_us(int64_t known_for_us) {
+    fbb_.AddElement<int64_t>(RetryUsage::VT_KNOWN_FOR_US, known_for_us, 0);
+  }
+  void add_counters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>> counters) {
+    fbb_.AddOffset(RetryUsage::VT_COUNTERS, counters);
+  }
+  explicit RetryUsageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RetryUsage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RetryUsage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RetryUsage> CreateRetryUsage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    bool asks = false,
+    int64_t known_for_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>> counters = 0) {
+  RetryUsageBuilder builder_(_fbb);
+  builder_.add_known_for_us(known_for_us);
+  builder_.add_service(service);
+  builder_.add_counters(counters);
+  builder_.add_asks(asks);
+  return builder_.Finish();
+}
+
+struct RetryUsage::Traits {
+  using type = RetryUsage;
+  static auto constexpr Create = CreateRetryUsage;
+};
+
+inline flatbuffers::Offset<RetryUsage> CreateRetryUsageDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    bool asks = false,
+    int64_t known_for_us = 0,
+    const std::vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *counters = nullptr) {
+  auto counters__ = counters ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>(*counters) : 0;
+  return pimentopin::wire::CreateRetryUsage(
+      _fbb,
+      service,
+      asks,
+      known_for_us,
+      counters__);
+}
+
 struct Notices FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NoticesBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LEAVING_TARGETS = 4,
-    VT_FINGERPRINTS = 6
+    VT_FINGERPRINTS = 6,
+    VT_RETRY_USAGE = 8
   };
   const flatbuffers::Vector<const pimentopin::wire::LeavingTarget *> *leaving_targets() const {
     return GetPointer<const flatbuffers::Vector<const pimentopin::wire::LeavingTarget *> *>(VT_LEAVING_TARGETS);
@@ -1418,6 +1599,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>> *fingerprints() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>> *>(VT_FINGERPRINTS);
   }
+  const pimentopin::wire::RetryUsage *retry_usage() const {
+    return GetPointer<const pimentopin::wire::RetryUsage *>(VT_RETRY_USAGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LEAVING_TARGETS) &&
@@ -1425,6 +1609,8 @@
            VerifyOffset(verifier, VT_FINGERPRINTS) &&
            verifier.VerifyVector(fingerprints()) &&
            verifier.VerifyVectorOfTables(fingerprints()) &&
+           VerifyOffset(verifier, VT_RETRY_USAGE) &&
+           verifier.VerifyTable(retry_usage()) &&
            verifier.EndTable();
   }
 };
@@ -1439,6 +1625,9 @@
   void add_fingerprints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>>> fingerprints) {
     fbb_.AddOffset(Notices::VT_FINGERPRINTS, fingerprints);
   }
+  void add_retry_usage(flatbuffers::Offset<pimentopin::wire::RetryUsage> retry_usage) {
+    fbb_.AddOffset(Notices::VT_RETRY_USAGE, retry_usage);
+  }
   explicit NoticesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1453,8 +1642,10 @@
 inline flatbuffers::Offset<Notices> CreateNotices(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::LeavingTarget *>> leaving_targets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>>> fingerprints = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>>> fingerprints = 0,
+    flatbuffers::Offset<pimentopin::wire::RetryUsage> retry_usage = 0) {
   NoticesBuilder builder_(_fbb);
+  builder_.add_retry_usage(retry_usage);
   builder_.add_fingerprints(fingerprints);
   builder_.add_leaving_targets(leaving_targets);
   return builder_.Finish();
@@ -1468,13 +1659,15 @@
 inline flatbuffers::Offset<Notices> CreateNoticesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<pimentopin::wire::LeavingTarget> *leaving_targets = nullptr,
-    const std::vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>> *fingerprints = nullptr) {
+    const std::vector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>> *fingerprints = nullptr,
+    flatbuffers::Offset<pimentopin::wire::RetryUsage> retry_usage = 0) {
   auto leaving_targets__ = leaving_targets ? _fbb.CreateVectorOfStructs<pimentopin::wire::LeavingTarget>(*leaving_targets) : 0;
   auto fingerprints__ = fingerprints ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::FingerprintRecord>>(*fingerprints) : 0;
   return pimentopin::wire::CreateNotices(
       _fbb,
       leaving_targets__,
-      fingerprints__);
+      fingerprints__,
+      retry_usage);
 }
 
 struct TableVersion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2310,193 +2503,6 @@
   static auto constexpr Create = CreateProbeReport;
 };
 
-struct RetryCounter FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef RetryCounterBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_COUNTER = 4,
-    VT_FIRST_INTERVAL = 6,
-    VT_AGE_US = 8,
-    VT_INTERVALS = 10
-  };
-  uint64_t counter() const {
-    return GetField<uint64_t>(VT_COUNTER, 0);
-  }
-  uint64_t first_interval() const {
-    return GetField<uint64_t>(VT_FIRST_INTERVAL, 0);
-  }
-  int64_t age_us() const {
-    return GetField<int64_t>(VT_AGE_US, 0);
-  }
-  const flatbuffers::Vector<const pimentopin::wire::RetryCounts *> *intervals() const {
-    return GetPointer<const flatbuffers::Vector<const pimentopin::wire::RetryCounts *> *>(VT_INTERVALS);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_COUNTER, 8) &&
-           VerifyField<uint64_t>(verifier, VT_FIRST_INTERVAL, 8) &&
-           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
-           VerifyOffset(verifier, VT_INTERVALS) &&
-           verifier.VerifyVector(intervals()) &&
-           verifier.EndTable();
-  }
-};
-
-struct RetryCounterBuilder {
-  typedef RetryCounter Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_counter(uint64_t counter) {
-    fbb_.AddElement<uint64_t>(RetryCounter::VT_COUNTER, counter, 0);
-  }
-  void add_first_interval(uint64_t first_interval) {
-    fbb_.AddElement<uint64_t>(RetryCounter::VT_FIRST_INTERVAL, first_interval, 0);
-  }
-  void add_age_us(int64_t age_us) {
-    fbb_.AddElement<int64_t>(RetryCounter::VT_AGE_US, age_us, 0);
-  }
-  void add_intervals(flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::RetryCounts *>> intervals) {
-    fbb_.AddOffset(RetryCounter::VT_INTERVALS, intervals);
-  }
-  explicit RetryCounterBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<RetryCounter> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<RetryCounter>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<RetryCounter> CreateRetryCounter(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t counter = 0,
-    uint64_t first_interval = 0,
-    int64_t age_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const pimentopin::wire::RetryCounts *>> intervals = 0) {
-  RetryCounterBuilder builder_(_fbb);
-  builder_.add_age_us(age_us);
-  builder_.add_first_interval(first_interval);
-  builder_.add_counter(counter);
-  builder_.add_intervals(intervals);
-  return builder_.Finish();
-}
-
-struct RetryCounter::Traits {
-  using type = RetryCounter;
-  static auto constexpr Create = CreateRetryCounter;
-};
-
-inline flatbuffers::Offset<RetryCounter> CreateRetryCounterDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t counter = 0,
-    uint64_t first_interval = 0,
-    int64_t age_us = 0,
-    const std::vector<pimentopin::wire::RetryCounts> *intervals = nullptr) {
-  auto intervals__ = intervals ? _fbb.CreateVectorOfStructs<pimentopin::wire::RetryCounts>(*intervals) : 0;
-  return pimentopin::wire::CreateRetryCounter(
-      _fbb,
-      counter,
-      first_interval,
-      age_us,
-      intervals__);
-}
-
-struct RetryUsage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef RetryUsageBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SERVICE = 4,
-    VT_ASKS = 6,
-    VT_KNOWN_FOR_US = 8,
-    VT_COUNTERS = 10
-  };
-  uint64_t service() const {
-    return GetField<uint64_t>(VT_SERVICE, 0);
-  }
-  bool asks() const {
-    return GetField<uint8_t>(VT_ASKS, 0) != 0;
-  }
-  int64_t known_for_us() const {
-    return GetField<int64_t>(VT_KNOWN_FOR_US, 0);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *counters() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *>(VT_COUNTERS);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
-           VerifyField<int64_t>(verifier, VT_KNOWN_FOR_US, 8) &&
-           VerifyOffset(verifier, VT_COUNTERS) &&
-           verifier.VerifyVector(counters()) &&
-           verifier.VerifyVectorOfTables(counters()) &&
-           verifier.EndTable();
-  }
-};
-
-struct RetryUsageBuilder {
-  typedef RetryUsage Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_service(uint64_t service) {
-    fbb_.AddElement<uint64_t>(RetryUsage::VT_SERVICE, service, 0);
-  }
-  void add_asks(bool asks) {
-    fbb_.AddElement<uint8_t>(RetryUsage::VT_ASKS, static_cast<uint8_t>(asks), 0);
-  }
-  void add_known_for_us(int64_t known_for_us) {
-    fbb_.AddElement<int64_t>(RetryUsage::VT_KNOWN_FOR_US, known_for_us, 0);
-  }
-  void add_counters(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>> counters) {
-    fbb_.AddOffset(RetryUsage::VT_COUNTERS, counters);
-  }
-  explicit RetryUsageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<RetryUsage> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<RetryUsage>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<RetryUsage> CreateRetryUsage(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t service = 0,
-    bool asks = false,
-    int64_t known_for_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>> counters = 0) {
-  RetryUsageBuilder builder_(_fbb);
-  builder_.add_known_for_us(known_for_us);
-  builder_.add_service(service);
-  builder_.add_counters(counters);
-  builder_.add_asks(asks);
-  return builder_.Finish();
-}
-
-struct RetryUsage::Traits {
-  using type = RetryUsage;
-  static auto constexpr Create = CreateRetryUsage;
-};
-
-inline flatbuffers::Offset<RetryUsage> CreateRetryUsageDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t service = 0,
-    bool asks = false,
-    int64_t known_for_us = 0,
-    const std::vector<flatbuffers::Offset<pimentopin::wire::RetryCounter>> *counters = nullptr) {
-  auto counters__ = counters ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::RetryCounter>>(*counters) : 0;
-  return pimentopin::wire::CreateRetryUsage(
-      _fbb,
-      service,
-      asks,
-      known_for_us,
-      counters__);
-}
-
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -2570,9 +2576,6 @@
   const pimentopin::wire::CompressedConfigurationDocument *message_as_CompressedConfigurationDocument() const {
     return message_type() == pimentopin::wire::Message::CompressedConfigurationDocument ? static_cast<const pimentopin::wire::CompressedConfigurationDocument *>(message()) : nullptr;
   }
-  const pimentopin::wire::RetryUsage *message_as_RetryUsage() const {
-    return message_type() == pimentopin::wire::Message::RetryUsage ? static_cast<const pimentopin::wire::RetryUsage *>(message()) : nullptr;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SENDER, 8) &&
@@ -2652,10 +2655,6 @@
   return message_as_CompressedConfigurationDocument();
 }
 
-template<> inline const pimentopin::wire::RetryUsage *Envelope::message_as<pimentopin::wire::RetryUsage>() const {
-  return message_as_RetryUsage();
-}
-
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2775,10 +2774,6 @@
       auto ptr = reinterpret_cast<const pimentopin::wire::CompressedConfigurationDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Message::RetryUsage: {
-      auto ptr = reinterpret_cast<const pimentopin::wire::RetryUsage *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
     default: return true;
   }
 }
--- a/Tests/LibProtocol/codec_test.cc
+++ b/Tests/LibProtocol/codec_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(TestEncoderLimits);
   CPPUNIT_TEST(TestDecoderLimits);
   CPPUNIT_TEST(TestRetryUsageOutOfRange);
+  CPPUNIT_TEST(TestEarlierVersionsRejectRetryUsage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -194,7 +195,7 @@
     flatbuffers::FlatBufferBuilder unknown;
     const auto other = wire::CreateSlotGrant(unknown, 1, 1, 1).Union();
     const auto first_unknown =
-        static_cast<wire::Message>(std::variant_size_v<Message> + 1);  // 0 is NONE
+        static_cast<wire::Message>(static_cast<std::uint8_t>(wire::Message::MAX) + 1);
     AssertRejected(BuildPayload(unknown, first_unknown, other));
   }
 
@@ -270,8 +271,9 @@
         list.push_back(wire::CreateRetryCounter(builder, index, first, 0, counts));
       }
       const auto vector = builder.CreateVector(list);
-      const auto usage = wire::CreateRetryUsage(builder, 1, false, 0, vector).Union();
-      return BuildPayload(builder, wire::Message::RetryUsage, usage);
+      const auto usage = wire::CreateRetryUsage(builder, 1, false, 0, vector);
+      const auto notices = wire::CreateNotices(builder, {}, {}, usage).Union();
+      return BuildPayload(builder, wire::Message::Notices, notices);
     };
     Error error;
     CPPUNIT_ASSERT(DecodeFrame(
@@ -285,6 +287,16 @@
     CPPUNIT_ASSERT(EncodeFrame({HostId{1}, {}, usage}).empty());
   }
 
+  // Guards against hosts of an earlier version that close the connection, and lose what else is on
+  // it, because they do not know the message.
+  void TestEarlierVersionsRejectRetryUsage() {
+    const std::string frame = EncodeFrame({HostId{1}, {}, RetryUsage{.service = ServiceId{1}}});
+    const wire::Envelope* const envelope = wire::GetEnvelope(Payload(frame).data());
+    CPPUNIT_ASSERT(envelope->message_type() == wire::Message::Notices);
+    CPPUNIT_ASSERT(envelope->message_as_Notices()->leaving_targets() == nullptr);
+    CPPUNIT_ASSERT(envelope->message_as_Notices()->fingerprints() == nullptr);
+  }
+
  private:
   static std::string RandomBytes(std::mt19937_64& engine) {
     std::string bytes(engine() % 300, '\0');
