LibMembership: Send leaving hosts the digests of their domain's reader

Cause: hosts take leaving hosts out of the order in which they read the store, so that the reader no longer sends them digests or rows. A leaving host hears nothing for 1.2 s, takes the reader for failed, lists the store itself, and relays it with digests to all hosts of its domain: 100 of them, from a tenth of a core and a link of 10 Mbps, while it answers its last requests. A reader that leaves hears of no other reader, and goes on until it ends.

Leaving hosts now rank last instead. They get rows and digests until they end, take over only after all others, and a leaving reader hears its successor.

--- a/Libraries/LibMembership/host_directory.cc
+++ b/Libraries/LibMembership/host_directory.cc
@@ -146,16 +146,25 @@
 }
 
 std::map<DomainId, std::vector<HostId>> HostDirectory::RankedHostsByDomain() const {
-  std::map<DomainId, std::vector<MemberRecord>> members;
+  std::map<DomainId, std::vector<MemberRecord>> alive;
+  std::map<DomainId, std::vector<MemberRecord>> leaving;
   for (const MemberRecord& member : this->Members()) {
     if (member.state == MemberState::kAlive) {
-      members[member.domain].push_back(member);
+      alive[member.domain].push_back(member);
+    } else if (member.state == MemberState::kLeaving) {
+      leaving[member.domain].push_back(member);
     }
   }
   std::map<DomainId, std::vector<HostId>> ranked;
-  for (const auto& [domain, domain_members] : members) {
+  for (const auto& [domain, domain_members] : alive) {
     ranked[domain] = RankMembers(domain_members);
   }
+  // A leaving host serves requests until it ends. Without the digests of its domain's reader it
+  // would read the store and relay it to all others, which keeps a small host from its requests.
+  for (const auto& [domain, domain_members] : leaving) {
+    const std::vector<HostId> last = RankMembers(domain_members);
+    ranked[domain].insert(ranked[domain].end(), last.begin(), last.end());
+  }
   return ranked;
 }
 
--- a/Libraries/LibMembership/host_directory.h
+++ b/Libraries/LibMembership/host_directory.h
@@ -54,7 +54,8 @@
   // Usable hosts that may work as slot brokers: those with at least half of the
   // largest capacity among the usable hosts.
   std::vector<HostId> BrokerCandidates() const;
-  // Usable hosts of each failure domain, ranked by RankMembers.
+  // Reachable hosts of each failure domain, ranked by RankMembers; those that are leaving come
+  // last.
   std::map<DomainId, std::vector<HostId>> RankedHostsByDomain() const;
   // True if the store holds the current record of this host. The incarnation is
   // not compared: a restart at the same address needs no new row.
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -159,9 +159,9 @@
              std::vector<Table> tables,
              bool configuration_polled);
 
-  // Sets the usable hosts by failure domain, this host and its domain included, in
-  // the order of RankMembers. The first one reads the store, and the next ones take
-  // over in this order.
+  // Sets the hosts by failure domain, this host and its domain included, in the order of
+  // HostDirectory::RankedHostsByDomain. The first one reads the store, and the next ones take over
+  // in this order.
   void SetHosts(DomainId own_domain, const std::map<DomainId, std::vector<HostId>>& ranked_hosts);
   // Makes the reader send a digest to a host that has just registered, so that this host gets the
   // rows from it and need not read the store.
--- a/Tests/LibMembership/fleet_test.cc
+++ b/Tests/LibMembership/fleet_test.cc
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(TestOneHostReadsForItsDomain);
   CPPUNIT_TEST(TestStartingHostsShareTheReads);
   CPPUNIT_TEST(TestLeavingHostIsAnnounced);
+  CPPUNIT_TEST(TestLeavingHostDoesNotBecomeReader);
+  CPPUNIT_TEST(TestLeavingReaderIsReplaced);
   CPPUNIT_TEST(TestLeavingTargetIsAnnounced);
   CPPUNIT_TEST(TestControlTraffic);
   CPPUNIT_TEST_SUITE_END();
@@ -451,6 +453,55 @@
     std::cout << "  worst time until unused: " << Seconds(worst) << " s\n";
   }
 
+  // Guards against a stopping host that reads the store and relays it to its whole failure domain,
+  // because the others no longer send it digests. Its processor and its link are then busy with
+  // that while it answers its last requests.
+  void TestLeavingHostDoesNotBecomeReader() {
+    this->ForEachSeed("host leaves while targets change", [](SimulatedFleet& fleet) {
+      fleet.RunFor(seconds(5));
+      const HostId host = fleet.RandomHost();
+      const bool was_reader = fleet.GetHost(host).relay.IsReader(fleet.now);
+      fleet.SetLeaving(host);
+      for (int second = 0; second < 5; ++second) {
+        const std::string value = "ready#" + std::to_string(second);
+        fleet.WriteTarget("target", value);
+        const auto time = fleet.RunUntil(
+            [&] { return fleet.GetHost(host).targets.contains("target"); }, kRowLimit);
+        CPPUNIT_ASSERT_MESSAGE("a leaving host misses a target", time);
+        for (int step = 0; step < 10; ++step) {
+          fleet.RunFor(milliseconds(100));
+          CPPUNIT_ASSERT_MESSAGE("a leaving host reads the store",
+                                 was_reader || !fleet.GetHost(host).relay.IsReader(fleet.now));
+        }
+      }
+    });
+  }
+
+  // Guards against a failure domain whose rows nobody reads after its reader has begun to stop, and
+  // against a reader that goes on until it ends.
+  void TestLeavingReaderIsReplaced() {
+    this->ForEachSeed("reader leaves", [](SimulatedFleet& fleet) {
+      fleet.RunFor(seconds(5));
+      const std::vector<HostId> running = fleet.RunningHosts();
+      const auto reader = std::ranges::find_if(
+          running, [&](HostId host) { return fleet.GetHost(host).relay.IsReader(fleet.now); });
+      CPPUNIT_ASSERT(reader != running.end());
+      fleet.SetLeaving(*reader);
+      const auto time = fleet.RunUntil(
+          [&] { return !fleet.GetHost(*reader).relay.IsReader(fleet.now); }, kLeavingLimit);
+      CPPUNIT_ASSERT_MESSAGE("a leaving host remains the reader", time);
+      fleet.WriteTarget("late-target", "ready#1");
+      const auto known = fleet.RunUntil(
+          [&] {
+            return std::ranges::all_of(running, [&](HostId host) {
+              return fleet.GetHost(host).targets.contains("late-target");
+            });
+          },
+          kRowLimit);
+      CPPUNIT_ASSERT_MESSAGE("a host misses a target", known);
+    });
+  }
+
   // Requirement P5: guards against new work for a target that is known to leave by
   // only one host.
   void TestLeavingTargetIsAnnounced() {
--- a/Tests/LibMembership/host_directory_test.cc
+++ b/Tests/LibMembership/host_directory_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(TestInvalidRowAddsNoHost);
   CPPUNIT_TEST(TestRowWithInvalidFieldIsRejected);
   CPPUNIT_TEST(TestSmallHostsAreNoBrokerCandidates);
+  CPPUNIT_TEST(TestLeavingHostsRankLast);
   CPPUNIT_TEST(TestIsRegisteredComparesStoredRecord);
   CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +92,25 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.BrokerCandidates().size());
   }
 
+  // Guards against leaving hosts that hear nothing from the reader of their failure domain and
+  // read the store themselves.
+  void TestLeavingHostsRankLast() {
+    HostDirectory directory(MakeRecord("a", 100));
+    MemberRecord leaving = MakeRecord("b", 500);
+    leaving.state = MemberState::kLeaving;
+    this->Apply(directory, {MakeRow(leaving), MakeRow(MakeRecord("c", 100))});
+    const DomainId domain = directory.self().domain;
+    std::vector<HostId> ranked = directory.RankedHostsByDomain().at(domain);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ranked.size());
+    CPPUNIT_ASSERT(ranked.back() == IdFromName<HostId>("b"));
+    directory.SetSelfLeaving();
+    ranked = directory.RankedHostsByDomain().at(domain);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ranked.size());
+    CPPUNIT_ASSERT(ranked.front() == IdFromName<HostId>("c"));
+    directory.SetUnreachable(IdFromName<HostId>("b"), true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.RankedHostsByDomain().at(domain).size());
+  }
+
   // Guards against a host whose outdated row keeps others from finding it, and
   // against a store write for each restart at the same address.
   void TestIsRegisteredComparesStoredRecord() {
