Soak: Count the deadline that a keyed request states

The header states whole milliseconds (1974), while the check compared with the value as drawn (less than 1 ms longer), so that an answer in that millisecond counted as too early. The deadline is now the one that is sent; no tolerance is added.

--- a/Meta/soak_callers.py
+++ b/Meta/soak_callers.py
@@ -79,14 +79,16 @@
         if self.soak.options.keyed > 0 and kind.method == "POST" \
                 and self.rng.random() < self.soak.options.keyed:
             request.is_keyed = True
-            request.deadline_s = self.rng.uniform(MIN_KEYED_DEADLINE_S, kind.deadline_s)
+            # The header has whole milliseconds.
+            deadline_ms = int(1000 * self.rng.uniform(MIN_KEYED_DEADLINE_S, kind.deadline_s))
+            request.deadline_s = deadline_ms / 1000
             key = f"Idempotency-Key: {request.id}\r\n"
         request.sent_at = time.monotonic()
         host.unanswered.add(request)
         writer.write(
             f"{kind.method} /{kind.name}/{request.id} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
             f"X-Pimentopin-Attempt-Id: {request.id}\r\n"
-            f"X-Pimentopin-Deadline-Ms: {int(request.deadline_s * 1000)}\r\n{key}"
+            f"X-Pimentopin-Deadline-Ms: {round(request.deadline_s * 1000)}\r\n{key}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         return request
 
