Bench/Load, LibHost: Call the existing check of fields and conversion of times

The load plan's check of unknown fields stood in ObjectReader already, with the same message, and limits_in_force converted the grace itself in place of calling Milliseconds().

--- a/Bench/Load/load_plan.cc
+++ b/Bench/Load/load_plan.cc
@@ -1,28 +1,23 @@
 #include "Bench/Load/load_plan.h"
 
-#include <algorithm>
-#include <array>
+#include <initializer_list>
 #include <nlohmann/json.hpp>
-#include <span>
 #include <string_view>
+#include <utility>
+
+#include "Libraries/LibConfig/object_reader.h"
 
 namespace pimentopin {
 namespace {
 
-constexpr std::array<std::string_view, 1> kPlanFields = {"streams"};
-constexpr std::array<std::string_view, 12> kStreamFields = {
-    "name", "service", "callers",   "method", "path",         "rate_per_s",
-    "size", "long",    "documents", "keyed",  "resend_share", "deadline_ms"};
-
 void RejectUnknownFields(const nlohmann::json& object,
-                         std::span<const std::string_view> known_fields,
+                         std::initializer_list<std::string_view> known_fields,
                          const std::string& json_pointer,
                          Findings& findings) {
-  for (const auto& item : object.items()) {
-    if (std::find(known_fields.begin(), known_fields.end(), item.key()) == known_fields.end()) {
-      findings.Add(json_pointer + "/" + item.key(), "unknown field");
-    }
-  }
+  const ErrorReporter report = [&findings](std::string place, std::string message) {
+    findings.Add(std::move(place), std::move(message));
+  };
+  ObjectReader(object, json_pointer, report).RejectUnknownFields(known_fields);
 }
 
 LoadStream ReadStream(const nlohmann::json& json,
@@ -46,7 +41,10 @@
     findings.Add(json_pointer, error.what());
     return stream;
   }
-  RejectUnknownFields(json, kStreamFields, json_pointer, findings);
+  RejectUnknownFields(json,
+                      {"name", "service", "callers", "method", "path", "rate_per_s", "size", "long",
+                       "documents", "keyed", "resend_share", "deadline_ms"},
+                      json_pointer, findings);
   if (stream.callers.empty()) {
     findings.Add(json_pointer + "/callers", "must name at least one caller");
   }
@@ -64,7 +62,7 @@
     findings.Add("", "must be a JSON object with an array 'streams'");
     return std::nullopt;
   }
-  RejectUnknownFields(document, kPlanFields, "", findings);
+  RejectUnknownFields(document, {"streams"}, "", findings);
   LoadPlan plan;
   for (std::size_t index = 0; index < document["streams"].size(); ++index) {
     plan.streams.push_back(
--- a/Libraries/LibHost/limits_in_force.cc
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "Libraries/LibCore/time.h"
+
 namespace pimentopin {
 namespace {
 
@@ -53,8 +55,7 @@
 }
 
 nlohmann::json LimitsInForce(const HostSettings& settings) {
-  const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(settings.shutdown_grace);
-  return {{"grace_ms", grace.count()},
+  return {{"grace_ms", Milliseconds(settings.shutdown_grace)},
           {"grace_source", SourceName(settings.grace_source)},
           {"retry_fraction", settings.retry_fraction},
           {"retry_fraction_source", SourceName(settings.retry_fraction_source)},
