LibHttp, LibHost: Log connection, address and named request of failed attempts

It now has the target's id and address, the local port, the number of requests that the connection has carried before, whether one of them had the same id, and the status and the named request of the response.

Test: TestRepeatedIdOnAConnectionIsNotSeen (new; the information did not exist before).

--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -35,10 +35,11 @@
       .headers = this->dialect.TargetHeaders(*this->exchange, this->attempt),
       .body = this->exchange->request.body,
       .timeout = this->attempt.remaining,
-      .accept_close_delimited_body = this->dialect.AcceptsCloseDelimitedBody()};
+      .accept_close_delimited_body = this->dialect.AcceptsCloseDelimitedBody(),
+      .echoed_id = this->dialect.EchoedId(*this->exchange, this->attempt)};
   const auto self = this->shared_from_this();
   TransferCallbacks transfer_callbacks;
-  transfer_callbacks.on_connection = [self](bool reused) { self->OnConnection(reused); };
+  transfer_callbacks.on_connection = [self](const ConnectionUse& use) { self->OnConnection(use); };
   transfer_callbacks.on_headers = [self](int code, const HttpHeaders& received) {
     self->OnHeaders(code, received);
   };
@@ -126,9 +127,16 @@
   return {this->status, ForwardableHeaders(this->headers), std::move(this->stored_body)};
 }
 
-void AttemptTransfer::OnConnection(bool reused) {
+AttemptTrace AttemptTransfer::Trace() {
   const std::lock_guard lock(this->mutex);
-  this->connection_reused = reused;
+  return {.connection = this->connection,
+          .status = this->status,
+          .named_request = this->response_info.named_request};
+}
+
+void AttemptTransfer::OnConnection(const ConnectionUse& use) {
+  const std::lock_guard lock(this->mutex);
+  this->connection = use;
 }
 
 void AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
@@ -140,7 +148,9 @@
     this->headers = received;
     this->response_info = this->dialect.InterpretResponse(
         *this->exchange, this->attempt,
-        {.status = code, .headers = received, .connection_reused = this->connection_reused});
+        {.status = code,
+         .headers = received,
+         .connection_reused = this->connection.earlier_requests > 0});
     this->digest = ContentDigest::Create(this->response_info.content_digest);
     header = {.status = code,
               .shed = this->response_info.shed,
--- a/Libraries/LibHost/attempt_transfer.h
+++ b/Libraries/LibHost/attempt_transfer.h
@@ -15,6 +15,16 @@
 
 namespace pimentopin {
 
+// What an attempt saw of its connection and of its response, for the log.
+struct AttemptTrace {
+  ConnectionUse connection;
+  // Status of the response; 0 if there was none.
+  int status = 0;
+  NamedRequest named_request = NamedRequest::kNone;
+
+  friend bool operator==(const AttemptTrace&, const AttemptTrace&) = default;
+};
+
 // Sends the request of one attempt to a target and relays the response to the caller. Body
 // bytes go from the HTTP client's thread directly to the responder, without passing through
 // the control thread. Bytes that arrive before Forward() are buffered.
@@ -45,11 +55,12 @@
   void FinishResponse();
   // Status code of the target's response; 0 before its header has arrived.
   int status_code();
+  AttemptTrace Trace();
   // Status, headers and body to store for replays of a keyed request.
   StoredResponse TakeStoredResponse();
 
  private:
-  void OnConnection(bool reused);
+  void OnConnection(const ConnectionUse& use);
   void OnHeaders(int status, const HttpHeaders& received);
   void OnBody(std::string bytes);
   void OnEnd(const TransferResult& result);
@@ -73,7 +84,7 @@
   int status = 0;
   HttpHeaders headers;
   TargetResponseInfo response_info;
-  bool connection_reused = false;
+  ConnectionUse connection;
   std::optional<ContentDigest> digest;
   // Bytes received before Forward().
   std::string buffered_body;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -1,5 +1,7 @@
 #include "Libraries/LibHost/dispatch_controller.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <type_traits>
@@ -530,12 +532,7 @@
   this->LogRateLimit(target, end.request_rate_limit);
   const auto found = this->active.find(request);
   if (found != this->active.end() && end.result != AttemptResult::kSuccess) {
-    Log(LogLevel::kInfo, "attempt_failed",
-        {{"request_id", found->second.exchange->request_id},
-         {"target", found->second.target},
-         {"result", AttemptResultName(end.result)},
-         {"may_have_run", end.may_have_been_sent && end.result != AttemptResult::kShed},
-         {"elapsed_ms", Milliseconds(end.service_time)}});
+    this->LogFailedAttempt(found->second, attempt, target, end);
   }
   if (found != this->active.end() && end.may_have_been_sent && end.result != AttemptResult::kShed) {
     ++found->second.possible_runs;
@@ -549,6 +546,30 @@
   this->Reschedule();
 }
 
+void DispatchController::LogFailedAttempt(const ActiveRequest& request,
+                                          AttemptId attempt,
+                                          TargetId target,
+                                          const AttemptEnd& end) const {
+  const auto configuration = this->shared_state.configuration.Read();
+  const Target* const known = configuration ? configuration->FindTarget(target) : nullptr;
+  const auto transfer = request.transfers.find(attempt);
+  const AttemptTrace trace =
+      transfer == request.transfers.end() ? AttemptTrace{} : transfer->second->Trace();
+  Log(LogLevel::kInfo, "attempt_failed",
+      {{"request_id", request.exchange->request_id},
+       {"target", known != nullptr ? known->name : request.target},
+       {"target_id", fmt::format("{:016x}", RawId(target))},
+       {"address", known != nullptr ? known->address : ""},
+       {"local_port", trace.connection.local_port},
+       {"earlier_requests", trace.connection.earlier_requests},
+       {"has_carried_id", trace.connection.has_carried_id},
+       {"status", trace.status},
+       {"named_request", NamedRequestName(trace.named_request)},
+       {"result", AttemptResultName(end.result)},
+       {"may_have_run", end.may_have_been_sent && end.result != AttemptResult::kShed},
+       {"elapsed_ms", Milliseconds(end.service_time)}});
+}
+
 void DispatchController::RecordCrash(ServiceId service,
                                      Fingerprint fingerprint,
                                      TargetId target,
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -136,6 +136,10 @@
   void Execute(const CancelAttempt& action);
   void Execute(const ForwardResponse& action);
   void Execute(const FinishRequest& action);
+  void LogFailedAttempt(const ActiveRequest& request,
+                        AttemptId attempt,
+                        TargetId target,
+                        const AttemptEnd& end) const;
   void RecordCrash(ServiceId service, Fingerprint fingerprint, TargetId target, AttemptId attempt);
   // Records what a target stated about itself in a response.
   void RecordTargetNotices(TargetId target, bool leaving, Duration retry_after);
--- a/Libraries/LibHost/http_dialect.cc
+++ b/Libraries/LibHost/http_dialect.cc
@@ -24,6 +24,25 @@
 
 }  // namespace
 
+std::string_view NamedRequestName(NamedRequest named) {
+  switch (named) {
+    case NamedRequest::kNone:
+      return "none";
+    case NamedRequest::kThis:
+      return "this";
+    case NamedRequest::kOther:
+      return "other";
+  }
+  return "unknown";
+}
+
+NamedRequest CompareEchoedId(std::string_view named, std::string_view own) {
+  if (named.empty()) {
+    return NamedRequest::kNone;
+  }
+  return named == own ? NamedRequest::kThis : NamedRequest::kOther;
+}
+
 Duration ParseRetryAfter(const HttpHeaders& headers) {
   const std::string_view text = FindHeader(headers, "Retry-After");
   double seconds = 0;
--- a/Libraries/LibHost/http_dialect.h
+++ b/Libraries/LibHost/http_dialect.h
@@ -34,8 +34,14 @@
   friend bool operator==(const TargetResponseHead&, const TargetResponseHead&) = default;
 };
 
+// The request that a response names as its own.
+enum class NamedRequest { kNone, kThis, kOther };
+
+std::string_view NamedRequestName(NamedRequest named);
+
 // Information in the header of a target's response besides the status code.
 struct TargetResponseInfo {
+  NamedRequest named_request = NamedRequest::kNone;
   // The target states that it did not run the request.
   bool shed = false;
   // The target receives no further work: it is draining, or another one has
@@ -75,6 +81,8 @@
   // of the host.
   virtual HttpHeaders TargetHeaders(const Exchange& exchange,
                                     const TargetAttempt& attempt) const = 0;
+  // The id that the target repeats in its response; empty if the request has none.
+  virtual std::string EchoedId(const Exchange& exchange, const TargetAttempt& attempt) const = 0;
   virtual TargetResponseInfo InterpretResponse(const Exchange& exchange,
                                                const TargetAttempt& attempt,
                                                const TargetResponseHead& head) const = 0;
@@ -82,6 +90,9 @@
   virtual TargetResponseInfo InterpretProbe(int status, const HttpHeaders& headers) const = 0;
 };
 
+// Compares the id that a response names, which may be empty, with that of the request.
+NamedRequest CompareEchoedId(std::string_view named, std::string_view own);
+
 // Parses a Retry-After header: seconds, possibly with a fraction. Returns zero if there is none, or
 // if it is a date, negative or not a number.
 Duration ParseRetryAfter(const HttpHeaders& headers);
--- a/Libraries/LibHost/native_dialect.cc
+++ b/Libraries/LibHost/native_dialect.cc
@@ -44,12 +44,18 @@
   return headers;
 }
 
+std::string NativeDialect::EchoedId(const Exchange& /*exchange*/,
+                                    const TargetAttempt& attempt) const {
+  return FormatAttemptId(attempt.attempt_id);
+}
+
 TargetResponseInfo NativeDialect::InterpretResponse(const Exchange& /*exchange*/,
                                                     const TargetAttempt& attempt,
                                                     const TargetResponseHead& head) const {
   TargetResponseInfo info = this->InterpretProbe(head.status, head.headers);
   const std::string_view echoed = FindHeader(head.headers, kAttemptIdHeader);
-  const bool is_own = echoed == FormatAttemptId(attempt.attempt_id);
+  info.named_request = CompareEchoedId(echoed, FormatAttemptId(attempt.attempt_id));
+  const bool is_own = info.named_request == NamedRequest::kThis;
   const bool states_not_run =
       head.status == 503 && FindHeader(head.headers, "Target-Outcome") == "not-run";
   const bool may_be_late_copy = !is_own && (!echoed.empty() || head.connection_reused);
--- a/Libraries/LibHost/native_dialect.h
+++ b/Libraries/LibHost/native_dialect.h
@@ -13,6 +13,7 @@
   std::string RetryAfterText(Duration delay) const override;
   bool AcceptsCloseDelimitedBody() const override { return false; }
   HttpHeaders TargetHeaders(const Exchange& exchange, const TargetAttempt& attempt) const override;
+  std::string EchoedId(const Exchange& exchange, const TargetAttempt& attempt) const override;
   TargetResponseInfo InterpretResponse(const Exchange& exchange,
                                        const TargetAttempt& attempt,
                                        const TargetResponseHead& head) const override;
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -25,6 +25,8 @@
 #include <utility>
 #include <vector>
 
+#include "Libraries/LibHttp/carried_requests.h"
+
 namespace pimentopin {
 namespace {
 
@@ -416,8 +418,8 @@
       const auto user = this->connection_users.find(transfer->connection);
       if (user != this->connection_users.end() && user->second == transfer.get()) {
         this->connection_users.erase(user);
-        if (error == TransferError::kNone) {
-          this->WatchIdleConnection(*transfer);
+        if (error != TransferError::kNone || !this->WatchIdleConnection(*transfer)) {
+          this->carried_requests.erase(transfer->connection);
         }
       }
       // Closes the connection if the response is incomplete.
@@ -480,37 +482,54 @@
                           int local_port) {
     auto& transfer = *static_cast<CurlTransfer*>(data);
     const auto self = transfer.manager.lock();
-    const auto idle = self->idle_sockets.find({local_port, remote_address, remote_port});
+    const ConnectionKey connection = {local_port, remote_address, remote_port};
+    const auto idle = self->idle_sockets.find(connection);
     if (idle != self->idle_sockets.end()) {
       const curl_socket_t socket = idle->second;
       self->StopWatchingIdleConnection(socket);
       if (transfer.send_count == 0 && !IsOpenAndSilent(socket)) {
+        self->carried_requests.erase(connection);
         transfer.needs_other_connection = true;
         return CURL_PREREQFUNC_ABORT;
       }
     }
     ++transfer.send_count;
     if (transfer.send_count > 1) {
+      self->carried_requests.erase(connection);
       return CURL_PREREQFUNC_ABORT;
     }
-    transfer.connection = {local_port, remote_address, remote_port};
-    self->connection_users[transfer.connection] = &transfer;
-    if (transfer.callbacks.on_connection) {
-      long new_connections = 0;
-      curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
-      transfer.callbacks.on_connection(new_connections == 0);
+    transfer.connection = connection;
+    self->connection_users[connection] = &transfer;
+    long new_connections = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
+    if (new_connections > 0) {
+      self->carried_requests.erase(connection);
     }
+    self->AddCarriedRequest(transfer);
     return CURL_PREREQFUNC_OK;
   }
 
+  // Notes that the transfer's connection carries its request, and reports what it has carried.
+  void AddCarriedRequest(const CurlTransfer& transfer) {
+    CarriedRequests& carried = this->carried_requests[transfer.connection];
+    const std::optional<std::string>& id = transfer.request.echoed_id;
+    const ConnectionUse use{.local_port = static_cast<int>(std::get<0>(transfer.connection)),
+                            .earlier_requests = carried.count(),
+                            .has_carried_id = id && carried.Contains(*id)};
+    carried.Add(id);
+    if (transfer.callbacks.on_connection) {
+      transfer.callbacks.on_connection(use);
+    }
+  }
+
   // Watches the connection that libcurl keeps after a transfer. libcurl does not poll it, so a peer
-  // could send on it for as long as it is idle.
-  void WatchIdleConnection(const CurlTransfer& transfer) {
+  // could send on it for as long as it is idle. Returns false if libcurl has closed it.
+  bool WatchIdleConnection(const CurlTransfer& transfer) {
     curl_socket_t socket = CURL_SOCKET_BAD;
     // libcurl tells the socket after a transfer, but not in OnBeforeSend().
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_ACTIVESOCKET, &socket);
     if (socket == CURL_SOCKET_BAD) {
-      return;
+      return false;
     }
     const auto idle = std::make_shared<IdleConnection>(transfer.connection, this->context, socket);
     this->idle_sockets[idle->key] = socket;
@@ -524,6 +543,7 @@
             }
           }
         });
+    return true;
   }
 
   // Has no effect on a socket that is not watched as idle.
@@ -539,7 +559,12 @@
 
   // libcurl 7.88 skips this call when a connection attempt times out; such a socket is never idle.
   static int OnCloseSocket(void* data, curl_socket_t socket) {
-    static_cast<TransferManager*>(data)->StopWatchingIdleConnection(socket);
+    auto& self = *static_cast<TransferManager*>(data);
+    const auto idle = self.idle_connections.find(socket);
+    if (idle != self.idle_connections.end()) {
+      self.carried_requests.erase(idle->second->key);
+      self.StopWatchingIdleConnection(socket);
+    }
     return close(socket);
   }
 
@@ -743,6 +768,8 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches;
   std::vector<EasyHandle> idle_handles;
   std::map<ConnectionKey, const CurlTransfer*> connection_users;
+  // Of the open connections.
+  std::map<ConnectionKey, CarriedRequests> carried_requests;
   std::map<ConnectionKey, curl_socket_t> idle_sockets;
   std::unordered_map<curl_socket_t, std::shared_ptr<IdleConnection>> idle_connections;
   MultiHandle multi;
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -24,6 +24,20 @@
   Duration body_timeout{};
   // Accepts a body that is delimited only by the end of the connection as complete.
   bool accept_close_delimited_body = false;
+  // Id of the request that the peer repeats in its response; not set if responses name no request.
+  std::optional<std::string> echoed_id;
+};
+
+// The connection on which a request is sent.
+struct ConnectionUse {
+  // Port of this end. With the peer's address, it identifies the connection.
+  int local_port = 0;
+  // Number of requests that the connection has carried before this one.
+  std::size_t earlier_requests = 0;
+  // One of them had the same id.
+  bool has_carried_id = false;
+
+  friend bool operator==(const ConnectionUse&, const ConnectionUse&) = default;
 };
 
 enum class TransferError {
@@ -48,9 +62,8 @@
 };
 
 struct TransferCallbacks {
-  // Called at most once, before the request is sent. `reused` tells that the connection has carried
-  // an earlier request.
-  std::function<void(bool reused)> on_connection;
+  // Called at most once, before the request is sent.
+  std::function<void(const ConnectionUse& use)> on_connection;
   // Called at most once, with the status and headers of the final response.
   std::function<void(int status, const HttpHeaders& headers)> on_headers;
   std::function<void(std::string bytes)> on_body;
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(TestEndlessTrailersFillTheMemory);
   CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
   CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
+  CPPUNIT_TEST(TestRepeatedIdOnAConnectionIsNotSeen);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -103,14 +104,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), first.body);
     CPPUNIT_ASSERT_EQUAL(1, first.on_headers_calls);
 
-    CPPUNIT_ASSERT(first.connection_reused == false);
+    CPPUNIT_ASSERT(first.connection && first.connection->earlier_requests == 0);
 
     TransferRecorder& second = this->Get(server.url("/second"));
     CPPUNIT_ASSERT(connection.ReadUntil("\r\n\r\n").starts_with("GET /second HTTP/1.1\r\n"));
     connection.Send(kSmallResponse);
     CPPUNIT_ASSERT(second.Wait());
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), second.body);
-    CPPUNIT_ASSERT(second.connection_reused == true);
+    CPPUNIT_ASSERT(second.connection && second.connection->earlier_requests > 0);
   }
 
   // Guards against treating chunk framing as body bytes or trailers as headers.
@@ -448,6 +449,23 @@
     CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
   }
 
+  // Guards against logs that cannot tell a copy of a response from a response.
+  void TestRepeatedIdOnAConnectionIsNotSeen() {
+    RawServer server(this->context);
+    TransferRecorder& first = this->GetWithId(server.url("/first"), "a");
+    RawConnection connection = server.Accept();
+    this->Answer(connection, first);
+    CPPUNIT_ASSERT(first.connection && !first.connection->has_carried_id);
+    TransferRecorder& other = this->GetWithId(server.url("/other"), "b");
+    this->Answer(connection, other);
+    const ConnectionUse expected{.local_port = first.connection->local_port, .earlier_requests = 1};
+    CPPUNIT_ASSERT(other.connection == expected);
+    TransferRecorder& again = this->GetWithId(server.url("/again"), "a");
+    this->Answer(connection, again);
+    CPPUNIT_ASSERT(again.connection && again.connection->has_carried_id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, again.connection->earlier_requests);
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
@@ -521,7 +539,7 @@
     };
     callbacks.on_body = [](const std::string&) {};
     callbacks.on_end = [](const TransferResult&) {};
-    callbacks.on_connection = [](bool) {};
+    callbacks.on_connection = [](const ConnectionUse&) {};
     TransferCallbacks ignored;
     ignored.on_headers = [](int, const HttpHeaders&) {};
     ignored.on_body = callbacks.on_body;
@@ -768,8 +786,8 @@
     connections[1].Send(kSmallResponse);
     CPPUNIT_ASSERT(third.Wait());
     CPPUNIT_ASSERT(fourth.Wait());
-    CPPUNIT_ASSERT(third.connection_reused == true);
-    CPPUNIT_ASSERT(fourth.connection_reused == true);
+    CPPUNIT_ASSERT(third.connection && third.connection->earlier_requests > 0);
+    CPPUNIT_ASSERT(fourth.connection && fourth.connection->earlier_requests > 0);
   }
 
   // Guards against a new connection for each request to an address that always has more active
@@ -791,7 +809,7 @@
       CPPUNIT_ASSERT(kept.ReadUntil("\r\n\r\n").starts_with("GET " + path + " "));
       kept.Send(kSmallResponse);
       CPPUNIT_ASSERT(next.Wait());
-      CPPUNIT_ASSERT(next.connection_reused == true);
+      CPPUNIT_ASSERT(next.connection && next.connection->earlier_requests > 0);
     }
   }
 
@@ -922,6 +940,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("abcde"), record.body);
   }
 
+  TransferRecorder& GetWithId(const std::string& url, const std::string& id) {
+    HttpClientRequest request{.method = "GET", .url = url, .timeout = kLongTimeout};
+    request.echoed_id = id;
+    return this->Start(std::move(request));
+  }
+  // Reads a request and answers it.
+  void Answer(RawConnection& connection, TransferRecorder& record) {
+    CPPUNIT_ASSERT(!connection.ReadUntil("\r\n\r\n").empty());
+    connection.Send(kSmallResponse);
+    CPPUNIT_ASSERT(record.Wait());
+    CPPUNIT_ASSERT(record.result.error == TransferError::kNone);
+  }
   // Returns a connection that the client has used once and keeps for its next request.
   RawConnection OpenReusableConnection(RawServer& server) {
     TransferRecorder& record = this->Get(server.url("/first"));
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -139,9 +139,9 @@
  public:
   TransferCallbacks Callbacks() {
     return {.on_connection =
-                [this](bool reused) {
+                [this](const ConnectionUse& use) {
                   const std::scoped_lock lock(this->mutex);
-                  this->connection_reused = reused;
+                  this->connection = use;
                 },
             .on_headers =
                 [this](int response_status, const HttpHeaders& response_headers) {
@@ -182,7 +182,7 @@
   HttpHeaders headers;
   std::string body;
   TransferResult result;
-  std::optional<bool> connection_reused;
+  std::optional<ConnectionUse> connection;
   int on_headers_calls = 0;
   int on_end_calls = 0;
 
