LibHttp, LibHost: Never send the same request id twice on one connection

What callers saw: 503 for a request that a target ran, and a non-idempotent request that ran twice.

Cause: a refusal was believed if it named the request. A late copy of a refusal names it too, if the connection has carried that id before. The guard against this (RequestState::refused_by) names targets, the copy comes by the connection: a target with another name or start time at the same address, idempotent requests, callers that repeat an id, and requests without an id (two empty ids are equal) all passed it.

Fix: the HTTP client keeps the ids that each open connection has carried, and leaves a connection that has carried the id of a request for another one. A request without an id is the first one on its connection. So whatever names the request belongs to this attempt. At most 256 requests use a connection, which bounds the ids kept.

Tests: TestConnectionCarriesAnIdTwice, TestConnectionOfARequestWithoutIdHasCarriedAnother, TestIdsOfAConnectionAreUnbounded, TestLateResponseWithoutIdIsThatOfARequestWithoutId. The first replaces TestRepeatedIdOnAConnectionIsNotSeen: the id is never repeated now.

--- a/Libraries/LibHttp/carried_requests.cc
+++ b/Libraries/LibHttp/carried_requests.cc
@@ -12,8 +12,12 @@
   }
 }
 
-bool CarriedRequests::Contains(std::string_view id) const {
-  return pimentopin::Contains(this->id_hashes, StableHash(id));
+bool CarriedRequests::CanBeToldFrom(const std::optional<std::string>& id) const {
+  if (!id || this->request_count == 0) {
+    return true;
+  }
+  // Peers may answer without an id even if the request has one.
+  return !id->empty() && !Contains(this->id_hashes, StableHash(*id));
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibHttp/carried_requests.h
+++ b/Libraries/LibHttp/carried_requests.h
@@ -4,18 +4,18 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace pimentopin {
 
-// The requests that a connection has carried, by the ids that the peer repeats in its responses.
+// The requests that a connection has carried, by the ids that the peer repeats in its responses. An
+// empty optional stands for a request whose response names no id.
 class CarriedRequests {
  public:
-  // An empty optional stands for a request whose response names no id.
   void Add(const std::optional<std::string>& id);
-  // May return true for an id that was not added, but never false for one that was.
-  bool Contains(std::string_view id) const;
+  // False if a response to an earlier request could be taken for the response to one with this id.
+  // May be false for other ids, too.
+  bool CanBeToldFrom(const std::optional<std::string>& id) const;
   std::size_t count() const { return this->request_count; }
 
  private:
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -35,6 +35,8 @@
 constexpr long kMaxIdleConnections = 65536;
 // Easy handles kept for reuse.
 constexpr std::size_t kMaxIdleHandles = 256;
+// Bounds the ids that are kept for each connection.
+constexpr std::size_t kMaxRequestsPerConnection = 256;
 // Interval between TCP keep-alive probes.
 constexpr long kKeepAliveIntervalSeconds = 1;
 // The kernel closes a connection whose data stays unacknowledged for this long. Allows three
@@ -207,8 +209,10 @@
   bool malformed = false;
   int send_count = 0;
   // The idle connection that libcurl chose was closed, or bytes that belong to no request arrived
-  // on it, before the request was sent.
+  // on it, before the request was sent, or it has carried a request with the same id.
   bool needs_other_connection = false;
+  // Connections that were closed for the last reason.
+  std::size_t avoided_connections = 0;
   // The connection on which the request was sent.
   ConnectionKey connection;
   bool paused_by_curl = false;
@@ -368,6 +372,9 @@
     }
     this->active_transfers.insert(transfer);
     this->LimitKeptConnections(*transfer);
+    if (transfer->request.echoed_id && transfer->request.echoed_id->empty()) {
+      curl_easy_setopt(transfer->easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+    }
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
     this->EndAt(transfer, transfer->start + transfer->request.timeout,
                 transfer->request.body_timeout);
@@ -474,7 +481,8 @@
   // Called after a connection is established and before the first byte is written. libcurl resends
   // a request on a new connection if a reused one was closed without a response. The first copy may
   // have been executed, so the second is refused. Bytes that arrived before the request is sent are
-  // no response to it, but libcurl would take them for one.
+  // no response to it, but libcurl would take them for one; so would the receiver with a response
+  // to an earlier request with the same id, which may arrive at any time.
   static int OnBeforeSend(void* data,
                           char* remote_address,
                           char* /*local_address*/,
@@ -484,14 +492,18 @@
     const auto self = transfer.manager.lock();
     const ConnectionKey connection = {local_port, remote_address, remote_port};
     const auto idle = self->idle_sockets.find(connection);
+    bool is_silent = true;
     if (idle != self->idle_sockets.end()) {
       const curl_socket_t socket = idle->second;
       self->StopWatchingIdleConnection(socket);
-      if (transfer.send_count == 0 && !IsOpenAndSilent(socket)) {
-        self->carried_requests.erase(connection);
-        transfer.needs_other_connection = true;
-        return CURL_PREREQFUNC_ABORT;
-      }
+      is_silent = IsOpenAndSilent(socket);
+    }
+    const bool can_be_told = self->CanResponseBeTold(transfer, connection);
+    if (transfer.send_count == 0 && (!is_silent || !can_be_told)) {
+      self->carried_requests.erase(connection);
+      transfer.needs_other_connection = true;
+      transfer.avoided_connections += can_be_told ? 0 : 1;
+      return CURL_PREREQFUNC_ABORT;
     }
     ++transfer.send_count;
     if (transfer.send_count > 1) {
@@ -500,23 +512,34 @@
     }
     transfer.connection = connection;
     self->connection_users[connection] = &transfer;
+    self->AddCarriedRequest(transfer);
+    return CURL_PREREQFUNC_OK;
+  }
+
+  // False if the response to an earlier request on the connection could be taken for the response
+  // to this one.
+  bool CanResponseBeTold(const CurlTransfer& transfer, const ConnectionKey& connection) {
     long new_connections = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
     if (new_connections > 0) {
-      self->carried_requests.erase(connection);
+      this->carried_requests.erase(connection);
+      return true;
     }
-    self->AddCarriedRequest(transfer);
-    return CURL_PREREQFUNC_OK;
+    const auto carried = this->carried_requests.find(connection);
+    return carried != this->carried_requests.end() &&
+           carried->second.CanBeToldFrom(transfer.request.echoed_id);
   }
 
   // Notes that the transfer's connection carries its request, and reports what it has carried.
   void AddCarriedRequest(const CurlTransfer& transfer) {
     CarriedRequests& carried = this->carried_requests[transfer.connection];
-    const std::optional<std::string>& id = transfer.request.echoed_id;
     const ConnectionUse use{.local_port = static_cast<int>(std::get<0>(transfer.connection)),
                             .earlier_requests = carried.count(),
-                            .has_carried_id = id && carried.Contains(*id)};
-    carried.Add(id);
+                            .avoided_connections = transfer.avoided_connections};
+    carried.Add(transfer.request.echoed_id);
+    if (carried.count() >= kMaxRequestsPerConnection) {
+      curl_easy_setopt(transfer.easy.get(), CURLOPT_FORBID_REUSE, 1L);
+    }
     if (transfer.callbacks.on_connection) {
       transfer.callbacks.on_connection(use);
     }
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -24,7 +24,9 @@
   Duration body_timeout{};
   // Accepts a body that is delimited only by the end of the connection as complete.
   bool accept_close_delimited_body = false;
-  // Id of the request that the peer repeats in its response; not set if responses name no request.
+  // Id of the request that the peer repeats in its response. No connection carries the same id
+  // twice, as a late copy of the first response could not be told from the second one. A request
+  // with an empty id is the first one on its connection. Not set if responses name no request.
   std::optional<std::string> echoed_id;
 };
 
@@ -34,8 +36,8 @@
   int local_port = 0;
   // Number of requests that the connection has carried before this one.
   std::size_t earlier_requests = 0;
-  // One of them had the same id.
-  bool has_carried_id = false;
+  // Idle connections that were closed instead, as they had carried the same id.
+  std::size_t avoided_connections = 0;
 
   friend bool operator==(const ConnectionUse&, const ConnectionUse&) = default;
 };
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -59,7 +59,9 @@
   CPPUNIT_TEST(TestEndlessTrailersFillTheMemory);
   CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
   CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
-  CPPUNIT_TEST(TestRepeatedIdOnAConnectionIsNotSeen);
+  CPPUNIT_TEST(TestConnectionCarriesAnIdTwice);
+  CPPUNIT_TEST(TestConnectionOfARequestWithoutIdHasCarriedAnother);
+  CPPUNIT_TEST(TestIdsOfAConnectionAreUnbounded);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -449,21 +451,61 @@
     CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
   }
 
-  // Guards against logs that cannot tell a copy of a response from a response.
-  void TestRepeatedIdOnAConnectionIsNotSeen() {
+  // Guards against a late copy of a response to a request that is sent once more: nothing tells it
+  // from the response to the second attempt.
+  void TestConnectionCarriesAnIdTwice() {
     RawServer server(this->context);
     TransferRecorder& first = this->GetWithId(server.url("/first"), "a");
     RawConnection connection = server.Accept();
     this->Answer(connection, first);
-    CPPUNIT_ASSERT(first.connection && !first.connection->has_carried_id);
     TransferRecorder& other = this->GetWithId(server.url("/other"), "b");
     this->Answer(connection, other);
     const ConnectionUse expected{.local_port = first.connection->local_port, .earlier_requests = 1};
     CPPUNIT_ASSERT(other.connection == expected);
+
     TransferRecorder& again = this->GetWithId(server.url("/again"), "a");
-    this->Answer(connection, again);
-    CPPUNIT_ASSERT(again.connection && again.connection->has_carried_id);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, again.connection->earlier_requests);
+    CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection(); }));
+    RawConnection replacement = server.Accept();
+    this->Answer(replacement, again);
+    CPPUNIT_ASSERT(again.connection->local_port != first.connection->local_port);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, again.connection->earlier_requests);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.connection->avoided_connections);
+    CPPUNIT_ASSERT(connection.ReadUntilClosed().empty());
+    TransferRecorder& next = this->GetWithId(server.url("/next"), "b");
+    this->Answer(replacement, next);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.connection->earlier_requests);
+  }
+
+  // Guards against a late response without an id: only on a connection that has carried nothing
+  // else does it belong to a request without one.
+  void TestConnectionOfARequestWithoutIdHasCarriedAnother() {
+    RawServer server(this->context);
+    TransferRecorder& first = this->GetWithId(server.url("/first"), "a");
+    RawConnection connection = server.Accept();
+    this->Answer(connection, first);
+    for (int count = 0; count < 2; ++count) {
+      TransferRecorder& unnamed = this->GetWithId(server.url("/unnamed"), "");
+      CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection(); }));
+      RawConnection other = server.Accept();
+      this->Answer(other, unnamed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unnamed.connection->earlier_requests);
+    }
+  }
+
+  // Guards against memory that grows for as long as a connection is used.
+  void TestIdsOfAConnectionAreUnbounded() {
+    constexpr int kRequests = 600;
+    RawServer server(this->context);
+    std::list<RawConnection> connections;
+    for (int count = 0; count < kRequests; ++count) {
+      TransferRecorder& record = this->GetWithId(server.url("/"), std::to_string(count));
+      CPPUNIT_ASSERT(Eventually([&] { return record.has_connection(); }));
+      if (record.connection->earlier_requests == 0) {
+        connections.push_back(server.Accept());
+      }
+      this->Answer(connections.back(), record);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, connections.size());
   }
 
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -172,6 +172,10 @@
     const std::scoped_lock lock(this->mutex);
     return this->body.size();
   }
+  bool has_connection() {
+    const std::scoped_lock lock(this->mutex);
+    return this->connection.has_value();
+  }
   bool has_headers() {
     const std::scoped_lock lock(this->mutex);
     return this->on_headers_calls > 0;
--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TestLateResponseToAnotherRequestIsUnusable);
   CPPUNIT_TEST(TestSealedResponseWithoutRequestIdIsUnusable);
   CPPUNIT_TEST(TestRefusalOnKeptConnectionMustNameRequest);
+  CPPUNIT_TEST(TestLateResponseWithoutIdIsThatOfARequestWithoutId);
   CPPUNIT_TEST(TestLeavingIsReadFromEveryResponse);
   CPPUNIT_TEST(TestRetryAfterOfTarget);
   CPPUNIT_TEST(TestOwnStatuses);
@@ -99,6 +100,21 @@
     }
   }
 
+  // Guards against a late response without an id that is taken for the response to another request
+  // without one.
+  void TestLateResponseWithoutIdIsThatOfARequestWithoutId() {
+    std::erase_if(this->exchange.request.headers, [](const HttpHeader& header) {
+      return header.name == "X-Pimentopin-Attempt-Id";
+    });
+    const HttpHeader not_executed{"X-Pimentopin-Not-Executed", "1"};
+    const HttpHeader seal{"X-Pimentopin-Response-Seal", "3e1b.07"};
+    CPPUNIT_ASSERT(this->Read(503, {not_executed}).shed);
+    CPPUNIT_ASSERT(!this->Read(200, {seal}).unusable);
+    const auto refusal = this->ReadOnKeptConnection(503, {not_executed});
+    CPPUNIT_ASSERT(!refusal.shed && refusal.unusable);
+    CPPUNIT_ASSERT(this->ReadOnKeptConnection(200, {seal}).unusable);
+  }
+
   // Guards against sending work to a target that said in a refusal, in a failure or in a late
   // response that it is leaving.
   void TestLeavingIsReadFromEveryResponse() {
