LibHttp, LibHost: Close the connection of a response to another request

What callers saw: 502 for 1.5 to 3.6 requests for each late copy of a refusal, all of which a target ran.

Cause: a response that names another request, or that must not be forwarded, ends its attempt by a cancellation from the control thread. If the response was complete by then, the connection went back to the pool with the response to the attempt still to come. The next request took that response for its own, and so on, until a response arrived while the connection was idle.

Fix: on_headers returns whether the response belongs to the request. If not, the HTTP client ends the transfer (kRejected) and closes the connection at once.

Tests: TestConnectionOfARejectedResponseIsKept, TestConnectionIsKeptAfterAResponseToAnotherRequest (on_headers returned nothing before).

--- a/Bench/Load/load_runner.cc
+++ b/Bench/Load/load_runner.cc
@@ -133,6 +133,7 @@
     pending->record.outcome = FindHeader(headers, "Pimentopin-Outcome");
     pending->record.reason = FindHeader(headers, "Pimentopin-Reason");
     pending->record.replayed = FindHeader(headers, "Pimentopin-Replayed") == "true";
+    return true;
   };
   callbacks.on_body = [pending](std::string bytes) { pending->body += bytes; };
   callbacks.on_end = [this, pending](const TransferResult& result) {
--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -41,7 +41,7 @@
   TransferCallbacks transfer_callbacks;
   transfer_callbacks.on_connection = [self](const ConnectionUse& use) { self->OnConnection(use); };
   transfer_callbacks.on_headers = [self](int code, const HttpHeaders& received) {
-    self->OnHeaders(code, received);
+    return self->OnHeaders(code, received);
   };
   transfer_callbacks.on_body = [self](std::string bytes) { self->OnBody(std::move(bytes)); };
   transfer_callbacks.on_end = [self](const TransferResult& result) { self->OnEnd(result); };
@@ -139,7 +139,7 @@
   this->connection = use;
 }
 
-void AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
+bool AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
   AttemptHeader header;
   bool header_deferred = false;
   {
@@ -166,6 +166,9 @@
   if (!header_deferred) {
     this->callbacks.on_header(header);
   }
+  // After a response that is not the one to this request, that one is still to come. It must not be
+  // taken for the response to the next request.
+  return !header.wrong_attempt_id;
 }
 
 void AttemptTransfer::OnBody(std::string bytes) {
@@ -230,6 +233,7 @@
     case TransferError::kTimeout:
       return AttemptResult::kTimeout;
     case TransferError::kMalformed:
+    case TransferError::kRejected:
       return AttemptResult::kWrongAnswer;
     case TransferError::kCancelled:
       return AttemptResult::kCancelled;
--- a/Libraries/LibHost/attempt_transfer.h
+++ b/Libraries/LibHost/attempt_transfer.h
@@ -61,7 +61,8 @@
 
  private:
   void OnConnection(const ConnectionUse& use);
-  void OnHeaders(int status, const HttpHeaders& received);
+  // False if the response does not belong to the request or must not be forwarded.
+  bool OnHeaders(int status, const HttpHeaders& received);
   void OnBody(std::string bytes);
   void OnEnd(const TransferResult& result);
   void WriteLocked(std::string bytes);
--- a/Libraries/LibHost/probe_controller.cc
+++ b/Libraries/LibHost/probe_controller.cc
@@ -28,6 +28,7 @@
     case TransferError::kConnectionLost:
     case TransferError::kTruncated:
     case TransferError::kMalformed:
+    case TransferError::kRejected:
       break;
   }
   return AttemptResult::kTruncated;
@@ -97,6 +98,7 @@
   callbacks.on_headers = [this, target, status](int code, const HttpHeaders& headers) {
     *status = code;
     this->loop.Post([this, target, code, headers] { this->OnProbeHeaders(target, code, headers); });
+    return true;
   };
   callbacks.on_body = [](const std::string&) {};
   callbacks.on_end = [this, target, status](const TransferResult& result) {
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -207,6 +207,8 @@
   std::size_t chunk_framing_bytes = 0;
   // The peer sends bytes that are no response. The connection is closed and the transfer ends.
   bool malformed = false;
+  // The receiver rejected the header of the response.
+  bool rejected = false;
   int send_count = 0;
   // The idle connection that libcurl chose was closed, or bytes that belong to no request arrived
   // on it, before the request was sent, or it has carried a request with the same id.
@@ -243,8 +245,10 @@
       // Reports the received bytes to OnDebugData().
       curl_easy_setopt(transfer.easy.get(), CURLOPT_VERBOSE, 1L);
     }
-    if (transfer.callbacks.on_headers) {
-      transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
+    if (transfer.callbacks.on_headers &&
+        !transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields())) {
+      transfer.rejected = true;
+      return CURL_WRITEFUNC_ERROR;
     }
   }
   return size * count;
@@ -309,6 +313,9 @@
   if (transfer.malformed) {
     return TransferError::kMalformed;
   }
+  if (transfer.rejected) {
+    return TransferError::kRejected;
+  }
   switch (code) {
     case CURLE_OK:
       if (!header_complete) {
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -52,6 +52,8 @@
   kTruncated,
   kTimeout,
   kMalformed,
+  // on_headers has rejected the response.
+  kRejected,
   kCancelled,
 };
 
@@ -66,8 +68,10 @@
 struct TransferCallbacks {
   // Called at most once, before the request is sent.
   std::function<void(const ConnectionUse& use)> on_connection;
-  // Called at most once, with the status and headers of the final response.
-  std::function<void(int status, const HttpHeaders& headers)> on_headers;
+  // Called at most once, with the status and headers of the final response. False rejects it:
+  // on_end follows, and the connection is closed, as the response to the request may still arrive
+  // on it.
+  std::function<bool(int status, const HttpHeaders& headers)> on_headers;
   std::function<void(std::string bytes)> on_body;
   // Called exactly once, after all other callbacks.
   std::function<void(const TransferResult& result)> on_end;
--- a/Libraries/LibPlatform/platform_http_client.cc
+++ b/Libraries/LibPlatform/platform_http_client.cc
@@ -46,6 +46,7 @@
   callbacks.on_headers = [response](int status, const HttpHeaders& response_headers) {
     response->status = status;
     response->headers = response_headers;
+    return true;
   };
   callbacks.on_body = [response](const std::string& bytes) { response->body += bytes; };
   callbacks.on_end = [response, post = this->settings.post,
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(TestLimitsBufferForSlowCaller);
   CPPUNIT_TEST(TestDigestMismatchIsRejected);
   CPPUNIT_TEST(TestMismatchedAttemptIdIsRejected);
+  CPPUNIT_TEST(TestConnectionIsKeptAfterAResponseToAnotherRequest);
   CPPUNIT_TEST(TestShedResponseIsRecognised);
   CPPUNIT_TEST(TestShedShortResponseIsReportedAtHeader);
   CPPUNIT_TEST(TestHeaderDecidesResultOfCancelledBody);
@@ -189,6 +190,17 @@
     CPPUNIT_ASSERT(!this->header->wrong_attempt_id);
   }
 
+  // Guards against a connection on which the response to this request is still to come.
+  void TestConnectionIsKeptAfterAResponseToAnotherRequest() {
+    CPPUNIT_ASSERT(
+        !this->Callbacks().on_headers(200, {{"Pimentopin-Attempt-Id", "0000000000000008"}}));
+    this->StartTransfer();
+    CPPUNIT_ASSERT(
+        this->Callbacks().on_headers(200, {{"Pimentopin-Attempt-Id", "0000000000000007"}}));
+    this->StartTransfer();
+    CPPUNIT_ASSERT(this->Callbacks().on_headers(503, {{"Target-Outcome", "not-run"}}));
+  }
+
   // Guards against reporting a shed request as run, or a server error as shed.
   void TestShedResponseIsRecognised() {
     this->Callbacks().on_headers(503, {{"Target-Outcome", "not-run"}});
--- a/Tests/LibHost/operator_endpoint_test.cc
+++ b/Tests/LibHost/operator_endpoint_test.cc
@@ -70,13 +70,15 @@
   int Readiness() {
     std::promise<int> status;
     const std::unique_ptr<HttpClient> client = HttpClient::Create({});
-    const auto transfer = client->Start(
-        {.method = "GET",
-         .url = "http://" + this->endpoint->address() + "/readyz",
-         .timeout = std::chrono::seconds(10)},
-        {.on_headers = [&status](int code,
-                                 const HttpHeaders& /*headers*/) { status.set_value(code); },
-         .on_end = [](const TransferResult& /*result*/) {}});
+    const auto transfer = client->Start({.method = "GET",
+                                         .url = "http://" + this->endpoint->address() + "/readyz",
+                                         .timeout = std::chrono::seconds(10)},
+                                        {.on_headers =
+                                             [&status](int code, const HttpHeaders& /*headers*/) {
+                                               status.set_value(code);
+                                               return true;
+                                             },
+                                         .on_end = [](const TransferResult& /*result*/) {}});
     return status.get_future().get();
   }
 
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(TestEndlessTrailersFillTheMemory);
   CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
   CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
+  CPPUNIT_TEST(TestConnectionOfARejectedResponseIsKept);
   CPPUNIT_TEST(TestConnectionCarriesAnIdTwice);
   CPPUNIT_TEST(TestConnectionOfARequestWithoutIdHasCarriedAnother);
   CPPUNIT_TEST(TestIdsOfAConnectionAreUnbounded);
@@ -451,6 +452,27 @@
     CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
   }
 
+  // Guards against a connection that stays one response behind: the response to the request itself
+  // would be taken for the response to the next one.
+  void TestConnectionOfARejectedResponseIsKept() {
+    RawServer server(this->context);
+    RawConnection connection = this->OpenReusableConnection(server);
+    TransferRecorder& rejected = this->records.emplace_back();
+    rejected.rejects = true;
+    this->client->Start({.method = "GET", .url = server.url("/rejected"), .timeout = kLongTimeout},
+                        rejected.Callbacks());
+    CPPUNIT_ASSERT(connection.ReadUntil("\r\n\r\n").starts_with("GET /rejected "));
+    connection.Send(kAdditionalResponse);
+    CPPUNIT_ASSERT(rejected.Wait());
+    this->CheckError(rejected, TransferError::kRejected, true);
+    CPPUNIT_ASSERT_EQUAL(std::string(), rejected.body);
+    TransferRecorder& next = this->Get(server.url("/next"));
+    CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection(); }));
+    RawConnection replacement = server.Accept();
+    this->Answer(replacement, next);
+    CPPUNIT_ASSERT(connection.SendUntilClosed(kSmallResponse));
+  }
+
   // Guards against a late copy of a response to a request that is sent once more: nothing tells it
   // from the response to the second attempt.
   void TestConnectionCarriesAnIdTwice() {
@@ -578,12 +600,13 @@
       destroying.get_future().wait();
       // Lets the timer of the other transfer expire and the destructor post its task meanwhile.
       std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      return true;
     };
     callbacks.on_body = [](const std::string&) {};
     callbacks.on_end = [](const TransferResult&) {};
     callbacks.on_connection = [](const ConnectionUse&) {};
     TransferCallbacks ignored;
-    ignored.on_headers = [](int, const HttpHeaders&) {};
+    ignored.on_headers = [](int, const HttpHeaders&) { return true; };
     ignored.on_body = callbacks.on_body;
     ignored.on_end = callbacks.on_end;
     ignored.on_connection = callbacks.on_connection;
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -149,6 +149,7 @@
                   this->status = response_status;
                   this->headers = response_headers;
                   ++this->on_headers_calls;
+                  return !this->rejects;
                 },
             .on_body =
                 [this](const std::string& bytes) {
@@ -181,6 +182,8 @@
     return this->on_headers_calls > 0;
   }
 
+  // Set before the transfer starts.
+  bool rejects = false;
   // Valid after Wait().
   int status = 0;
   HttpHeaders headers;
