LibHost: Ignore Retry-After and limits of late responses

A response that names another request was rejected, but its Retry-After still held the target off, and its limit of requests still applied: a copy of an old refusal left a target unused for as long as the refusal had asked for, counted from the copy.

Test: TestHoldOffOfALateResponseIsObeyedAgain, failed before (5 s in place of none) by the code: InterpretProbe() was applied to every response.

--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -151,6 +151,11 @@
         {.status = code,
          .headers = received,
          .connection_reused = this->connection.earlier_requests > 0});
+    if (this->response_info.named_request == NamedRequest::kOther) {
+      // What the target stated in an earlier response need not hold any longer.
+      this->response_info.retry_after = Duration::zero();
+      this->response_info.request_rate_limit = 0;
+    }
     this->digest = ContentDigest::Create(this->response_info.content_digest);
     header = {.status = code,
               .shed = this->response_info.shed,
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(TestDigestMismatchIsRejected);
   CPPUNIT_TEST(TestMismatchedAttemptIdIsRejected);
   CPPUNIT_TEST(TestConnectionIsKeptAfterAResponseToAnotherRequest);
+  CPPUNIT_TEST(TestHoldOffOfALateResponseIsObeyedAgain);
   CPPUNIT_TEST(TestShedResponseIsRecognised);
   CPPUNIT_TEST(TestShedShortResponseIsReportedAtHeader);
   CPPUNIT_TEST(TestHeaderDecidesResultOfCancelledBody);
@@ -201,6 +202,17 @@
     CPPUNIT_ASSERT(this->Callbacks().on_headers(503, {{"Target-Outcome", "not-run"}}));
   }
 
+  // Guards against healthy capacity that is left unused because a target repeats an old refusal.
+  void TestHoldOffOfALateResponseIsObeyedAgain() {
+    const HttpHeader retry_after{"Retry-After", "5"};
+    this->Callbacks().on_headers(503, {retry_after, {"Pimentopin-Attempt-Id", "0000000000000008"}});
+    CPPUNIT_ASSERT(this->header);
+    CPPUNIT_ASSERT(this->header->retry_after == Duration::zero());
+    this->StartTransfer();
+    this->Callbacks().on_headers(503, {retry_after, {"Pimentopin-Attempt-Id", "0000000000000007"}});
+    CPPUNIT_ASSERT(this->header->retry_after == std::chrono::seconds(5));
+  }
+
   // Guards against reporting a shed request as run, or a server error as shed.
   void TestShedResponseIsRecognised() {
     this->Callbacks().on_headers(503, {{"Target-Outcome", "not-run"}});
