Platform: Reject failures without an id on kept connections

A failure without seal and id was passed on, or counted against the target, although it could be the copy of another request's failure; only sealed responses and refusals had to name the request on a connection that has carried others. Targets repeat the id in each response, so all responses must.

Test: TestUnnamedFailureOnKeptConnectionIsForwarded (failed before: usable on a kept connection).

--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(TestSealedResponseWithoutRequestIdIsUnusable);
   CPPUNIT_TEST(TestRefusalOnKeptConnectionMustNameRequest);
   CPPUNIT_TEST(TestLateResponseWithoutIdIsThatOfARequestWithoutId);
+  CPPUNIT_TEST(TestUnnamedFailureOnKeptConnectionIsForwarded);
   CPPUNIT_TEST(TestLeavingIsReadFromEveryResponse);
   CPPUNIT_TEST(TestRetryAfterOfTarget);
   CPPUNIT_TEST(TestOwnStatuses);
@@ -100,6 +101,16 @@
     }
   }
 
+  // Guards against a late copy of a failure, which may be that of another request.
+  void TestUnnamedFailureOnKeptConnectionIsForwarded() {
+    for (const int status : {400, 404, 500, 502}) {
+      CPPUNIT_ASSERT(!this->Read(status, {}).unusable);
+      CPPUNIT_ASSERT(this->ReadOnKeptConnection(status, {}).unusable);
+      const HttpHeader own{"X-Pimentopin-Attempt-Id", "a1"};
+      CPPUNIT_ASSERT(!this->ReadOnKeptConnection(status, {own}).unusable);
+    }
+  }
+
   // Guards against a late response without an id that is taken for the response to another request
   // without one.
   void TestLateResponseWithoutIdIsThatOfARequestWithoutId() {
