LibHost: Give each probe a connection of its own

Responses to probes name no request, and probes of a target shared one connection: a late copy of an earlier response counted as that to the next probe, by which a target seemed to leave, to ask for a hold-off, to fail or to be healthy.

Fix: a probe is the first request on its connection, and the connection is not kept.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -36,7 +36,7 @@
 namespace pimentopin {
 namespace {
 
-// 32 hosts with 8 kept connections and one for probes each stay below a target's limit of 300
+// 32 hosts with 8 kept connections and one for a probe each stay below a target's limit of 300
 // connections. Connections in use have no limit of their own: brokers bound them by the slots of
 // the target, which a configuration limits to its connections, and by a few overcommitted ones.
 // FIXME: Derive the share from the configured limit and the number of hosts.
@@ -266,8 +266,10 @@
 }
 
 void HostProcess::CreateDispatch() {
+  // Each probe opens a connection.
   this->probe_client =
-      HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget});
+      HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget,
+                          .max_kept_connections_per_address = 0});
   // The dispatcher chooses a target for each request and takes another if one is slow. A request
   // that waited for a connection would stay with its target, and the dispatcher would take it for
   // running.
--- a/Libraries/LibHost/probe_controller.cc
+++ b/Libraries/LibHost/probe_controller.cc
@@ -92,6 +92,8 @@
   request.headers = {{"Pimentopin-Host", this->settings.host_name},
                      {"Pimentopin-Host-Domain", this->settings.domain_name}};
   request.timeout = kProbeTimeout;
+  // Responses to probes name no request, so each probe has a connection of its own.
+  request.echoed_id = "";
 
   const auto status = std::make_shared<int>(0);
   TransferCallbacks callbacks;
