--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -35,12 +35,13 @@
       .headers = this->dialect.TargetHeaders(*this->exchange, this->attempt),
       .body = this->exchange->request.body,
       .timeout = this->attempt.remaining,
-      .accept_close_delimited_body = this->dialect.AcceptsCloseDelimitedBody()};
+      .accept_close_delimited_body = this->dialect.AcceptsCloseDelimitedBody(),
+      .echoed_id = this->dialect.EchoedId(*this->exchange, this->attempt)};
   const auto self = this->shared_from_this();
   TransferCallbacks transfer_callbacks;
-  transfer_callbacks.on_connection = [self](bool reused) { self->OnConnection(reused); };
+  transfer_callbacks.on_connection = [self](const ConnectionUse& use) { self->OnConnection(use); };
   transfer_callbacks.on_headers = [self](int code, const HttpHeaders& received) {
-    self->OnHeaders(code, received);
+    return self->OnHeaders(code, received);
   };
   transfer_callbacks.on_body = [self](std::string bytes) { self->OnBody(std::move(bytes)); };
   transfer_callbacks.on_end = [self](const TransferResult& result) { self->OnEnd(result); };
@@ -126,12 +127,19 @@
   return {this->status, ForwardableHeaders(this->headers), std::move(this->stored_body)};
 }
 
-void AttemptTransfer::OnConnection(bool reused) {
+AttemptTrace AttemptTransfer::Trace() {
   const std::lock_guard lock(this->mutex);
-  this->connection_reused = reused;
+  return {.connection = this->connection,
+          .status = this->status,
+          .named_request = this->response_info.named_request};
 }
 
-void AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
+void AttemptTransfer::OnConnection(const ConnectionUse& use) {
+  const std::lock_guard lock(this->mutex);
+  this->connection = use;
+}
+
+bool AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
   AttemptHeader header;
   bool header_deferred = false;
   {
@@ -140,7 +148,14 @@
     this->headers = received;
     this->response_info = this->dialect.InterpretResponse(
         *this->exchange, this->attempt,
-        {.status = code, .headers = received, .connection_reused = this->connection_reused});
+        {.status = code,
+         .headers = received,
+         .connection_reused = this->connection.earlier_requests > 0});
+    if (this->response_info.named_request == NamedRequest::kOther) {
+      // What the target stated in an earlier response need not hold any longer.
+      this->response_info.retry_after = Duration::zero();
+      this->response_info.request_rate_limit = 0;
+    }
     this->digest = ContentDigest::Create(this->response_info.content_digest);
     header = {.status = code,
               .shed = this->response_info.shed,
@@ -156,6 +171,9 @@
   if (!header_deferred) {
     this->callbacks.on_header(header);
   }
+  // After a response that is not the one to this request, that one is still to come. It must not be
+  // taken for the response to the next request.
+  return !header.wrong_attempt_id;
 }
 
 void AttemptTransfer::OnBody(std::string bytes) {
@@ -220,6 +238,7 @@
     case TransferError::kTimeout:
       return AttemptResult::kTimeout;
     case TransferError::kMalformed:
+    case TransferError::kRejected:
       return AttemptResult::kWrongAnswer;
     case TransferError::kCancelled:
       return AttemptResult::kCancelled;
--- a/Libraries/LibHost/probe_controller.cc
+++ b/Libraries/LibHost/probe_controller.cc
@@ -28,6 +28,7 @@
     case TransferError::kConnectionLost:
     case TransferError::kTruncated:
     case TransferError::kMalformed:
+    case TransferError::kRejected:
       break;
   }
   return AttemptResult::kTruncated;
@@ -91,12 +92,15 @@
   request.headers = {{"Pimentopin-Host", this->settings.host_name},
                      {"Pimentopin-Host-Domain", this->settings.domain_name}};
   request.timeout = kProbeTimeout;
+  // Responses to probes name no request, so each probe has a connection of its own.
+  request.echoed_id = "";
 
   const auto status = std::make_shared<int>(0);
   TransferCallbacks callbacks;
   callbacks.on_headers = [this, target, status](int code, const HttpHeaders& headers) {
     *status = code;
     this->loop.Post([this, target, code, headers] { this->OnProbeHeaders(target, code, headers); });
+    return true;
   };
   callbacks.on_body = [](const std::string&) {};
   callbacks.on_end = [this, target, status](const TransferResult& result) {
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -25,6 +25,8 @@
 #include <utility>
 #include <vector>
 
+#include "Libraries/LibHttp/carried_requests.h"
+
 namespace pimentopin {
 namespace {
 
@@ -33,6 +35,8 @@
 constexpr long kMaxIdleConnections = 65536;
 // Easy handles kept for reuse.
 constexpr std::size_t kMaxIdleHandles = 256;
+// Bounds the ids that are kept for each connection.
+constexpr std::size_t kMaxRequestsPerConnection = 256;
 // Interval between TCP keep-alive probes.
 constexpr long kKeepAliveIntervalSeconds = 1;
 // The kernel closes a connection whose data stays unacknowledged for this long. Allows three
@@ -203,10 +207,14 @@
   std::size_t chunk_framing_bytes = 0;
   // The peer sends bytes that are no response. The connection is closed and the transfer ends.
   bool malformed = false;
+  // The receiver rejected the header of the response.
+  bool rejected = false;
   int send_count = 0;
   // The idle connection that libcurl chose was closed, or bytes that belong to no request arrived
-  // on it, before the request was sent.
+  // on it, before the request was sent, or it has carried a request with the same id.
   bool needs_other_connection = false;
+  // Connections that were closed for the last reason.
+  std::size_t avoided_connections = 0;
   // The connection on which the request was sent.
   ConnectionKey connection;
   bool paused_by_curl = false;
@@ -237,8 +245,10 @@
       // Reports the received bytes to OnDebugData().
       curl_easy_setopt(transfer.easy.get(), CURLOPT_VERBOSE, 1L);
     }
-    if (transfer.callbacks.on_headers) {
-      transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields());
+    if (transfer.callbacks.on_headers &&
+        !transfer.callbacks.on_headers(transfer.response.status(), transfer.response.fields())) {
+      transfer.rejected = true;
+      return CURL_WRITEFUNC_ERROR;
     }
   }
   return size * count;
@@ -303,6 +313,9 @@
   if (transfer.malformed) {
     return TransferError::kMalformed;
   }
+  if (transfer.rejected) {
+    return TransferError::kRejected;
+  }
   switch (code) {
     case CURLE_OK:
       if (!header_complete) {
@@ -366,6 +379,9 @@
     }
     this->active_transfers.insert(transfer);
     this->LimitKeptConnections(*transfer);
+    if (transfer->request.echoed_id && transfer->request.echoed_id->empty()) {
+      curl_easy_setopt(transfer->easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+    }
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
     this->EndAt(transfer, transfer->start + transfer->request.timeout,
                 transfer->request.body_timeout);
@@ -416,8 +432,8 @@
       const auto user = this->connection_users.find(transfer->connection);
       if (user != this->connection_users.end() && user->second == transfer.get()) {
         this->connection_users.erase(user);
-        if (error == TransferError::kNone) {
-          this->WatchIdleConnection(*transfer);
+        if (error != TransferError::kNone || !this->WatchIdleConnection(*transfer)) {
+          this->carried_requests.erase(transfer->connection);
         }
       }
       // Closes the connection if the response is incomplete.
@@ -472,7 +488,8 @@
   // Called after a connection is established and before the first byte is written. libcurl resends
   // a request on a new connection if a reused one was closed without a response. The first copy may
   // have been executed, so the second is refused. Bytes that arrived before the request is sent are
-  // no response to it, but libcurl would take them for one.
+  // no response to it, but libcurl would take them for one; so would the receiver with a response
+  // to an earlier request with the same id, which may arrive at any time.
   static int OnBeforeSend(void* data,
                           char* remote_address,
                           char* /*local_address*/,
@@ -480,37 +497,69 @@
                           int local_port) {
     auto& transfer = *static_cast<CurlTransfer*>(data);
     const auto self = transfer.manager.lock();
-    const auto idle = self->idle_sockets.find({local_port, remote_address, remote_port});
+    const ConnectionKey connection = {local_port, remote_address, remote_port};
+    const auto idle = self->idle_sockets.find(connection);
+    bool is_silent = true;
     if (idle != self->idle_sockets.end()) {
       const curl_socket_t socket = idle->second;
       self->StopWatchingIdleConnection(socket);
-      if (transfer.send_count == 0 && !IsOpenAndSilent(socket)) {
-        transfer.needs_other_connection = true;
-        return CURL_PREREQFUNC_ABORT;
-      }
+      is_silent = IsOpenAndSilent(socket);
+    }
+    const bool can_be_told = self->CanResponseBeTold(transfer, connection);
+    if (transfer.send_count == 0 && (!is_silent || !can_be_told)) {
+      self->carried_requests.erase(connection);
+      transfer.needs_other_connection = true;
+      transfer.avoided_connections += can_be_told ? 0 : 1;
+      return CURL_PREREQFUNC_ABORT;
     }
     ++transfer.send_count;
     if (transfer.send_count > 1) {
+      self->carried_requests.erase(connection);
       return CURL_PREREQFUNC_ABORT;
     }
-    transfer.connection = {local_port, remote_address, remote_port};
-    self->connection_users[transfer.connection] = &transfer;
+    transfer.connection = connection;
+    self->connection_users[connection] = &transfer;
+    self->AddCarriedRequest(transfer);
+    return CURL_PREREQFUNC_OK;
+  }
+
+  // False if the response to an earlier request on the connection could be taken for the response
+  // to this one.
+  bool CanResponseBeTold(const CurlTransfer& transfer, const ConnectionKey& connection) {
+    long new_connections = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
+    if (new_connections > 0) {
+      this->carried_requests.erase(connection);
+      return true;
+    }
+    const auto carried = this->carried_requests.find(connection);
+    return carried != this->carried_requests.end() &&
+           carried->second.CanBeToldFrom(transfer.request.echoed_id);
+  }
+
+  // Notes that the transfer's connection carries its request, and reports what it has carried.
+  void AddCarriedRequest(const CurlTransfer& transfer) {
+    CarriedRequests& carried = this->carried_requests[transfer.connection];
+    const ConnectionUse use{.local_port = static_cast<int>(std::get<0>(transfer.connection)),
+                            .earlier_requests = carried.count(),
+                            .avoided_connections = transfer.avoided_connections};
+    carried.Add(transfer.request.echoed_id);
+    if (carried.count() >= kMaxRequestsPerConnection) {
+      curl_easy_setopt(transfer.easy.get(), CURLOPT_FORBID_REUSE, 1L);
+    }
     if (transfer.callbacks.on_connection) {
-      long new_connections = 0;
-      curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
-      transfer.callbacks.on_connection(new_connections == 0);
+      transfer.callbacks.on_connection(use);
     }
-    return CURL_PREREQFUNC_OK;
   }
 
   // Watches the connection that libcurl keeps after a transfer. libcurl does not poll it, so a peer
-  // could send on it for as long as it is idle.
-  void WatchIdleConnection(const CurlTransfer& transfer) {
+  // could send on it for as long as it is idle. Returns false if libcurl has closed it.
+  bool WatchIdleConnection(const CurlTransfer& transfer) {
     curl_socket_t socket = CURL_SOCKET_BAD;
     // libcurl tells the socket after a transfer, but not in OnBeforeSend().
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_ACTIVESOCKET, &socket);
     if (socket == CURL_SOCKET_BAD) {
-      return;
+      return false;
     }
     const auto idle = std::make_shared<IdleConnection>(transfer.connection, this->context, socket);
     this->idle_sockets[idle->key] = socket;
@@ -524,6 +573,7 @@
             }
           }
         });
+    return true;
   }
 
   // Has no effect on a socket that is not watched as idle.
@@ -539,7 +589,12 @@
 
   // libcurl 7.88 skips this call when a connection attempt times out; such a socket is never idle.
   static int OnCloseSocket(void* data, curl_socket_t socket) {
-    static_cast<TransferManager*>(data)->StopWatchingIdleConnection(socket);
+    auto& self = *static_cast<TransferManager*>(data);
+    const auto idle = self.idle_connections.find(socket);
+    if (idle != self.idle_connections.end()) {
+      self.carried_requests.erase(idle->second->key);
+      self.StopWatchingIdleConnection(socket);
+    }
     return close(socket);
   }
 
@@ -743,6 +798,8 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches;
   std::vector<EasyHandle> idle_handles;
   std::map<ConnectionKey, const CurlTransfer*> connection_users;
+  // Of the open connections.
+  std::map<ConnectionKey, CarriedRequests> carried_requests;
   std::map<ConnectionKey, curl_socket_t> idle_sockets;
   std::unordered_map<curl_socket_t, std::shared_ptr<IdleConnection>> idle_connections;
   MultiHandle multi;
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -24,6 +24,22 @@
   Duration body_timeout{};
   // Accepts a body that is delimited only by the end of the connection as complete.
   bool accept_close_delimited_body = false;
+  // Id of the request that the peer repeats in its response. No connection carries the same id
+  // twice, as a late copy of the first response could not be told from the second one. A request
+  // with an empty id is the first one on its connection. Not set if responses name no request.
+  std::optional<std::string> echoed_id;
+};
+
+// The connection on which a request is sent.
+struct ConnectionUse {
+  // Port of this end. With the peer's address, it identifies the connection.
+  int local_port = 0;
+  // Number of requests that the connection has carried before this one.
+  std::size_t earlier_requests = 0;
+  // Idle connections that were closed instead, as they had carried the same id.
+  std::size_t avoided_connections = 0;
+
+  friend bool operator==(const ConnectionUse&, const ConnectionUse&) = default;
 };
 
 enum class TransferError {
@@ -36,6 +52,8 @@
   kTruncated,
   kTimeout,
   kMalformed,
+  // on_headers has rejected the response.
+  kRejected,
   kCancelled,
 };
 
@@ -48,11 +66,12 @@
 };
 
 struct TransferCallbacks {
-  // Called at most once, before the request is sent. `reused` tells that the connection has carried
-  // an earlier request.
-  std::function<void(bool reused)> on_connection;
-  // Called at most once, with the status and headers of the final response.
-  std::function<void(int status, const HttpHeaders& headers)> on_headers;
+  // Called at most once, before the request is sent.
+  std::function<void(const ConnectionUse& use)> on_connection;
+  // Called at most once, with the status and headers of the final response. False rejects it:
+  // on_end follows, and the connection is closed, as the response to the request may still arrive
+  // on it.
+  std::function<bool(int status, const HttpHeaders& headers)> on_headers;
   std::function<void(std::string bytes)> on_body;
   // Called exactly once, after all other callbacks.
   std::function<void(const TransferResult& result)> on_end;
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -59,6 +59,10 @@
   CPPUNIT_TEST(TestEndlessTrailersFillTheMemory);
   CPPUNIT_TEST(TestEndlessBytesAfterCompleteResponseCloseConnection);
   CPPUNIT_TEST(TestLateAdditionalResponseBelongsToNoRequest);
+  CPPUNIT_TEST(TestConnectionOfARejectedResponseIsKept);
+  CPPUNIT_TEST(TestConnectionCarriesAnIdTwice);
+  CPPUNIT_TEST(TestConnectionOfARequestWithoutIdHasCarriedAnother);
+  CPPUNIT_TEST(TestIdsOfAConnectionAreUnbounded);
   CPPUNIT_TEST(TestRefusedConnectionWasNotSent);
   CPPUNIT_TEST(TestConnectTimeoutWasNotSent);
   CPPUNIT_TEST(TestTimeoutAfterSending);
@@ -103,14 +107,14 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), first.body);
     CPPUNIT_ASSERT_EQUAL(1, first.on_headers_calls);
 
-    CPPUNIT_ASSERT(first.connection_reused == false);
+    CPPUNIT_ASSERT(first.connection && first.connection->earlier_requests == 0);
 
     TransferRecorder& second = this->Get(server.url("/second"));
     CPPUNIT_ASSERT(connection.ReadUntil("\r\n\r\n").starts_with("GET /second HTTP/1.1\r\n"));
     connection.Send(kSmallResponse);
     CPPUNIT_ASSERT(second.Wait());
     CPPUNIT_ASSERT_EQUAL(std::string("ok"), second.body);
-    CPPUNIT_ASSERT(second.connection_reused == true);
+    CPPUNIT_ASSERT(second.connection && second.connection->earlier_requests > 0);
   }
 
   // Guards against treating chunk framing as body bytes or trailers as headers.
@@ -448,6 +452,84 @@
     CPPUNIT_ASSERT(connection.SendUntilClosed(kAdditionalResponse));
   }
 
+  // Guards against a connection that stays one response behind: the response to the request itself
+  // would be taken for the response to the next one.
+  void TestConnectionOfARejectedResponseIsKept() {
+    RawServer server(this->context);
+    RawConnection connection = this->OpenReusableConnection(server);
+    TransferRecorder& rejected = this->records.emplace_back();
+    rejected.rejects = true;
+    this->client->Start({.method = "GET", .url = server.url("/rejected"), .timeout = kLongTimeout},
+                        rejected.Callbacks());
+    CPPUNIT_ASSERT(connection.ReadUntil("\r\n\r\n").starts_with("GET /rejected "));
+    connection.Send(kAdditionalResponse);
+    CPPUNIT_ASSERT(rejected.Wait());
+    this->CheckError(rejected, TransferError::kRejected, true);
+    CPPUNIT_ASSERT_EQUAL(std::string(), rejected.body);
+    TransferRecorder& next = this->Get(server.url("/next"));
+    CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection(); }));
+    RawConnection replacement = server.Accept();
+    this->Answer(replacement, next);
+    CPPUNIT_ASSERT(connection.SendUntilClosed(kSmallResponse));
+  }
+
+  // Guards against a late copy of a response to a request that is sent once more: nothing tells it
+  // from the response to the second attempt.
+  void TestConnectionCarriesAnIdTwice() {
+    RawServer server(this->context);
+    TransferRecorder& first = this->GetWithId(server.url("/first"), "a");
+    RawConnection connection = server.Accept();
+    this->Answer(connection, first);
+    TransferRecorder& other = this->GetWithId(server.url("/other"), "b");
+    this->Answer(connection, other);
+    const ConnectionUse expected{.local_port = first.connection->local_port, .earlier_requests = 1};
+    CPPUNIT_ASSERT(other.connection == expected);
+
+    TransferRecorder& again = this->GetWithId(server.url("/again"), "a");
+    CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection(); }));
+    RawConnection replacement = server.Accept();
+    this->Answer(replacement, again);
+    CPPUNIT_ASSERT(again.connection->local_port != first.connection->local_port);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, again.connection->earlier_requests);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.connection->avoided_connections);
+    CPPUNIT_ASSERT(connection.ReadUntilClosed().empty());
+    TransferRecorder& next = this->GetWithId(server.url("/next"), "b");
+    this->Answer(replacement, next);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.connection->earlier_requests);
+  }
+
+  // Guards against a late response without an id: only on a connection that has carried nothing
+  // else does it belong to a request without one.
+  void TestConnectionOfARequestWithoutIdHasCarriedAnother() {
+    RawServer server(this->context);
+    TransferRecorder& first = this->GetWithId(server.url("/first"), "a");
+    RawConnection connection = server.Accept();
+    this->Answer(connection, first);
+    for (int count = 0; count < 2; ++count) {
+      TransferRecorder& unnamed = this->GetWithId(server.url("/unnamed"), "");
+      CPPUNIT_ASSERT(Eventually([&] { return server.HasPendingConnection(); }));
+      RawConnection other = server.Accept();
+      this->Answer(other, unnamed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unnamed.connection->earlier_requests);
+    }
+  }
+
+  // Guards against memory that grows for as long as a connection is used.
+  void TestIdsOfAConnectionAreUnbounded() {
+    constexpr int kRequests = 600;
+    RawServer server(this->context);
+    std::list<RawConnection> connections;
+    for (int count = 0; count < kRequests; ++count) {
+      TransferRecorder& record = this->GetWithId(server.url("/"), std::to_string(count));
+      CPPUNIT_ASSERT(Eventually([&] { return record.has_connection(); }));
+      if (record.connection->earlier_requests == 0) {
+        connections.push_back(server.Accept());
+      }
+      this->Answer(connections.back(), record);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, connections.size());
+  }
+
   // Property P3 (docs/design.md): "not run" is reported if and only if nothing can have been sent.
   void TestRefusedConnectionWasNotSent() {
     RawServer server(this->context);
@@ -518,12 +600,13 @@
       destroying.get_future().wait();
       // Lets the timer of the other transfer expire and the destructor post its task meanwhile.
       std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      return true;
     };
     callbacks.on_body = [](const std::string&) {};
     callbacks.on_end = [](const TransferResult&) {};
-    callbacks.on_connection = [](bool) {};
+    callbacks.on_connection = [](const ConnectionUse&) {};
     TransferCallbacks ignored;
-    ignored.on_headers = [](int, const HttpHeaders&) {};
+    ignored.on_headers = [](int, const HttpHeaders&) { return true; };
     ignored.on_body = callbacks.on_body;
     ignored.on_end = callbacks.on_end;
     ignored.on_connection = callbacks.on_connection;
@@ -768,8 +851,8 @@
     connections[1].Send(kSmallResponse);
     CPPUNIT_ASSERT(third.Wait());
     CPPUNIT_ASSERT(fourth.Wait());
-    CPPUNIT_ASSERT(third.connection_reused == true);
-    CPPUNIT_ASSERT(fourth.connection_reused == true);
+    CPPUNIT_ASSERT(third.connection && third.connection->earlier_requests > 0);
+    CPPUNIT_ASSERT(fourth.connection && fourth.connection->earlier_requests > 0);
   }
 
   // Guards against a new connection for each request to an address that always has more active
@@ -791,7 +874,7 @@
       CPPUNIT_ASSERT(kept.ReadUntil("\r\n\r\n").starts_with("GET " + path + " "));
       kept.Send(kSmallResponse);
       CPPUNIT_ASSERT(next.Wait());
-      CPPUNIT_ASSERT(next.connection_reused == true);
+      CPPUNIT_ASSERT(next.connection && next.connection->earlier_requests > 0);
     }
   }
 
@@ -922,6 +1005,18 @@
     CPPUNIT_ASSERT_EQUAL(std::string("abcde"), record.body);
   }
 
+  TransferRecorder& GetWithId(const std::string& url, const std::string& id) {
+    HttpClientRequest request{.method = "GET", .url = url, .timeout = kLongTimeout};
+    request.echoed_id = id;
+    return this->Start(std::move(request));
+  }
+  // Reads a request and answers it.
+  void Answer(RawConnection& connection, TransferRecorder& record) {
+    CPPUNIT_ASSERT(!connection.ReadUntil("\r\n\r\n").empty());
+    connection.Send(kSmallResponse);
+    CPPUNIT_ASSERT(record.Wait());
+    CPPUNIT_ASSERT(record.result.error == TransferError::kNone);
+  }
   // Returns a connection that the client has used once and keeps for its next request.
   RawConnection OpenReusableConnection(RawServer& server) {
     TransferRecorder& record = this->Get(server.url("/first"));
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -139,9 +139,9 @@
  public:
   TransferCallbacks Callbacks() {
     return {.on_connection =
-                [this](bool reused) {
+                [this](const ConnectionUse& use) {
                   const std::scoped_lock lock(this->mutex);
-                  this->connection_reused = reused;
+                  this->connection = use;
                 },
             .on_headers =
                 [this](int response_status, const HttpHeaders& response_headers) {
@@ -149,6 +149,7 @@
                   this->status = response_status;
                   this->headers = response_headers;
                   ++this->on_headers_calls;
+                  return !this->rejects;
                 },
             .on_body =
                 [this](const std::string& bytes) {
@@ -172,17 +173,23 @@
     const std::scoped_lock lock(this->mutex);
     return this->body.size();
   }
+  bool has_connection() {
+    const std::scoped_lock lock(this->mutex);
+    return this->connection.has_value();
+  }
   bool has_headers() {
     const std::scoped_lock lock(this->mutex);
     return this->on_headers_calls > 0;
   }
 
+  // Set before the transfer starts.
+  bool rejects = false;
   // Valid after Wait().
   int status = 0;
   HttpHeaders headers;
   std::string body;
   TransferResult result;
-  std::optional<bool> connection_reused;
+  std::optional<ConnectionUse> connection;
   int on_headers_calls = 0;
   int on_end_calls = 0;
 
