--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -46,8 +46,7 @@
 
   std::uint32_t attempts_started = 0;
   std::vector<TargetId> excluded;
-  // Targets that refused this request, if it is non-idempotent. A copy of such a refusal that
-  // arrives late could not be told from the response to a second attempt there.
+  // Targets that refused this request, if it is non-idempotent. It goes to others only.
   std::vector<TargetId> refused_by;
   // In phase kHeldOff, the time at which the hold-off ends.
   TimePoint resume_at;
--- a/Tests/LibDispatch/fleet_simulation.cc
+++ b/Tests/LibDispatch/fleet_simulation.cc
@@ -362,7 +362,6 @@
     if (request.ran > 0) {
       this->RecordViolation("non-idempotent request sent after a target ran it");
     }
-    // A late copy of a refusal could not be told from the response to a second attempt.
     if (!request.sent_to.insert(run.start.target).second) {
       this->RecordViolation("non-idempotent request sent twice to one target");
     }
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -327,8 +327,7 @@
   }
 
   // Guards against refusing work that no target ran while another target could run it, and against
-  // a second attempt at the target that refused it: a late copy of its refusal would report "not
-  // run" for a request that the target runs.
+  // a second attempt at the target that refused it.
   void TestShedNonIdempotentWorkGoesToAnotherTarget() {
     const AttemptId attempt = this->Start(1, false);
     const auto retry = MessagesOf<SlotRequest>(this->EndShed(attempt)).at(0).second;
