LibDispatch: Do not report a failed run as not run while its end is late

While the host holds a target's 500 and asks for a retry, only the end of that attempt told that the request may have run. If the retry ends first, refused, the caller of an idempotent request is told 503, "not run". The host has one client thread, which reports the ends in order, so that this is not known to have happened.

Fix: a response that is held tells that the request may have run.

Test: TestFailedRunIsForgottenIfItsEndIsLate (failed before: the outcome was kNotRun).

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -563,6 +563,9 @@
     this->Forward(*state, attempt, actions);
     return actions;
   }
+  // The target has responded. The end of the attempt may be reported only after that of the next.
+  state->may_have_been_sent = true;
+  state->may_have_run = true;
   state->held_attempt = attempt;
   state->held_at = now;
   state->running_attempt.reset();
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(TestShedIsNotRun);
   CPPUNIT_TEST(TestShedAttemptIsCancelledAtHeader);
   CPPUNIT_TEST(TestServerErrorIsHeldUntilRetryIsDecided);
+  CPPUNIT_TEST(TestFailedRunIsForgottenIfItsEndIsLate);
   CPPUNIT_TEST(TestHeldResponseIsForwardedAfterLimit);
   CPPUNIT_TEST(TestTruncationAfterForwardingAbortsConnection);
   CPPUNIT_TEST(TestWrongAttemptIdIsNeverForwarded);
@@ -468,6 +469,19 @@
                    AttemptResult::kServerError);
   }
 
+  // Guards against "not run" for a request that a target ran and failed, if refusals of later
+  // attempts are reported before the end of that run.
+  void TestFailedRunIsForgottenIfItsEndIsLate() {
+    const AttemptId failed = this->Start(1, true);
+    auto actions = this->dispatcher->OnHeader(this->now, failed, {.status = 500});
+    for (const TargetId target : {TargetId{2}, TargetId{3}}) {
+      const AttemptId retry = MessagesOf<SlotRequest>(actions).at(0).second.attempt;
+      this->Grant(retry, this->broker, target);
+      actions = this->EndShed(retry);
+    }
+    CPPUNIT_ASSERT(ActionsOf<FinishRequest>(actions).at(0).outcome == Outcome::kUnknown);
+  }
+
   // Guards against a held response that occupies its slot for as long as the
   // retry waits.
   void TestHeldResponseIsForwardedAfterLimit() {
