LibHttp: Do not keep connections of requests without an id

Fix: such a connection is closed after its response.

Two tests check that the id reaches the client.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -380,7 +380,9 @@
     this->active_transfers.insert(transfer);
     this->LimitKeptConnections(*transfer);
     if (transfer->request.echoed_id && transfer->request.echoed_id->empty()) {
+      // Kept connections would add up, as the next such request does not take one.
       curl_easy_setopt(transfer->easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(transfer->easy.get(), CURLOPT_FORBID_REUSE, 1L);
     }
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
     this->EndAt(transfer, transfer->start + transfer->request.timeout,
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -26,7 +26,7 @@
   bool accept_close_delimited_body = false;
   // Id of the request that the peer repeats in its response. No connection carries the same id
   // twice, as a late copy of the first response could not be told from the second one. A request
-  // with an empty id is the first one on its connection. Not set if responses name no request.
+  // with an empty id has a connection of its own. Not set if responses name no request.
   std::optional<std::string> echoed_id;
 };
 
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -182,6 +182,7 @@
 
   // Guards against forwarding the response of another attempt to this caller.
   void TestMismatchedAttemptIdIsRejected() {
+    CPPUNIT_ASSERT(this->client.request.echoed_id == "0000000000000007");
     this->Callbacks().on_headers(200, {{"Pimentopin-Attempt-Id", "0000000000000008"}});
     CPPUNIT_ASSERT(this->header->wrong_attempt_id);
     this->Callbacks().on_end({.may_have_been_sent = true});
--- a/Tests/LibHost/probe_controller_test.cc
+++ b/Tests/LibHost/probe_controller_test.cc
@@ -60,7 +60,7 @@
     }
     CPPUNIT_ASSERT(client.requests.size() >= 2);
     for (const HttpClientRequest& request : client.requests) {
-      // A request with an empty id is the first one on its connection.
+      // A request with an empty id has a connection of its own.
       CPPUNIT_ASSERT(request.echoed_id == std::string());
     }
   }
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -499,7 +499,7 @@
   }
 
   // Guards against a late response without an id: only on a connection that has carried nothing
-  // else does it belong to a request without one.
+  // else does it belong to a request without one. Such connections must not add up either.
   void TestConnectionOfARequestWithoutIdHasCarriedAnother() {
     RawServer server(this->context);
     TransferRecorder& first = this->GetWithId(server.url("/first"), "a");
@@ -511,6 +511,7 @@
       RawConnection other = server.Accept();
       this->Answer(other, unnamed);
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unnamed.connection->earlier_requests);
+      CPPUNIT_ASSERT(Eventually([&] { return other.IsClosedByPeer(); }));
     }
   }
 
--- a/Tests/LibHttp/http_test_support.h
+++ b/Tests/LibHttp/http_test_support.h
@@ -81,6 +81,11 @@
     }
     return std::exchange(this->received, {});
   }
+  // True if the peer has closed the connection and everything it sent has been read.
+  bool IsClosedByPeer() {
+    char byte = 0;
+    return ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
   // Error of the last read.
   const asio::error_code& last_read_error() const { return this->last_error; }
 
--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -70,6 +70,7 @@
 
   // Guards against another caller's response that arrives late on a reused connection.
   void TestLateResponseToAnotherRequestIsUnusable() {
+    CPPUNIT_ASSERT_EQUAL(std::string("a1"), this->dialect.EchoedId(this->exchange, {}));
     const HttpHeader seal{"X-Pimentopin-Response-Seal", "3e1b.07"};
     CPPUNIT_ASSERT(!this->Read(200, {seal, {"X-Pimentopin-Attempt-Id", "a1"}}).unusable);
     CPPUNIT_ASSERT(this->Read(200, {seal, {"X-Pimentopin-Attempt-Id", "a2"}}).unusable);
