LibHttp: Treat responses whose status HTTP does not define as malformed

What callers saw: status 600 and 999 with the body of the target (HTTP/1.1 600 <unknown>), 200 for "200x OK", "200.0 OK" and "200, OK", and 503, which promises that the request has not run, for "503x Busy" and for 600 with the header of a refusal, although the target ran the request. The response to a keyed request was stored and replayed. The connection was used again. Probes believed the header of such a response (draining), and "200x OK" was a healthy probe; the client of the store took "200x" for a confirmed write and "404x" for a missing row.

Cause: libcurl passes on any three digits that are 100 or more, with whatever follows them but a digit, and so did ResponseHeaderParser. 000, 099, 20, 2000, -200, +200, 0200, abc, 101 and lines without a number were malformed already.

Fix: ParseStatus takes three digits from 100 to 599, followed by a space or the end of the line. For anything else the transfer ends as malformed without on_headers, and libcurl closes the connection.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -14,7 +14,6 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
-#include <charconv>
 #include <map>
 #include <mutex>
 #include <string_view>
@@ -26,6 +25,7 @@
 #include <vector>
 
 #include "Libraries/LibHttp/carried_requests.h"
+#include "Libraries/LibHttp/response_head.h"
 
 namespace pimentopin {
 namespace {
@@ -123,12 +123,9 @@
     }
     if (line.starts_with("HTTP/")) {
       this->header_fields.clear();
-      this->status_code = 0;
+      // Stricter than libcurl, which passes on any three digits and what follows them.
+      this->status_code = ParseStatus(line);
       this->has_ended = false;
-      const std::size_t space = line.find(' ');
-      if (space != std::string_view::npos) {
-        std::from_chars(line.data() + space + 1, line.data() + line.size(), this->status_code);
-      }
       return false;
     }
     if (line.empty()) {
--- a/Libraries/LibHttp/response_head.cc
+++ b/Libraries/LibHttp/response_head.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace pimentopin {
@@ -18,6 +19,19 @@
 
 }  // namespace
 
+int ParseStatus(std::string_view status_line) {
+  const std::size_t space = status_line.find(' ');
+  if (!status_line.starts_with("HTTP/") || space == std::string_view::npos) {
+    return 0;
+  }
+  std::string_view code = status_line.substr(space + 1);
+  code = code.substr(0, code.find_first_of(" \r\n"));
+  int status = 0;
+  const auto [end, error] = std::from_chars(code.data(), code.data() + code.size(), status);
+  const bool is_code = code.size() == 3 && error == std::errc() && end == code.data() + code.size();
+  return is_code && status >= 100 && status <= 599 ? status : 0;
+}
+
 bool IsBodilessStatus(int status) {
   return status < 200 || status == 204 || status == 304;
 }
--- a/Libraries/LibHttp/response_head.h
+++ b/Libraries/LibHttp/response_head.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "Libraries/LibHttp/http_message.h"
 #include "Libraries/LibHttp/request_inspector.h"
@@ -18,6 +19,9 @@
   bool keep_alive = true;
 };
 
+// Status code of a status line; 0 if the line has none that HTTP defines, which are 100 to 599.
+int ParseStatus(std::string_view status_line);
+
 // True if a response with this status never has a body.
 bool IsBodilessStatus(int status);
 
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -2,11 +2,14 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <deque>
+#include <future>
 #include <optional>
 
 #include "Libraries/LibHost/error_response.h"
 #include "Libraries/LibHost/native_dialect.h"
+#include "Tests/LibHttp/http_test_support.h"
 
 namespace pimentopin {
 namespace {
@@ -93,6 +96,7 @@
   CPPUNIT_TEST(TestHeldBodyWithoutEndIsPaused);
   CPPUNIT_TEST(TestDiscardedBodyWithoutEndIsNotStored);
   CPPUNIT_TEST(TestMalformedResponseIsNoCrash);
+  CPPUNIT_TEST(TestMalformedStatusIsBelieved);
   CPPUNIT_TEST(TestErrorsReportWhetherRequestWasSent);
   CPPUNIT_TEST(TestHopByHopHeadersAreNotForwarded);
   CPPUNIT_TEST(TestResponseWithoutBody);
@@ -263,6 +267,21 @@
     CPPUNIT_ASSERT(this->end.result == AttemptResult::kWrongAnswer);
   }
 
+  // Guards against a response whose status HTTP does not define that is forwarded, stored, or taken
+  // for a refusal.
+  void TestMalformedStatusIsBelieved() {
+    const auto http_client = HttpClient::Create({});
+    std::string believed;
+    for (const std::string status : {"000 Unknown", "099 Unknown", "20 OK", "2000 OK", "-200 OK",
+                                     "+200 OK", "0200 OK", "0503 Busy", "503x Busy", "5030 Busy",
+                                     "abc", "OK", "", "101 Switch", "600 Unknown", "999 Unknown"}) {
+      for (const std::string before : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
+        believed += this->BelievedOf(*http_client, before + "HTTP/1.1 " + status);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), believed);
+  }
+
   // Guards against reporting a request as not run although it may have been sent.
   void TestErrorsReportWhetherRequestWasSent() {
     this->Callbacks().on_end({.error = TransferError::kConnectFailure});
@@ -317,6 +336,40 @@
   }
 
  private:
+  // Answers an attempt with a refusal with this status line. Returns what was believed of it; empty
+  // if the attempt ended as one whose response is unusable.
+  std::string BelievedOf(HttpClient& http_client, const std::string& status_line) {
+    asio::io_context context;
+    RawServer server(context);
+    std::atomic<bool> has_header = false;
+    std::promise<AttemptEnd> ended;
+    const auto attempt = std::make_shared<AttemptTransfer>(
+        this->exchange,
+        TargetAttempt{.attempt_id = AttemptId{7}, .remaining = std::chrono::seconds(20)},
+        this->dialect,
+        AttemptTransfer::Callbacks{[&](const AttemptHeader&) { has_header = true; },
+                                   [&](const AttemptEnd& last) { ended.set_value(last); }});
+    attempt->Start(http_client, server.address());
+    RawConnection connection = server.Accept();
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send(status_line +
+                    "\r\nTarget-Outcome: not-run\r\nTarget-State: draining\r\n"
+                    "Pimentopin-Attempt-Id: 0000000000000007\r\nContent-Length: 2\r\n\r\nok");
+    const AttemptEnd last = ended.get_future().get();
+    std::string believed;
+    if (has_header) {
+      believed += " header";
+    }
+    if (attempt->status_code() != 0 || attempt->TakeStoredResponse().body != "") {
+      believed += " response " + std::to_string(attempt->status_code());
+    }
+    if (last.result != AttemptResult::kWrongAnswer || !last.may_have_been_sent ||
+        last.target_draining) {
+      believed += " end";
+    }
+    return believed.empty() ? "" : "\n" + status_line + ":" + believed;
+  }
+
   void StartTransfer() { this->StartTransfer(this->dialect); }
   void StartTransfer(const HttpDialect& transfer_dialect) {
     this->header.reset();
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -9,6 +9,9 @@
 #include <fstream>
 #include <future>
 #include <list>
+#include <optional>
+#include <utility>
+#include <vector>
 
 #include "Libraries/LibHttp/http_server.h"
 #include "Tests/LibHttp/http_test_support.h"
@@ -49,6 +52,8 @@
   CPPUNIT_TEST(TestEarlyResponseIsFollowedByTheRestOfTheRequest);
   CPPUNIT_TEST(TestEarlyRefusalEndsTheConnection);
   CPPUNIT_TEST(TestMalformedResponse);
+  CPPUNIT_TEST(TestMalformedStatusIsPassedOn);
+  CPPUNIT_TEST(TestStatusOfHttpIsMalformed);
   CPPUNIT_TEST(TestEndlessHeaderFieldsAreMalformed);
   CPPUNIT_TEST(TestEndlessHeaderLineIsMalformed);
   CPPUNIT_TEST(TestEndlessInterimResponsesAreMalformed);
@@ -360,6 +365,72 @@
     this->CheckError(this->Exchange("SSH-2.0-test\r\n\r\n", true), TransferError::kMalformed, true);
   }
 
+  // Guards against passing on a response whose status HTTP does not define, and against using its
+  // connection again.
+  void TestMalformedStatusIsPassedOn() {
+    const std::vector<std::string> status_lines{"HTTP/1.1 000 Unknown",
+                                                "HTTP/1.1 099 Unknown",
+                                                "HTTP/1.1 20 OK",
+                                                "HTTP/1.1 2000 OK",
+                                                "HTTP/1.1 -200 OK",
+                                                "HTTP/1.1 +200 OK",
+                                                "HTTP/1.1 0200 OK",
+                                                "HTTP/1.1 0x200 OK",
+                                                "HTTP/1.1 200x OK",
+                                                "HTTP/1.1 20O OK",
+                                                "HTTP/1.1 200.0 OK",
+                                                "HTTP/1.1 200, OK",
+                                                "HTTP/1.1  200 OK",
+                                                "HTTP/1.1 2 00 OK",
+                                                "HTTP/1.1 abc OK",
+                                                "HTTP/1.1 OK",
+                                                "HTTP/1.1 ",
+                                                "HTTP/1.1",
+                                                "HTTP 200 OK",
+                                                "HTTP/1.1 101 Switch",
+                                                "HTTP/1.1 600 Unknown",
+                                                "HTTP/1.1 999 Unknown",
+                                                "HTTP/1.1 1000 OK",
+                                                "HTTP/1.1 65736 OK",
+                                                "HTTP/1.1 4294967496 OK"};
+    std::string failures;
+    for (const std::string& status_line : status_lines) {
+      for (const std::string body :
+           {"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "\r\nok"}) {
+        for (const std::string before :
+             {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}) {
+          const std::string response = before + status_line + "\r\n" + body;
+          for (const int good_responses : {0, 2}) {
+            const std::string failure = this->BelievedOf(response, good_responses);
+            if (!failure.empty()) {
+              failures += "\n" + std::to_string(good_responses) + " good responses, then " +
+                          response.substr(0, response.find("\r\n\r\nok")) + ": " + failure;
+            }
+          }
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+
+  // Guards against refusing statuses that HTTP defines, with or without a reason.
+  void TestStatusOfHttpIsMalformed() {
+    for (const auto& [status_line, status] :
+         std::vector<std::pair<std::string, int>>{{"HTTP/1.1 200 OK", 200},
+                                                  {"HTTP/1.1 200 ", 200},
+                                                  {"HTTP/1.1 200", 200},
+                                                  {"HTTP/1.0 299 0", 299},
+                                                  {"HTTP/1.1 418 I'm a teapot", 418},
+                                                  {"HTTP/1.1 599 Unknown", 599}}) {
+      TransferRecorder& record = this->Exchange(
+          "HTTP/1.1 199 Unknown\r\n\r\n" + status_line + "\r\nContent-Length: 2\r\n\r\nok", true);
+      this->CheckError(record, TransferError::kNone, true);
+      CPPUNIT_ASSERT_EQUAL(status, record.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("ok"), record.body);
+    }
+  }
+
   // This test and the next three guard against reading a head without end until the timeout, and
   // against reporting the connection that the client closes as a crash of the peer.
   void TestEndlessHeaderFieldsAreMalformed() {
@@ -953,6 +1024,55 @@
     return record;
   }
 
+  // Answers the last of several requests on one connection with a malformed response. Returns what
+  // the client believed of it; empty if it reported the response as malformed and closed the
+  // connection.
+  std::string BelievedOf(const std::string& response, int good_responses) {
+    RawServer server(this->context);
+    std::optional<RawConnection> connection;
+    TransferRecorder* record = nullptr;
+    for (int count = 0; count <= good_responses; ++count) {
+      record = &this->Start({.method = "GET",
+                             .url = server.url("/"),
+                             .timeout = kLongTimeout,
+                             .accept_close_delimited_body = true});
+      if (!connection) {
+        connection.emplace(server.Accept());
+      }
+      CPPUNIT_ASSERT(!connection->ReadUntil("\r\n\r\n").empty());
+      connection->Send(count < good_responses ? kSmallResponse : response);
+      if (count < good_responses) {
+        CPPUNIT_ASSERT(record->Wait());
+        this->CheckError(*record, TransferError::kNone, true);
+      }
+    }
+    const bool has_length = response.find("Content-Length") != std::string::npos ||
+                            response.find("chunked") != std::string::npos;
+    if (!has_length) {
+      connection->ShutdownSend();
+    }
+    CPPUNIT_ASSERT(record->Wait());
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(good_responses),
+                         record->connection->earlier_requests);
+    CPPUNIT_ASSERT(record->result.may_have_been_sent);
+    std::string believed;
+    if (record->on_headers_calls > 0) {
+      believed += "status " + std::to_string(record->status) + ", ";
+    }
+    if (!record->body.empty()) {
+      believed += "body " + record->body + ", ";
+    }
+    if (record->result.error != TransferError::kMalformed) {
+      believed += "error " + std::to_string(static_cast<int>(record->result.error)) + ", ";
+    }
+    TransferRecorder& next = this->Get(server.url("/next"));
+    CPPUNIT_ASSERT(Eventually([&] { return next.has_connection(); }));
+    if (next.connection->earlier_requests > 0) {
+      believed += "the connection is used again";
+    }
+    return believed;
+  }
+
   // Responds with `start` and then with `repeated` until the client closes the connection.
   TransferRecorder& ExchangeWithoutEnd(const std::string& start, const std::string& repeated) {
     RawServer server(this->context);
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(TestSlowWriteIsUnknownOutcomeAfterTimeout);
   CPPUNIT_TEST(TestSilentTableIsUnknownOutcomeAfterTimeout);
   CPPUNIT_TEST(TestMalformedWriteResponsesAreUnknownOutcome);
+  CPPUNIT_TEST(TestMalformedStatusIsAnAnswerOfTheStore);
   CPPUNIT_TEST(TestErrorAfterAppliedTransactionIsUnknownOutcome);
   CPPUNIT_TEST(TestErrorAfterRefusedTransactionMeansNotApplied);
   CPPUNIT_TEST(TestConflictOfRowsWithEqualKeysInTwoTables);
@@ -204,6 +205,43 @@
     }
   }
 
+  // Guards against taking a response whose status HTTP does not define for one of the store, which
+  // would confirm a write, state that a row does not exist or that nothing was done.
+  void TestMalformedStatusIsAnAnswerOfTheStore() {
+    std::string believed;
+    for (const std::string status :
+         {"000 Unknown", "099 Unknown", "20 OK", "2000 OK", "4290 Busy", "-200 OK", "+200 OK",
+          "0200 OK", "0412 Failed", "200x OK", "404x Missing", "abc", "OK", "", "101 Switch",
+          "600 Unknown", "999 Unknown"}) {
+      const std::string response =
+          "HTTP/1.1 " + status + "\r\nContent-Length: 22\r\n\r\n" + R"({"rows": [], "ver": 7})";
+      this->CallWithResponse(response, [&] {
+        const auto written = this->Write({{"t/key", 0, "x"}});
+        if (written.value || written.error.code != ErrorCode::kUnknownOutcome) {
+          believed += "\nwrite, " + status + ": " + written.error.message;
+        }
+      });
+      this->CallWithResponse(response, [&] {
+        const auto read = this->Read("t/key");
+        if (read.value || read.error.code != ErrorCode::kUnreachable) {
+          believed += "\nread, " + status + ": " + read.error.message;
+        }
+      });
+      this->CallWithResponse(response, [&] {
+        const auto object = this->Get("object");
+        if (object.value || object.error.code != ErrorCode::kUnreachable) {
+          believed += "\nobject, " + status + ": " + object.error.message;
+        }
+      });
+      this->CallWithResponse(response, [&] {
+        if (this->Put("object", "x").value) {
+          believed += "\nput, " + status;
+        }
+      });
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), believed);
+  }
+
   // Guards against reporting a call of several transactions as not applied after the first one took
   // effect.
   void TestErrorAfterAppliedTransactionIsUnknownOutcome() {
@@ -374,6 +412,20 @@
     });
   }
 
+  // Runs a function that makes one call, to a server that answers with these bytes.
+  void CallWithResponse(const std::string& response, const std::function<void()>& call) {
+    asio::io_context context;
+    RawServer other(context);
+    std::thread thread([&] {
+      RawConnection connection = other.Accept();
+      connection.ReadUntil("\r\n\r\n");
+      connection.Send(response);
+    });
+    this->CreateStore("http://" + other.address());
+    call();
+    thread.join();
+  }
+
   // Creates rows 0 to `count` - 1 of the table. A transaction holds 50 writes.
   static std::vector<ConditionalWrite> MakeWrites(const std::string& table, int count) {
     std::vector<ConditionalWrite> writes;
