LibHttp: Treat a second status line in one header section as malformed

What callers saw: 200 with the body of the target where its status line said 500, if a line such as "HTTP/1.1 200 OK: x" stood among the header fields; 200 with an empty body where it said 204.

Cause: ResponseHeaderParser began a new response at each line that starts with HTTP/. libcurl takes such a line for a header field, and frames the body as the first status line says. It refuses only those without a colon.

Fix: a status line before the end of the header section makes the response malformed. An interim response ends its section.

Evidence: TestSecondStatusLineReplacesTheFirst before: 8 of 12 heads passed on as 200, all that have a colon in the second line; after: none.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -122,6 +122,12 @@
       line.remove_suffix(1);
     }
     if (line.starts_with("HTTP/")) {
+      if (std::exchange(this->is_in_section, true)) {
+        // libcurl takes it for a header field and goes by the first status line.
+        this->status_code = 0;
+        this->has_ended = true;
+        return false;
+      }
       this->header_fields.clear();
       // Stricter than libcurl, which passes on any three digits and what follows them.
       this->status_code = ParseStatus(line);
@@ -130,6 +136,7 @@
     }
     if (line.empty()) {
       this->has_ended = true;
+      this->is_in_section = false;
       this->is_complete = this->status_code >= 200;
       return this->is_complete;
     }
@@ -161,6 +168,8 @@
  private:
   HttpHeaders header_fields;
   int status_code = 0;
+  // A status line was received, and the header section that it begins has not ended.
+  bool is_in_section = false;
   bool has_ended = false;
   bool is_complete = false;
 };
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(TestMalformedResponse);
   CPPUNIT_TEST(TestMalformedStatusIsPassedOn);
   CPPUNIT_TEST(TestStatusOfHttpIsMalformed);
+  CPPUNIT_TEST(TestSecondStatusLineReplacesTheFirst);
   CPPUNIT_TEST(TestEndlessHeaderFieldsAreMalformed);
   CPPUNIT_TEST(TestEndlessHeaderLineIsMalformed);
   CPPUNIT_TEST(TestEndlessInterimResponsesAreMalformed);
@@ -431,6 +432,25 @@
     }
   }
 
+  // Guards against a status line among the header fields: libcurl reads the body that the first one
+  // implies, and the second one would be passed on.
+  void TestSecondStatusLineReplacesTheFirst() {
+    std::string failures;
+    for (const std::string first : {"HTTP/1.1 204 No Content", "HTTP/1.1 500 Error"}) {
+      for (const std::string second : {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK: x", "HTTP/2: 200"}) {
+        for (const std::string between : {"", "X-Field: value\r\n"}) {
+          const std::string response = first + "\r\n" + between + second;
+          const std::string failure =
+              this->BelievedOf(response + "\r\nContent-Length: 2\r\n\r\nok", 0);
+          if (!failure.empty()) {
+            failures += "\n" + response + ": " + failure;
+          }
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+
   // This test and the next three guard against reading a head without end until the timeout, and
   // against reporting the connection that the client closes as a crash of the peer.
   void TestEndlessHeaderFieldsAreMalformed() {
