LibIdempotency: Report stored responses whose status is none of a final response

What callers would see: the row of a key with status 0, 99, 101, 600, -200, 200.7, true or was replayed, with that number or with what was left of it (200 for the latter).

Cause: ReadStoredResponse converted any number or boolean to int.

Fix: the status must be a whole number from 200 to 599. ParseClaimRow reports its reasons as findings with their place, and the host logs claim_row_invalid with the key and these. As for other rows in an unknown format, the caller gets 409 in-progress-or-lost, and nothing runs.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -209,7 +209,14 @@
   this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
   this->claims = std::make_unique<ClaimStore>(
       *this->store, [this](TimePoint when) { this->claims_alarm->Set(when); },
-      [this](const ClaimKey& key, AttemptId attempt) { this->OnClaimLost(key, attempt); });
+      [this](const ClaimKey& key, AttemptId attempt) { this->OnClaimLost(key, attempt); },
+      [](const ClaimKey& key, const Findings& findings) {
+        Log(LogLevel::kError, "claim_row_invalid",
+            {{"service", key.service},
+             {"organisation", key.organisation},
+             {"key", key.key},
+             {"findings", findings.ToText()}});
+      });
 }
 
 bool HostProcess::CreatePeers(Error& error) {
--- a/Libraries/LibIdempotency/claim_row.cc
+++ b/Libraries/LibIdempotency/claim_row.cc
@@ -46,9 +46,15 @@
   return bytes;
 }
 
-StoredResponse ReadStoredResponse(const json& value) {
+StoredResponse ReadStoredResponse(const json& value, Findings& findings) {
   StoredResponse response;
-  response.status = value.at("status").get<int>();
+  const json& status = value.at("status");
+  // A conversion would round, and truncate numbers that do not fit.
+  if (status.is_number_unsigned() && status >= 200U && status <= 599U) {
+    response.status = status.get<int>();
+  } else {
+    findings.Add("/outcome/status", "must be a whole number from 200 to 599");
+  }
   for (const json& header : value.at("headers")) {
     response.headers.push_back(
         {FromUtf8(header.at(0).get<std::string>()), FromUtf8(header.at(1).get<std::string>())});
@@ -90,6 +96,11 @@
 }
 
 std::optional<ClaimRow> ParseClaimRow(const std::string& text) {
+  Findings findings;
+  return ParseClaimRow(text, findings);
+}
+
+std::optional<ClaimRow> ParseClaimRow(const std::string& text, Findings& findings) {
   try {
     const json value = json::parse(text);
     ClaimRow row;
@@ -98,14 +109,15 @@
     const auto state = value.at("state").get<std::string>();
     if (state == kDone) {
       row.state = ClaimState::kDone;
-      row.response = ReadStoredResponse(value.at("outcome"));
+      row.response = ReadStoredResponse(value.at("outcome"), findings);
     } else if (state == kReleased) {
       row.state = ClaimState::kReleased;
     } else if (state != kClaimed) {
-      return std::nullopt;
+      findings.Add("/state", "must be claimed, released or done");
     }
-    return row;
+    return findings.empty() ? std::optional(std::move(row)) : std::nullopt;
   } catch (const json::exception&) {
+    findings.Add("", "must be a JSON object with the fields of a claim");
     return std::nullopt;
   }
 }
--- a/Libraries/LibIdempotency/claim_row.h
+++ b/Libraries/LibIdempotency/claim_row.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "Libraries/LibCore/findings.h"
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibIdempotency/claim_store.h"
 
@@ -22,7 +23,8 @@
 };
 
 std::string FormatClaimRow(const ClaimRow& row);
-// Returns std::nullopt if the text is not a valid claim row.
+// Returns std::nullopt, with the reasons in `findings`, if the text is not a valid claim row.
+std::optional<ClaimRow> ParseClaimRow(const std::string& text, Findings& findings);
 std::optional<ClaimRow> ParseClaimRow(const std::string& text);
 
 }  // namespace pimentopin
--- a/Libraries/LibIdempotency/claim_store.cc
+++ b/Libraries/LibIdempotency/claim_store.cc
@@ -22,10 +22,12 @@
 
 ClaimStore::ClaimStore(TableStore& store,
                        TickScheduler tick_scheduler,
-                       ClaimLossHandler claim_loss_handler)
+                       ClaimLossHandler claim_loss_handler,
+                       InvalidRowHandler invalid_row_handler)
     : table(store),
       schedule_tick(std::move(tick_scheduler)),
       on_claim_lost(std::move(claim_loss_handler)),
+      on_invalid_row(std::move(invalid_row_handler)),
       alive(std::make_shared<ClaimStore*>(this)) {}
 
 void ClaimStore::Claim(TimePoint now,
@@ -274,7 +276,8 @@
     this->StartStep(entry, Phase::kClaiming, Step::kWrite, this->last_call_at);
     return;
   }
-  const auto stored_row = ParseClaimRow(row.value);
+  Findings findings;
+  const auto stored_row = ParseClaimRow(row.value, findings);
   if (stored_row && stored_row->state == ClaimState::kReleased) {
     entry.expected_version = row.version;
     this->StartStep(entry, Phase::kClaiming, Step::kWrite, this->last_call_at);
@@ -287,6 +290,7 @@
   }
   if (!stored_row) {
     // A row in an unknown format never permits a run.
+    this->on_invalid_row(entry.key, findings);
     this->ReportDecision(attempt, {ClaimDecision::kInProgressOrLost, std::nullopt});
   } else if (stored_row->fingerprint != entry.fingerprint) {
     this->ReportDecision(attempt, {ClaimDecision::kKeyReused, std::nullopt});
--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "Libraries/LibCore/findings.h"
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibHttp/http_message.h"
@@ -88,7 +89,13 @@
   // The table has then lost or replaced the claim.
   using ClaimLossHandler = std::function<void(const ClaimKey& key, AttemptId attempt)>;
 
-  ClaimStore(TableStore& table, TickScheduler schedule_tick, ClaimLossHandler on_claim_lost);
+  // Called when the row of a claimed key is not a valid one. The claim ends with kInProgressOrLost.
+  using InvalidRowHandler = std::function<void(const ClaimKey& key, const Findings& findings)>;
+
+  ClaimStore(TableStore& table,
+             TickScheduler schedule_tick,
+             ClaimLossHandler on_claim_lost,
+             InvalidRowHandler on_invalid_row);
 
   // Claims the key and calls `callback` once. After kRun, the claim must be ended with
   // Complete, Release or Abandon. `attempt` must be unique over the fleet. A claim without a known
@@ -159,6 +166,7 @@
   TableStore& table;
   const TickScheduler schedule_tick;
   const ClaimLossHandler on_claim_lost;
+  const InvalidRowHandler on_invalid_row;
   std::map<AttemptId, Entry> entries;
   TimePoint common_limit = TimePoint::max();
   Duration max_retry_delay = kMaxRetryDelay;
