LibOperator: Treat responses whose status HTTP does not define as malformed

What pimentopinctl believed (unit test): 600 and 999 as statuses of a host, "200x" as 200, and 101 with the bytes that follow as a body. After a 101, by review, pimentopinctl did not ask the next host for what it reads.

Cause: CurlAdminClient has a libcurl handle of its own and believed its status.

Fix: the last status line must have a status that ParseStatus accepts, that ends a response and that is the one of libcurl. Otherwise the outcome is unknown.

--- a/Libraries/LibOperator/curl_admin_client.cc
+++ b/Libraries/LibOperator/curl_admin_client.cc
@@ -3,6 +3,9 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <string_view>
+
+#include "Libraries/LibHttp/response_head.h"
 
 namespace pimentopin {
 namespace {
@@ -20,6 +23,8 @@
 struct Transfer {
   std::size_t max_body_bytes = 0;
   std::string body;
+  // Status of the last status line.
+  int status = 0;
   bool may_have_been_sent = false;
 };
 
@@ -32,6 +37,14 @@
   return size * count;
 }
 
+std::size_t ReadHeaderLine(char* bytes, std::size_t size, std::size_t count, void* context) {
+  const std::string_view line(bytes, size * count);
+  if (line.starts_with("HTTP/")) {
+    static_cast<Transfer*>(context)->status = ParseStatus(line);
+  }
+  return line.size();
+}
+
 // Called once the connection is established, before the first byte is sent.
 int OnPreRequest(void* context, char* /*ip*/, char* /*local_ip*/, int /*port*/, int /*local*/) {
   static_cast<Transfer*>(context)->may_have_been_sent = true;
@@ -66,6 +79,8 @@
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &ReadHeaderLine);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnPreRequest);
   curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
   if (request.method == "POST") {
@@ -103,7 +118,12 @@
   }
   long status = 0;
   curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
-  return AdminResponse{.status = static_cast<int>(status), .body = std::move(transfer.body)};
+  // libcurl accepts any three digits and what follows them, and reports 101 as a final response.
+  if (transfer.status < 200 || transfer.status != status) {
+    error = {ErrorCode::kUnknownOutcome, host + ": malformed response"};
+    return std::nullopt;
+  }
+  return AdminResponse{.status = transfer.status, .body = std::move(transfer.body)};
 }
 
 }  // namespace pimentopin
--- a/Tests/LibOperator/curl_admin_client_test.cc
+++ b/Tests/LibOperator/curl_admin_client_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(TestLostResponseIsUnknown);
   CPPUNIT_TEST(TestTruncatedResponseIsUnknown);
   CPPUNIT_TEST(TestOversizedResponseIsRejected);
+  CPPUNIT_TEST(TestMalformedStatusIsBelieved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -111,6 +112,29 @@
                          std::string(5000, 'x'));
   }
 
+  // Guards against taking a response whose status HTTP does not define for that of a host.
+  void TestMalformedStatusIsBelieved() {
+    std::string believed;
+    for (const std::string status :
+         {"000 Unknown", "099 Unknown", "20 OK", "2000 OK", "-200 OK", "+200 OK", "0200 OK",
+          "200x OK", "abc", "OK", "", "101 Switch", "600 Unknown", "999 Unknown",
+          "500 Error\r\nHTTP/1.1 200 OK: x"}) {
+      for (const std::string body :
+           {"Content-Length: 2\r\n\r\n{}", "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+            "\r\n{}"}) {
+        for (const std::string before : {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}) {
+          const auto response = SendToServer(before + "HTTP/1.1 " + status + "\r\n" + body,
+                                             {.method = "GET", .path = "/"}, nullptr);
+          if (response) {
+            believed += "\n" + before.substr(0, before.find("\r")) + " " + status + ", " +
+                        body.substr(0, body.find("\r")) + ": " + std::to_string(response->status);
+          }
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), believed);
+  }
+
  private:
   static std::optional<AdminResponse> SendToServer(const std::string& response_text,
                                                    const AdminRequest& request,
