--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -14,7 +14,6 @@
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
-#include <charconv>
 #include <map>
 #include <mutex>
 #include <string_view>
@@ -26,6 +25,7 @@
 #include <vector>
 
 #include "Libraries/LibHttp/carried_requests.h"
+#include "Libraries/LibHttp/response_head.h"
 
 namespace pimentopin {
 namespace {
@@ -122,17 +122,21 @@
       line.remove_suffix(1);
     }
     if (line.starts_with("HTTP/")) {
+      if (std::exchange(this->is_in_section, true)) {
+        // libcurl takes it for a header field and goes by the first status line.
+        this->status_code = 0;
+        this->has_ended = true;
+        return false;
+      }
       this->header_fields.clear();
-      this->status_code = 0;
+      // Stricter than libcurl, which passes on any three digits and what follows them.
+      this->status_code = ParseStatus(line);
       this->has_ended = false;
-      const std::size_t space = line.find(' ');
-      if (space != std::string_view::npos) {
-        std::from_chars(line.data() + space + 1, line.data() + line.size(), this->status_code);
-      }
       return false;
     }
     if (line.empty()) {
       this->has_ended = true;
+      this->is_in_section = false;
       this->is_complete = this->status_code >= 200;
       return this->is_complete;
     }
@@ -164,6 +168,8 @@
  private:
   HttpHeaders header_fields;
   int status_code = 0;
+  // A status line was received, and the header section that it begins has not ended.
+  bool is_in_section = false;
   bool has_ended = false;
   bool is_complete = false;
 };
@@ -380,7 +386,9 @@
     this->active_transfers.insert(transfer);
     this->LimitKeptConnections(*transfer);
     if (transfer->request.echoed_id && transfer->request.echoed_id->empty()) {
+      // Kept connections would add up, as the next such request does not take one.
       curl_easy_setopt(transfer->easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(transfer->easy.get(), CURLOPT_FORBID_REUSE, 1L);
     }
     transfer->timer = std::make_unique<asio::steady_timer>(this->context);
     this->EndAt(transfer, transfer->start + transfer->request.timeout,
