--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -11,7 +11,8 @@
 class Run:
     """Work on a request at a target."""
 
-    def __init__(self, service):
+    def __init__(self, target, service):
+        self.target = target
         self.service = service
         self.started_at = time.monotonic()
         # Empty while the target works.
@@ -117,20 +118,21 @@
             writer.close()
 
     async def answer(self, head, _, reader, writer):
-        request = self.soak.requests.get(head[1].get("x-pimentopin-attempt-id"))
+        request_id = head[1].get("x-pimentopin-attempt-id", "")
+        request = self.soak.requests.get(request_id)
         if request is None or head[1].get("x-pimentopin-expect-instance", self.name) != self.name:
-            await respond(writer, 421, {"X-Pimentopin-Not-Executed": "1"}, b"")
+            await refuse(writer, 421, request_id)
             return True
         fault = self.draw_fault()
         if fault == "shed" or self.waiting >= self.soak.deployment.queue:
-            await respond(writer, 503, {"X-Pimentopin-Not-Executed": "1"}, b"")
+            await refuse(writer, 503, request_id)
             return True
         self.waiting += 1
         try:
             await self.slots.acquire()
         finally:
             self.waiting -= 1
-        run = Run(self.service)
+        run = Run(self.name, self.service)
         request.runs.append(run)
         try:
             work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
@@ -196,6 +198,11 @@
         headers[name.strip().lower()] = value.strip()
 
 
+async def refuse(writer, status, request_id):
+    headers = {"X-Pimentopin-Attempt-Id": request_id} if request_id else {}
+    await respond(writer, status, {**headers, "X-Pimentopin-Not-Executed": "1"}, b"")
+
+
 async def respond(writer, status, headers, body):
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     writer.write(f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
