Meta: Let targets of the soak write late copies of refusals

Targets of the soak answered each request once at most. With `--copies SHARE` each refuses that share of its requests (503, not executed, connection kept), and writes each refusal, also those by 421 and of full queues, once more up to 8 ms (drawn) after the next request on that connection has arrived. It runs that request and answers it after the copy.

A request at whose response a host finds the copy of another refusal ends with an error of the host while the target works.

--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -6,6 +6,8 @@
 
 # Time for which an entry of a target stays in state draining before it is removed.
 DRAINING_S = 3.0
+# A copy of a refusal follows the next request on its connection after at most this time.
+MAX_COPY_DELAY_S = 0.008
 
 
 class Run:
@@ -19,6 +21,8 @@
         self.ended_at = None
         # True if the target was not allowed to finish.
         self.is_cancelled = False
+        # True if a copy of a refusal was written where the response was due.
+        self.is_behind_copy = False
 
     def is_unfinished_at(self, moment):
         return self.ended_at is None or self.ended_at >= moment
@@ -58,6 +62,16 @@
         self.host.unanswered.discard(self)
 
 
+class Connection:
+    """Connection to a target."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        # Refusal of the last request, if a copy of it follows.
+        self.copy = None
+
+
 class Target:
     """Back end that speaks the platform's headers."""
 
@@ -102,13 +116,14 @@
             ("", "errors", "slow"), (1 - noise.errors - noise.slow, noise.errors, noise.slow))[0]
 
     async def serve(self, reader, writer):
+        connection = Connection(reader, writer)
         try:
             while True:
                 head = await read_head(reader)
                 if head is None:
                     break
                 body = await reader.readexactly(int(head[1].get("content-length", "0")))
-                if not await self.answer(head, body, reader, writer):
+                if not await self.answer(head, body, connection):
                     break
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -117,15 +132,19 @@
         finally:
             writer.close()
 
-    async def answer(self, head, _, reader, writer):
+    async def answer(self, head, _, connection):
+        reader, writer = connection.reader, connection.writer
+        is_behind_copy = await self.write_copy(connection)
         request_id = head[1].get("x-pimentopin-attempt-id", "")
         request = self.soak.requests.get(request_id)
         if request is None or head[1].get("x-pimentopin-expect-instance", self.name) != self.name:
-            await refuse(writer, 421, request_id)
+            await self.refuse(connection, 421, request_id)
             return True
         fault = self.draw_fault()
-        if fault == "shed" or self.waiting >= self.soak.deployment.queue:
-            await refuse(writer, 503, request_id)
+        # The copy belongs where the response to a request is due that runs.
+        is_refused = not is_behind_copy and self.rng.random() < self.soak.options.copies
+        if is_refused or fault == "shed" or self.waiting >= self.soak.deployment.queue:
+            await self.refuse(connection, 503, request_id)
             return True
         self.waiting += 1
         try:
@@ -133,6 +152,7 @@
         finally:
             self.waiting -= 1
         run = Run(self.name, self.service)
+        run.is_behind_copy = is_behind_copy
         request.runs.append(run)
         try:
             work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
@@ -175,6 +195,23 @@
         await respond(writer, 500 if failed else 200, headers, b"x" * size)
         return not closes
 
+    async def refuse(self, connection, status, request_id):
+        headers = {"X-Pimentopin-Attempt-Id": request_id} if request_id else {}
+        refusal = status, {**headers, "X-Pimentopin-Not-Executed": "1"}, b""
+        if self.soak.options.copies > 0:
+            connection.copy = refusal
+        await respond(connection.writer, *refusal)
+
+    async def write_copy(self, connection):
+        """Writes the refusal of the request before once more; true if there is one."""
+        if connection.copy is None:
+            return False
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_COPY_DELAY_S))
+        copy, connection.copy = connection.copy, None
+        await respond(connection.writer, *copy)
+        self.soak.counts[f"copies of {copy[0]}"] += 1
+        return True
+
     def draw_fault(self):
         """Draws which of the faults in force the next request meets."""
         return next((fault for fault, share in self.faults if self.rng.random() < share), "")
@@ -198,11 +235,6 @@
         headers[name.strip().lower()] = value.strip()
 
 
-async def refuse(writer, status, request_id):
-    headers = {"X-Pimentopin-Attempt-Id": request_id} if request_id else {}
-    await respond(writer, status, {**headers, "X-Pimentopin-Not-Executed": "1"}, b"")
-
-
 async def respond(writer, status, headers, body):
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     writer.write(f"HTTP/1.1 {status} X\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
