Meta: Restart targets of the soak in place

A target of the soak kept its name and start time for good, so that no address had two target ids.

The entry of the earlier name is removed 0.2 to 3 s after that. A restart that closes connections ends the runs before it, as the host can see the end of the connection before the target's own task does.

--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -8,6 +8,11 @@
 DRAINING_S = 3.0
 # A copy of a refusal follows the next request on its connection after at most this time.
 MAX_COPY_DELAY_S = 0.008
+FIRST_BORN_MS = 1700000000000
+# The entry of a target that has started again is written up to this time later.
+MAX_ENTRY_DELAY_S = 1.0
+# Time for which the entry of its earlier name stays.
+LAPSE_S = (0.2, 3.0)
 
 
 class Run:
@@ -24,6 +29,10 @@
         # True if a copy of a refusal was written where the response was due.
         self.is_behind_copy = False
 
+    def end(self):
+        if self.ended_at is None:
+            self.ended_at = time.monotonic()
+
     def is_unfinished_at(self, moment):
         return self.ended_at is None or self.ended_at >= moment
 
@@ -70,12 +79,24 @@
         self.writer = writer
         # Refusal of the last request, if a copy of it follows.
         self.copy = None
+        # Work on the request in progress.
+        self.run = None
+        # True if the target has closed it to start again.
+        self.is_broken = False
+
+    def break_off(self):
+        """Ends the work and the connection."""
+        self.is_broken = True
+        if self.run is not None:
+            self.run.end()
+        self.writer.transport.abort()
 
 
 class Target:
     """Back end that speaks the platform's headers."""
 
     def __init__(self, name, service, zone, soak, rng):
+        self.first_name = name
         self.name = name
         self.service = service
         self.zone = zone
@@ -85,6 +106,13 @@
         self.waiting = 0
         self.address = None
         self.entries_written = 0
+        # Entries reach the platform in their order.
+        self.entry_lock = asyncio.Lock()
+        # How often a process has started at the address.
+        self.starts = 1
+        self.first_started_at = time.monotonic()
+        self.born_ms = FIRST_BORN_MS
+        self.connections = set()
         # Faults in force: a factor on its work, and what it does to which share of its requests.
         self.work_factor = 1.0
         self.faults = []
@@ -95,19 +123,50 @@
 
     async def register(self, state):
         """Writes the target's entry; removes it if `state` is None."""
-        self.entries_written += 1
-        entry = None if state is None else {
-            "service": self.service, "zone": self.zone, "version": "v1",
-            "slots": self.soak.deployment.slots, "state": state, "addr": self.address,
-            "cold-remaining-s": 0, "seq": self.entries_written, "born": 1700000000000,
-        }
-        await asyncio.to_thread(self.soak.fleet.write_row, "servers", self.name, entry)
+        async with self.entry_lock:
+            self.entries_written += 1
+            entry = None if state is None else {
+                "service": self.service, "zone": self.zone, "version": "v1",
+                "slots": self.soak.deployment.slots, "state": state, "addr": self.address,
+                "cold-remaining-s": 0, "seq": self.entries_written, "born": self.born_ms,
+            }
+            await asyncio.to_thread(self.soak.fleet.write_row, "servers", self.name, entry)
 
     async def leave(self):
         await self.register("draining")
         await asyncio.sleep(DRAINING_S)
         await self.register(None)
 
+    async def restart(self):
+        """Starts again at the same address, with another name or only a later start time.
+
+        Half of the restarts keep the connections, so that a host meets both on one connection. The
+        entry of the earlier name lapses a while later.
+        """
+        earlier = self.name
+        has_other_name = self.rng.random() < 0.5
+        is_closing = self.rng.random() < 0.5
+        entry_delay_s = self.rng.choice((0.0, self.rng.uniform(0.0, MAX_ENTRY_DELAY_S)))
+        lapse_s = self.rng.uniform(*LAPSE_S)
+        self.soak.counts["restarts with another name" if has_other_name
+                         else "restarts with the same name"] += 1
+        self.starts += 1
+        self.entries_written = 0
+        since_first_ms = int(1000 * (time.monotonic() - self.first_started_at))
+        self.born_ms = max(self.born_ms + 1, FIRST_BORN_MS + since_first_ms)
+        if has_other_name:
+            self.name = f"{self.first_name}-{self.starts}"
+        if is_closing:
+            self.soak.counts["restarts that close connections"] += 1
+            for connection in self.connections:
+                connection.break_off()
+        await asyncio.sleep(entry_delay_s)
+        if self not in self.soak.departures:
+            await self.register("ready")
+        if has_other_name:
+            await asyncio.sleep(lapse_s)
+            await asyncio.to_thread(self.soak.fleet.write_row, "servers", earlier, None)
+
     def trouble(self):
         """What is wrong with the target now by itself; changes after each period of the noise."""
         noise = self.soak.deployment.noise
@@ -117,6 +176,7 @@
 
     async def serve(self, reader, writer):
         connection = Connection(reader, writer)
+        self.connections.add(connection)
         try:
             while True:
                 head = await read_head(reader)
@@ -130,6 +190,7 @@
         except asyncio.CancelledError:
             pass  # The soak is over.
         finally:
+            self.connections.discard(connection)
             writer.close()
 
     async def answer(self, head, _, connection):
@@ -151,8 +212,12 @@
             await self.slots.acquire()
         finally:
             self.waiting -= 1
+        if connection.is_broken:
+            self.slots.release()
+            return False
         run = Run(self.name, self.service)
         run.is_behind_copy = is_behind_copy
+        connection.run = run
         request.runs.append(run)
         try:
             work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
@@ -168,7 +233,7 @@
             gone = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({gone}, timeout=None if fault == "hang" else work_s)
             if done:
-                run.is_cancelled = True
+                run.is_cancelled = not connection.is_broken
                 return False
             gone.cancel()
             try:
@@ -176,7 +241,7 @@
             except asyncio.CancelledError:
                 pass
         finally:
-            run.ended_at = time.monotonic()
+            run.end()
             self.slots.release()
         if fault == "reset":
             writer.transport.abort()
