Meta: Set the attempts of the routes in the soak

The routes of the soak allow two attempts. A request whose refusal is a copy has used both, so that it is reported as not run but never sent a third time: TWICE could not fail.

--- a/Meta/soak_configuration.py
+++ b/Meta/soak_configuration.py
@@ -15,8 +15,9 @@
 
 
 class Configuration:
-    def __init__(self, deployment, fleet):
+    def __init__(self, deployment, max_attempts, fleet):
         self.kinds = deployment.kinds
+        self.max_attempts = max_attempts
         self.fleet = fleet
         self.services = {kind.name: (kind.service,) for kind in self.kinds}
         self.timeouts = {kind.name: kind.timeout_s for kind in self.kinds}
@@ -40,7 +41,8 @@
              "spec": {"host": HOST_NAME, "prefix": f"/{kind.name}/", "kind": kind.kind,
                       "timeout-s": self.timeouts[kind.name],
                       "target-latency-s": kind.timeout_s / 2,
-                      "priority": 1, "max-attempts": 2, **self.destination(kind)}}
+                      "priority": 1, "max-attempts": self.max_attempts,
+                      **self.destination(kind)}}
             for kind in self.kinds if self.services[kind.name]
         ]
         routes += [
--- a/Tests/Meta/soak_checks_test.py
+++ b/Tests/Meta/soak_checks_test.py
@@ -20,7 +20,7 @@
 
 class SoakChecksTest(unittest.TestCase):
     def setUp(self):
-        options = types.SimpleNamespace(seed=1, day="", slots=0)
+        options = types.SimpleNamespace(seed=1, day="", slots=0, attempts=2)
         self.soak = soak_module.Soak(options, soak_deployments.SMALL, None, None)
         self.addCleanup(shutil.rmtree, self.soak.fleet.directory)
 
