--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -6,18 +6,32 @@
 
 # Time for which an entry of a target stays in state draining before it is removed.
 DRAINING_S = 3.0
+# A copy of a refusal follows the next request on its connection after at most this time.
+MAX_COPY_DELAY_S = 0.008
+FIRST_BORN_MS = 1700000000000
+# The entry of a target that has started again is written up to this time later.
+MAX_ENTRY_DELAY_S = 1.0
+# Time for which the entry of its earlier name stays.
+LAPSE_S = (0.2, 3.0)
 
 
 class Run:
     """Work on a request at a target."""
 
-    def __init__(self, service):
+    def __init__(self, target, service):
+        self.target = target
         self.service = service
         self.started_at = time.monotonic()
         # Empty while the target works.
         self.ended_at = None
         # True if the target was not allowed to finish.
         self.is_cancelled = False
+        # True if a copy of a refusal was written where the response was due.
+        self.is_behind_copy = False
+
+    def end(self):
+        if self.ended_at is None:
+            self.ended_at = time.monotonic()
 
     def is_unfinished_at(self, moment):
         return self.ended_at is None or self.ended_at >= moment
@@ -57,10 +71,32 @@
         self.host.unanswered.discard(self)
 
 
+class Connection:
+    """Connection to a target."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+        # Refusal of the last request, if a copy of it follows.
+        self.copy = None
+        # Work on the request in progress.
+        self.run = None
+        # True if the target has closed it to start again.
+        self.is_broken = False
+
+    def break_off(self):
+        """Ends the work and the connection."""
+        self.is_broken = True
+        if self.run is not None:
+            self.run.end()
+        self.writer.transport.abort()
+
+
 class Target:
     """Back end that speaks the platform's headers."""
 
     def __init__(self, name, service, zone, soak, rng):
+        self.first_name = name
         self.name = name
         self.service = service
         self.zone = zone
@@ -70,6 +106,13 @@
         self.waiting = 0
         self.address = None
         self.entries_written = 0
+        # Entries reach the platform in their order.
+        self.entry_lock = asyncio.Lock()
+        # How often a process has started at the address.
+        self.starts = 1
+        self.first_started_at = time.monotonic()
+        self.born_ms = FIRST_BORN_MS
+        self.connections = set()
         # Faults in force: a factor on its work, and what it does to which share of its requests.
         self.work_factor = 1.0
         self.faults = []
@@ -80,19 +123,50 @@
 
     async def register(self, state):
         """Writes the target's entry; removes it if `state` is None."""
-        self.entries_written += 1
-        entry = None if state is None else {
-            "service": self.service, "zone": self.zone, "version": "v1",
-            "slots": self.soak.deployment.slots, "state": state, "addr": self.address,
-            "cold-remaining-s": 0, "seq": self.entries_written, "born": 1700000000000,
-        }
-        await asyncio.to_thread(self.soak.fleet.write_row, "servers", self.name, entry)
+        async with self.entry_lock:
+            self.entries_written += 1
+            entry = None if state is None else {
+                "service": self.service, "zone": self.zone, "version": "v1",
+                "slots": self.soak.deployment.slots, "state": state, "addr": self.address,
+                "cold-remaining-s": 0, "seq": self.entries_written, "born": self.born_ms,
+            }
+            await asyncio.to_thread(self.soak.fleet.write_row, "servers", self.name, entry)
 
     async def leave(self):
         await self.register("draining")
         await asyncio.sleep(DRAINING_S)
         await self.register(None)
 
+    async def restart(self):
+        """Starts again at the same address, with another name or only a later start time.
+
+        Half of the restarts keep the connections, so that a host meets both on one connection. The
+        entry of the earlier name lapses a while later.
+        """
+        earlier = self.name
+        has_other_name = self.rng.random() < 0.5
+        is_closing = self.rng.random() < 0.5
+        entry_delay_s = self.rng.choice((0.0, self.rng.uniform(0.0, MAX_ENTRY_DELAY_S)))
+        lapse_s = self.rng.uniform(*LAPSE_S)
+        self.soak.counts["restarts with another name" if has_other_name
+                         else "restarts with the same name"] += 1
+        self.starts += 1
+        self.entries_written = 0
+        since_first_ms = int(1000 * (time.monotonic() - self.first_started_at))
+        self.born_ms = max(self.born_ms + 1, FIRST_BORN_MS + since_first_ms)
+        if has_other_name:
+            self.name = f"{self.first_name}-{self.starts}"
+        if is_closing:
+            self.soak.counts["restarts that close connections"] += 1
+            for connection in self.connections:
+                connection.break_off()
+        await asyncio.sleep(entry_delay_s)
+        if self not in self.soak.departures:
+            await self.register("ready")
+        if has_other_name:
+            await asyncio.sleep(lapse_s)
+            await asyncio.to_thread(self.soak.fleet.write_row, "servers", earlier, None)
+
     def trouble(self):
         """What is wrong with the target now by itself; changes after each period of the noise."""
         noise = self.soak.deployment.noise
@@ -101,36 +175,49 @@
             ("", "errors", "slow"), (1 - noise.errors - noise.slow, noise.errors, noise.slow))[0]
 
     async def serve(self, reader, writer):
+        connection = Connection(reader, writer)
+        self.connections.add(connection)
         try:
             while True:
                 head = await read_head(reader)
                 if head is None:
                     break
                 body = await reader.readexactly(int(head[1].get("content-length", "0")))
-                if not await self.answer(head, body, reader, writer):
+                if not await self.answer(head, body, connection):
                     break
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         except asyncio.CancelledError:
             pass  # The soak is over.
         finally:
+            self.connections.discard(connection)
             writer.close()
 
-    async def answer(self, head, _, reader, writer):
-        request = self.soak.requests.get(head[1].get("x-pimentopin-attempt-id"))
+    async def answer(self, head, _, connection):
+        reader, writer = connection.reader, connection.writer
+        is_behind_copy = await self.write_copy(connection)
+        request_id = head[1].get("x-pimentopin-attempt-id", "")
+        request = self.soak.requests.get(request_id)
         if request is None or head[1].get("x-pimentopin-expect-instance", self.name) != self.name:
-            await respond(writer, 421, {"X-Pimentopin-Not-Executed": "1"}, b"")
+            await self.refuse(connection, 421, request_id)
             return True
         fault = self.draw_fault()
-        if fault == "shed" or self.waiting >= self.soak.deployment.queue:
-            await respond(writer, 503, {"X-Pimentopin-Not-Executed": "1"}, b"")
+        # The copy belongs where the response to a request is due that runs.
+        is_refused = not is_behind_copy and self.rng.random() < self.soak.options.copies
+        if is_refused or fault == "shed" or self.waiting >= self.soak.deployment.queue:
+            await self.refuse(connection, 503, request_id)
             return True
         self.waiting += 1
         try:
             await self.slots.acquire()
         finally:
             self.waiting -= 1
-        run = Run(self.service)
+        if connection.is_broken:
+            self.slots.release()
+            return False
+        run = Run(self.name, self.service)
+        run.is_behind_copy = is_behind_copy
+        connection.run = run
         request.runs.append(run)
         try:
             work_s = request.work_s or self.draw_work_s(request.kind) * self.soak.options.work
@@ -146,7 +233,10 @@
             gone = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({gone}, timeout=None if fault == "hang" else work_s)
             if done:
-                run.is_cancelled = True
+                if gone.exception() is None and gone.result():
+                    self.soak.fail(f"EARLY {request.id} ({request.kind.name}) at {request.host.name}: a "
+                                   f"request came before the response of {self.name} on a connection")
+                run.is_cancelled = not connection.is_broken
                 return False
             gone.cancel()
             try:
@@ -154,7 +244,7 @@
             except asyncio.CancelledError:
                 pass
         finally:
-            run.ended_at = time.monotonic()
+            run.end()
             self.slots.release()
         if fault == "reset":
             writer.transport.abort()
@@ -173,6 +263,23 @@
         await respond(writer, 500 if failed else 200, headers, b"x" * size)
         return not closes
 
+    async def refuse(self, connection, status, request_id):
+        headers = {"X-Pimentopin-Attempt-Id": request_id} if request_id else {}
+        refusal = status, {**headers, "X-Pimentopin-Not-Executed": "1"}, b""
+        if self.soak.options.copies > 0:
+            connection.copy = refusal
+        await respond(connection.writer, *refusal)
+
+    async def write_copy(self, connection):
+        """Writes the refusal of the request before once more; true if there is one."""
+        if connection.copy is None:
+            return False
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_COPY_DELAY_S))
+        copy, connection.copy = connection.copy, None
+        await respond(connection.writer, *copy)
+        self.soak.counts[f"copies of {copy[0]}"] += 1
+        return True
+
     def draw_fault(self):
         """Draws which of the faults in force the next request meets."""
         return next((fault for fault, share in self.faults if self.rng.random() < share), "")
