Meta: Fail the soak if a host sends a request before the last response

A target of the soak took the first byte of a further request for the end of the connection, ended its work and closed. So a host that kept a connection one response behind was not seen, and the closing hid what follows from it.

A request on a connection whose last response is due is now a failure (EARLY), as targets serve one request at a time on a connection.

--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -233,6 +233,9 @@
             gone = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({gone}, timeout=None if fault == "hang" else work_s)
             if done:
+                if gone.exception() is None and gone.result():
+                    self.soak.fail(f"EARLY {request.id} ({request.kind.name}) at {request.host.name}: a "
+                                   f"request came before the response of {self.name} on a connection")
                 run.is_cancelled = not connection.is_broken
                 return False
             gone.cancel()
