Tests: Let the model of connections close those of requests without an id

Follows the client: the check of both against one contract failed with 'leaves a suitable connection unused'.

--- a/Tests/PlatformAdapter/stream_client.h
+++ b/Tests/PlatformAdapter/stream_client.h
@@ -208,7 +208,9 @@
     }
     if (transfer->connection) {
       transfer->connection->user.reset();
-      transfer->connection->open = error == TransferError::kNone;
+      const std::optional<std::string>& id = transfer->request.echoed_id;
+      const bool is_kept = this->settings.repeats_ids || !id || !id->empty();
+      transfer->connection->open = error == TransferError::kNone && is_kept;
     }
     transfer->callbacks.on_end(
         {.error = error, .may_have_been_sent = transfer->connection != nullptr});
