--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -171,8 +171,8 @@
   if (!header_deferred) {
     this->callbacks.on_header(header);
   }
-  // After a response that is not the one to this request, that one is still to come. It must not be
-  // taken for the response to the next request.
+  // After a response to another request, the one to this request is still to come and must not be
+  // taken for that to the next. A response that must not be forwarded may be another one's.
   return !header.wrong_attempt_id;
 }
 
--- a/Libraries/LibHost/http_dialect.h
+++ b/Libraries/LibHost/http_dialect.h
@@ -34,7 +34,7 @@
   friend bool operator==(const TargetResponseHead&, const TargetResponseHead&) = default;
 };
 
-// The request that a response names as its own.
+// The request that a response names: none, the one that it answers, or another one.
 enum class NamedRequest { kNone, kThis, kOther };
 
 std::string_view NamedRequestName(NamedRequest named);
--- a/Libraries/LibHttp/carried_requests.cc
+++ b/Libraries/LibHttp/carried_requests.cc
@@ -12,7 +12,7 @@
   }
 }
 
-bool CarriedRequests::CanBeToldFrom(const std::optional<std::string>& id) const {
+bool CarriedRequests::MayCarry(const std::optional<std::string>& id) const {
   if (!id || this->request_count == 0) {
     return true;
   }
--- a/Libraries/LibHttp/carried_requests.h
+++ b/Libraries/LibHttp/carried_requests.h
@@ -13,9 +13,9 @@
 class CarriedRequests {
  public:
   void Add(const std::optional<std::string>& id);
-  // False if a response to an earlier request could be taken for the response to one with this id.
-  // May be false for other ids, too.
-  bool CanBeToldFrom(const std::optional<std::string>& id) const;
+  // False if a late response to an earlier request could be taken for that to a request with this
+  // id. May be false for other ids, too.
+  bool MayCarry(const std::optional<std::string>& id) const;
   std::size_t count() const { return this->request_count; }
 
  private:
--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -513,11 +513,11 @@
       self->StopWatchingIdleConnection(socket);
       is_silent = IsOpenAndSilent(socket);
     }
-    const bool can_be_told = self->CanResponseBeTold(transfer, connection);
-    if (transfer.send_count == 0 && (!is_silent || !can_be_told)) {
+    const bool may_carry = self->MayCarry(connection, transfer);
+    if (transfer.send_count == 0 && (!is_silent || !may_carry)) {
       self->carried_requests.erase(connection);
       transfer.needs_other_connection = true;
-      transfer.avoided_connections += can_be_told ? 0 : 1;
+      transfer.avoided_connections += may_carry ? 0 : 1;
       return CURL_PREREQFUNC_ABORT;
     }
     ++transfer.send_count;
@@ -531,9 +531,9 @@
     return CURL_PREREQFUNC_OK;
   }
 
-  // False if the response to an earlier request on the connection could be taken for the response
-  // to this one.
-  bool CanResponseBeTold(const CurlTransfer& transfer, const ConnectionKey& connection) {
+  // False if a late response to an earlier request on the connection could be taken for the
+  // response to this one.
+  bool MayCarry(const ConnectionKey& connection, const CurlTransfer& transfer) {
     long new_connections = 0;
     curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
     if (new_connections > 0) {
@@ -542,7 +542,7 @@
     }
     const auto carried = this->carried_requests.find(connection);
     return carried != this->carried_requests.end() &&
-           carried->second.CanBeToldFrom(transfer.request.echoed_id);
+           carried->second.MayCarry(transfer.request.echoed_id);
   }
 
   // Notes that the transfer's connection carries its request, and reports what it has carried.
--- a/Tests/PlatformAdapter/stream_client.h
+++ b/Tests/PlatformAdapter/stream_client.h
@@ -161,7 +161,7 @@
     while (!idle.empty()) {
       const auto chosen =
           idle.begin() + static_cast<std::ptrdiff_t>(this->random.Below(idle.size()));
-      if (this->settings.repeats_ids || (*chosen)->carried.CanBeToldFrom(request.echoed_id)) {
+      if (this->settings.repeats_ids || (*chosen)->carried.MayCarry(request.echoed_id)) {
         return *chosen;
       }
       ++avoided;
