--- a/Tests/PlatformAdapter/stream_client.h
+++ b/Tests/PlatformAdapter/stream_client.h
@@ -6,7 +6,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -35,10 +34,6 @@
  public:
   class StreamTransfer;
 
-  // Whether the callback for the header of a response can reject it.
-  static constexpr bool kHeadersDecide =
-      !std::is_void_v<decltype(TransferCallbacks::on_headers)::result_type>;
-
   struct Connection {
     std::string address;
     int local_port = 0;
@@ -193,8 +188,8 @@
     if (this->settings.on_response) {
       this->settings.on_response(transfer->request, response);
     }
-    if (!AcceptHeader(transfer->callbacks.on_headers, response)) {
-      this->End(transfer, TransferError::kCancelled);
+    if (!transfer->callbacks.on_headers(response.status, response.headers)) {
+      this->End(transfer, TransferError::kRejected);
     } else if (this->random.Below(2) == 0) {
       // The whole response arrives at once.
       this->End(transfer, TransferError::kNone);
@@ -216,17 +211,6 @@
         {.error = error, .may_have_been_sent = transfer->connection != nullptr});
   }
 
-  // Returns whether the transfer continues. Callbacks without a result accept every response.
-  template <typename Callback>
-  static bool AcceptHeader(const Callback& on_headers, const StreamedResponse& response) {
-    if constexpr (kHeadersDecide) {
-      return on_headers(response.status, response.headers);
-    } else {
-      on_headers(response.status, response.headers);
-      return true;
-    }
-  }
-
   static std::string AddressOf(const HttpClientRequest& request) {
     constexpr std::size_t kSchemeLength = 7;
     return request.url.substr(0, request.url.find('/', kSchemeLength));
--- a/Tests/PlatformAdapter/stream_client_test.cc
+++ b/Tests/PlatformAdapter/stream_client_test.cc
@@ -181,7 +181,7 @@
     TransferRecorder& record = *chosen->record;
     const std::uint64_t end = this->random.Below(6);
     const bool is_cancelled = end == 0;
-    *chosen->rejects_header = StreamClient::kHeadersDecide && end == 1;
+    *chosen->rejects_header = end == 1;
     if (is_cancelled) {
       chosen->transfer->Cancel();
       this->subject.AwaitEnd(record);
