Protocol, Config, Core: Interfaces of keys, work keys, target load and the time of the store

Fields that the next parts fill: keys, priority and quota of an organisation, anonymous routes, priority and work key of slot requests, the load that a target states, and the store's time up to which a configuration is confirmed. Nothing reads them yet.

--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Libraries/LibConfig/api_key.h"
 #include "Libraries/LibConfig/configuration_index.h"
 #include "Libraries/LibConfig/labels.h"
 #include "Libraries/LibConfig/route.h"
@@ -19,6 +20,14 @@
 struct Organisation {
   std::string name;
   Labels labels;
+  // Keys by which callers identify themselves as part of the organisation.
+  std::vector<ApiKeyDigest> keys;
+  // Goes before the priority of the route; 0 is the most urgent.
+  std::optional<std::uint32_t> priority;
+  // Quota over all hosts: requests per second, and requests beyond that at once. Zero requests per
+  // second means no limit.
+  double requests_per_second = 0;
+  double burst = 0;
 
   OrganisationId id() const { return IdFromName<OrganisationId>(this->name); }
   friend bool operator==(const Organisation&, const Organisation&) = default;
@@ -124,6 +133,8 @@
 struct Configuration {
   std::uint64_t revision = 0;
   std::vector<Organisation> organisations;
+  // Requests need a key of an organisation, except on anonymous routes.
+  bool requires_keys = false;
   std::vector<Caller> callers;
   std::vector<Service> services;
   std::vector<Target> targets;
--- a/Libraries/LibConfig/route.h
+++ b/Libraries/LibConfig/route.h
@@ -41,6 +41,8 @@
   Duration latency_objective{};
   // 0 is the highest priority.
   std::uint32_t priority = 0;
+  // Requests need no key, even if the configuration requires keys.
+  bool anonymous = false;
 
   // Selects a service by weight. The result depends only on the hash; evenly
   // distributed hashes select each service in proportion to its weight.
--- a/Libraries/LibPlatform/row_feed.h
+++ b/Libraries/LibPlatform/row_feed.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Libraries/LibCore/error.h"
+#include "Libraries/LibCore/store_clock.h"
 #include "Libraries/LibCore/time.h"
 
 namespace pimentopin {
@@ -26,6 +27,8 @@
   std::vector<FeedRow> rows;
   // Store version up to which the rows are complete.
   std::uint64_t version = 0;
+  // Time of the store at which the rows were complete, if it stated one.
+  std::optional<StoreTimePoint> store_time;
 
   friend bool operator==(const FeedBatch&, const FeedBatch&) = default;
 };
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -109,7 +109,7 @@
                                     EnumByte(value.work_class), EncodeDuration(value.budget),
                                     RawId(value.fingerprint), value.is_retry, value.affinity_key,
                                     allowed, excluded, value.idempotent, value.bulk, forbidden,
-                                    RawId(value.kind))
+                                    RawId(value.kind), value.priority, RawId(value.work_key))
                 .Union()};
   }
 
@@ -137,11 +137,14 @@
     return {wire::Message::SlotClaim,
             wire::CreateSlotClaim(this->builder, RawId(value.attempt), RawId(value.service),
                                   RawId(value.target), RawId(value.organisation),
-                                  EnumByte(value.work_class), value.is_retry)
+                                  EnumByte(value.work_class), value.is_retry, RawId(value.work_key))
                 .Union()};
   }
 
   TypedMessage EncodeMessage(const SlotRelease& value) {
+    const wire::TargetLoad load =
+        value.load ? wire::TargetLoad(value.load->running, value.load->waiting, value.load->slots)
+                   : wire::TargetLoad();
     return {wire::Message::SlotRelease,
             wire::CreateSlotRelease(
                 this->builder, RawId(value.attempt), RawId(value.service), RawId(value.target),
@@ -149,7 +152,7 @@
                 EncodeDuration(value.service_time), RawId(value.fingerprint), value.target_draining,
                 value.request_rate_limit ? flatbuffers::Optional<double>(*value.request_rate_limit)
                                          : flatbuffers::nullopt,
-                RawId(value.kind))
+                RawId(value.kind), RawId(value.work_key), value.load ? &load : nullptr)
                 .Union()};
   }
 
@@ -233,11 +236,15 @@
       tables.push_back(wire::CreateTableVersion(this->builder, name, table.version));
     }
     const auto table_list = this->EncodeTables(tables);
-    return {wire::Message::StoreDigest,
-            wire::CreateStoreDigest(this->builder, address, value.store_answered,
-                                    value.configuration_revision, table_list, RawId(value.reader),
-                                    value.age.count(), value.asks)
-                .Union()};
+    return {
+        wire::Message::StoreDigest,
+        wire::CreateStoreDigest(
+            this->builder, address, value.store_answered, value.configuration_revision, table_list,
+            RawId(value.reader), value.age.count(), value.asks,
+            value.confirmed_store_time ? flatbuffers::Optional<std::int64_t>(
+                                             value.confirmed_store_time->time_since_epoch().count())
+                                       : flatbuffers::nullopt)
+            .Union()};
   }
 
   TypedMessage EncodeMessage(const RowRelay& value) {
@@ -491,7 +498,9 @@
             .idempotent = value.idempotent(),
             .bulk = value.bulk(),
             .forbidden = this->DecodeIds<TargetId>(value.forbidden()),
-            .kind = RequestKind{value.kind()}};
+            .kind = RequestKind{value.kind()},
+            .priority = value.priority(),
+            .work_key = WorkKey{value.work_key()}};
   }
 
   static SlotCancel DecodeMessage(const wire::SlotCancel& value) {
@@ -517,10 +526,12 @@
             .target = TargetId{value.target()},
             .organisation = OrganisationId{value.organisation()},
             .work_class = this->DecodeEnum(value.work_class(), WorkClass::kLong),
-            .is_retry = value.is_retry()};
+            .is_retry = value.is_retry(),
+            .work_key = WorkKey{value.work_key()}};
   }
 
   SlotRelease DecodeMessage(const wire::SlotRelease& value) {
+    const wire::TargetLoad* const load = value.load();
     return {.attempt = AttemptId{value.attempt()},
             .service = ServiceId{value.service()},
             .target = TargetId{value.target()},
@@ -531,7 +542,11 @@
             .fingerprint = Fingerprint{value.fingerprint()},
             .target_draining = value.target_draining(),
             .request_rate_limit = this->DecodeRate(value.request_rate_limit()),
-            .kind = RequestKind{value.kind()}};
+            .kind = RequestKind{value.kind()},
+            .work_key = WorkKey{value.work_key()},
+            .load = load == nullptr ? std::nullopt
+                                    : std::optional(TargetLoad{load->running(), load->waiting(),
+                                                               load->slots()})};
   }
 
   HostReport DecodeMessage(const wire::HostReport& value) {
@@ -627,6 +642,9 @@
                        .reader = HostId{value.reader()},
                        .age = this->DecodeDuration(value.age_us()),
                        .asks = value.asks()};
+    if (const auto confirmed = value.confirmed_store_time_us(); confirmed.has_value()) {
+      digest.confirmed_store_time = StoreTimePoint(Duration(*confirmed));
+    }
     const std::uint32_t tables = this->ElementCount(value.tables());
     for (std::uint32_t index = 0; index < tables; ++index) {
       const wire::TableVersion& table = *value.tables()->Get(index);
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
+#include "Libraries/LibCore/store_clock.h"
 #include "Libraries/LibCore/time.h"
 
 namespace pimentopin {
@@ -92,6 +94,8 @@
   Duration age{};
   // The sender asks for the receiver's digest.
   bool asks = false;
+  // Time of the store up to which `configuration_revision` is known to be the newest one there.
+  std::optional<StoreTimePoint> confirmed_store_time;
 
   friend bool operator==(const StoreDigest&, const StoreDigest&) = default;
 };
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -32,6 +32,8 @@
 struct SlotClaim;
 struct SlotClaimBuilder;
 
+struct TargetLoad;
+
 struct SlotRelease;
 struct SlotReleaseBuilder;
 
@@ -248,6 +250,40 @@
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(2) TargetLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint16_t running_;
+  uint16_t waiting_;
+  uint16_t slots_;
+
+ public:
+  struct Traits;
+  TargetLoad()
+      : running_(0),
+        waiting_(0),
+        slots_(0) {
+  }
+  TargetLoad(uint16_t _running, uint16_t _waiting, uint16_t _slots)
+      : running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        slots_(flatbuffers::EndianScalar(_slots)) {
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TargetLoad, 6);
+
+struct TargetLoad::Traits {
+  using type = TargetLoad;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) OutstandingAttempt FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t attempt_;
@@ -369,7 +405,9 @@
     VT_IDEMPOTENT = 26,
     VT_BULK = 28,
     VT_FORBIDDEN = 30,
-    VT_KIND = 32
+    VT_KIND = 32,
+    VT_PRIORITY = 34,
+    VT_WORK_KEY = 36
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -416,6 +454,12 @@
   uint64_t kind() const {
     return GetField<uint64_t>(VT_KIND, 0);
   }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint64_t work_key() const {
+    return GetField<uint64_t>(VT_WORK_KEY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -436,6 +480,8 @@
            VerifyOffset(verifier, VT_FORBIDDEN) &&
            verifier.VerifyVector(forbidden()) &&
            VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_KEY, 8) &&
            verifier.EndTable();
   }
 };
@@ -489,6 +535,12 @@
   void add_kind(uint64_t kind) {
     fbb_.AddElement<uint64_t>(SlotRequest::VT_KIND, kind, 0);
   }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(SlotRequest::VT_PRIORITY, priority, 0);
+  }
+  void add_work_key(uint64_t work_key) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_WORK_KEY, work_key, 0);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -516,8 +568,11 @@
     bool idempotent = false,
     bool bulk = false,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden = 0,
-    uint64_t kind = 0) {
+    uint64_t kind = 0,
+    uint32_t priority = 0,
+    uint64_t work_key = 0) {
   SlotRequestBuilder builder_(_fbb);
+  builder_.add_work_key(work_key);
   builder_.add_kind(kind);
   builder_.add_affinity_key(affinity_key);
   builder_.add_fingerprint(fingerprint);
@@ -526,6 +581,7 @@
   builder_.add_organisation(organisation);
   builder_.add_service(service);
   builder_.add_attempt(attempt);
+  builder_.add_priority(priority);
   builder_.add_forbidden(forbidden);
   builder_.add_excluded(excluded);
   builder_.add_allowed(allowed);
@@ -557,7 +613,9 @@
     bool idempotent = false,
     bool bulk = false,
     const std::vector<uint64_t> *forbidden = nullptr,
-    uint64_t kind = 0) {
+    uint64_t kind = 0,
+    uint32_t priority = 0,
+    uint64_t work_key = 0) {
   auto allowed__ = allowed ? _fbb.CreateVector<uint64_t>(*allowed) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
   auto forbidden__ = forbidden ? _fbb.CreateVector<uint64_t>(*forbidden) : 0;
@@ -577,7 +635,9 @@
       idempotent,
       bulk,
       forbidden__,
-      kind);
+      kind,
+      priority,
+      work_key);
 }
 
 struct SlotCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -790,7 +850,8 @@
     VT_TARGET = 8,
     VT_ORGANISATION = 10,
     VT_WORK_CLASS = 12,
-    VT_IS_RETRY = 14
+    VT_IS_RETRY = 14,
+    VT_WORK_KEY = 16
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -810,6 +871,9 @@
   bool is_retry() const {
     return GetField<uint8_t>(VT_IS_RETRY, 0) != 0;
   }
+  uint64_t work_key() const {
+    return GetField<uint64_t>(VT_WORK_KEY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -818,6 +882,7 @@
            VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_WORK_CLASS, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_RETRY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_KEY, 8) &&
            verifier.EndTable();
   }
 };
@@ -844,6 +909,9 @@
   void add_is_retry(bool is_retry) {
     fbb_.AddElement<uint8_t>(SlotClaim::VT_IS_RETRY, static_cast<uint8_t>(is_retry), 0);
   }
+  void add_work_key(uint64_t work_key) {
+    fbb_.AddElement<uint64_t>(SlotClaim::VT_WORK_KEY, work_key, 0);
+  }
   explicit SlotClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -862,8 +930,10 @@
     uint64_t target = 0,
     uint64_t organisation = 0,
     uint8_t work_class = 0,
-    bool is_retry = false) {
+    bool is_retry = false,
+    uint64_t work_key = 0) {
   SlotClaimBuilder builder_(_fbb);
+  builder_.add_work_key(work_key);
   builder_.add_organisation(organisation);
   builder_.add_target(target);
   builder_.add_service(service);
@@ -892,7 +962,9 @@
     VT_FINGERPRINT = 18,
     VT_TARGET_DRAINING = 20,
     VT_REQUEST_RATE_LIMIT = 22,
-    VT_KIND = 24
+    VT_KIND = 24,
+    VT_WORK_KEY = 26,
+    VT_LOAD = 28
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -927,6 +999,12 @@
   uint64_t kind() const {
     return GetField<uint64_t>(VT_KIND, 0);
   }
+  uint64_t work_key() const {
+    return GetField<uint64_t>(VT_WORK_KEY, 0);
+  }
+  const pimentopin::wire::TargetLoad *load() const {
+    return GetStruct<const pimentopin::wire::TargetLoad *>(VT_LOAD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -940,6 +1018,8 @@
            VerifyField<uint8_t>(verifier, VT_TARGET_DRAINING, 1) &&
            VerifyField<double>(verifier, VT_REQUEST_RATE_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_KEY, 8) &&
+           VerifyField<pimentopin::wire::TargetLoad>(verifier, VT_LOAD, 2) &&
            verifier.EndTable();
   }
 };
@@ -981,6 +1061,12 @@
   void add_kind(uint64_t kind) {
     fbb_.AddElement<uint64_t>(SlotRelease::VT_KIND, kind, 0);
   }
+  void add_work_key(uint64_t work_key) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_WORK_KEY, work_key, 0);
+  }
+  void add_load(const pimentopin::wire::TargetLoad *load) {
+    fbb_.AddStruct(SlotRelease::VT_LOAD, load);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1004,8 +1090,11 @@
     uint64_t fingerprint = 0,
     bool target_draining = false,
     flatbuffers::Optional<double> request_rate_limit = flatbuffers::nullopt,
-    uint64_t kind = 0) {
+    uint64_t kind = 0,
+    uint64_t work_key = 0,
+    const pimentopin::wire::TargetLoad *load = nullptr) {
   SlotReleaseBuilder builder_(_fbb);
+  builder_.add_work_key(work_key);
   builder_.add_kind(kind);
   if(request_rate_limit) { builder_.add_request_rate_limit(*request_rate_limit); }
   builder_.add_fingerprint(fingerprint);
@@ -1014,6 +1103,7 @@
   builder_.add_target(target);
   builder_.add_service(service);
   builder_.add_attempt(attempt);
+  builder_.add_load(load);
   builder_.add_target_draining(target_draining);
   builder_.add_result(result);
   builder_.add_work_class(work_class);
@@ -1749,7 +1839,8 @@
     VT_TABLES = 10,
     VT_READER = 12,
     VT_AGE_US = 14,
-    VT_ASKS = 16
+    VT_ASKS = 16,
+    VT_CONFIRMED_STORE_TIME_US = 18
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1772,6 +1863,9 @@
   bool asks() const {
     return GetField<uint8_t>(VT_ASKS, 0) != 0;
   }
+  flatbuffers::Optional<int64_t> confirmed_store_time_us() const {
+    return GetOptional<int64_t, int64_t>(VT_CONFIRMED_STORE_TIME_US);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
@@ -1784,6 +1878,7 @@
            VerifyField<uint64_t>(verifier, VT_READER, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
+           VerifyField<int64_t>(verifier, VT_CONFIRMED_STORE_TIME_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1813,6 +1908,9 @@
   void add_asks(bool asks) {
     fbb_.AddElement<uint8_t>(StoreDigest::VT_ASKS, static_cast<uint8_t>(asks), 0);
   }
+  void add_confirmed_store_time_us(int64_t confirmed_store_time_us) {
+    fbb_.AddElement<int64_t>(StoreDigest::VT_CONFIRMED_STORE_TIME_US, confirmed_store_time_us);
+  }
   explicit StoreDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1832,8 +1930,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>>> tables = 0,
     uint64_t reader = 0,
     int64_t age_us = 0,
-    bool asks = false) {
+    bool asks = false,
+    flatbuffers::Optional<int64_t> confirmed_store_time_us = flatbuffers::nullopt) {
   StoreDigestBuilder builder_(_fbb);
+  if(confirmed_store_time_us) { builder_.add_confirmed_store_time_us(*confirmed_store_time_us); }
   builder_.add_age_us(age_us);
   builder_.add_reader(reader);
   builder_.add_configuration_revision(configuration_revision);
@@ -1857,7 +1957,8 @@
     const std::vector<flatbuffers::Offset<pimentopin::wire::TableVersion>> *tables = nullptr,
     uint64_t reader = 0,
     int64_t age_us = 0,
-    bool asks = false) {
+    bool asks = false,
+    flatbuffers::Optional<int64_t> confirmed_store_time_us = flatbuffers::nullopt) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto tables__ = tables ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::TableVersion>>(*tables) : 0;
   return pimentopin::wire::CreateStoreDigest(
@@ -1868,7 +1969,8 @@
       tables__,
       reader,
       age_us,
-      asks);
+      asks,
+      confirmed_store_time_us);
 }
 
 struct RelayedRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/Libraries/LibProtocol/slot_messages.h
+++ b/Libraries/LibProtocol/slot_messages.h
@@ -17,6 +17,20 @@
 // zero if there is none.
 enum class RequestKind : std::uint64_t {};
 
+// Requests with one key look alike: route, method, organisation, size and the start of the path.
+// Finer than RequestKind; zero if unknown.
+enum class WorkKey : std::uint64_t {};
+
+// Load that a target stated in a response: requests that it runs, requests in its queue, and the
+// number that it runs at a time.
+struct TargetLoad {
+  std::uint16_t running = 0;
+  std::uint16_t waiting = 0;
+  std::uint16_t slots = 0;
+
+  friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
+};
+
 // Result of one attempt at a target, as observed by the host.
 enum class AttemptResult : std::uint8_t {
   // A complete response that is not a server error.
@@ -66,6 +80,9 @@
   // sender off, and those that refused a non-idempotent request before.
   std::vector<TargetId> forbidden;
   RequestKind kind{};
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
+  WorkKey work_key{};
 
   friend bool operator==(const SlotRequest&, const SlotRequest&) = default;
 };
@@ -126,6 +143,7 @@
   OrganisationId organisation{};
   WorkClass work_class = WorkClass::kShort;
   bool is_retry = false;
+  WorkKey work_key{};
 
   friend bool operator==(const SlotClaim&, const SlotClaim&) = default;
 };
@@ -148,6 +166,9 @@
   // zero if it states no limit, empty if there was no response.
   std::optional<double> request_rate_limit;
   RequestKind kind{};
+  WorkKey work_key{};
+  // Empty if the response stated none.
+  std::optional<TargetLoad> load;
 
   friend bool operator==(const SlotRelease&, const SlotRelease&) = default;
 };
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -60,7 +60,8 @@
       rc::gen::set(&SlotRequest::excluded, AnyIds<TargetId>()),
       rc::gen::set(&SlotRequest::idempotent), rc::gen::set(&SlotRequest::bulk),
       rc::gen::set(&SlotRequest::forbidden, AnyIds<TargetId>()),
-      rc::gen::set(&SlotRequest::kind, AnyId<RequestKind>()));
+      rc::gen::set(&SlotRequest::kind, AnyId<RequestKind>()), rc::gen::set(&SlotRequest::priority),
+      rc::gen::set(&SlotRequest::work_key, AnyId<WorkKey>()));
 }
 
 inline rc::Gen<SlotCancel> AnySlotCancel() {
@@ -88,7 +89,18 @@
                                    rc::gen::set(&SlotClaim::target, AnyId<TargetId>()),
                                    rc::gen::set(&SlotClaim::organisation, AnyId<OrganisationId>()),
                                    rc::gen::set(&SlotClaim::work_class, AnyEnum(WorkClass::kLong)),
-                                   rc::gen::set(&SlotClaim::is_retry));
+                                   rc::gen::set(&SlotClaim::is_retry),
+                                   rc::gen::set(&SlotClaim::work_key, AnyId<WorkKey>()));
+}
+
+inline rc::Gen<std::optional<TargetLoad>> AnyTargetLoad() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::arbitrary<bool>(), rc::gen::arbitrary<std::uint16_t>(),
+                     rc::gen::arbitrary<std::uint16_t>(), rc::gen::arbitrary<std::uint16_t>()),
+      [](const auto& values) {
+        const auto& [stated, running, waiting, slots] = values;
+        return stated ? std::optional(TargetLoad{running, waiting, slots}) : std::nullopt;
+      });
 }
 
 inline rc::Gen<SlotRelease> AnySlotRelease() {
@@ -105,7 +117,9 @@
       rc::gen::set(&SlotRelease::request_rate_limit,
                    rc::gen::element(std::optional<double>(), std::optional<double>(0.0),
                                     std::optional<double>(2.3))),
-      rc::gen::set(&SlotRelease::kind, AnyId<RequestKind>()));
+      rc::gen::set(&SlotRelease::kind, AnyId<RequestKind>()),
+      rc::gen::set(&SlotRelease::work_key, AnyId<WorkKey>()),
+      rc::gen::set(&SlotRelease::load, AnyTargetLoad()));
 }
 
 inline rc::Gen<HostReport> AnyHostReport() {
@@ -148,6 +162,15 @@
               rc::gen::set(&FingerprintRecord::remaining, AnyDuration())))));
 }
 
+inline rc::Gen<std::optional<StoreTimePoint>> AnyStoreTime() {
+  return rc::gen::map(rc::gen::tuple(rc::gen::arbitrary<bool>(), AnyDuration()),
+                      [](const std::tuple<bool, Duration>& values) {
+                        return std::get<0>(values)
+                                   ? std::optional(StoreTimePoint(std::get<1>(values)))
+                                   : std::nullopt;
+                      });
+}
+
 inline rc::Gen<StoreDigest> AnyStoreDigest() {
   return rc::gen::build<StoreDigest>(
       rc::gen::set(&StoreDigest::address, AnyString(kMaxWireAddressBytes)),
@@ -155,6 +178,7 @@
       rc::gen::set(&StoreDigest::configuration_revision, AnyInteger()),
       rc::gen::set(&StoreDigest::reader, AnyId<HostId>()),
       rc::gen::set(&StoreDigest::age, AnyDuration()), rc::gen::set(&StoreDigest::asks),
+      rc::gen::set(&StoreDigest::confirmed_store_time, AnyStoreTime()),
       rc::gen::set(&StoreDigest::tables,
                    rc::gen::container<std::vector<TableVersion>>(rc::gen::build<TableVersion>(
                        rc::gen::set(&TableVersion::table, AnyString(kMaxWireNameBytes)),
