Quota, Protocol: Decide quotas of organisations over all hosts

Token buckets in four parts, each held by one host under a lease in the platform's table, and the host's side that gets tokens from them. Messages QuotaRequest and QuotaReply. Not yet used by the daemon.

--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -189,6 +189,21 @@
                 .Union()};
   }
 
+  TypedMessage EncodeMessage(const QuotaRequest& value) {
+    return {wire::Message::QuotaRequest,
+            wire::CreateQuotaRequest(this->builder, RawId(value.request), RawId(value.organisation),
+                                     value.part, value.wanted)
+                .Union()};
+  }
+
+  TypedMessage EncodeMessage(const QuotaReply& value) {
+    return {wire::Message::QuotaReply,
+            wire::CreateQuotaReply(this->builder, RawId(value.request), RawId(value.organisation),
+                                   value.part, value.holds, value.granted,
+                                   EncodeDuration(value.retry_after), RawId(value.holder))
+                .Union()};
+  }
+
   TypedMessage EncodeMessage(const RetryUsage& value) {
     this->CheckLimit(value.counters.size() <= kMaxWireRetryCounters);
     std::vector<Offset<wire::RetryCounter>> counters;
@@ -376,6 +391,12 @@
       case wire::Message::ProbeReport:
         result.message = this->DecodeMessage(*envelope.message_as_ProbeReport());
         break;
+      case wire::Message::QuotaRequest:
+        result.message = DecodeMessage(*envelope.message_as_QuotaRequest());
+        break;
+      case wire::Message::QuotaReply:
+        result.message = this->DecodeMessage(*envelope.message_as_QuotaReply());
+        break;
       default:
         this->Reject("message type is unknown");
         break;
@@ -609,6 +630,23 @@
     return view;
   }
 
+  static QuotaRequest DecodeMessage(const wire::QuotaRequest& value) {
+    return {.request = QuotaRequestId{value.request()},
+            .organisation = OrganisationId{value.organisation()},
+            .part = value.part(),
+            .wanted = value.wanted()};
+  }
+
+  QuotaReply DecodeMessage(const wire::QuotaReply& value) {
+    return {.request = QuotaRequestId{value.request()},
+            .organisation = OrganisationId{value.organisation()},
+            .part = value.part(),
+            .holds = value.holds(),
+            .granted = value.granted(),
+            .retry_after = this->DecodeDuration(value.retry_after_us()),
+            .holder = HostId{value.holder()}};
+  }
+
   ProbeReport DecodeMessage(const wire::ProbeReport& value) {
     return {.service = ServiceId{value.service()},
             .target = TargetId{value.target()},
--- a/Libraries/LibProtocol/envelope.h
+++ b/Libraries/LibProtocol/envelope.h
@@ -4,6 +4,7 @@
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibProtocol/membership_messages.h"
+#include "Libraries/LibProtocol/quota_messages.h"
 #include "Libraries/LibProtocol/slot_messages.h"
 
 namespace pimentopin {
@@ -25,7 +26,9 @@
                              ConfigurationDocument,
                              ProbeReport,
                              CompressedConfigurationDocument,
-                             RetryUsage>;
+                             RetryUsage,
+                             QuotaRequest,
+                             QuotaReply>;
 
 // A message with its sender's host and failure domain.
 struct Envelope {
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -94,6 +94,12 @@
 struct ProbeReport;
 struct ProbeReportBuilder;
 
+struct QuotaRequest;
+struct QuotaRequestBuilder;
+
+struct QuotaReply;
+struct QuotaReplyBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -116,11 +122,13 @@
   ConfigurationDocument = 15,
   ProbeReport = 16,
   CompressedConfigurationDocument = 17,
+  QuotaRequest = 18,
+  QuotaReply = 19,
   MIN = NONE,
-  MAX = CompressedConfigurationDocument
+  MAX = QuotaReply
 };
 
-inline const Message (&EnumValuesMessage())[18] {
+inline const Message (&EnumValuesMessage())[20] {
   static const Message values[] = {
     Message::NONE,
     Message::SlotRequest,
@@ -139,13 +147,15 @@
     Message::ConfigurationRequest,
     Message::ConfigurationDocument,
     Message::ProbeReport,
-    Message::CompressedConfigurationDocument
+    Message::CompressedConfigurationDocument,
+    Message::QuotaRequest,
+    Message::QuotaReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "SlotRequest",
     "SlotCancel",
@@ -164,13 +174,15 @@
     "ConfigurationDocument",
     "ProbeReport",
     "CompressedConfigurationDocument",
+    "QuotaRequest",
+    "QuotaReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CompressedConfigurationDocument)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::QuotaReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -247,6 +259,14 @@
   static const Message enum_value = Message::CompressedConfigurationDocument;
 };
 
+template<> struct MessageTraits<pimentopin::wire::QuotaRequest> {
+  static const Message enum_value = Message::QuotaRequest;
+};
+
+template<> struct MessageTraits<pimentopin::wire::QuotaReply> {
+  static const Message enum_value = Message::QuotaReply;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -2605,6 +2625,190 @@
   static auto constexpr Create = CreateProbeReport;
 };
 
+struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ORGANISATION = 6,
+    VT_PART = 8,
+    VT_WANTED = 10
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
+  uint8_t part() const {
+    return GetField<uint8_t>(VT_PART, 0);
+  }
+  uint16_t wanted() const {
+    return GetField<uint16_t>(VT_WANTED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyField<uint16_t>(verifier, VT_WANTED, 2) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaRequestBuilder {
+  typedef QuotaRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_REQUEST, request, 0);
+  }
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_ORGANISATION, organisation, 0);
+  }
+  void add_part(uint8_t part) {
+    fbb_.AddElement<uint8_t>(QuotaRequest::VT_PART, part, 0);
+  }
+  void add_wanted(uint16_t wanted) {
+    fbb_.AddElement<uint16_t>(QuotaRequest::VT_WANTED, wanted, 0);
+  }
+  explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t organisation = 0,
+    uint8_t part = 0,
+    uint16_t wanted = 0) {
+  QuotaRequestBuilder builder_(_fbb);
+  builder_.add_organisation(organisation);
+  builder_.add_request(request);
+  builder_.add_wanted(wanted);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+struct QuotaRequest::Traits {
+  using type = QuotaRequest;
+  static auto constexpr Create = CreateQuotaRequest;
+};
+
+struct QuotaReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ORGANISATION = 6,
+    VT_PART = 8,
+    VT_HOLDS = 10,
+    VT_GRANTED = 12,
+    VT_RETRY_AFTER_US = 14,
+    VT_HOLDER = 16
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
+  uint8_t part() const {
+    return GetField<uint8_t>(VT_PART, 0);
+  }
+  bool holds() const {
+    return GetField<uint8_t>(VT_HOLDS, 0) != 0;
+  }
+  uint16_t granted() const {
+    return GetField<uint16_t>(VT_GRANTED, 0);
+  }
+  int64_t retry_after_us() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
+  }
+  uint64_t holder() const {
+    return GetField<uint64_t>(VT_HOLDER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDS, 1) &&
+           VerifyField<uint16_t>(verifier, VT_GRANTED, 2) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HOLDER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaReplyBuilder {
+  typedef QuotaReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_REQUEST, request, 0);
+  }
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_ORGANISATION, organisation, 0);
+  }
+  void add_part(uint8_t part) {
+    fbb_.AddElement<uint8_t>(QuotaReply::VT_PART, part, 0);
+  }
+  void add_holds(bool holds) {
+    fbb_.AddElement<uint8_t>(QuotaReply::VT_HOLDS, static_cast<uint8_t>(holds), 0);
+  }
+  void add_granted(uint16_t granted) {
+    fbb_.AddElement<uint16_t>(QuotaReply::VT_GRANTED, granted, 0);
+  }
+  void add_retry_after_us(int64_t retry_after_us) {
+    fbb_.AddElement<int64_t>(QuotaReply::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
+  void add_holder(uint64_t holder) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_HOLDER, holder, 0);
+  }
+  explicit QuotaReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaReply> CreateQuotaReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t organisation = 0,
+    uint8_t part = 0,
+    bool holds = false,
+    uint16_t granted = 0,
+    int64_t retry_after_us = 0,
+    uint64_t holder = 0) {
+  QuotaReplyBuilder builder_(_fbb);
+  builder_.add_holder(holder);
+  builder_.add_retry_after_us(retry_after_us);
+  builder_.add_organisation(organisation);
+  builder_.add_request(request);
+  builder_.add_granted(granted);
+  builder_.add_holds(holds);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+struct QuotaReply::Traits {
+  using type = QuotaReply;
+  static auto constexpr Create = CreateQuotaReply;
+};
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -2678,6 +2882,12 @@
   const pimentopin::wire::CompressedConfigurationDocument *message_as_CompressedConfigurationDocument() const {
     return message_type() == pimentopin::wire::Message::CompressedConfigurationDocument ? static_cast<const pimentopin::wire::CompressedConfigurationDocument *>(message()) : nullptr;
   }
+  const pimentopin::wire::QuotaRequest *message_as_QuotaRequest() const {
+    return message_type() == pimentopin::wire::Message::QuotaRequest ? static_cast<const pimentopin::wire::QuotaRequest *>(message()) : nullptr;
+  }
+  const pimentopin::wire::QuotaReply *message_as_QuotaReply() const {
+    return message_type() == pimentopin::wire::Message::QuotaReply ? static_cast<const pimentopin::wire::QuotaReply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SENDER, 8) &&
@@ -2757,6 +2967,14 @@
   return message_as_CompressedConfigurationDocument();
 }
 
+template<> inline const pimentopin::wire::QuotaRequest *Envelope::message_as<pimentopin::wire::QuotaRequest>() const {
+  return message_as_QuotaRequest();
+}
+
+template<> inline const pimentopin::wire::QuotaReply *Envelope::message_as<pimentopin::wire::QuotaReply>() const {
+  return message_as_QuotaReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2876,6 +3094,14 @@
       auto ptr = reinterpret_cast<const pimentopin::wire::CompressedConfigurationDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::QuotaRequest: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::QuotaRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::QuotaReply: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::QuotaReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/Libraries/LibQuota/quota_part_lease.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Libraries/LibCore/store_clock.h"
+#include "Libraries/LibPlatform/table_store.h"
+#include "Libraries/LibQuota/quota_part_row.h"
+
+namespace pimentopin {
+
+// Action: read the row of the part and pass it to OnRead().
+struct ReadQuotaPart {
+  friend bool operator==(const ReadQuotaPart&, const ReadQuotaPart&) = default;
+};
+
+// Action: write the row of the part if it has the expected version, and pass the result to
+// OnWritten().
+struct WriteQuotaPart {
+  std::uint64_t expected_version = 0;
+  std::string value;
+
+  friend bool operator==(const WriteQuotaPart&, const WriteQuotaPart&) = default;
+};
+
+enum class QuotaPartEvent : std::uint8_t { kAcquired, kLost, kReleased, kRowUnreadable };
+
+using LeaseAction = std::variant<ReadQuotaPart, WriteQuotaPart, QuotaPartEvent>;
+
+// Decides when this host acquires, renews and releases one part of the quotas. A host holds a part
+// from a conditional write that succeeded until the end that it wrote, in the store's time.
+class QuotaPartLease {
+ public:
+  static constexpr Duration kLength = std::chrono::seconds(14);
+  static constexpr Duration kRenewInterval = std::chrono::seconds(4);
+  // Between reads of a row whose holder is usable, in case that it releases the part.
+  static constexpr Duration kHeldPollDelay = std::chrono::seconds(2);
+  // Between reads of a row whose holder is not, and after calls that failed.
+  static constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
+  // Allows for clocks that don't run at the same rate.
+  static constexpr Duration kClockMargin = std::chrono::milliseconds(100);
+
+  // Tells whether a host, by name, is known and neither leaving nor unreachable.
+  using IsUsable = std::function<bool(const std::string&)>;
+
+  QuotaPartLease(std::string host_name, std::uint64_t incarnation, IsUsable is_usable);
+
+  // Whether this host should hold the part. A part that is no longer wanted is not used from now
+  // on, and released.
+  std::vector<LeaseAction> SetWanted(BootTimePoint now, const StoreClock& clock, bool wanted);
+  // To be called when other hosts have become unusable.
+  std::vector<LeaseAction> OnHostsChanged(BootTimePoint now, const StoreClock& clock);
+  std::vector<LeaseAction> Tick(BootTimePoint now, const StoreClock& clock);
+  // Empty if the read failed. An absent row has version 0.
+  std::vector<LeaseAction> OnRead(BootTimePoint now,
+                                  const StoreClock& clock,
+                                  const std::optional<TableRow>& read);
+  // Empty if it is not known whether the write has taken, or will take, effect.
+  std::vector<LeaseAction> OnWritten(BootTimePoint now,
+                                     const StoreClock& clock,
+                                     const std::optional<WriteResult>& result);
+
+  // True while tokens may be granted.
+  bool HoldsAt(BootTimePoint now, const StoreClock& clock) const;
+  // The holder that the row named when it was last read; empty if unknown or released.
+  const std::string& known_holder() const { return this->known_row.holder; }
+  // When Tick() is due.
+  BootTimePoint NextDeadline(BootTimePoint now, const StoreClock& clock) const;
+
+ private:
+  // Whether the row may be replaced by this host's.
+  bool MayTake(BootTimePoint now, const StoreClock& clock) const;
+  bool IsOwn(const QuotaPartRow& row) const;
+  // Whether the row may have to be read or written.
+  bool HasWork() const;
+  void Read(std::vector<LeaseAction>& actions);
+  void Write(StoreTimePoint end, std::vector<LeaseAction>& actions);
+  void Advance(BootTimePoint now, const StoreClock& clock, std::vector<LeaseAction>& actions);
+
+  const std::string host_name;
+  const std::uint64_t incarnation;
+  const IsUsable is_usable;
+  bool wanted = false;
+  bool in_flight = false;
+  // Whether known_version and known_row are the result of the last call.
+  bool known = false;
+  std::uint64_t known_version = 0;
+  QuotaPartRow known_row;
+  bool unreadable = false;
+  // When this version of the row was first seen.
+  BootTimePoint first_seen_at;
+  // Content of the write in flight.
+  QuotaPartRow written;
+  // Set while this host holds the part.
+  std::optional<StoreTimePoint> end;
+  BootTimePoint renewal_due;
+  BootTimePoint retry_at;
+};
+
+}  // namespace pimentopin
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -263,6 +263,22 @@
                   rc::gen::set(&RetryCounter::intervals, AnyRetryCounts()))))));
 }
 
+inline rc::Gen<QuotaRequest> AnyQuotaRequest() {
+  return rc::gen::build<QuotaRequest>(
+      rc::gen::set(&QuotaRequest::request, AnyId<QuotaRequestId>()),
+      rc::gen::set(&QuotaRequest::organisation, AnyId<OrganisationId>()),
+      rc::gen::set(&QuotaRequest::part), rc::gen::set(&QuotaRequest::wanted));
+}
+
+inline rc::Gen<QuotaReply> AnyQuotaReply() {
+  return rc::gen::build<QuotaReply>(
+      rc::gen::set(&QuotaReply::request, AnyId<QuotaRequestId>()),
+      rc::gen::set(&QuotaReply::organisation, AnyId<OrganisationId>()),
+      rc::gen::set(&QuotaReply::part), rc::gen::set(&QuotaReply::holds),
+      rc::gen::set(&QuotaReply::granted), rc::gen::set(&QuotaReply::retry_after, AnyDuration()),
+      rc::gen::set(&QuotaReply::holder, AnyId<HostId>()));
+}
+
 template <typename Value>
 rc::Gen<Envelope> EnvelopeOf(rc::Gen<Value> message) {
   return rc::gen::build<Envelope>(
@@ -292,7 +308,9 @@
           EnvelopeOf(AnyConfigurationDocument()),
           EnvelopeOf(AnyProbeReport()),
           EnvelopeOf(AnyCompressedConfigurationDocument()),
-          EnvelopeOf(AnyRetryUsage())};
+          EnvelopeOf(AnyRetryUsage()),
+          EnvelopeOf(AnyQuotaRequest()),
+          EnvelopeOf(AnyQuotaReply())};
 }
 
 }  // namespace pimentopin
