Config: Read the keys, priorities and quotas of organisations

Organisations get the digests of their keys, a priority and a quota, and routes may be anonymous, in the product's document and in that of the platform's operator, whose tenants become organisations with a caller each. A look-up by the digest of a key takes constant time. Findings on keys name their place and never the key. WithKeyDigests() replaces the keys in the operator's document by their digests.

--- a/Libraries/LibConfig/configuration.cc
+++ b/Libraries/LibConfig/configuration.cc
@@ -123,6 +123,29 @@
   return FindOrNull(this->targets, [&](const Target& target) { return target.id() == id; });
 }
 
+KeyHolder Configuration::FindKeyHolder(const ApiKeyDigest& key) const {
+  KeyHolder holder;
+  if (this->index.pointer) {
+    holder.organisation =
+        FindById(this->organisations, this->index.pointer->organisations_by_key, key);
+  } else {
+    holder.organisation = FindOrNull(this->organisations, [&](const Organisation& organisation) {
+      return std::find(organisation.keys.begin(), organisation.keys.end(), key) !=
+             organisation.keys.end();
+    });
+  }
+  if (holder.organisation == nullptr) {
+    return holder;
+  }
+  holder.caller = this->index.pointer
+                      ? FindById(this->callers, this->index.pointer->first_caller_by_organisation,
+                                 holder.organisation->id())
+                      : FindOrNull(this->callers, [&](const Caller& caller) {
+                          return caller.organisation == holder.organisation->name;
+                        });
+  return holder;
+}
+
 const Route* Configuration::FindRoute(std::string_view host, std::string_view path) const {
   const Route* longest_match = nullptr;
   const auto update_longest_match = [&](const Route& route) {
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -128,6 +128,15 @@
   friend bool operator==(const RequestTraits&, const RequestTraits&) = default;
 };
 
+// Whom a key identifies. The caller is the first one of the organisation; both are null for an
+// unknown key, and the caller is null for an organisation without callers.
+struct KeyHolder {
+  const Organisation* organisation = nullptr;
+  const Caller* caller = nullptr;
+
+  friend bool operator==(const KeyHolder&, const KeyHolder&) = default;
+};
+
 // A validated configuration document. It is immutable after reading; a change is
 // a new configuration with a higher revision.
 struct Configuration {
@@ -155,6 +164,7 @@
   const Service* FindService(std::string_view name) const;
   const Service* FindService(ServiceId id) const;
   const Target* FindTarget(TargetId id) const;
+  KeyHolder FindKeyHolder(const ApiKeyDigest& key) const;
 
   // Route of the host name with the longest matching path prefix; null if none
   // matches.
--- a/Libraries/LibConfig/configuration_difference.cc
+++ b/Libraries/LibConfig/configuration_difference.cc
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::pair<DifferenceKind, std::string_view>, 8> kKindNames{{
+constexpr std::array<std::pair<DifferenceKind, std::string_view>, 9> kKindNames{{
     {DifferenceKind::kOrganisation, "organisation"},
     {DifferenceKind::kCaller, "caller"},
     {DifferenceKind::kService, "service"},
@@ -19,6 +19,7 @@
     {DifferenceKind::kWorkRule, "work"},
     {DifferenceKind::kRoute, "route"},
     {DifferenceKind::kRequestLimits, "request_limits"},
+    {DifferenceKind::kKeyUse, "keys"},
 }};
 
 std::string_view KindName(DifferenceKind kind) {
@@ -64,7 +65,20 @@
 }
 
 json EntryJson(const Organisation& organisation) {
-  return {{"labels", organisation.labels}};
+  json value{{"labels", organisation.labels}};
+  for (const ApiKeyDigest& key : organisation.keys) {
+    value["key_digests"].push_back(key.Abbreviation());
+  }
+  if (organisation.priority) {
+    value["priority"] = *organisation.priority;
+  }
+  if (organisation.requests_per_second > 0) {
+    value["requests_per_second"] = organisation.requests_per_second;
+  }
+  if (organisation.burst > 0) {
+    value["burst"] = organisation.burst;
+  }
+  return value;
 }
 
 json EntryJson(const Service& service) {
@@ -125,7 +139,8 @@
           {"max_attempts", route.max_attempts},
           {"timeout_ms", JsonMilliseconds(route.timeout)},
           {"latency_objective_ms", JsonMilliseconds(route.latency_objective)},
-          {"priority", route.priority}};
+          {"priority", route.priority},
+          {"anonymous", route.anonymous}};
 }
 
 json EntryJson(const RequestLimits& limits) {
@@ -146,6 +161,10 @@
   return named;
 }
 
+NamedEntries KeyUseByName(const Configuration& configuration) {
+  return {{"requests", json{{"requires_keys", configuration.requires_keys}}}};
+}
+
 // The limits apply to all callers, so they form a single entry.
 NamedEntries RequestLimitsByName(const Configuration& configuration) {
   return configuration.request_limits
@@ -304,6 +323,8 @@
                                  EntriesByName(after.routes));
   comparison.CompareNamedEntries(DifferenceKind::kRequestLimits, RequestLimitsByName(before),
                                  RequestLimitsByName(after));
+  comparison.CompareNamedEntries(DifferenceKind::kKeyUse, KeyUseByName(before),
+                                 KeyUseByName(after));
   return comparison.TakeDifference();
 }
 
--- a/Libraries/LibConfig/configuration_difference.h
+++ b/Libraries/LibConfig/configuration_difference.h
@@ -18,6 +18,7 @@
   kWorkRule,
   kRoute,
   kRequestLimits,
+  kKeyUse,
 };
 
 // One change from one configuration to another.
--- a/Libraries/LibConfig/configuration_index.cc
+++ b/Libraries/LibConfig/configuration_index.cc
@@ -38,6 +38,15 @@
   IndexEntries(configuration.callers, index->callers_by_id);
   IndexEntries(configuration.services, index->services_by_id);
   IndexEntries(configuration.targets, index->targets_by_id);
+  for (std::size_t position = 0; position < configuration.organisations.size(); ++position) {
+    for (const ApiKeyDigest& key : configuration.organisations[position].keys) {
+      index->organisations_by_key.emplace(key, position);
+    }
+  }
+  for (std::size_t position = 0; position < configuration.callers.size(); ++position) {
+    index->first_caller_by_organisation.emplace(
+        IdFromName<OrganisationId>(configuration.callers[position].organisation), position);
+  }
   for (std::size_t position = 0; position < configuration.targets.size(); ++position) {
     index->targets_by_service[configuration.targets[position].service_id()].push_back(position);
   }
--- a/Libraries/LibConfig/configuration_index.h
+++ b/Libraries/LibConfig/configuration_index.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Libraries/LibConfig/api_key.h"
 #include "Libraries/LibCore/identifiers.h"
 
 namespace pimentopin {
@@ -18,6 +19,8 @@
   std::unordered_map<CallerId, std::size_t> callers_by_id;
   std::unordered_map<ServiceId, std::size_t> services_by_id;
   std::unordered_map<TargetId, std::size_t> targets_by_id;
+  std::unordered_map<ApiKeyDigest, std::size_t> organisations_by_key;
+  std::unordered_map<OrganisationId, std::size_t> first_caller_by_organisation;
   // Targets of each service and rules that list the service, in document order.
   std::unordered_map<ServiceId, std::vector<std::size_t>> targets_by_service;
   std::unordered_map<ServiceId, std::vector<std::size_t>> access_rules_by_service;
--- a/Libraries/LibConfig/configuration_reader.cc
+++ b/Libraries/LibConfig/configuration_reader.cc
@@ -9,6 +9,7 @@
 
 #include "Libraries/LibConfig/document_scanner.h"
 #include "Libraries/LibConfig/object_reader.h"
+#include "Libraries/LibConfig/unique_keys.h"
 #include "Libraries/LibCore/socket_address.h"
 
 namespace pimentopin {
@@ -74,14 +75,16 @@
         target_names(reporter),
         target_addresses(reporter),
         route_names(reporter),
-        route_keys(reporter) {
+        route_keys(reporter),
+        unique_keys(reporter) {
     this->configuration.revision = revision;
   }
 
   Configuration Read(const json& document) {
     const ObjectReader root(document, "", this->report);
     root.RejectUnknownFields({"organisations", "callers", "services", "targets", "access", "work",
-                              "routes", "request_limits"});
+                              "routes", "request_limits", "requires_keys"});
+    this->configuration.requires_keys = root.ReadBool("requires_keys", Presence::kOptional);
     // Names are read before the entries that refer to them.
     root.ForEachElement("organisations", Presence::kRequired,
                         [&](const json& value, const std::string& json_pointer) {
@@ -116,6 +119,7 @@
           ObjectReader(*limits, root.FieldPointer("request_limits"), this->report));
     }
     this->CheckServices();
+    this->CheckKeyHolders();
     return std::move(this->configuration);
   }
 
@@ -141,15 +145,44 @@
   }
 
   void ReadOrganisation(const ObjectReader& reader) {
-    reader.RejectUnknownFields({"name", "labels"});
+    reader.RejectUnknownFields(
+        {"name", "labels", "key_digests", "priority", "requests_per_second", "burst"});
     Organisation organisation{.name = reader.ReadName("name"),
-                              .labels = reader.ReadLabels("labels")};
+                              .labels = reader.ReadLabels("labels"),
+                              .keys = this->ReadKeyDigests(reader),
+                              .requests_per_second = reader.ReadRate("requests_per_second"),
+                              .burst = reader.ReadRate("burst")};
+    const std::optional<std::int64_t> priority =
+        reader.ReadInteger("priority", 0, kMaxPriority, Presence::kOptional);
+    if (priority) {
+      organisation.priority = static_cast<std::uint32_t>(*priority);
+    }
+    if (!organisation.keys.empty()) {
+      this->key_holders.emplace_back(organisation.name, reader.json_pointer());
+    }
     this->organisation_names.Add(organisation.name, reader.FieldPointer("name"));
     this->RejectOrganisationLabel(reader, organisation.labels);
     this->organisation_labels.emplace(organisation.name, organisation.labels);
     this->configuration.organisations.push_back(std::move(organisation));
   }
 
+  std::vector<ApiKeyDigest> ReadKeyDigests(const ObjectReader& reader) {
+    std::vector<ApiKeyDigest> digests;
+    reader.ForEachElement(
+        "key_digests", Presence::kOptional, [&](const json& value, const std::string& place) {
+          const std::optional<ApiKeyDigest> digest =
+              value.is_string() ? ApiKeyDigest::FromHex(value.get_ref<const std::string&>())
+                                : std::nullopt;
+          if (!digest) {
+            this->report(place, "must be the SHA-256 of a key as 64 lower-case hexadecimal digits");
+            return;
+          }
+          this->unique_keys.Add(*digest, place);
+          digests.push_back(*digest);
+        });
+    return digests;
+  }
+
   void ReadCaller(const ObjectReader& reader) {
     reader.RejectUnknownFields({"name", "organisation", "labels"});
     Caller caller{.name = reader.ReadName("name"),
@@ -256,7 +289,7 @@
   void ReadRoute(const ObjectReader& reader) {
     reader.RejectUnknownFields({"name", "host", "path_prefix", "services", "caller", "idempotent",
                                 "bulk", "max_attempts", "timeout_ms", "latency_objective_ms",
-                                "priority"});
+                                "priority", "anonymous"});
     Route route{
         .name = reader.ReadName("name"),
         .host = reader.ReadString("host", Presence::kRequired).value_or(""),
@@ -269,7 +302,8 @@
         .latency_objective =
             std::chrono::milliseconds(reader.ReadUint32("latency_objective_ms", 1, kMaxDeadlineMs)),
         .priority = static_cast<std::uint32_t>(
-            reader.ReadInteger("priority", 0, kMaxPriority, Presence::kOptional).value_or(0))};
+            reader.ReadInteger("priority", 0, kMaxPriority, Presence::kOptional).value_or(0)),
+        .anonymous = reader.ReadBool("anonymous", Presence::kOptional)};
     this->route_names.Add(route.name, reader.FieldPointer("name"));
     this->CheckReference(route.caller, this->caller_names, "caller", reader.FieldPointer("caller"));
     if (route.path_prefix.empty() || route.path_prefix.back() != '/') {
@@ -414,6 +448,18 @@
     }
   }
 
+  // Requests with a key are sent on behalf of the first caller of its organisation.
+  void CheckKeyHolders() {
+    for (const auto& [organisation, json_pointer] : this->key_holders) {
+      const bool has_caller =
+          std::any_of(this->configuration.callers.begin(), this->configuration.callers.end(),
+                      [&](const Caller& caller) { return caller.organisation == organisation; });
+      if (!has_caller) {
+        this->report(ChildPointer(json_pointer, "key_digests"), "the organisation has no caller");
+      }
+    }
+  }
+
   // Leaving targets are included in the slots, so that draining a target does not make the
   // document invalid.
   void CheckServices() {
@@ -444,6 +490,9 @@
   UniqueNames target_addresses;
   UniqueNames route_names;
   UniqueNames route_keys;
+  UniqueKeys unique_keys;
+  // Organisations with keys, and their places.
+  std::vector<std::pair<std::string, std::string>> key_holders;
   std::map<std::string, Labels> organisation_labels;
   std::map<std::string, ServiceCapacity> service_capacities;
 };
--- a/Libraries/LibConfig/object_reader.cc
+++ b/Libraries/LibConfig/object_reader.cc
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr double kMaxRate = 1e9;
+
 bool IsLowerCaseOrDigit(char byte) {
   return (byte >= 'a' && byte <= 'z') || (byte >= '0' && byte <= '9');
 }
@@ -114,6 +116,19 @@
       this->ReadInteger(field, minimum, maximum, Presence::kRequired).value_or(minimum));
 }
 
+double ObjectReader::ReadRate(std::string_view field) const {
+  const json* const found = this->FindField(field, Presence::kOptional);
+  if (found == nullptr || !this->CheckType(field, *found, found->is_number(), "a number")) {
+    return 0;
+  }
+  const auto rate = found->get<double>();
+  if (!(rate >= 0) || rate > kMaxRate) {
+    this->ReportError(field, found->dump() + " is outside 0 to 1e9");
+    return 0;
+  }
+  return rate;
+}
+
 bool ObjectReader::ReadBool(std::string_view field, Presence presence) const {
   const json* const found = this->FindField(field, presence);
   return found != nullptr && this->CheckType(field, *found, found->is_boolean(), "true or false") &&
--- a/Libraries/LibConfig/object_reader.h
+++ b/Libraries/LibConfig/object_reader.h
@@ -49,6 +49,8 @@
   std::uint32_t ReadUint32(std::string_view field,
                            std::int64_t minimum,
                            std::int64_t maximum) const;
+  // Reads an optional number of 0 or more; 0 if it is absent.
+  double ReadRate(std::string_view field) const;
   bool ReadBool(std::string_view field, Presence presence) const;
   // Calls `visit` with each element of an array and its JSON pointer.
   void ForEachElement(
--- /dev/null
+++ b/Libraries/LibConfig/unique_keys.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "Libraries/LibConfig/api_key.h"
+#include "Libraries/LibConfig/document_scanner.h"
+
+namespace pimentopin {
+
+// Reports keys that a document holds more than once, by their places alone.
+class UniqueKeys {
+ public:
+  explicit UniqueKeys(const ErrorReporter& reporter) : report(reporter) {}
+
+  void Add(const ApiKeyDigest& key, const std::string& place) {
+    const auto [first_use, inserted] = this->places.emplace(key, place);
+    if (!inserted) {
+      this->report(place, "the key is already used at " + first_use->second);
+    }
+  }
+
+ private:
+  const ErrorReporter& report;
+  std::unordered_map<ApiKeyDigest, std::string> places;
+};
+
+}  // namespace pimentopin
--- a/Tests/LibConfig/configuration_difference_test.cc
+++ b/Tests/LibConfig/configuration_difference_test.cc
@@ -57,6 +57,18 @@
       std::function<void(Configuration&)> apply;
     };
     const std::vector<Case> cases = {
+        {"organisation wheels key_digests",
+         [](Configuration& changed) {
+           changed.organisations[0].keys.push_back(ApiKeyDigest::Of("key"));
+         }},
+        {"organisation wheels priority",
+         [](Configuration& changed) { changed.organisations[0].priority = 0; }},
+        {"organisation wheels requests_per_second",
+         [](Configuration& changed) { changed.organisations[0].requests_per_second = 0.5; }},
+        {"organisation wheels burst",
+         [](Configuration& changed) { changed.organisations[0].burst = 1; }},
+        {"keys requests requires_keys",
+         [](Configuration& changed) { changed.requires_keys = true; }},
         {"service parts floor_slots",
          [](Configuration& changed) { changed.services[0].floor_slots = 5; }},
         {"service parts floor_share",
@@ -117,6 +129,8 @@
          [](Configuration& changed) { changed.routes[0].timeout += Duration(1); }},
         {"route parts latency_objective_ms",
          [](Configuration& changed) { changed.routes[0].latency_objective += Duration(1); }},
+        {"route parts anonymous",
+         [](Configuration& changed) { changed.routes[0].anonymous = true; }},
         {"route parts priority", [](Configuration& changed) { changed.routes[0].priority = 1; }},
         {"request_limits callers max_header_bytes",
          [](Configuration& changed) { changed.request_limits->max_header_bytes = 1; }},
--- a/Tests/LibConfig/configuration_reader_test.cc
+++ b/Tests/LibConfig/configuration_reader_test.cc
@@ -27,6 +27,8 @@
   CPPUNIT_TEST(TestLeavingTargetCountsTowardsFloor);
   CPPUNIT_TEST(TestIndexedLookupsEqualLinearLookups);
   CPPUNIT_TEST(TestIndexIsValidInCopies);
+  CPPUNIT_TEST(TestKeyIdentifiesItsOrganisation);
+  CPPUNIT_TEST(TestKeyOfTwoOrganisationsIsAnError);
   CPPUNIT_TEST(TestDotSegmentsMatchNoRule);
   CPPUNIT_TEST(TestLargestDocumentFitsOneFrame);
   CPPUNIT_TEST_SUITE_END();
@@ -140,6 +142,12 @@
         {"/callers/0/name", ""},
         {"/callers/0/name", std::string(64, 'a')},
         {"/callers/0/colour", "red"},
+        {"/organisations/0/key_digests", "key"},
+        {"/organisations/0/key_digests", {std::string(64, 'A')}},
+        {"/organisations/0/priority", -1},
+        {"/organisations/0/requests_per_second", -0.5},
+        {"/organisations/0/burst", "many"},
+        {"/requires_keys", 1},
         {"/services/0/queue_limit", -1},
         {"/services/0/queue_limit", 18446744073709551615U},
         {"/services/0/queue_limit", 1.5},
@@ -176,7 +184,9 @@
       // too few slots for its floor.
       const bool has_consequential_errors =
           place == "/organisations" || place == "/targets/0/service";
-      CPPUNIT_ASSERT_MESSAGE(place + " " + value.dump(), errors.contains(place));
+      const bool names_element = place == "/organisations/0/key_digests" && value.is_array();
+      CPPUNIT_ASSERT_MESSAGE(place + " " + value.dump(),
+                             errors.contains(names_element ? place + "/0" : place));
       CPPUNIT_ASSERT_MESSAGE(place + " " + value.dump(),
                              has_consequential_errors || errors.size() == 1);
     }
@@ -289,6 +299,37 @@
     }
   }
 
+  // Guards against a key that is taken for that of another organisation, with or without the index.
+  void TestKeyIdentifiesItsOrganisation() {
+    json document = documents::Valid();
+    document["requires_keys"] = true;
+    document["organisations"][1]["key_digests"] = {ApiKeyDigest::Of("key-1").ToHex(),
+                                                   ApiKeyDigest::Of("key-2").ToHex()};
+    document["organisations"][1]["priority"] = 3;
+    const Configuration indexed = ReadValid(document);
+    CPPUNIT_ASSERT(indexed.requires_keys);
+    CPPUNIT_ASSERT(indexed.organisations[1].priority == 3U);
+    Configuration linear = indexed;
+    linear.index.pointer = nullptr;
+    for (const Configuration* configuration : {&indexed, &linear}) {
+      const KeyHolder holder = configuration->FindKeyHolder(ApiKeyDigest::Of("key-2"));
+      CPPUNIT_ASSERT_EQUAL(std::string("lifts"), holder.organisation->name);
+      CPPUNIT_ASSERT_EQUAL(std::string("desk-2"), holder.caller->name);
+      CPPUNIT_ASSERT(configuration->FindKeyHolder(ApiKeyDigest::Of("key-3")) == KeyHolder{});
+    }
+  }
+
+  // Guards against a key whose requests may be counted for either of two organisations.
+  void TestKeyOfTwoOrganisationsIsAnError() {
+    json document = documents::Valid();
+    const std::string digest = ApiKeyDigest::Of("key-1").ToHex();
+    document["organisations"][0]["key_digests"] = {digest};
+    document["organisations"][1]["key_digests"] = {digest};
+    AssertErrors({{"/organisations/1/key_digests/0",
+                   "the key is already used at /organisations/0/key_digests/0"}},
+                 Errors(document));
+  }
+
   // Guards against an index of a copy that refers to the destroyed original.
   void TestIndexIsValidInCopies() {
     auto original = std::make_unique<Configuration>(ReadValid(documents::Valid()));
--- a/Tests/PlatformAdapter/documents_test.cc
+++ b/Tests/PlatformAdapter/documents_test.cc
@@ -36,6 +36,9 @@
   CPPUNIT_TEST(TestUploadIsNotIdempotent);
   CPPUNIT_TEST(TestUnknownWordsDoNotRejectDocument);
   CPPUNIT_TEST(TestFieldHasNoEffectSilently);
+  CPPUNIT_TEST(TestTenantsAreOrganisations);
+  CPPUNIT_TEST(TestKeyDigestsReplaceKeys);
+  CPPUNIT_TEST(TestBadTenantIsReportedWithoutItsKey);
   CPPUNIT_TEST(TestTargetEntry);
   CPPUNIT_TEST(TestInvalidEntriesAreRefused);
   CPPUNIT_TEST(TestOddEntryEndsTheProcess);
@@ -44,6 +47,11 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Document with these resources.
+  static std::string WithTenants(const std::string& tenants) {
+    return R"({"version":"0000001c","resources":[)" + tenants + "]}";
+  }
+
   // Guards against retrying requests that must not be repeated.
   void TestRoutesAndServices() {
     Findings findings;
@@ -144,6 +152,84 @@
         findings.NotesToText());
   }
 
+  // Guards against a key that identifies nobody or somebody else.
+  void TestTenantsAreOrganisations() {
+    Findings findings;
+    const auto configuration = platform::ReadOperatorDocument(
+        WithTenants(R"({"type":"tenants","metadata":{"name":"Port of A"},"spec":{"priority":1,
+          "api-keys":["key-1","key-2"],"rate-per-s":12.5,"burst":30,"colour":"red"}},
+          {"type":"tenants","metadata":{"name":"b"},"spec":{"api-keys":[]}})"),
+        {}, findings);
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    CPPUNIT_ASSERT(findings.NotesToText().find("/spec/colour: unknown") != std::string::npos);
+    CPPUNIT_ASSERT(configuration->requires_keys);
+    const KeyHolder holder = configuration->FindKeyHolder(ApiKeyDigest::Of("key-2"));
+    const Organisation expected{.name = "Port of A",
+                                .keys = {ApiKeyDigest::Of("key-1"), ApiKeyDigest::Of("key-2")},
+                                .priority = 1,
+                                .requests_per_second = 12.5,
+                                .burst = 30};
+    CPPUNIT_ASSERT(*holder.organisation == expected);
+    CPPUNIT_ASSERT_EQUAL(std::string("Port of A"), holder.caller->name);
+    CPPUNIT_ASSERT(configuration->FindKeyHolder(ApiKeyDigest::Of("key-3")) == KeyHolder{});
+    CPPUNIT_ASSERT(!platform::ReadOperatorDocument(kDocument, {}, findings)->requires_keys);
+  }
+
+  // Guards against keys in what hosts send each other and show.
+  void TestKeyDigestsReplaceKeys() {
+    const std::string text = WithTenants(R"({"type":"tenants","metadata":{"name":"a"},
+      "spec":{"api-keys":["key-1"],"rate-per-s":3}})");
+    const std::string without_keys = platform::WithKeyDigests(text);
+    CPPUNIT_ASSERT(without_keys.find("key-1") == std::string::npos);
+    Findings findings;
+    CPPUNIT_ASSERT(*platform::ReadOperatorDocument(text, {}, findings) ==
+                   *platform::ReadOperatorDocument(without_keys, {}, findings));
+    CPPUNIT_ASSERT_EQUAL(without_keys, platform::WithKeyDigests(without_keys));
+  }
+
+  // Guards against accepting a document with an ambiguous key or limit, and against findings that
+  // show a key.
+  void TestBadTenantIsReportedWithoutItsKey() {
+    struct Case {
+      std::string name;
+      std::string spec;
+      std::string place;
+    };
+    const std::string long_key(201, 'k');
+    const std::vector<Case> cases = {
+        {"a", R"("api-keys":["key-1","key-1"])", "/spec/api-keys/1"},
+        {"a", R"("api-keys":["key-0"])", "/spec/api-keys/0"},
+        {"a", R"("api-keys":[""])", "/spec/api-keys/0"},
+        {"a", R"("api-keys":[")" + long_key + "\"]", "/spec/api-keys/0"},
+        {"a", R"("api-keys":[17])", "/spec/api-keys/0"},
+        {"a", R"("api-keys":"key-1")", "/spec/api-keys"},
+        {"a", R"("rate-per-s":1)", "/spec/api-keys"},
+        {"a", R"("api-key-digests":["key-1"])", "/spec/api-key-digests/0"},
+        {"a", R"("api-keys":["key-1"],"rate-per-s":-1)", "/spec/rate-per-s"},
+        {"a", R"("api-keys":["key-1"],"rate-per-s":"many")", "/spec/rate-per-s"},
+        {"a", R"("api-keys":["key-1"],"burst":-0.5)", "/spec/burst"},
+        {"a", R"("api-keys":["key-1"],"priority":-1)", "/spec/priority"},
+        {"first", R"("api-keys":["key-1"])", "/metadata/name"},
+        {"clients", R"("api-keys":["key-1"])", "/metadata/name"},
+        {"", R"("api-keys":["key-1"])", "/metadata/name"},
+        {"a\\r\\nb", R"("api-keys":["key-1"])", "/metadata/name"},
+    };
+    for (const Case& bad : cases) {
+      Findings findings;
+      const auto configuration = platform::ReadOperatorDocument(
+          WithTenants(R"({"type":"tenants","metadata":{"name":"first"},
+            "spec":{"api-keys":["key-0"]}},{"type":"tenants","metadata":{"name":")" +
+                      bad.name + R"("},"spec":{)" + bad.spec + "}}"),
+          {}, findings);
+      CPPUNIT_ASSERT_MESSAGE(bad.spec, !configuration);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings.all().size());
+      CPPUNIT_ASSERT_EQUAL("/resources/1" + bad.place, findings.all().front().place);
+      CPPUNIT_ASSERT(findings.ToText().find("key-1") == std::string::npos);
+      CPPUNIT_ASSERT(findings.ToText().find("key-0") == std::string::npos);
+      CPPUNIT_ASSERT(findings.ToText().find(long_key) == std::string::npos);
+    }
+  }
+
   void TestTargetEntry() {
     Error error;
     const auto target = platform::ReadTargetEntry("i-1", kEntry, error);
