Host: Admit requests by the quota of their organisation

QuotaController executes the decisions of LibQuota on the control thread. A request above the quota ends with 429 and reason quota, one for which no holder answered with 503 and reason quota-unknown; neither has run.

--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -105,6 +105,16 @@
           "the idempotency key could not be recorded; the request was not sent"};
 }
 
+ErrorResponse QuotaRefusal(const QuotaVerdict& verdict) {
+  if (verdict.decision == QuotaDecision::kOverQuota) {
+    return {429, Outcome::kNotRun, "quota", "the organisation has used up its quota",
+            verdict.retry_after};
+  }
+  return {503, Outcome::kNotRun, "quota-unknown",
+          "no host that grants the quota of the organisation could be reached",
+          verdict.retry_after};
+}
+
 }  // namespace
 
 DispatchController::DispatchController(ControlLoop& loop,
@@ -198,6 +208,20 @@
 
 void DispatchController::Submit(std::shared_ptr<Exchange> exchange) {
   exchange->description.request = RequestId{this->random.Next()};
+  if (!this->settings.admit) {
+    this->Start(exchange);
+    return;
+  }
+  this->settings.admit(*exchange, [this, exchange](const QuotaVerdict& verdict) {
+    if (verdict.decision == QuotaDecision::kAdmitted) {
+      this->Start(exchange);
+    } else {
+      this->SendErrorResponse(*exchange, QuotaRefusal(verdict), RefusalReason::kNone);
+    }
+  });
+}
+
+void DispatchController::Start(const std::shared_ptr<Exchange>& exchange) {
   if (exchange->claim_key) {
     this->Claim(exchange);
     return;
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -17,6 +17,7 @@
 #include "Libraries/LibHost/shared_state.h"
 #include "Libraries/LibIdempotency/claim_store.h"
 #include "Libraries/LibPeer/peer_network.h"
+#include "Libraries/LibQuota/quota_client.h"
 
 namespace pimentopin {
 
@@ -73,6 +74,9 @@
     std::function<void(ServiceId, const HealthEvent&)> on_health_event;
     // Called when there is a new leaving target or crash fingerprint to broadcast.
     std::function<void()> on_new_notice;
+    // Calls `decided` once, at once or later, with whether the quota of the organisation admits
+    // the request. Empty if there are no quotas.
+    std::function<void(const Exchange&, std::function<void(const QuotaVerdict&)> decided)> admit;
   };
 
   DispatchController(ControlLoop& loop,
@@ -121,6 +125,8 @@
   void OnBrokerCandidates(const std::vector<HostId>& hosts);
   void OnMembers(const std::vector<MemberRecord>& members);
 
+  // Begins a request that its quota admits.
+  void Start(const std::shared_ptr<Exchange>& exchange);
   void Claim(const std::shared_ptr<Exchange>& exchange);
   void OnClaimed(const std::shared_ptr<Exchange>& exchange,
                  AttemptId claimant,
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -27,6 +27,7 @@
 #include "Libraries/LibHost/operator_endpoint.h"
 #include "Libraries/LibHost/platform_configuration_source.h"
 #include "Libraries/LibHost/probe_controller.h"
+#include "Libraries/LibHost/quota_controller.h"
 #include "Libraries/LibHost/report_controller.h"
 #include "Libraries/LibHost/request_reader.h"
 #include "Libraries/LibHost/stop_admission.h"
@@ -155,6 +156,7 @@
   std::unique_ptr<PeerNetwork> peers;
   std::unique_ptr<DirectoryController> directory;
   std::unique_ptr<ConfigurationController> configuration;
+  std::unique_ptr<QuotaController> quotas;
   std::unique_ptr<DispatchController> dispatch;
   std::unique_ptr<ProbeController> probes;
   std::unique_ptr<ReportController> reports;
@@ -273,6 +275,12 @@
 }
 
 void HostProcess::CreateDispatch() {
+  this->quotas = std::make_unique<QuotaController>(
+      this->loop, this->shared_state, *this->peers, *this->store, this->metrics,
+      QuotaController::Settings{.self = this->self,
+                                .host_name = this->settings.name,
+                                .domain = this->domain,
+                                .incarnation = this->incarnation});
   // Each probe opens a connection.
   this->probe_client =
       HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget,
@@ -304,7 +312,11 @@
       .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
       .on_health_event = [this](ServiceId service,
                                 const HealthEvent& event) { this->OnHealthEvent(service, event); },
-      .on_new_notice = [this] { this->directory->BroadcastNotices(); }};
+      .on_new_notice = [this] { this->directory->BroadcastNotices(); },
+      .admit =
+          [this](const Exchange& exchange, QuotaController::Decided decided) {
+            this->quotas->Admit(exchange, std::move(decided));
+          }};
   this->dispatch = std::make_unique<DispatchController>(this->loop, this->shared_state,
                                                         *this->peers, *this->claims, this->random,
                                                         std::move(dispatch_settings));
@@ -403,6 +415,9 @@
   } else if (const auto* compressed =
                  std::get_if<CompressedConfigurationDocument>(&envelope.message)) {
     this->configuration->OnCompressedDocument(*compressed);
+  } else if (std::holds_alternative<QuotaRequest>(envelope.message) ||
+             std::holds_alternative<QuotaReply>(envelope.message)) {
+    this->quotas->OnMessage(envelope);
   } else {
     this->dispatch->OnMessage(envelope);
   }
@@ -613,6 +628,7 @@
        {"longest_pause_ms", Milliseconds(admission.longest_pause)}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
+  this->quotas->SetLeaving();
   this->caller_server->DisableKeepAlive();
   // Load balancers need the delay from when they can see that the host is not ready.
   const Duration remaining = std::max(this->host_end.last_start - now, Duration::zero());
--- a/Libraries/LibQuota/host_quotas.cc
+++ b/Libraries/LibQuota/host_quotas.cc
@@ -43,8 +43,8 @@
   for (const QuotaCandidate& holder : this->holders) {
     hosts.push_back(holder.host);
   }
-  this->client.SetHolders(std::move(hosts), QuotaPartOrder(this->holders, this->settings.self,
-                                                           this->settings.domain));
+  this->client.SetHolders(
+      std::move(hosts), QuotaPartOrder(this->holders, this->settings.self, this->settings.domain));
   this->UpdateLeases(now, actions);
   for (std::size_t part = 0; part < this->parts.size(); ++part) {
     this->Take(now, part, this->parts[part].lease.OnHostsChanged(now, this->clock), actions);
@@ -104,10 +104,10 @@
   for (std::size_t index = 0; index < this->parts.size(); ++index) {
     Part& part = this->parts[index];
     if (std::exchange(part.waits_for_read, false)) {
-      this->Take(now, index,
-                 part.lease.OnRead(now, this->clock,
-                                   rows ? std::optional((*rows)[index]) : std::nullopt),
-                 actions);
+      this->Take(
+          now, index,
+          part.lease.OnRead(now, this->clock, rows ? std::optional((*rows)[index]) : std::nullopt),
+          actions);
     }
   }
   return actions;
@@ -149,10 +149,9 @@
 }
 
 std::size_t HostQuotas::parts_held(BootTimePoint now) const {
-  return static_cast<std::size_t>(
-      std::count_if(this->parts.begin(), this->parts.end(), [&](const Part& part) {
-        return part.tokens && part.lease.HoldsAt(now, this->clock);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      this->parts.begin(), this->parts.end(),
+      [&](const Part& part) { return part.tokens && part.lease.HoldsAt(now, this->clock); }));
 }
 
 bool HostQuotas::IsCandidate(HostId host) const {
--- a/Libraries/LibQuota/host_quotas.h
+++ b/Libraries/LibQuota/host_quotas.h
@@ -40,8 +40,8 @@
   friend bool operator==(const QuotaPartChange&, const QuotaPartChange&) = default;
 };
 
-using HostQuotaAction = std::
-    variant<SendToHost, QuotaVerdict, ReadQuotaParts, WriteQuotaPartRow, QuotaPartChange>;
+using HostQuotaAction =
+    std::variant<SendToHost, QuotaVerdict, ReadQuotaParts, WriteQuotaPartRow, QuotaPartChange>;
 using HostQuotaActions = std::vector<HostQuotaAction>;
 
 // Quotas of organisations at one host: admits its own requests, and grants tokens to all hosts from
--- a/Libraries/LibQuota/quota_bucket.cc
+++ b/Libraries/LibQuota/quota_bucket.cc
@@ -41,8 +41,8 @@
 
 std::uint16_t QuotaBucket::Take(BootTimePoint now, std::uint16_t wanted) {
   this->Refill(now);
-  const auto taken = static_cast<std::uint16_t>(
-      std::min<double>(wanted, std::floor(std::max(this->level, 0.0))));
+  const auto taken =
+      static_cast<std::uint16_t>(std::min<double>(wanted, std::floor(std::max(this->level, 0.0))));
   this->level -= taken;
   this->backlog = std::min(this->backlog + wanted - taken, this->rate * Seconds(kMaxRetryAfter));
   return taken;
--- a/Libraries/LibQuota/quota_client.cc
+++ b/Libraries/LibQuota/quota_client.cc
@@ -194,8 +194,7 @@
                             OrganisationState& state,
                             std::vector<QuotaAction>& actions) {
   while (!state.waiting.empty() && !state.tokens.empty()) {
-    actions.emplace_back(
-        QuotaVerdict{state.waiting.front().request, QuotaDecision::kAdmitted, {}});
+    actions.emplace_back(QuotaVerdict{state.waiting.front().request, QuotaDecision::kAdmitted, {}});
     state.waiting.pop_front();
     if (--state.tokens.front().count == 0) {
       state.tokens.pop_front();
@@ -234,8 +233,7 @@
     }
   }
   // A request is not refused for want of an answer before anybody was asked for one.
-  if (paused && !any_empty && state.asks.empty() &&
-      now - state.paused_asked_at >= kReplyTimeout) {
+  if (paused && !any_empty && state.asks.empty() && now - state.paused_asked_at >= kReplyTimeout) {
     state.paused_asked_at = now;
     return paused;
   }
@@ -247,8 +245,8 @@
                        OrganisationState& state,
                        std::size_t part,
                        std::vector<QuotaAction>& actions) {
-  const auto wanted = static_cast<std::uint16_t>(std::min<std::size_t>(
-      state.waiting.size() + Prefetch(now, state), kMaxWanted));
+  const auto wanted = static_cast<std::uint16_t>(
+      std::min<std::size_t>(state.waiting.size() + Prefetch(now, state), kMaxWanted));
   const QuotaRequestId id{this->next_request++};
   const HostId host = this->holders[part].host;
   state.asks.push_back({id, part, host, wanted, now});
--- a/Libraries/LibQuota/quota_client.h
+++ b/Libraries/LibQuota/quota_client.h
@@ -119,9 +119,7 @@
             std::vector<QuotaAction>& actions);
   // Tokens to get beyond those of waiting requests.
   static std::uint32_t Prefetch(BootTimePoint now, OrganisationState& state);
-  static QuotaVerdict Refusal(BootTimePoint now,
-                              const OrganisationState& state,
-                              RequestId request);
+  static QuotaVerdict Refusal(BootTimePoint now, const OrganisationState& state, RequestId request);
   void OnNotHeld(BootTimePoint now, HostId sender, const QuotaReply& reply);
 
   QuotaLimits limits;
--- a/Libraries/LibQuota/quota_part.cc
+++ b/Libraries/LibQuota/quota_part.cc
@@ -7,9 +7,8 @@
 }
 
 void QuotaPart::Configure(BootTimePoint now, const QuotaLimits& limits) {
-  std::erase_if(this->buckets, [&limits](const auto& entry) {
-    return !limits.contains(entry.first);
-  });
+  std::erase_if(this->buckets,
+                [&limits](const auto& entry) { return !limits.contains(entry.first); });
   for (const auto& [organisation, limit] : limits) {
     const auto [bucket, is_new] = this->buckets.try_emplace(organisation, now, limit);
     if (!is_new) {
--- a/Libraries/LibQuota/quota_part_lease.cc
+++ b/Libraries/LibQuota/quota_part_lease.cc
@@ -5,12 +5,8 @@
 
 namespace pimentopin {
 
-QuotaPartLease::QuotaPartLease(std::string host_name,
-                               std::uint64_t incarnation,
-                               IsUsable is_usable)
-    : host_name(std::move(host_name)),
-      incarnation(incarnation),
-      is_usable(std::move(is_usable)) {}
+QuotaPartLease::QuotaPartLease(std::string host_name, std::uint64_t incarnation, IsUsable is_usable)
+    : host_name(std::move(host_name)), incarnation(incarnation), is_usable(std::move(is_usable)) {}
 
 std::vector<LeaseAction> QuotaPartLease::SetWanted(BootTimePoint now,
                                                    const StoreClock& clock,
@@ -167,8 +163,8 @@
 
 void QuotaPartLease::Write(StoreTimePoint next_end, std::vector<LeaseAction>& actions) {
   this->in_flight = true;
-  this->written = this->wanted ? QuotaPartRow{this->host_name, this->incarnation, next_end}
-                               : QuotaPartRow{};
+  this->written =
+      this->wanted ? QuotaPartRow{this->host_name, this->incarnation, next_end} : QuotaPartRow{};
   actions.emplace_back(WriteQuotaPart{this->known_version, EncodeQuotaPartRow(this->written)});
 }
 
--- a/Tests/LibQuota/quota_fleet.cc
+++ b/Tests/LibQuota/quota_fleet.cc
@@ -63,9 +63,8 @@
                         Duration at,
                         std::function<HostQuotaActions(HostQuotas&)> task) {
   const std::uint64_t process = this->hosts[host].process;
-  this->At(at, [this, host, process, task = std::move(task)] {
-    this->RunAtHost(host, process, task);
-  });
+  this->At(at,
+           [this, host, process, task = std::move(task)] { this->RunAtHost(host, process, task); });
 }
 
 void QuotaFleet::RunAtHost(std::size_t index,
@@ -117,7 +116,10 @@
       const auto response = std::make_shared<Response>();
       const BootTimePoint sent_at = this->HostTime(index);
       this->CallStore(
-          index, [this, response] { *response = {this->rows, this->StoreTime()}; },
+          index,
+          [this, response] {
+            *response = {this->rows, this->StoreTime()};
+          },
           [this, index, response, sent_at](HostQuotas& quotas, bool arrived) {
             return quotas.OnRows(this->HostTime(index), sent_at,
                                  arrived ? std::optional(response->rows) : std::nullopt,
@@ -154,14 +156,13 @@
   }
   const HostId sender = IdFromName<HostId>(HostName(from));
   const Duration delay = to == from ? Duration::zero() : this->LinkDelay();
-  this->AtHost(to, this->time + delay,
-               [this, to, sender, message = action.message](HostQuotas& quotas) {
-                 const BootTimePoint now = this->HostTime(to);
-                 const auto* request = std::get_if<QuotaRequest>(&message);
-                 return request != nullptr
-                            ? quotas.OnRequest(now, sender, *request)
-                            : quotas.OnReply(now, sender, std::get<QuotaReply>(message));
-               });
+  this->AtHost(
+      to, this->time + delay, [this, to, sender, message = action.message](HostQuotas& quotas) {
+        const BootTimePoint now = this->HostTime(to);
+        const auto* request = std::get_if<QuotaRequest>(&message);
+        return request != nullptr ? quotas.OnRequest(now, sender, *request)
+                                  : quotas.OnReply(now, sender, std::get<QuotaReply>(message));
+      });
 }
 
 void QuotaFleet::CallStore(std::size_t host,
@@ -175,8 +176,7 @@
   }
   const bool late = this->random.Unit() < this->faults.late_calls;
   const bool lost = this->random.Unit() < this->faults.response_loss;
-  const Duration arrival =
-      this->time + milliseconds(1 + this->random.Below(late ? 3000 : 10));
+  const Duration arrival = this->time + milliseconds(1 + this->random.Below(late ? 3000 : 10));
   this->At(arrival, operation);
   if (late || lost) {
     this->AtHost(host, this->time + kStoreTimeout, fail);
@@ -193,11 +193,11 @@
   host.paused_until = this->time;
   host.wake_at = Duration::max();
   host.waiting.clear();
-  host.quotas = std::make_unique<HostQuotas>(
-      HostQuotas::Settings{.self = IdFromName<HostId>(HostName(index)),
-                           .host_name = HostName(index),
-                           .domain = DomainId{index % kDomains},
-                           .incarnation = host.process});
+  host.quotas =
+      std::make_unique<HostQuotas>(HostQuotas::Settings{.self = IdFromName<HostId>(HostName(index)),
+                                                        .host_name = HostName(index),
+                                                        .domain = DomainId{index % kDomains},
+                                                        .incarnation = host.process});
   this->RunAtHost(index, host.process, [this, index](HostQuotas& quotas) {
     return quotas.Configure(this->HostTime(index), this->limits);
   });
@@ -302,8 +302,8 @@
     return true;
   }
   const double elapsed = std::chrono::duration<double>(now - demand.level_at).count();
-  demand.level = std::min(demand.within->burst,
-                          demand.level + demand.within->requests_per_second * elapsed);
+  demand.level =
+      std::min(demand.within->burst, demand.level + demand.within->requests_per_second * elapsed);
   demand.level_at = now;
   const bool is_within = demand.level >= 1;
   demand.level -= is_within ? 1 : 0;
@@ -331,8 +331,8 @@
 std::size_t QuotaFleet::Count(QuotaDecision decision,
                               OrganisationId organisation,
                               Duration since) const {
-  return static_cast<std::size_t>(std::count_if(
-      this->all_results.begin(), this->all_results.end(), [&](const Result& result) {
+  return static_cast<std::size_t>(
+      std::count_if(this->all_results.begin(), this->all_results.end(), [&](const Result& result) {
         return result.decision == decision && result.organisation == organisation &&
                result.at >= since;
       }));
