--- a/Libraries/LibConfig/configuration.cc
+++ b/Libraries/LibConfig/configuration.cc
@@ -123,6 +123,14 @@
   return FindOrNull(this->targets, [&](const Target& target) { return target.id() == id; });
 }
 
+const Organisation* Configuration::FindOrganisation(OrganisationId id) const {
+  if (this->index.pointer) {
+    return FindById(this->organisations, this->index.pointer->organisations_by_id, id);
+  }
+  return FindOrNull(this->organisations,
+                    [&](const Organisation& organisation) { return organisation.id() == id; });
+}
+
 KeyHolder Configuration::FindKeyHolder(const ApiKeyDigest& key) const {
   KeyHolder holder;
   if (this->index.pointer) {
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -164,6 +164,7 @@
   const Service* FindService(std::string_view name) const;
   const Service* FindService(ServiceId id) const;
   const Target* FindTarget(TargetId id) const;
+  const Organisation* FindOrganisation(OrganisationId id) const;
   KeyHolder FindKeyHolder(const ApiKeyDigest& key) const;
 
   // Route of the host name with the longest matching path prefix; null if none
--- a/Libraries/LibConfig/configuration_index.cc
+++ b/Libraries/LibConfig/configuration_index.cc
@@ -35,6 +35,7 @@
 std::shared_ptr<const ConfigurationIndex> ConfigurationIndex::Build(
     const Configuration& configuration) {
   auto index = std::make_shared<ConfigurationIndex>();
+  IndexEntries(configuration.organisations, index->organisations_by_id);
   IndexEntries(configuration.callers, index->callers_by_id);
   IndexEntries(configuration.services, index->services_by_id);
   IndexEntries(configuration.targets, index->targets_by_id);
--- a/Libraries/LibConfig/configuration_index.h
+++ b/Libraries/LibConfig/configuration_index.h
@@ -19,6 +19,7 @@
   std::unordered_map<CallerId, std::size_t> callers_by_id;
   std::unordered_map<ServiceId, std::size_t> services_by_id;
   std::unordered_map<TargetId, std::size_t> targets_by_id;
+  std::unordered_map<OrganisationId, std::size_t> organisations_by_id;
   std::unordered_map<ApiKeyDigest, std::size_t> organisations_by_key;
   std::unordered_map<OrganisationId, std::size_t> first_caller_by_organisation;
   // Targets of each service and rules that list the service, in document order.
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -334,7 +334,8 @@
           .idempotent = description.idempotent,
           .bulk = description.bulk,
           .forbidden = std::move(forbidden),
-          .kind = description.kind};
+          .kind = description.kind,
+          .priority = description.priority};
 }
 
 void HostDispatcher::RequestSlot(TimePoint now,
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -9,7 +9,6 @@
 namespace pimentopin {
 namespace {
 
-constexpr const char* kHostTable = "hosts";
 // A host to which connections have failed for this long is not a broker candidate.
 constexpr Duration kUnreachableAfter = std::chrono::seconds(1);
 // A host that has been unreachable for this long is removed from the store, so that every
@@ -75,7 +74,14 @@
   this->loop.Post([this] { this->Update(); });
 }
 
+void DirectoryController::RefreshConfirmedStoreTime() {
+  if (this->settings.confirmed_store_time) {
+    this->relay.SetConfirmedStoreTime(this->settings.confirmed_store_time());
+  }
+}
+
 void DirectoryController::Update() {
+  this->RefreshConfirmedStoreTime();
   const TimePoint now = SteadyNow();
   this->shared_state.leaving_targets.Tick(now);
   this->shared_state.hold_offs.Tick(now);
@@ -99,7 +105,12 @@
 void DirectoryController::OnMessage(const Envelope& envelope) {
   const TimePoint now = SteadyNow();
   this->last_peer_message_at = now;
-  if (const auto* digest = std::get_if<StoreDigest>(&envelope.message)) {
+  const auto* const digest = std::get_if<StoreDigest>(&envelope.message);
+  if (digest != nullptr && this->settings.on_digest) {
+    this->settings.on_digest(*digest);
+  }
+  this->RefreshConfirmedStoreTime();
+  if (digest != nullptr) {
     this->peers.SetPeer(envelope.sender, digest->address);
     this->Execute(this->relay.OnDigest(now, envelope.sender, *digest));
   } else if (const auto* rows = std::get_if<RowRelay>(&envelope.message)) {
@@ -229,6 +240,7 @@
   if (!batch) {
     Log(LogLevel::kDebug, "store_read_failed", {{"table", table}, {"error", error.message}});
   }
+  this->RefreshConfirmedStoreTime();
   this->Execute(this->relay.OnRows(SteadyNow(), table, batch, error));
   this->Update();
 }
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -18,6 +18,9 @@
 
 namespace pimentopin {
 
+// Table of the store in which the hosts register themselves.
+inline constexpr const char* kHostTable = "hosts";
+
 // Tracks the hosts and registered targets in the platform's store, registers this host
 // there, and exchanges notices about leaving targets and crash requests with peers.
 class DirectoryController {
@@ -35,6 +38,11 @@
     // Reads the newest configuration and passes on whether the store answered.
     std::function<void(const ReadNewestConfiguration&, std::function<void(const Error&)>)>
         read_configuration;
+    // Receives the digests of other hosts, before this host acts on them; may be empty.
+    std::function<void(const StoreDigest&)> on_digest = {};
+    // Time of the store up to which the active configuration is known to be the newest one, for the
+    // digests; may be empty.
+    std::function<std::optional<StoreTimePoint>()> confirmed_store_time = {};
     // Called when a host is known to have a revision of the configuration.
     std::function<void(HostId, std::uint64_t)> on_revision_seen;
     // Called when the registered targets were read or have changed.
@@ -63,6 +71,7 @@
 
  private:
   void Update();
+  void RefreshConfirmedStoreTime();
   void Execute(const std::vector<RelayAction>& actions);
   void Execute(const ListTable& action);
   void Execute(const ReadChanges& action);
--- a/Libraries/LibHost/exchange.h
+++ b/Libraries/LibHost/exchange.h
@@ -20,6 +20,10 @@
   std::string service;
   std::string caller;
   std::string organisation;
+  // The configuration requires keys, so that only the host names the organisation to targets.
+  bool names_organisation = false;
+  // A key identified the organisation, which is false on anonymous routes.
+  bool identified_by_key = false;
   // Path and query that are sent to the target.
   std::string target_path;
   RequestDescription description;
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -22,6 +22,7 @@
 #include "Libraries/LibHost/control_loop.h"
 #include "Libraries/LibHost/directory_controller.h"
 #include "Libraries/LibHost/dispatch_controller.h"
+#include "Libraries/LibHost/key_lease_controller.h"
 #include "Libraries/LibHost/limits_in_force.h"
 #include "Libraries/LibHost/metrics.h"
 #include "Libraries/LibHost/operator_endpoint.h"
@@ -56,6 +57,17 @@
 // Limits how long pending writes to the platform delay the exit, if the host's end does not.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
+// A read of the configuration confirms it when it ends. With a limit on withdrawn keys, a read
+// waits so shortly that a host which loses its contact can accept keys for more than half of the
+// limit.
+Duration ConfigurationPollTimeout(Duration key_revocation_time) {
+  constexpr int kPollsPerRevocationTime = 8;
+  return key_revocation_time == Duration::zero()
+             ? Duration(StoreRelay::kConfigurationPollTimeout)
+             : std::min<Duration>(StoreRelay::kConfigurationPollTimeout,
+                                  key_revocation_time / kPollsPerRevocationTime);
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -76,6 +88,7 @@
 
  private:
   void CreateStore();
+  void CreateKeyLease();
   bool CreatePeers(Error& error);
   void CreateDirectory();
   void CreateDispatch();
@@ -152,6 +165,9 @@
   std::unique_ptr<ClaimStore> claims;
   std::unique_ptr<Alarm> claims_alarm;
 
+  // Null if withdrawn keys have no time limit.
+  std::unique_ptr<KeyLeaseController> key_lease;
+
   std::unique_ptr<PeerNetwork> peers;
   std::unique_ptr<DirectoryController> directory;
   std::unique_ptr<ConfigurationController> configuration;
@@ -168,6 +184,7 @@
 
 bool HostProcess::Start(Error& error) {
   this->CreateStore();
+  this->CreateKeyLease();
   if (!this->CreatePeers(error)) {
     return false;
   }
@@ -190,21 +207,56 @@
   return true;
 }
 
+void HostProcess::CreateKeyLease() {
+  if (this->settings.key_revocation_time == Duration::zero()) {
+    return;
+  }
+  this->key_lease = std::make_unique<KeyLeaseController>(
+      this->shared_state,
+      KeyLeaseController::Settings{.revocation_time = this->settings.key_revocation_time,
+                                   .call_store =
+                                       [this](const std::function<void()>& done) {
+                                         // Reads this host's own row.
+                                         this->store->Read(
+                                             std::string(kHostTable) + "/" + this->settings.name,
+                                             [done](const auto&, const Error&) { done(); });
+                                       },
+                                   .clock = BootNow,
+                                   .on_changed = [this] { this->UpdateReadiness(); }});
+}
+
 void HostProcess::CreateStore() {
   this->platform_client = HttpClient::Create(
       {.max_connections_per_address = 8, .keep_alive_idle_time = std::chrono::seconds(1)});
   this->store = this->adapter.create_store(
       *this->platform_client,
       {.base_url = this->settings.platform_url,
-       .post = [this](std::function<void()> task) { this->loop.Post(std::move(task)); }});
+       .post = [this](std::function<void()> task) { this->loop.Post(std::move(task)); },
+       .on_store_time =
+           [this](BootTimePoint sent, BootTimePoint answered, StoreTimePoint at_store) {
+             if (this->key_lease) {
+               this->key_lease->OnStoreTime(sent, answered, at_store);
+             }
+           }});
   this->configuration_store = std::make_unique<ConfigurationStore>(
       *this->store, *this->store, [this](std::function<void()> task) {
         this->loop.RunAfter(kCommitRetryDelay, std::move(task));
       });
   if (this->settings.platform_configuration) {
     this->platform_configuration_source = std::make_unique<PlatformConfigurationSource>(
-        *this->store, this->adapter.configuration_table, this->adapter.configuration_key,
-        this->adapter.read_configuration, StoreRelay::kConfigurationPollTimeout);
+        *this->store,
+        PlatformConfigurationSource::Settings{
+            .table = this->adapter.configuration_table,
+            .key = this->adapter.configuration_key,
+            .reader = this->adapter.read_configuration,
+            .without_keys = this->adapter.without_keys,
+            .on_confirmed =
+                [this](const ConfigurationConfirmation& confirmation) {
+                  if (this->key_lease) {
+                    this->key_lease->OnConfirmed(confirmation);
+                  }
+                },
+            .long_poll_timeout = ConfigurationPollTimeout(this->settings.key_revocation_time)});
   }
   this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
   this->claims = std::make_unique<ClaimStore>(
@@ -259,6 +311,14 @@
           [this](const ReadNewestConfiguration& read, std::function<void(const Error&)> done) {
             this->configuration->ReadNewest(read, std::move(done));
           },
+      .on_digest =
+          [this](const StoreDigest& digest) {
+            if (this->key_lease) {
+              this->key_lease->OnDigest(digest);
+            }
+          },
+      .confirmed_store_time =
+          [this] { return this->key_lease ? this->key_lease->ConfirmedAt() : std::nullopt; },
       .on_revision_seen =
           [this](HostId host, std::uint64_t revision) {
             this->configuration->OnRevisionSeen(host, revision);
@@ -323,6 +383,9 @@
   this->probes = std::make_unique<ProbeController>(this->loop, this->shared_state,
                                                    *this->probe_client, std::move(probe_settings));
   this->shared_state.configuration.Observe([this](const Configuration& active_configuration) {
+    if (this->key_lease) {
+      this->key_lease->SetActiveRevision(active_configuration.revision);
+    }
     this->directory->SetConfigurationRevision(active_configuration.revision);
     this->ApplyRequestLimits(active_configuration);
     this->UpdateReadiness();
@@ -386,6 +449,9 @@
   }
   this->loop.RunPeriodically(kHousekeepingInterval, [this] {
     this->reports->Tick(SteadyNow());
+    if (this->key_lease) {
+      this->key_lease->Tick();
+    }
     this->UpdateReadiness();
   });
   this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->RecordRunning(); });
@@ -414,13 +480,14 @@
   if (request_id.empty()) {
     request_id = this->NewRequestId();
   }
-  const auto active_configuration = this->shared_state.configuration.Read();
+  const auto [active_configuration, keys_confirmed] =
+      ReadActiveConfiguration(this->shared_state, BootNow);
   ErrorResponse refusal{503, Outcome::kNotRun, "no-configuration",
                         "this host has no configuration yet"};
   std::optional<Exchange> exchange;
   if (active_configuration) {
     exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
-                           SteadyNow(), refusal);
+                           SteadyNow(), keys_confirmed, refusal);
   }
   const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
@@ -543,6 +610,9 @@
   const auto active_configuration = this->shared_state.configuration.Read();
   const Readiness next{.has_configuration = active_configuration != nullptr,
                        .has_targets = this->directory->HasTargets(),
+                       .keys_unconfirmed = active_configuration && this->key_lease &&
+                                           active_configuration->requires_keys &&
+                                           !this->key_lease->accepts_keys(),
                        .isolated = !this->directory->HasContactWithin(kIsolationWindow),
                        .shutting_down = this->shutting_down};
   const auto before = this->shared_state.readiness.Read();
@@ -550,6 +620,7 @@
     Log(LogLevel::kInfo, next.ready() ? "host_ready" : "host_not_ready",
         {{"has_configuration", next.has_configuration},
          {"has_targets", next.has_targets},
+         {"keys_unconfirmed", next.keys_unconfirmed},
          {"isolated", next.isolated},
          {"shutting_down", next.shutting_down}});
   }
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -140,11 +140,19 @@
        .unit = "percent",
        .default_value = "0",
        .maximum = 100},
+      {.name = "key-revocation-ms",
+       .kind = SettingKind::kNumber,
+       .help = "time after which no host accepts a key that was withdrawn in the store, not even "
+               "one without contact, which then refuses requests that need a key; 0 for no limit; "
+               "needs --configuration platform",
+       .unit = "milliseconds",
+       .default_value = "0",
+       .maximum = 3600000},
       {.name = "platform-bounds",
-       .help =
-           "limits of the platform (retry-budget-ratio, budget-extra, floor-share, grace-s), as a "
-           "JSON object or as name=value separated by commas; they replace retry-percent, "
-           "retry-extra and floor-percent",
+       .help = "limits of the platform (retry-budget-ratio, budget-extra, floor-share, grace-s, "
+               "strict-revoke with revoke-s), as a JSON object or as name=value separated by "
+               "commas; they replace retry-percent, retry-extra, floor-percent and "
+               "key-revocation-ms",
        .may_be_empty = true},
       {.name = "cores",
        .help =
@@ -188,6 +196,10 @@
   result.capacity_millicores =
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercentScale;
+  result.key_revocation_time = std::chrono::milliseconds(settings.Number("key-revocation-ms"));
+  if (result.key_revocation_time > Duration::zero()) {
+    result.key_revocation_source = LimitSource::kFlag;
+  }
   result.platform_configuration = settings.Text("configuration") == "platform";
   result.log_level = ToLogLevel(settings.Text("log-level"));
   return result;
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -54,6 +54,10 @@
   // service sets a number of slots.
   double floor_share = 0;
   LimitSource floor_source = LimitSource::kFlag;
+  // Time after which no host accepts a key that the configuration in the store lacks; zero for no
+  // such limit.
+  Duration key_revocation_time{};
+  LimitSource key_revocation_source = LimitSource::kNone;
   // Limits of the platform, in its own format.
   std::string platform_bounds;
   // The platform's operator writes the configuration.
--- a/Libraries/LibHost/limits_in_force.cc
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -12,6 +12,10 @@
 // in windows of its own, and hosts without a broker retry on their own account.
 constexpr double kRetryLimitShare = 0.95;
 
+// Hosts confirm their configuration about every second, so that a shorter time would end while they
+// wait for the next confirmation.
+constexpr Duration kMinKeyRevocationTime = std::chrono::seconds(2);
+
 const char* SourceName(LimitSource source) {
   switch (source) {
     case LimitSource::kFlag:
@@ -44,6 +48,23 @@
         std::chrono::duration<double>(*limits.shutdown_grace_s));
     settings.grace_source = LimitSource::kPlatform;
   }
+  if (limits.key_revocation_s) {
+    settings.key_revocation_time = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(*limits.key_revocation_s));
+    settings.key_revocation_source = LimitSource::kPlatform;
+  }
+}
+
+void CheckLimits(const HostSettings& settings, Findings& findings) {
+  if (settings.key_revocation_time == Duration::zero()) {
+    return;
+  }
+  if (!settings.platform_configuration) {
+    findings.Add("--key-revocation-ms", "needs --configuration platform");
+  } else if (settings.key_revocation_time < kMinKeyRevocationTime) {
+    findings.Add("--key-revocation-ms",
+                 "must be 0 or at least " + std::to_string(Milliseconds(kMinKeyRevocationTime)));
+  }
 }
 
 bool HasAllPlatformLimits(const HostSettings& settings) {
@@ -62,7 +83,9 @@
           {"retry_extra", settings.retry_extra},
           {"retry_extra_source", SourceName(settings.retry_extra_source)},
           {"floor_share", settings.floor_share},
-          {"floor_source", SourceName(settings.floor_source)}};
+          {"floor_source", SourceName(settings.floor_source)},
+          {"key_revocation_ms", Milliseconds(settings.key_revocation_time)},
+          {"key_revocation_source", SourceName(settings.key_revocation_source)}};
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/limits_in_force.h
+++ b/Libraries/LibHost/limits_in_force.h
@@ -3,6 +3,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 
+#include "Libraries/LibCore/findings.h"
 #include "Libraries/LibHost/host_settings.h"
 
 namespace pimentopin {
@@ -16,6 +17,8 @@
   std::optional<double> floor_share;
   // Time in seconds between telling a host to stop and ending it.
   std::optional<double> shutdown_grace_s;
+  // Time in seconds after which no host accepts a withdrawn key.
+  std::optional<double> key_revocation_s;
 
   friend bool operator==(const PlatformLimits&, const PlatformLimits&) = default;
 };
@@ -23,6 +26,9 @@
 // Replaces the host's limits by those that the platform sets.
 void ApplyPlatformLimits(const PlatformLimits& limits, HostSettings& settings);
 
+// Adds a finding for each limit in force that this host cannot keep.
+void CheckLimits(const HostSettings& settings, Findings& findings);
+
 // False if the platform writes the configuration and a limit in force does not come from it.
 bool HasAllPlatformLimits(const HostSettings& settings);
 
--- a/Libraries/LibHost/native_dialect.cc
+++ b/Libraries/LibHost/native_dialect.cc
@@ -17,6 +17,10 @@
   return std::string(FindHeader(headers, kRequestIdHeader));
 }
 
+std::string_view NativeDialect::CallerCredential(const HttpHeaders& headers) const {
+  return FindHeader(headers, kKeyHeader);
+}
+
 std::string_view NativeDialect::CallerDeadline(const HttpHeaders& headers) const {
   return FindHeader(headers, kDeadlineHeader);
 }
@@ -38,6 +42,9 @@
   headers.push_back({std::string(kAttemptIdHeader), FormatAttemptId(attempt.attempt_id)});
   headers.push_back({std::string(kRequestIdHeader), exchange.request_id});
   headers.push_back({std::string(kCallerHeader), exchange.caller});
+  if (exchange.identified_by_key) {
+    headers.push_back({std::string(kOrganisationHeader), exchange.organisation});
+  }
   headers.push_back(
       {std::string(kDeadlineHeader),
        std::to_string(std::chrono::ceil<std::chrono::milliseconds>(attempt.remaining).count())});
--- a/Libraries/LibHost/operator_endpoint.cc
+++ b/Libraries/LibHost/operator_endpoint.cc
@@ -227,6 +227,7 @@
            {{"ready", current.ready()},
             {"has_configuration", current.has_configuration},
             {"has_targets", current.has_targets},
+            {"keys_unconfirmed", current.keys_unconfirmed},
             {"isolated", current.isolated},
             {"shutting_down", current.shutting_down}});
 }
--- a/Libraries/LibHost/platform_adapter.h
+++ b/Libraries/LibHost/platform_adapter.h
@@ -37,6 +37,9 @@
   std::string configuration_key;
   std::function<std::optional<Configuration>(std::string_view text, Findings& findings)>
       read_configuration;
+  // Replaces the keys in a configuration that was read by their digests; read_configuration reads
+  // both forms.
+  std::function<std::string(std::string_view text)> without_keys;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/platform_configuration_source.cc
+++ b/Libraries/LibHost/platform_configuration_source.cc
@@ -8,16 +8,8 @@
 
 namespace pimentopin {
 
-PlatformConfigurationSource::PlatformConfigurationSource(RowFeed& feed,
-                                                         std::string table,
-                                                         std::string key,
-                                                         Reader reader,
-                                                         Duration long_poll_timeout)
-    : feed(feed),
-      table(std::move(table)),
-      key(std::move(key)),
-      reader(std::move(reader)),
-      long_poll_timeout(long_poll_timeout) {}
+PlatformConfigurationSource::PlatformConfigurationSource(RowFeed& feed, Settings source_settings)
+    : feed(feed), settings(std::move(source_settings)) {}
 
 void PlatformConfigurationSource::ReadNewest(std::uint64_t known_revision,
                                              bool may_wait,
@@ -27,10 +19,11 @@
     this->OnRows(known_revision, callback, batch, error);
   };
   if (this->version == 0) {
-    this->feed.List(this->table, std::move(on_rows));
+    this->feed.List(this->settings.table, std::move(on_rows));
   } else {
-    this->feed.Changes(this->table, this->version,
-                       may_wait ? this->long_poll_timeout : Duration::zero(), std::move(on_rows));
+    this->feed.Changes(this->settings.table, this->version,
+                       may_wait ? this->settings.long_poll_timeout : Duration::zero(),
+                       std::move(on_rows));
   }
 }
 
@@ -50,25 +43,31 @@
   this->version = batch->version;
   std::optional<ConfigurationDocument> newest;
   for (const FeedRow& row : batch->rows) {
-    if (row.key != this->key || row.removed) {
+    if (row.key != this->settings.key || row.removed) {
       continue;
     }
     Findings findings;
-    const auto configuration = this->reader(row.value, findings);
+    const auto configuration = this->settings.reader(row.value, findings);
     if (!configuration) {
       Log(LogLevel::kError, "configuration_unreadable",
           {{"row_version", row.version}, {"findings", findings.ToText()}});
       continue;
     }
+    this->newest_revision = configuration->revision;
     if (configuration->revision > known_revision) {
       newest = ConfigurationDocument{.revision = configuration->revision,
                                      .base_revision = known_revision,
                                      .change_id = "row-" + std::to_string(row.version),
                                      .author = "platform operator",
                                      .committed_at_ms = WallClockMs(),
-                                     .content = row.value};
+                                     .content = configuration->requires_keys
+                                                    ? this->settings.without_keys(row.value)
+                                                    : row.value};
     }
   }
+  if (batch->store_time && this->settings.on_confirmed) {
+    this->settings.on_confirmed({.at = *batch->store_time, .revision = this->newest_revision});
+  }
   callback(newest, {});
 }
 
--- a/Libraries/LibHost/platform_configuration_source.h
+++ b/Libraries/LibHost/platform_configuration_source.h
@@ -8,6 +8,7 @@
 #include "Libraries/LibConfig/configuration.h"
 #include "Libraries/LibCore/findings.h"
 #include "Libraries/LibHost/configuration_source.h"
+#include "Libraries/LibMembership/configuration_lease.h"
 #include "Libraries/LibPlatform/row_feed.h"
 
 namespace pimentopin {
@@ -18,12 +19,20 @@
   using Reader =
       std::function<std::optional<Configuration>(std::string_view text, Findings& findings)>;
 
-  // `feed` must outlive this object. A read waits up to `long_poll_timeout` for a change.
-  PlatformConfigurationSource(RowFeed& feed,
-                              std::string table,
-                              std::string key,
-                              Reader reader,
-                              Duration long_poll_timeout);
+  struct Settings {
+    std::string table;
+    std::string key;
+    Reader reader;
+    // Replaces the keys in a document by their digests. Other hosts and operators get the result.
+    std::function<std::string(std::string_view text)> without_keys;
+    // Receives the newest valid revision that a read showed, if the store stated its time.
+    std::function<void(const ConfigurationConfirmation&)> on_confirmed = {};
+    // Time for which a read waits for a change.
+    Duration long_poll_timeout{};
+  };
+
+  // `feed` must outlive this object.
+  PlatformConfigurationSource(RowFeed& feed, Settings settings);
 
   void ReadNewest(std::uint64_t known_revision, bool may_wait, DocumentCallback callback) override;
 
@@ -34,12 +43,11 @@
               const Error& error);
 
   RowFeed& feed;
-  const std::string table;
-  const std::string key;
-  const Reader reader;
-  const Duration long_poll_timeout;
+  const Settings settings;
   // Version of the store up to which the row has been read; 0 if it has not been read.
   std::uint64_t version = 0;
+  // The newest valid revision in the row.
+  std::uint64_t newest_revision = 0;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -62,26 +62,96 @@
   const Route* route = nullptr;
   const Caller* caller = nullptr;
   const Service* service = nullptr;
+  bool identified_by_key = false;
   RequestTraits traits;
   // Path sent to the target, without the query.
   std::string_view target_path;
 };
 
+// Finds out on whose behalf a request is sent.
+class CallerResolver {
+ public:
+  CallerResolver(const Configuration& active_configuration,
+                 const HttpDialect& http_dialect,
+                 const HttpServerRequest& http_request,
+                 bool accepts_keys)
+      : configuration(active_configuration),
+        dialect(http_dialect),
+        request(http_request),
+        keys_confirmed(accepts_keys) {}
+
+  // Caller of a request by its key. The caller that the request names must belong to the
+  // organisation of the key.
+  const Caller* FindByKey(ErrorResponse& refusal) const {
+    if (!this->keys_confirmed) {
+      refusal = MakeRefusal(503, "keys-unconfirmed",
+                            "this host cannot tell whether its configuration is the newest one");
+      return nullptr;
+    }
+    const std::string_view key = this->dialect.CallerCredential(this->request.headers);
+    if (key.empty()) {
+      refusal = MakeRefusal(401, "no-key", "the request has no key");
+      return nullptr;
+    }
+    const KeyHolder holder = this->configuration.FindKeyHolder(ApiKeyDigest::Of(key));
+    if (holder.organisation == nullptr) {
+      refusal = MakeRefusal(401, "unknown-key", "no organisation has the key of the request");
+      return nullptr;
+    }
+    const std::string_view stated = FindHeader(this->request.headers, kCallerHeader);
+    if (stated.empty()) {
+      if (holder.caller == nullptr) {
+        refusal = MakeRefusal(403, "unknown-caller", "the organisation of the key has no caller");
+      }
+      return holder.caller;
+    }
+    const Caller* const caller = this->FindByName(stated, refusal);
+    if (caller != nullptr && caller->organisation != holder.organisation->name) {
+      refusal =
+          MakeRefusal(403, "unknown-caller",
+                      "the organisation of the key has no caller '" + std::string(stated) + "'");
+      return nullptr;
+    }
+    return caller;
+  }
+
+  const Caller* FindByName(std::string_view name, ErrorResponse& refusal) const {
+    const Caller* const caller = this->configuration.FindCaller(name);
+    if (caller == nullptr) {
+      refusal = MakeRefusal(403, "unknown-caller", "unknown caller '" + std::string(name) + "'");
+    }
+    return caller;
+  }
+
+ private:
+  const Configuration& configuration;
+  const HttpDialect& dialect;
+  const HttpServerRequest& request;
+  const bool keys_confirmed;
+};
+
 std::optional<ResolvedRequest> ResolveByRoute(const Configuration& configuration,
+                                              const CallerResolver& callers,
                                               const Route& route,
                                               const HttpServerRequest& request,
                                               const std::string& request_id,
                                               ErrorResponse& refusal) {
-  ResolvedRequest resolved{.route = &route, .target_path = request.path};
-  const std::string_view stated_caller = FindHeader(request.headers, kCallerHeader);
-  const std::string_view caller_name = stated_caller.empty() ? route.caller : stated_caller;
-  resolved.caller = configuration.FindCaller(caller_name);
-  resolved.service = configuration.FindService(route.SelectService(StableHash(request_id)));
+  ResolvedRequest resolved{.route = &route,
+                           .identified_by_key = configuration.requires_keys && !route.anonymous,
+                           .target_path = request.path};
+  if (resolved.identified_by_key) {
+    resolved.caller = callers.FindByKey(refusal);
+  } else {
+    // Without a key, nothing proves the name of a caller to a fleet that requires keys.
+    const std::string_view stated =
+        configuration.requires_keys ? "" : FindHeader(request.headers, kCallerHeader);
+    resolved.caller =
+        callers.FindByName(stated.empty() ? std::string_view(route.caller) : stated, refusal);
+  }
   if (resolved.caller == nullptr) {
-    refusal =
-        MakeRefusal(403, "unknown-caller", "unknown caller '" + std::string(caller_name) + "'");
     return std::nullopt;
   }
+  resolved.service = configuration.FindService(route.SelectService(StableHash(request_id)));
   if (resolved.service == nullptr) {
     refusal =
         MakeRefusal(503, "no-service", "route '" + route.name + "' refers to an unknown service");
@@ -92,27 +162,29 @@
 }
 
 std::optional<ResolvedRequest> ResolveByPath(const Configuration& configuration,
+                                             const CallerResolver& callers,
                                              const HttpServerRequest& request,
                                              ErrorResponse& refusal) {
   const std::string_view caller_name = FindHeader(request.headers, kCallerHeader);
-  if (caller_name.empty()) {
+  const bool key_suffices = configuration.requires_keys && configuration.routes.empty();
+  if (caller_name.empty() && !key_suffices) {
     refusal = configuration.routes.empty()
                   ? MakeRefusal(400, "no-caller", "header Pimentopin-Caller is missing")
                   : MakeRefusal(404, "no-route", "no route matches the Host header and path");
     return std::nullopt;
   }
   const SplitPath split = SplitService(request.path);
-  ResolvedRequest resolved{.target_path = split.rest};
+  ResolvedRequest resolved{.identified_by_key = configuration.requires_keys,
+                           .target_path = split.rest};
   resolved.service = configuration.FindService(split.service);
   if (resolved.service == nullptr) {
     refusal =
         MakeRefusal(404, "unknown-service", "unknown service '" + std::string(split.service) + "'");
     return std::nullopt;
   }
-  resolved.caller = configuration.FindCaller(caller_name);
+  resolved.caller = resolved.identified_by_key ? callers.FindByKey(refusal)
+                                               : callers.FindByName(caller_name, refusal);
   if (resolved.caller == nullptr) {
-    refusal =
-        MakeRefusal(403, "unknown-caller", "unknown caller '" + std::string(caller_name) + "'");
     return std::nullopt;
   }
   resolved.traits = configuration.RequestTraitsFor(*resolved.caller, *resolved.service,
@@ -120,6 +192,15 @@
   return resolved;
 }
 
+std::uint32_t PriorityOf(const Configuration& configuration,
+                         const Caller& caller,
+                         const Route* route) {
+  const Organisation* const organisation =
+      configuration.FindOrganisation(IdFromName<OrganisationId>(caller.organisation));
+  const std::uint32_t by_route = route != nullptr ? route->priority : 0;
+  return organisation != nullptr ? organisation->priority.value_or(by_route) : by_route;
+}
+
 // Time limit of a request: the earlier of the caller's deadline and the route's timeout.
 // Without a caller's deadline, the limit set by the configuration applies.
 std::optional<Duration> EffectiveTimeout(const ResolvedRequest& resolved,
@@ -150,12 +231,15 @@
                                     HttpServerRequest& request,
                                     const std::string& request_id,
                                     TimePoint now,
+                                    bool keys_confirmed,
                                     ErrorResponse& refusal) {
   const Route* const route =
       configuration.FindRoute(HostWithoutPort(FindHeader(request.headers, "Host")), request.path);
+  const CallerResolver callers(configuration, dialect, request, keys_confirmed);
   const std::optional<ResolvedRequest> resolved =
-      route != nullptr ? ResolveByRoute(configuration, *route, request, request_id, refusal)
-                       : ResolveByPath(configuration, request, refusal);
+      route != nullptr
+          ? ResolveByRoute(configuration, callers, *route, request, request_id, refusal)
+          : ResolveByPath(configuration, callers, request, refusal);
   if (!resolved) {
     return std::nullopt;
   }
@@ -193,6 +277,8 @@
   exchange.service = service.name;
   exchange.caller = caller.name;
   exchange.organisation = caller.organisation;
+  exchange.names_organisation = configuration.requires_keys;
+  exchange.identified_by_key = resolved->identified_by_key;
   exchange.target_path = resolved->target_path;
   if (!request.query.empty()) {
     exchange.target_path += "?" + request.query;
@@ -202,6 +288,7 @@
   description.caller = caller.id();
   description.organisation = IdFromName<OrganisationId>(caller.organisation);
   description.work_class = traits.is_long ? WorkClass::kLong : WorkClass::kShort;
+  description.priority = PriorityOf(configuration, caller, route);
   description.idempotent = traits.idempotent;
   if (route != nullptr) {
     exchange.route = route->name;
--- a/Libraries/LibHost/shared_state.h
+++ b/Libraries/LibHost/shared_state.h
@@ -7,6 +7,7 @@
 #include "Libraries/LibDispatch/target_hold_offs.h"
 #include "Libraries/LibHealth/crash_fingerprint_registry.h"
 #include "Libraries/LibHost/snapshot.h"
+#include "Libraries/LibMembership/configuration_lease.h"
 #include "Libraries/LibMembership/leaving_targets.h"
 #include "Libraries/LibProtocol/membership_messages.h"
 #include "Libraries/LibProtocol/slot_messages.h"
@@ -18,12 +19,15 @@
   bool has_configuration = false;
   // The table of registered targets has been read, if there is one.
   bool has_targets = false;
+  // The configuration requires keys, and nothing confirms that it is the newest one.
+  bool keys_unconfirmed = false;
   // There was no recent contact with any peer or with the store.
   bool isolated = false;
   bool shutting_down = false;
 
   bool ready() const {
-    return this->has_configuration && this->has_targets && !this->isolated && !this->shutting_down;
+    return this->has_configuration && this->has_targets && !this->keys_unconfirmed &&
+           !this->isolated && !this->shutting_down;
   }
   friend bool operator==(const Readiness&, const Readiness&) = default;
 };
@@ -43,6 +47,8 @@
   // The last view of each service that this host used.
   Snapshot<std::vector<ServiceView>> views;
   Snapshot<Readiness> readiness;
+  // Never written if keys are withdrawn without a time limit.
+  Snapshot<LeaseTerm> key_lease;
 
   // Control thread only.
   LeavingTargets leaving_targets;
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -569,7 +569,8 @@
 StoreDigest StoreRelay::MakeDigest(TimePoint now) const {
   StoreDigest digest{.address = this->address,
                      .store_answered = this->IsActiveReader(now),
-                     .configuration_revision = this->revision};
+                     .configuration_revision = this->revision,
+                     .confirmed_store_time = this->confirmed_store_time};
   const std::optional<TimePoint> confirmed = this->freshness.confirmed_at();
   if (confirmed && !this->outage_start) {
     digest.reader = this->freshness.reader();
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -10,6 +10,7 @@
 
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/identifiers.h"
+#include "Libraries/LibCore/store_clock.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibMembership/deferred_removals.h"
 #include "Libraries/LibMembership/store_freshness.h"
@@ -169,6 +170,10 @@
   // True if this host knows the first table and may write to it.
   bool MayRegister(TimePoint now) const;
   void SetConfigurationRevision(TimePoint now, std::uint64_t revision);
+  // Time of the store up to which that revision is known to be the newest one, for the digests.
+  void SetConfirmedStoreTime(std::optional<StoreTimePoint> confirmed) {
+    this->confirmed_store_time = confirmed;
+  }
 
   std::vector<RelayAction> OnRows(TimePoint now,
                                   const std::string& table,
@@ -333,6 +338,7 @@
   std::map<HostId, TimePoint> last_reply_at;
   std::uint64_t outage_digest_count = 0;
   std::uint64_t revision = 0;
+  std::optional<StoreTimePoint> confirmed_store_time;
   bool reading_configuration = false;
   TimePoint next_configuration_read;
   TimePoint configuration_read_started_at;
--- a/Libraries/LibPlatform/platform_http_client.h
+++ b/Libraries/LibPlatform/platform_http_client.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "Libraries/LibCore/error.h"
+#include "Libraries/LibCore/store_clock.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibHttp/http_client.h"
 
@@ -34,6 +35,10 @@
   Duration body_timeout = std::chrono::seconds(3);
   // Runs a function on the control thread; responses are delivered through it.
   std::function<void(std::function<void()>)> post;
+  // Receives the time that the store stated in the response to a call which was sent and answered
+  // at these times; may be empty.
+  std::function<void(BootTimePoint sent, BootTimePoint answered, StoreTimePoint at_store)>
+      on_store_time = {};
 };
 
 // HTTP client for the platform that delivers responses on the control thread.
--- a/Programs/pimentopin/main.cc
+++ b/Programs/pimentopin/main.cc
@@ -83,6 +83,10 @@
     return ReportFindings(findings);
   }
   ApplyPlatformLimits(limits, settings);
+  CheckLimits(settings, findings);
+  if (!findings.empty()) {
+    return ReportFindings(findings);
+  }
   settings.cuttable_request_window = platform::kCuttableRequestWindow;
   if (result.action == SettingsAction::kCheck) {
     std::cerr << findings.NotesToText();
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(TestLogHidesWhereLimitsComeFrom);
   CPPUNIT_TEST(TestPlatformWithoutLimitsEndsTheStart);
   CPPUNIT_TEST(TestLimitOfThePlatformThatIsMissingIsNoWarning);
+  CPPUNIT_TEST(TestRevocationTimeThatCannotBeKeptIsAnError);
   CPPUNIT_TEST(TestValidSettings);
   CPPUNIT_TEST_SUITE_END();
 
@@ -68,6 +69,26 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, after["floor_share"].get<double>(), 1e-9);
   }
 
+  // Guards against a promise on withdrawn keys that the host does not keep, or keeps by refusing
+  // all of them.
+  void TestRevocationTimeThatCannotBeKeptIsAnError() {
+    const auto findings_of = [](Duration time, bool platform_configuration) {
+      Findings findings;
+      CheckLimits({.key_revocation_time = time, .platform_configuration = platform_configuration},
+                  findings);
+      return findings.all().size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, findings_of({}, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, findings_of(std::chrono::seconds(5), true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings_of(std::chrono::seconds(5), false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings_of(std::chrono::milliseconds(300), true));
+    HostSettings settings;
+    ApplyPlatformLimits({.key_revocation_s = 2.5}, settings);
+    CPPUNIT_ASSERT(settings.key_revocation_time == std::chrono::milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(std::string("platform"),
+                         LimitsInForce(settings)["key_revocation_source"].get<std::string>());
+  }
+
   // Guards against a fleet that does not start on a platform that states no limits.
   void TestPlatformWithoutLimitsEndsTheStart() {
     const Findings findings =
--- a/Tests/LibHost/platform_configuration_source_test.cc
+++ b/Tests/LibHost/platform_configuration_source_test.cc
@@ -30,11 +30,15 @@
   CPPUNIT_TEST(TestReadsOnlyNewerRevisions);
   CPPUNIT_TEST(TestInvalidRowIsIgnored);
   CPPUNIT_TEST(TestLostHistoryTriggersListing);
+  CPPUNIT_TEST(TestReadWithoutChangeConfirmsNewestRevision);
+  CPPUNIT_TEST(TestInvalidRowIsNotConfirmed);
+  CPPUNIT_TEST(TestReadWithoutStoreTimeConfirmsNothing);
+  CPPUNIT_TEST(TestDocumentHasNoKeys);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void TestReadsOnlyNewerRevisions() {
-    this->feed.batch = FeedBatch{{{"other", 3, "9", false}, {"config", 4, "7", false}}, 5};
+    this->feed.batch = FeedBatch{{{"other", 3, "9", false}, {"config", 4, "7", false}}, 5, {}};
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, this->Read(0)->revision);
     CPPUNIT_ASSERT(!this->Read(7));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, this->feed.requested_version);
@@ -43,25 +47,67 @@
 
   // Guards against a host losing its configuration because of one invalid write.
   void TestInvalidRowIsIgnored() {
-    this->feed.batch = FeedBatch{{{"config", 4, "not a number", false}}, 5};
+    this->feed.batch = FeedBatch{{{"config", 4, "not a number", false}}, 5, {}};
     CPPUNIT_ASSERT(!this->Read(3));
     CPPUNIT_ASSERT(this->last_error.code == ErrorCode::kNone);
   }
 
   // Guards against missing changes that the store no longer has in its history.
   void TestLostHistoryTriggersListing() {
-    this->feed.batch = FeedBatch{{{"config", 4, "7", false}}, 5};
+    this->feed.batch = FeedBatch{{{"config", 4, "7", false}}, 5, {}};
     this->Read(0);
     this->feed.batch.reset();
     this->feed.error = {ErrorCode::kNotFound, "gone"};
     CPPUNIT_ASSERT(!this->Read(7));
     CPPUNIT_ASSERT(this->last_error.code == ErrorCode::kNotFound);
     this->feed.error = {};
-    this->feed.batch = FeedBatch{{{"config", 9, "8", false}}, 10};
+    this->feed.batch = FeedBatch{{{"config", 9, "8", false}}, 10, {}};
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, this->Read(7)->revision);
     CPPUNIT_ASSERT_EQUAL(2, this->feed.list_calls);
   }
 
+  // Guards against a lease that is not renewed while nothing changes, and against one for an older
+  // revision than the row has.
+  void TestReadWithoutChangeConfirmsNewestRevision() {
+    const StoreTimePoint first(std::chrono::seconds(3));
+    const StoreTimePoint second(std::chrono::seconds(4));
+    this->feed.batch = FeedBatch{{{"config", 4, "7", false}}, 5, first};
+    this->Read(0);
+    this->feed.batch = FeedBatch{{}, 6, second};
+    // A peer has sent revision 8, which this host has not read from the store.
+    this->Read(8);
+    CPPUNIT_ASSERT(
+        (this->confirmations == std::vector<ConfigurationConfirmation>{
+                                    {.at = first, .revision = 7}, {.at = second, .revision = 7}}));
+  }
+
+  // A document that no host accepts takes no key away; the last valid one stays in force.
+  void TestInvalidRowIsNotConfirmed() {
+    this->feed.batch =
+        FeedBatch{{{"config", 4, "7", false}}, 5, StoreTimePoint(std::chrono::seconds(3))};
+    this->Read(0);
+    this->feed.batch = FeedBatch{
+        {{"config", 6, "not a number", false}}, 6, StoreTimePoint(std::chrono::seconds(4))};
+    this->Read(7);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, this->confirmations.back().revision);
+  }
+
+  // Guards against a confirmation by a read that failed, or at an unknown time.
+  void TestReadWithoutStoreTimeConfirmsNothing() {
+    this->feed.batch = FeedBatch{{{"config", 4, "7", false}}, 5, {}};
+    this->Read(0);
+    this->feed.batch.reset();
+    this->feed.error = {ErrorCode::kUnreachable, "down"};
+    this->Read(7);
+    CPPUNIT_ASSERT(this->confirmations.empty());
+  }
+
+  // Guards against keys in what this host sends to others.
+  void TestDocumentHasNoKeys() {
+    this->feed.batch = FeedBatch{{{"config", 4, "7 key", false}}, 5, {}};
+    CPPUNIT_ASSERT_EQUAL(std::string("7 digest"), this->Read(0)->content);
+  }
+
  private:
   std::optional<ConfigurationDocument> Read(std::uint64_t known) {
     std::optional<ConfigurationDocument> read;
@@ -80,11 +126,24 @@
       findings.Add("", "not a number");
       return std::nullopt;
     }
+    configuration.requires_keys = text.ends_with("key");
     return configuration;
   }
 
   FakeFeed feed;
-  PlatformConfigurationSource source{this->feed, "op", "config", Parse, std::chrono::seconds(1)};
+  std::vector<ConfigurationConfirmation> confirmations;
+  PlatformConfigurationSource source{
+      this->feed,
+      {.table = "op",
+       .key = "config",
+       .reader = Parse,
+       .without_keys =
+           [](std::string_view text) { return std::string(text.substr(0, 1)) + " digest"; },
+       .on_confirmed =
+           [this](const ConfigurationConfirmation& confirmation) {
+             this->confirmations.push_back(confirmation);
+           },
+       .long_poll_timeout = std::chrono::seconds(1)}};
   Error last_error;
 };
 
--- a/Tests/LibHost/request_reader_test.cc
+++ b/Tests/LibHost/request_reader_test.cc
@@ -56,6 +56,12 @@
   CPPUNIT_TEST(TestDeadlineAtItsLimitsIsNotMalformed);
   CPPUNIT_TEST(TestSplitFollowsWeights);
   CPPUNIT_TEST(TestRefusalNamesCallerOfRoute);
+  CPPUNIT_TEST(TestKeyDecidesOnOrganisation);
+  CPPUNIT_TEST(TestRequestsWithoutAKnownKeyAreRefused);
+  CPPUNIT_TEST(TestUnconfirmedKeysAreNotJudged);
+  CPPUNIT_TEST(TestAnonymousRouteNeedsNoKey);
+  CPPUNIT_TEST(TestCallerOfAnotherOrganisationIsRefused);
+  CPPUNIT_TEST(TestPriorityOfOrganisationGoesFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -211,6 +217,86 @@
     CPPUNIT_ASSERT_EQUAL(std::string("unknown caller 'stranger'"), this->refusal.message);
   }
 
+  // Guards against work that is counted for, or named to a target as that of, another organisation.
+  void TestKeyDecidesOnOrganisation() {
+    HttpServerRequest request = RoutedRequest("/pages/7");
+    request.headers.push_back({"Pimentopin-Organisation", "wheels"});
+    request.headers.push_back({"Pimentopin-Key", "lifts-key"});
+    const auto exchange = this->ReadFrom(ConfigurationWithKeys(), request);
+    CPPUNIT_ASSERT_EQUAL(std::string("lifts"), exchange->organisation);
+    CPPUNIT_ASSERT_EQUAL(std::string("lift-desk"), exchange->caller);
+    CPPUNIT_ASSERT(exchange->description.organisation == IdFromName<OrganisationId>("lifts"));
+    const HttpHeaders sent = this->dialect.TargetHeaders(*exchange, {});
+    CPPUNIT_ASSERT(FindHeader(sent, "Pimentopin-Organisation") == "lifts");
+    CPPUNIT_ASSERT(FindHeader(sent, "Pimentopin-Key").empty());
+  }
+
+  // Guards against running a request that nobody vouches for, and against the wrong status: callers
+  // learn first that a route does not exist.
+  void TestRequestsWithoutAKnownKeyAreRefused() {
+    const Configuration with_keys = ConfigurationWithKeys();
+    HttpServerRequest request = RoutedRequest("/pages/7");
+    this->ExpectRefusal(with_keys, request, 401, "no-key");
+    request.headers.push_back({"Pimentopin-Key", "withdrawn"});
+    this->ExpectRefusal(with_keys, request, 401, "unknown-key");
+    CPPUNIT_ASSERT(this->refusal.message.find("withdrawn") == std::string::npos);
+    request.headers[0].value = "other.example";
+    this->ExpectRefusal(with_keys, request, 404, "no-route");
+    Configuration by_path = SampleConfiguration();
+    by_path.requires_keys = true;
+    this->ExpectRefusal(by_path, SampleRequest(), 401, "no-key");
+    request = SampleRequest();
+    request.path = "/nothing/x";
+    this->ExpectRefusal(by_path, request, 404, "unknown-service");
+  }
+
+  // Guards against 401, which callers do not repeat, by a host that has missed a configuration with
+  // the key.
+  void TestUnconfirmedKeysAreNotJudged() {
+    this->keys_confirmed = false;
+    HttpServerRequest request = RoutedRequest("/pages/7");
+    for (const char* key : {"lifts-key", "withdrawn"}) {
+      request.headers.push_back({"Pimentopin-Key", key});
+      this->ExpectRefusal(ConfigurationWithKeys(), request, 503, "keys-unconfirmed");
+      request.headers.pop_back();
+    }
+    CPPUNIT_ASSERT(this->ReadFrom(ConfigurationWithKeys(), RoutedRequest("/open/7")));
+    CPPUNIT_ASSERT(this->ReadFrom(RoutedConfiguration(), request));
+  }
+
+  // Guards against an open route that needs a key, or on which a caller takes another's name.
+  void TestAnonymousRouteNeedsNoKey() {
+    HttpServerRequest request = RoutedRequest("/open/7");
+    request.headers.push_back({"Pimentopin-Caller", "lift-desk"});
+    request.headers.push_back({"Pimentopin-Organisation", "lifts"});
+    const auto exchange = this->ReadFrom(ConfigurationWithKeys(), request);
+    CPPUNIT_ASSERT_EQUAL(std::string("desk"), exchange->caller);
+    CPPUNIT_ASSERT(
+        FindHeader(this->dialect.TargetHeaders(*exchange, {}), "Pimentopin-Organisation").empty());
+  }
+
+  // Guards against a key with which a caller uses the access of another organisation.
+  void TestCallerOfAnotherOrganisationIsRefused() {
+    HttpServerRequest request = RoutedRequest("/pages/7");
+    request.headers.push_back({"Pimentopin-Key", "lifts-key"});
+    request.headers.push_back({"Pimentopin-Caller", "desk"});
+    this->ExpectRefusal(ConfigurationWithKeys(), request, 403, "unknown-caller");
+    request.headers.back().value = "lift-desk";
+    CPPUNIT_ASSERT(this->ReadFrom(ConfigurationWithKeys(), request));
+  }
+
+  void TestPriorityOfOrganisationGoesFirst() {
+    Configuration with_keys = ConfigurationWithKeys();
+    with_keys.routes[1].priority = 3;
+    HttpServerRequest request = RoutedRequest("/pages/7");
+    request.headers.push_back({"Pimentopin-Key", "lifts-key"});
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{3},
+                         this->ReadFrom(with_keys, request)->description.priority);
+    with_keys.organisations[1].priority = 1;
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1},
+                         this->ReadFrom(with_keys, request)->description.priority);
+  }
+
   // Guards against writing a claim for a request that is idempotent anyway.
   void TestSafeMethodIgnoresKey() {
     HttpServerRequest request = SampleRequest();
@@ -226,7 +312,7 @@
   }
   std::optional<Exchange> ReadFrom(const Configuration& from, HttpServerRequest request) {
     return ReadRequest(from, this->dialect, request, this->dialect.CallerRequestId(request.headers),
-                       kNow, this->refusal);
+                       kNow, this->keys_confirmed, this->refusal);
   }
 
   static Configuration RoutedConfiguration() {
@@ -258,11 +344,36 @@
     return routed.WithIndex();
   }
 
+  static Configuration ConfigurationWithKeys() {
+    Configuration with_keys = RoutedConfiguration();
+    with_keys.requires_keys = true;
+    with_keys.organisations.push_back({.name = "lifts", .keys = {ApiKeyDigest::Of("lifts-key")}});
+    with_keys.callers.push_back(
+        {.name = "lift-desk", .organisation = "lifts", .labels = {{"role", "front-desk"}}});
+    Route open = with_keys.routes[1];
+    open.name = "open";
+    open.path_prefix = "/open/";
+    open.anonymous = true;
+    with_keys.routes.push_back(open);
+    return with_keys.WithIndex();
+  }
+
+  void ExpectRefusal(const Configuration& from,
+                     const HttpServerRequest& request,
+                     int status,
+                     const std::string& reason) {
+    CPPUNIT_ASSERT(!this->ReadFrom(from, request));
+    CPPUNIT_ASSERT_EQUAL(reason, this->refusal.reason);
+    CPPUNIT_ASSERT_EQUAL(status, this->refusal.status);
+    CPPUNIT_ASSERT(this->refusal.outcome == Outcome::kNotRun);
+  }
+
   static HttpServerRequest RoutedRequest(const std::string& path) {
     return {.method = "GET", .path = path, .headers = {{"Host", "shop.example:8080"}}};
   }
 
   const NativeDialect dialect;
+  bool keys_confirmed = true;
 
   const Configuration configuration = SampleConfiguration();
   ErrorResponse refusal;
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -229,6 +229,7 @@
         this->UpdateDirectory(*host);
       }
     }
+    this->RefreshConfirmedStoreTime(*host);
     this->Execute(*host, host->relay.Tick(this->now));
     this->Execute(*host, host->tracker.Tick(this->now));
     this->Register(*host);
@@ -243,6 +244,23 @@
   host.tracker.SetMembers(host.directory.Members());
 }
 
+BootTimePoint SimulatedFleet::BootTime(HostId host, TimePoint at) const {
+  return BootTimePoint(at.time_since_epoch() + std::chrono::seconds(RawId(host) % 1'000'000));
+}
+
+void SimulatedFleet::Confirm(Host& host, const ConfigurationConfirmation& confirmation) {
+  host.lease.Confirm(this->BootTime(host.directory.self().host, this->now), confirmation);
+}
+
+void SimulatedFleet::RefreshConfirmedStoreTime(Host& host) const {
+  host.relay.SetConfirmedStoreTime(
+      host.lease.ConfirmedAt(this->BootTime(host.directory.self().host, this->now)));
+}
+
+bool SimulatedFleet::AcceptsKeys(HostId host) const {
+  return this->hosts.at(host)->lease.term().Covers(this->BootTime(host, this->now));
+}
+
 bool SimulatedFleet::ReachesAddress(const Host& from, HostId to) const {
   const auto receiver = this->hosts.find(to);
   if (receiver == this->hosts.end()) {
@@ -311,6 +329,11 @@
 void SimulatedFleet::Deliver(Host& host, HostId sender, const Message& message) {
   if (const auto* digest = std::get_if<StoreDigest>(&message)) {
     host.learned_addresses[sender] = digest->address;
+    if (digest->confirmed_store_time) {
+      this->Confirm(
+          host, {.at = *digest->confirmed_store_time, .revision = digest->configuration_revision});
+    }
+    this->RefreshConfirmedStoreTime(host);
     this->Execute(host, host.relay.OnDigest(this->now, sender, *digest));
   } else if (const auto* rows = std::get_if<RowRelay>(&message)) {
     this->Execute(host, host.relay.OnRelay(this->now, sender, *rows));
@@ -344,6 +367,7 @@
           this->revision_reverted ||
           (!host.adopted_revisions.empty() && host.adopted_revisions.back() >= revision);
       host.adopted_revisions.push_back(revision);
+      host.lease.SetActiveRevision(revision);
       host.relay.SetConfigurationRevision(this->now, revision);
     }
   }
@@ -389,6 +413,9 @@
     this->CallStore(
         host,
         [this, source, no_answer](Host& reader, bool answered) {
+          if (answered) {
+            this->Confirm(reader, reader.last_response);
+          }
           if (answered && this->stored_document) {
             this->Execute(reader,
                           reader.tracker.OnDocument(this->now, *this->stored_document, source));
@@ -396,7 +423,7 @@
           reader.relay.OnConfigurationRead(this->now, answered ? Error{} : no_answer);
         },
         has_newer ? this->stored_document->content.size() : 0,
-        {.timeout = newest->may_wait ? StoreRelay::kConfigurationPollTimeout : Duration::zero(),
+        {.timeout = newest->may_wait ? this->configuration_poll_timeout : Duration::zero(),
          .has_change = [this, known = host.tracker.revision()] {
            return this->stored_document && this->stored_document->revision > known;
          }});
@@ -454,8 +481,19 @@
   if (answered) {
     host->idle_store_connections.push_back(call.connection);
   }
-  this->RunOnHost(call.host, [weak_host = call.host, answered, on_result = call.on_result] {
-    on_result(*weak_host.lock(), answered);
+  const ConfigurationConfirmation shown{
+      .at = StoreTimePoint(this->now.time_since_epoch()),
+      .revision = this->stored_document ? this->stored_document->revision : 0};
+  this->RunOnHost(call.host, [this, weak_host = call.host, answered, shown,
+                              started_at = call.started_at, on_result = call.on_result] {
+    Host& caller = *weak_host.lock();
+    if (answered) {
+      const HostId id = caller.directory.self().host;
+      caller.lease.ObserveStoreTime(this->BootTime(id, started_at), this->BootTime(id, this->now),
+                                    shown.at);
+      caller.last_response = shown;
+    }
+    on_result(caller, answered);
   });
 }
 
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Libraries/LibCore/random_source.h"
+#include "Libraries/LibMembership/configuration_lease.h"
 #include "Libraries/LibMembership/configuration_tracker.h"
 #include "Libraries/LibMembership/host_directory.h"
 #include "Libraries/LibMembership/leaving_targets.h"
@@ -35,6 +36,8 @@
     std::optional<TimePoint> silent_since;
   };
 
+  static constexpr Duration kRevocationTime = std::chrono::seconds(5);
+
   struct Host {
     Host(const MemberRecord& record, bool configuration_polled);
 
@@ -42,6 +45,9 @@
     StoreRelay relay;
     ConfigurationTracker tracker;
     LeavingTargets leaving_targets;
+    ConfigurationLease lease{kRevocationTime};
+    // What the last response of the store showed.
+    ConfigurationConfirmation last_response;
     // Values of the rows of the table "targets" without heartbeats, by key.
     std::map<std::string, std::string> targets;
     // Adopted configuration revisions, in order.
@@ -99,6 +105,8 @@
   void Commit(HostId host, std::uint64_t revision);
   // Writes a document to the store as the platform's operator does.
   void CommitToStore(std::uint64_t revision);
+  // True if the host accepts keys by its configuration now.
+  bool AcceptsKeys(HostId host) const;
   bool HasAdopted(HostId host, std::uint64_t revision) const;
   bool AdoptedEverywhere(std::uint64_t revision) const;
   // Delivers a delayed copy of a document to a host.
@@ -129,6 +137,8 @@
   Duration store_keep_alive_timeout = std::chrono::seconds(2);
   // Hosts that the store does not answer.
   std::set<HostId> unanswered_hosts;
+  // Time for which the store holds a read of the configuration.
+  Duration configuration_poll_timeout = StoreRelay::kConfigurationPollTimeout;
   std::string document_content = std::string(500, 'x');
   // Capacity of a host that starts, in thousandths of a core.
   std::function<std::uint32_t(const std::string& name)> capacity_of =
@@ -207,6 +217,10 @@
   void SendNotices(HostId host);
   void OnRows(Host& host, const std::string& table, const std::vector<FeedRow>& rows);
   void UpdateDirectory(Host& host);
+  // The clock of a host, which differs from that of the store.
+  BootTimePoint BootTime(HostId host, TimePoint at) const;
+  void Confirm(Host& host, const ConfigurationConfirmation& confirmation);
+  void RefreshConfirmedStoreTime(Host& host) const;
 
   // True if the connection is silent and its sender has not noticed it yet.
   bool IsSilent(HostId from, HostId to);
--- a/Tests/PlatformAdapter/bounds_test.cc
+++ b/Tests/PlatformAdapter/bounds_test.cc
@@ -10,6 +10,7 @@
   CPPUNIT_TEST(TestKnownBoundsAreRead);
   CPPUNIT_TEST(TestBoundsOfTableAreNotIgnored);
   CPPUNIT_TEST(TestDeepValueOfUnknownBoundEndsTheProcess);
+  CPPUNIT_TEST(TestRevocationTimeHoldsOnlyIfStrict);
   CPPUNIT_TEST(TestInvalidBoundsAreReported);
   CPPUNIT_TEST(TestTextOfAnotherFormIsNotIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -68,13 +69,30 @@
     }
   }
 
+  // Guards against hosts that refuse keys without contact although nobody asks for it, and against
+  // hosts that accept withdrawn keys without a limit.
+  void TestRevocationTimeHoldsOnlyIfStrict() {
+    Findings findings;
+    const PlatformLimits strict{.key_revocation_s = 5};
+    CPPUNIT_ASSERT(platform::ReadPlatformBounds("strict-revoke=true,revoke-s=5", findings) ==
+                   strict);
+    CPPUNIT_ASSERT(
+        platform::ReadPlatformBounds(R"({"revoke-s":5,"strict-revoke":true})", findings) == strict);
+    for (const char* text : {"revoke-s=5", "strict-revoke=false,revoke-s=5",
+                             R"({"strict-revoke":false,"revoke-s":5})"}) {
+      CPPUNIT_ASSERT(platform::ReadPlatformBounds(text, findings) == PlatformLimits{});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+  }
+
   // Guards against a limit that is silently read as zero or as unlimited.
   void TestInvalidBoundsAreReported() {
     for (const char* text :
          {"budget-extra=", "budget-extra=-1", R"({"grace-s":[6]})", R"({"grace-s":{"s":6}})",
           "budget-extra", "floor-share=70", "retry-budget-ratio=nan", "retry-budget-ratio=0.2s",
           R"({"grace-s":"6 s"})", R"({"grace-s":null})", R"({"grace-s":true})",
-          R"({"budget-extra":-1})"}) {
+          R"({"budget-extra":-1})", "strict-revoke=true", "strict-revoke=maybe,revoke-s=5",
+          "strict-revoke=true,revoke-s=soon"}) {
       Findings findings;
       platform::ReadPlatformBounds(text, findings);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{1}, findings.all().size());
--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -8,6 +8,7 @@
 class PlatformDialectTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformDialectTest);
   CPPUNIT_TEST(TestHeadersToTarget);
+  CPPUNIT_TEST(TestKeyIsNeverForwarded);
   CPPUNIT_TEST(TestNotRunRequiresStatementOfTarget);
   CPPUNIT_TEST(TestUnsealedSuccessIsUnusable);
   CPPUNIT_TEST(TestLateResponseToAnotherRequestIsUnusable);
@@ -44,6 +45,32 @@
     CPPUNIT_ASSERT(FindHeader(sent, "Connection").empty());
   }
 
+  // Guards against a target that learns a key, or that believes the tenant that a caller names.
+  void TestKeyIsNeverForwarded() {
+    this->exchange.request.headers.push_back({"x-pimentopin-credential", "key-1"});
+    this->exchange.request.headers.push_back({"X-Pimentopin-Tenant", "forged"});
+    this->exchange.request.headers.push_back({"x-pimentopin-TENANT", "forged"});
+    this->exchange.organisation = "port-a";
+    CPPUNIT_ASSERT(this->dialect.CallerCredential(this->exchange.request.headers) == "key-1");
+    const auto sent_values = [this](std::string_view name) {
+      std::vector<std::string> values;
+      for (const HttpHeader& header : this->dialect.TargetHeaders(this->exchange, {})) {
+        if (EqualHeaderNames(header.name, name)) {
+          values.push_back(header.value);
+        }
+      }
+      return values;
+    };
+    // Without keys in the configuration, the header has no meaning and is forwarded like any other.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent_values("X-Pimentopin-Tenant").size());
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Credential").empty());
+    this->exchange.names_organisation = true;
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Tenant").empty());
+    this->exchange.identified_by_key = true;
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Tenant") == std::vector<std::string>{"port-a"});
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Credential").empty());
+  }
+
   // Guards against reporting "not run" for a request that may have run: only the Not-Executed
   // header or status 421 from the target counts, not the other statuses.
   void TestNotRunRequiresStatementOfTarget() {
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <future>
 #include <thread>
+#include <tuple>
 
 #include "Libraries/LibHttp/http_server.h"
 #include "Tests/LibHttp/http_test_support.h"
@@ -42,6 +43,7 @@
   CPPUNIT_TEST(TestObjects);
   CPPUNIT_TEST(TestObjectStoreFaults);
   CPPUNIT_TEST(TestRemovedRowsAndListings);
+  CPPUNIT_TEST(TestTimeOfTheStoreIsPassedOn);
   CPPUNIT_TEST(TestChangesResumeAndWait);
   CPPUNIT_TEST(TestDiscardedHistoryIsReported);
   CPPUNIT_TEST(TestCallbacksRunOnControlThread);
@@ -341,6 +343,23 @@
     CPPUNIT_ASSERT(this->ListRows("none").value->rows.empty());
   }
 
+  // Guards against a host that calls the store and does not learn its time, or learns it for a call
+  // that was sent later.
+  void TestTimeOfTheStoreIsPassedOn() {
+    const BootTimePoint start = BootNow();
+    CPPUNIT_ASSERT(this->ListRows("t").value->store_time.has_value());
+    CPPUNIT_ASSERT(this->Write({{"t/a", 0, "1"}}).value);
+    CPPUNIT_ASSERT(this->Write({{"t/a", 0, "2"}}).value);
+    this->Read("t/a");
+    CPPUNIT_ASSERT(this->Changes("t", 0, Duration::zero()).value->store_time.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, this->store_times.size());
+    for (const auto& [sent, answered, at_store] : this->store_times) {
+      CPPUNIT_ASSERT(start <= sent && sent <= answered && answered <= BootNow());
+      // The stand-in's clock is this machine's steady clock.
+      CPPUNIT_ASSERT(at_store.time_since_epoch() <= SteadyNow().time_since_epoch());
+    }
+  }
+
   // Guards against missing a change between two reads of the feed.
   void TestChangesResumeAndWait() {
     const std::uint64_t start = this->ListRows("f").value->version;
@@ -437,9 +456,16 @@
 
   void CreateStore(const std::string& url, Duration timeout = std::chrono::seconds(20)) {
     const PlatformHttpClientSettings settings{
-        .base_url = url, .timeout = timeout, .post = [this](std::function<void()> function) {
-          asio::post(this->control, std::move(function));
-        }};
+        .base_url = url,
+        .timeout = timeout,
+        .post =
+            [this](std::function<void()> function) {
+              asio::post(this->control, std::move(function));
+            },
+        .on_store_time =
+            [this](BootTimePoint sent, BootTimePoint answered, StoreTimePoint at_store) {
+              this->store_times.emplace_back(sent, answered, at_store);
+            }};
     this->store = std::make_unique<platform::StoreClient>(*this->client, settings);
   }
 
@@ -512,6 +538,8 @@
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpClient> client;
   std::unique_ptr<PlatformStore> store;
+  // Time of each call and of its answer, and the time that the store stated in it.
+  std::vector<std::tuple<BootTimePoint, BootTimePoint, StoreTimePoint>> store_times;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreClientTest);
--- a/Tests/StandIns/Platform/platform.cc
+++ b/Tests/StandIns/Platform/platform.cc
@@ -84,6 +84,11 @@
   return number;
 }
 
+// The steady clock of the store.
+double NowSeconds() {
+  return std::chrono::duration<double>(SteadyNow().time_since_epoch()).count();
+}
+
 json RowToJson(const std::pair<std::string, std::string>& name,
                const std::string& value,
                std::uint64_t version,
@@ -202,14 +207,15 @@
   }
   if (conflict) {
     return {412,
-            SerializeJson({{"rows", std::move(current)}, {"ver", this->version}, {"now-s", 0}})};
+            SerializeJson(
+                {{"rows", std::move(current)}, {"ver", this->version}, {"now-s", NowSeconds()}})};
   }
   ++this->version;
   for (const Change& change : changes) {
     this->rows[change.name] = {this->version, change.value.value_or(""), !change.value};
   }
   this->NotifyWaiters();
-  return {200, SerializeJson({{"ver", this->version}, {"now-s", 0}})};
+  return {200, SerializeJson({{"ver", this->version}, {"now-s", NowSeconds()}})};
 }
 
 Platform::Response Platform::ListRows(const Parameters& parameters) const {
@@ -237,7 +243,7 @@
   return {200, SerializeJson({{"rows", std::move(listed)},
                               {"has-more", has_more},
                               {"ver", this->version},
-                              {"now-s", 0}})};
+                              {"now-s", NowSeconds()}})};
 }
 
 std::optional<Platform::Response> Platform::ChangesSince(const std::string& table,
@@ -260,8 +266,9 @@
   for (auto& [row_version, row] : changed) {
     list.push_back(std::move(row));
   }
-  return Response{200,
-                  SerializeJson({{"rows", std::move(list)}, {"ver", this->version}, {"now-s", 0}})};
+  return Response{
+      200,
+      SerializeJson({{"rows", std::move(list)}, {"ver", this->version}, {"now-s", NowSeconds()}})};
 }
 
 void Platform::HandleFeed(const Parameters& parameters,
@@ -274,7 +281,8 @@
   const std::uint64_t after = NumberParameter(parameters, "after", 0);
   const auto wait = std::chrono::milliseconds(NumberParameter(parameters, "wait-ms", 0));
   const Response no_changes{
-      200, SerializeJson({{"rows", json::array()}, {"ver", this->version}, {"now-s", 0}})};
+      200,
+      SerializeJson({{"rows", json::array()}, {"ver", this->version}, {"now-s", NowSeconds()}})};
   const auto changes = this->ChangesSince(table->second, after);
   if (changes || wait.count() == 0) {
     const Response& response = changes ? *changes : no_changes;
@@ -290,7 +298,9 @@
                     [&responder](const Waiter& entry) { return entry.responder == responder; });
     if (!error && still_waiting) {
       responder->Respond(
-          200, {}, SerializeJson({{"rows", json::array()}, {"ver", this->version}, {"now-s", 0}}));
+          200, {},
+          SerializeJson(
+              {{"rows", json::array()}, {"ver", this->version}, {"now-s", NowSeconds()}}));
       this->waiters.erase(waiter);
     }
   });
--- a/Tests/StandIns/Target/target.cc
+++ b/Tests/StandIns/Target/target.cc
@@ -226,7 +226,12 @@
                           .started_at_us = EpochMicroseconds()});
   if (this->settings.print_runs) {
     // Flushed, so that the output is complete if the process is killed.
-    std::cout << "run " << SerializeJson(ToJson(this->ledger.back())) << std::flush;
+    nlohmann::json run = ToJson(this->ledger.back());
+    if (this->settings.uses_platform_headers) {
+      run["tenant"] = job->Header("X-Pimentopin-Tenant");
+      run["credential"] = job->Header("X-Pimentopin-Credential");
+    }
+    std::cout << "run " << SerializeJson(run) << std::flush;
   }
   Duration duration = this->ServiceTime(*job);
   const bool crashes = !this->mode.crash_path.empty() &&
