Dispatch: Placement by expected completion

Cause: targets were ranked by the share of occupied slots; neither the likely cost of a request nor the work that a target still has to do was known. Change: WorkEstimate learns the work of requests that look alike (work key, route, work class), TargetWork the speed, the stated load and the remaining work of each target.

--- a/Bench/Simulation/cluster.cc
+++ b/Bench/Simulation/cluster.cc
@@ -222,6 +222,8 @@
                              .caller = CallerId{RawId(arrival.organisation)},
                              .organisation = arrival.organisation,
                              .work_class = arrival.work_class,
+                             .kind = arrival.kind,
+                             .work_key = arrival.key,
                              .idempotent = arrival.idempotent,
                              .deadline = intended_arrival + arrival.deadline,
                              .fingerprint = fingerprint};
@@ -233,6 +235,9 @@
     }
   }
   const std::size_t host = this->random.Below(this->hosts.size());
+  if (arrival.work > Duration::zero()) {
+    this->work[request.request] = arrival.work;
+  }
   this->tracker.OnRequestSubmitted(request, intended_arrival);
   this->event_queue.ScheduleAfter(
       this->settings.link_delay_to_caller, [this, host, request = std::move(request)] {
@@ -357,6 +362,7 @@
       }
     } else if (const auto* finish = std::get_if<FinishRequest>(&action)) {
       this->descriptions.erase(finish->request);
+      this->work.erase(finish->request);
       this->tracker.OnRequestFinished(
           *finish, this->event_queue.now() + this->settings.link_delay_to_caller);
     }
@@ -450,10 +456,13 @@
     return;
   }
   attempt.sent = true;
-  attempt.target->Submit({.attempt = id,
-                          .request = attempt.request,
-                          .work_class = attempt.work_class,
-                          .fingerprint = attempt.fingerprint});
+  const auto known_work = this->work.find(attempt.request);
+  attempt.target->Submit(
+      {.attempt = id,
+       .request = attempt.request,
+       .work_class = attempt.work_class,
+       .fingerprint = attempt.fingerprint,
+       .work = known_work == this->work.end() ? Duration::zero() : known_work->second});
 }
 
 void Cluster::OnTargetResponse(SimulatedTarget& target,
--- a/Bench/Simulation/cluster.h
+++ b/Bench/Simulation/cluster.h
@@ -106,6 +106,8 @@
   // Callbacks of the probes in flight.
   std::map<AttemptId, std::function<void(const TargetResponse&)>> probes;
   std::map<RequestId, RequestDescription> descriptions;
+  // Work of the requests whose arrival states it.
+  std::map<RequestId, Duration> work;
   std::vector<std::unique_ptr<Workload>> workloads;
 };
 
--- a/Bench/Simulation/simulated_target.cc
+++ b/Bench/Simulation/simulated_target.cc
@@ -113,6 +113,10 @@
     mean_us *=
         this->model.cold_start_factor + (1.0 - this->model.cold_start_factor) * warm_up_progress;
   }
+  if (job.work > Duration::zero()) {
+    const double factor = mean_us / static_cast<double>(this->model.service_time.count());
+    return Duration(static_cast<Duration::rep>(static_cast<double>(job.work.count()) * factor));
+  }
   return Duration(1 + static_cast<Duration::rep>(-mean_us * std::log(1.0 - this->random.Unit())));
 }
 
--- a/Bench/Simulation/simulated_target.h
+++ b/Bench/Simulation/simulated_target.h
@@ -20,6 +20,8 @@
   WorkClass work_class = WorkClass::kShort;
   Fingerprint fingerprint{};
   bool is_probe = false;
+  // Work at normal speed; zero if the target draws it.
+  Duration work{};
 };
 
 // Response of a target.
--- a/Bench/Simulation/workload.cc
+++ b/Bench/Simulation/workload.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 #include <utility>
 
 namespace pimentopin::bench {
@@ -73,15 +74,57 @@
       break;
     }
   }
+  WorkloadArrival arrival{.service = this->settings.service, .organisation = chosen_organisation};
+  if (!this->settings.kinds.empty()) {
+    arrival.idempotent = this->random.Unit() < this->settings.idempotent_share;
+    this->SetKind(arrival);
+    this->on_arrival(arrival);
+    this->ScheduleNext();
+    return;
+  }
   const bool is_long = this->random.Unit() < this->settings.long_share;
   const bool idempotent = this->random.Unit() < this->settings.idempotent_share;
-  this->on_arrival(
-      {.service = this->settings.service,
-       .organisation = chosen_organisation,
-       .work_class = is_long ? WorkClass::kLong : WorkClass::kShort,
-       .idempotent = idempotent,
-       .deadline = is_long ? this->settings.long_deadline : this->settings.short_deadline});
+  arrival.work_class = is_long ? WorkClass::kLong : WorkClass::kShort;
+  arrival.idempotent = idempotent;
+  arrival.deadline = is_long ? this->settings.long_deadline : this->settings.short_deadline;
+  this->on_arrival(arrival);
   this->ScheduleNext();
 }
 
+std::size_t Workload::DrawKind() {
+  double total_weight = 0.0;
+  for (const WorkloadKind& kind : this->settings.kinds) {
+    total_weight += kind.weight;
+  }
+  double remaining = this->random.Unit() * total_weight;
+  for (std::size_t index = 0; index < this->settings.kinds.size(); ++index) {
+    remaining -= this->settings.kinds[index].weight;
+    if (remaining < 0.0) {
+      return index;
+    }
+  }
+  return this->settings.kinds.size() - 1;
+}
+
+void Workload::SetKind(WorkloadArrival& arrival) {
+  arrival.kind_index = this->DrawKind();
+  // Drawn also without the shuffle, so that arrivals and work are the same with it.
+  const std::size_t other = this->DrawKind();
+  const WorkloadKind& kind = this->settings.kinds[arrival.kind_index];
+  const WorkloadKind& named =
+      this->settings.kinds[this->settings.shuffle_kinds ? other : arrival.kind_index];
+  arrival.kind = named.kind;
+  arrival.key = named.key;
+  arrival.deadline = kind.deadline;
+  const bool is_tail = this->random.Unit() < kind.tail_share;
+  const double usual_factor = (1.0 - kind.tail_share * kind.tail_factor) / (1.0 - kind.tail_share);
+  const double mean_us =
+      static_cast<double>(kind.mean_work.count()) * (is_tail ? kind.tail_factor : usual_factor);
+  const double radius = std::sqrt(-2.0 * std::log(1.0 - this->random.Unit()));
+  const double normal = radius * std::cos(2.0 * std::numbers::pi * this->random.Unit());
+  arrival.work =
+      Duration(1 + static_cast<Duration::rep>(
+                       mean_us * std::exp(kind.spread * normal - kind.spread * kind.spread / 2.0)));
+}
+
 }  // namespace pimentopin::bench
--- a/Bench/Simulation/workload.h
+++ b/Bench/Simulation/workload.h
@@ -24,12 +24,32 @@
   double factor = 1.0;
 };
 
+// Requests of one kind. Their work is drawn with the arrivals, so it does not depend on where they
+// run.
+struct WorkloadKind {
+  RequestKind kind{};
+  WorkKey key{};
+  // Relative share of the requests.
+  double weight = 1.0;
+  Duration mean_work{};
+  // Standard deviation of the logarithm of the work.
+  double spread = 0.3;
+  // Share of requests that take `tail_factor` times the mean.
+  double tail_share = 0.0;
+  double tail_factor = 1.0;
+  Duration deadline{};
+};
+
 struct WorkloadSettings {
   ServiceId service{};
   double requests_per_second = 100.0;
   // Sorted by time.
   std::vector<DemandStep> steps;
   std::vector<WorkloadOrganisation> organisations{{OrganisationId{1}, 1.0}};
+  // If there are any, requests are short work of these kinds.
+  std::vector<WorkloadKind> kinds;
+  // Gives each request the key and kind of a random one, as a control.
+  bool shuffle_kinds = false;
   double long_share = 0.0;
   double idempotent_share = 0.5;
   Duration short_deadline = std::chrono::seconds(2);
@@ -44,6 +64,12 @@
   WorkClass work_class = WorkClass::kShort;
   bool idempotent = false;
   Duration deadline{};
+  RequestKind kind{};
+  WorkKey key{};
+  // Work at a target of normal speed; zero if the target draws it.
+  Duration work{};
+  // Index of the kind in the settings.
+  std::size_t kind_index = 0;
 };
 
 // Open-loop Poisson arrivals: arrival times do not depend on responses.
@@ -68,6 +94,8 @@
  private:
   void ScheduleNext();
   void EmitArrival();
+  void SetKind(WorkloadArrival& arrival);
+  std::size_t DrawKind();
   double RateAt(Duration elapsed, Duration& rate_valid_until) const;
 
   EventQueue& events;
--- a/Libraries/LibDispatch/broker_policy.h
+++ b/Libraries/LibDispatch/broker_policy.h
@@ -7,6 +7,16 @@
 
 namespace pimentopin {
 
+// What a target's load costs a request that may go to it.
+enum class Placement : std::uint8_t {
+  // The occupied fraction of its slots.
+  kLoad,
+  // The work that it still has to do. Only experiments use this.
+  kLeastWork,
+  // The delay of the request's completion there, relative to the request's own work.
+  kExpectedCompletion,
+};
+
 // Tunable parameters of the broker's scheduling policy. The defaults are the
 // production policy; other values serve the experiments in Bench.
 struct BrokerPolicy {
@@ -34,6 +44,7 @@
   // Below that rate, a slot request for each request costs less than the views.
   double view_min_request_rate = 0;
   RetryLimits retry_limits;
+  Placement placement = Placement::kLoad;
 
   friend bool operator==(const BrokerPolicy&, const BrokerPolicy&) = default;
 };
--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -20,6 +20,7 @@
   OrganisationId organisation{};
   WorkClass work_class = WorkClass::kShort;
   RequestKind kind{};
+  WorkKey work_key{};
   bool idempotent = false;
   // The response is large; targets in the host's failure domain are preferred.
   bool bulk = false;
@@ -114,6 +115,8 @@
   // Requests a second that the target accepts from all hosts together, as stated in its response;
   // zero if it states no limit, empty if there was no response.
   std::optional<double> request_rate_limit;
+  // Load that the target stated in its response; empty if it stated none.
+  std::optional<TargetLoad> load;
 
   friend bool operator==(const AttemptEnd&, const AttemptEnd&) = default;
 };
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -201,7 +201,8 @@
                                                        .service = description.service,
                                                        .target = *target,
                                                        .organisation = description.organisation,
-                                                       .work_class = description.work_class}});
+                                                       .work_class = description.work_class,
+                                                       .work_key = description.work_key}});
     return;
   }
   this->RequestSlot(now, *broker, *service, state, actions);
@@ -334,7 +335,8 @@
           .idempotent = description.idempotent,
           .bulk = description.bulk,
           .forbidden = std::move(forbidden),
-          .kind = description.kind};
+          .kind = description.kind,
+          .work_key = description.work_key};
 }
 
 void HostDispatcher::RequestSlot(TimePoint now,
@@ -393,6 +395,7 @@
                                                .organisation = description.organisation,
                                                .work_class = description.work_class,
                                                .kind = description.kind,
+                                               .work_key = description.work_key,
                                                .fingerprint = description.fingerprint,
                                                .broker = broker,
                                                .deadline = description.deadline});
@@ -602,7 +605,9 @@
                             .fingerprint = attempt.fingerprint,
                             .target_draining = end.target_draining,
                             .request_rate_limit = end.request_rate_limit,
-                            .kind = attempt.kind};
+                            .kind = attempt.kind,
+                            .work_key = attempt.work_key,
+                            .load = end.load};
   // The current broker needs the result even if another broker granted the
   // slot.
   const DispatchServiceState* service = this->FindService(attempt.service);
--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -84,6 +84,7 @@
   OrganisationId organisation{};
   WorkClass work_class = WorkClass::kShort;
   RequestKind kind{};
+  WorkKey work_key{};
   Fingerprint fingerprint{};
   // Broker that granted the slot or received the claim.
   std::optional<HostId> broker;
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -45,6 +45,24 @@
 constexpr Duration kMaxReliableTargetWait = std::chrono::milliseconds(300);
 constexpr Duration::rep kReliableTargetWaitBudgetDivisor = 5;
 
+// Delay, relative to the request's work, from which a free slot is compared with slots that become
+// free soon, and by which the latter must be better.
+constexpr double kDelayedCompletion = 0.5;
+constexpr double kSoonerCompletionMargin = 0.4;
+// A request that is bound to a target early cannot use a slot that becomes free elsewhere, so it
+// waits there for this fraction of its work at most.
+constexpr double kMaxBoundWait = 0.35;
+// Hosts that choose a target without the broker leave out targets that are slower than this.
+constexpr double kMaxUnaskedSlowness = 1.5;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+WorkTraits TraitsOf(const SlotRequest& request) {
+  return {.work_class = request.work_class, .kind = request.kind, .key = request.work_key};
+}
+
 }  // namespace
 
 SlotBroker::SlotBroker(BrokerConfiguration initial,
@@ -67,6 +85,7 @@
   std::erase_if(this->draining, is_removed);
   this->rate_limits.RemoveTargets(is_removed);
   this->ranking.RemoveTargets(is_removed);
+  this->target_work.RemoveTargets(is_removed);
   this->ConfigureHealth(now);
   Messages messages;
   this->RefuseExpired(now, messages);
@@ -287,7 +306,8 @@
   }
   const bool worth_waiting = !reliable.empty() && best_unreliable;
   if (best != nullptr && !worth_waiting) {
-    return best->target;
+    const std::optional<TargetId> sooner = this->ChooseSooner(now, entry, reliable, *best);
+    return sooner ? sooner : best->target;
   }
   // A failing target responds at once, so it would take the queue before a reliable one is free.
   return this->ChooseOvercommitted(now, entry, reliable.empty() ? usable : reliable);
@@ -317,25 +337,102 @@
   const RankedTarget ranked{.target = candidate.target,
                             .load = static_cast<double>(this->table.CountAt(candidate.target)) /
                                     candidate.health_status.usable_slots,
+                            .delay = this->DelayOf(now, candidate, TraitsOf(entry.request)),
                             .same_domain = candidate.domain == entry.domain};
   return this->ranking.Cost(now, entry.request, ranked);
 }
 
+std::optional<double> SlotBroker::DelayOf(TimePoint now,
+                                          const Candidate& candidate,
+                                          const WorkTraits& traits) const {
+  switch (this->policy.placement) {
+    case Placement::kLoad:
+      return std::nullopt;
+    case Placement::kLeastWork: {
+      const Duration mean = this->target_work.estimate().Mean({.work_class = traits.work_class});
+      const Duration outstanding = this->target_work.Outstanding(
+          now, candidate.target, this->table.HoldersAt(candidate.target));
+      return mean > Duration::zero()
+                 ? std::chrono::duration<double>(outstanding) /
+                       std::chrono::duration<double>(mean) / candidate.health_status.usable_slots
+                 : 0.0;
+    }
+    case Placement::kExpectedCompletion:
+      return this->Expect(now, candidate, traits).RelativeDelay();
+  }
+  return std::nullopt;
+}
+
+ExpectedCompletion SlotBroker::Expect(TimePoint now,
+                                      const Candidate& candidate,
+                                      const WorkTraits& traits) const {
+  return this->target_work.Expect(now, candidate.target, candidate.health_status.usable_slots,
+                                  this->table.HoldersAt(candidate.target), traits);
+}
+
+void SlotBroker::SetExpectation(TimePoint now, SlotHolder& holder) const {
+  const auto position = std::find_if(
+      this->candidates.begin(), this->candidates.end(),
+      [&holder](const Candidate& candidate) { return candidate.target == holder.target; });
+  if (this->policy.placement == Placement::kLoad || position == this->candidates.end()) {
+    return;
+  }
+  const ExpectedCompletion expected = this->Expect(now, *position, holder.work);
+  holder.expected_wait = expected.wait;
+  holder.stated_wait = expected.stated_wait;
+  holder.expected_run = expected.Run();
+  holder.slowness = expected.slowness;
+}
+
+std::optional<TargetId> SlotBroker::ChooseSooner(TimePoint now,
+                                                 const QueueEntry& entry,
+                                                 const std::vector<const Candidate*>& usable,
+                                                 const Candidate& best) const {
+  if (this->policy.placement != Placement::kExpectedCompletion) {
+    return std::nullopt;
+  }
+  const WorkTraits traits = TraitsOf(entry.request);
+  const double limit = this->Expect(now, best, traits).RelativeDelay() - kSoonerCompletionMargin;
+  if (limit < kDelayedCompletion - kSoonerCompletionMargin) {
+    return std::nullopt;
+  }
+  const std::optional<TargetId> other = this->ChooseOvercommitted(now, entry, usable);
+  const auto position =
+      std::find_if(usable.begin(), usable.end(),
+                   [&other](const Candidate* candidate) { return candidate->target == other; });
+  return position != usable.end() && this->Expect(now, **position, traits).RelativeDelay() < limit
+             ? other
+             : std::nullopt;
+}
+
 std::optional<TargetId> SlotBroker::ChooseOvercommitted(
     TimePoint now,
     const QueueEntry& entry,
     const std::vector<const Candidate*>& usable) const {
+  const bool by_completion = this->policy.placement != Placement::kLoad;
+  const WorkTraits traits = TraitsOf(entry.request);
   const Candidate* best = nullptr;
-  std::uint32_t best_short = 0;
+  // The lowest one is best.
+  double best_score = 0;
   for (const Candidate* candidate : usable) {
+    // A candidate with a free slot was skipped as unreliable.
+    if (this->HasFreeSlot(now, *candidate, entry.request.work_class) ||
+        !this->HasOvercommitRoom(*candidate, entry.request.work_class)) {
+      continue;
+    }
+    const ExpectedCompletion expected =
+        by_completion ? this->Expect(now, *candidate, traits) : ExpectedCompletion{};
+    if (this->policy.placement == Placement::kExpectedCompletion &&
+        ToSeconds(expected.wait) > kMaxBoundWait * ToSeconds(expected.work)) {
+      continue;
+    }
     const std::uint32_t short_work =
         this->table.CountAt(candidate->target) - this->table.LongCountAt(candidate->target);
-    // A candidate with a free slot was skipped as unreliable.
-    if (!this->HasFreeSlot(now, *candidate, entry.request.work_class) &&
-        this->HasOvercommitRoom(*candidate, entry.request.work_class) &&
-        (best == nullptr || short_work > best_short)) {
+    const double score =
+        by_completion ? ToSeconds(expected.Total()) : -static_cast<double>(short_work);
+    if (best == nullptr || score < best_score) {
       best = candidate;
-      best_short = short_work;
+      best_score = score;
     }
   }
   return best != nullptr ? std::optional(best->target) : std::nullopt;
@@ -374,7 +471,17 @@
   // not applied.
   // A stated limit is no estimate.
   return (this->table.size() > 0 || this->TotalRateLimit() > 0) &&
-         wait + this->estimate.Mean(request.work_class, request.kind) > budget;
+         wait + this->ExpectedWork(request) > budget;
+}
+
+Duration SlotBroker::ExpectedWork(const SlotRequest& request) const {
+  const Duration kind_mean = this->estimate.Mean(request.work_class, request.kind);
+  if (this->policy.placement == Placement::kLoad) {
+    return kind_mean;
+  }
+  // Requests that are all refused give no sample that could correct the mean of their key.
+  return std::min(this->estimate.Mean(request.work_class),
+                  this->target_work.estimate().Mean(TraitsOf(request)));
 }
 
 SlotRefusal SlotBroker::MakeRefusal(const SlotRequest& request, RefusalReason reason) const {
@@ -475,6 +582,7 @@
   HostActivity& activity = this->hosts[host];
   activity.view_sent_at = now;
   ServiceView view = this->View();
+  this->HideSlowTargets(now, view);
   view.sequence = this->NextSequence(now);
   messages.push_back(this->MakeViewMessage(now, host, activity, std::move(view)));
 }
@@ -508,13 +616,13 @@
                                             DomainId sender_domain,
                                             const SlotClaim& claim) {
   this->RecordActivity(now, sender, sender_domain).recent_requests += 1.0;
-  const bool added =
-      this->table.Add(now, claim.attempt,
-                      {.host = sender,
-                       .target = claim.target,
-                       .work_class = claim.work_class,
-                       .queue_factor = this->QueueFactor(claim.target, claim.work_class)});
-  if (added) {
+  SlotHolder holder{.host = sender,
+                    .target = claim.target,
+                    .work_class = claim.work_class,
+                    .queue_factor = this->QueueFactor(claim.target, claim.work_class),
+                    .work = {.work_class = claim.work_class, .key = claim.work_key}};
+  this->SetExpectation(now, holder);
+  if (this->table.Add(now, claim.attempt, holder)) {
     this->ranking.RecordStart(now, claim.target);
     this->rate_limits.RecordSend(now, claim.target);
     this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
@@ -544,6 +652,9 @@
   const bool already_released = holder == nullptr && this->table.HasEndedRecently(release.attempt);
   const double queue_factor = known ? holder->queue_factor : 1.0;
   const bool is_trial = known && holder->is_trial;
+  if (known) {
+    this->RecordWork(now, *holder, release);
+  }
   if (holder == nullptr || known) {
     this->table.Free(now, release.attempt);
   }
@@ -579,6 +690,20 @@
   return messages;
 }
 
+void SlotBroker::RecordWork(TimePoint now, const SlotHolder& holder, const SlotRelease& release) {
+  if (this->policy.placement == Placement::kLoad) {
+    return;
+  }
+  if (release.load) {
+    this->target_work.RecordLoad(now, release.target, this->table.CountAt(release.target),
+                                 *release.load);
+  }
+  // A report of its host tells less of an attempt than its release.
+  SlotHolder ended = holder;
+  ended.work = {.work_class = release.work_class, .kind = release.kind, .key = release.work_key};
+  this->target_work.RecordEnd(now, ended, release.result, release.service_time);
+}
+
 std::vector<SendToHost> SlotBroker::OnReport(TimePoint now,
                                              HostId sender,
                                              DomainId sender_domain,
@@ -618,12 +743,14 @@
                        Messages& messages) {
   const SlotRequest& request = entry.request;
   const bool is_trial = this->health.Status(target).state == TargetState::kEjected;
-  this->table.Add(now, request.attempt,
-                  {.host = entry.host,
-                   .target = target,
-                   .work_class = request.work_class,
-                   .queue_factor = this->QueueFactor(target, request.work_class),
-                   .is_trial = is_trial});
+  SlotHolder holder{.host = entry.host,
+                    .target = target,
+                    .work_class = request.work_class,
+                    .queue_factor = this->QueueFactor(target, request.work_class),
+                    .is_trial = is_trial,
+                    .work = TraitsOf(request)};
+  this->SetExpectation(now, holder);
+  this->table.Add(now, request.attempt, holder);
   this->ranking.RecordStart(now, target);
   this->rate_limits.RecordSend(now, target);
   if (is_trial) {
@@ -773,6 +900,7 @@
 
 void SlotBroker::PushViews(TimePoint now, Messages& messages) {
   ServiceView view = this->View();
+  this->HideSlowTargets(now, view);
   view.sequence = 0;
   const bool changed = view != this->last_pushed_view && now - this->pushed_at >= kMinViewInterval;
   if (changed) {
@@ -814,10 +942,25 @@
   return view;
 }
 
+void SlotBroker::HideSlowTargets(TimePoint now, ServiceView& view) const {
+  if (this->policy.placement != Placement::kExpectedCompletion) {
+    return;
+  }
+  for (TargetView& target : view.targets) {
+    if (this->target_work.Slowness(now, target.target) > kMaxUnaskedSlowness) {
+      target.free_slots = 0;
+    }
+  }
+}
+
 std::vector<HealthEvent> SlotBroker::TakeHealthEvents() {
   return this->health.TakeEvents();
 }
 
+std::vector<SpeedChange> SlotBroker::TakeSpeedChanges(TimePoint now) {
+  return this->target_work.TakeSpeedChanges(now);
+}
+
 ServiceView SlotBroker::View() const {
   ServiceView view{.service = this->configuration.service,
                    .sequence = this->sequence,
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -18,6 +18,7 @@
 #include "Libraries/LibDispatch/slot_table.h"
 #include "Libraries/LibDispatch/target_ranking.h"
 #include "Libraries/LibDispatch/target_rate_limits.h"
+#include "Libraries/LibDispatch/target_work.h"
 #include "Libraries/LibHealth/service_health.h"
 #include "Libraries/LibProtocol/envelope.h"
 
@@ -83,6 +84,8 @@
   TimePoint NextDeadline(TimePoint now);
 
   std::vector<HealthEvent> TakeHealthEvents();
+  // Empty if the placement is kLoad.
+  std::vector<SpeedChange> TakeSpeedChanges(TimePoint now);
   ServiceView View() const;
 
   std::size_t queued() const { return this->queue.size(); }
@@ -125,6 +128,22 @@
   // which may hang, long before their deadlines expire.
   void ObserveOverdue(TimePoint now);
   double CostOf(TimePoint now, const QueueEntry& entry, const Candidate& candidate);
+  // Delay at the candidate as the placement counts it; empty if the load counts.
+  std::optional<double> DelayOf(TimePoint now,
+                                const Candidate& candidate,
+                                const WorkTraits& traits) const;
+  // Learns from the end of an attempt that held a slot until now.
+  void RecordWork(TimePoint now, const SlotHolder& holder, const SlotRelease& release);
+  // Expected completion of a request of these traits that is sent to the candidate now.
+  ExpectedCompletion Expect(TimePoint now,
+                            const Candidate& candidate,
+                            const WorkTraits& traits) const;
+  // Fills in what is expected of an attempt that starts now.
+  void SetExpectation(TimePoint now, SlotHolder& holder) const;
+  // Expected time that the request takes at a target.
+  Duration ExpectedWork(const SlotRequest& request) const;
+  // Shows slow targets as busy, so that no host starts work there without asking.
+  void HideSlowTargets(TimePoint now, ServiceView& view) const;
   // Returns the view with the targets that this host cannot reach marked as
   // unreachable from its failure domain.
   ServiceView ViewForHost(HostId host, const HostActivity& activity, ServiceView view) const;
@@ -147,6 +166,12 @@
       TimePoint now,
       const QueueEntry& entry,
       const std::vector<const Candidate*>& candidates) const;
+  // A target that is expected to complete the request clearly before `best`, although the request
+  // must wait there for a slot.
+  std::optional<TargetId> ChooseSooner(TimePoint now,
+                                       const QueueEntry& entry,
+                                       const std::vector<const Candidate*>& usable,
+                                       const Candidate& best) const;
   bool CanGrantImmediately(TimePoint now, const QueueEntry& entry);
   bool QueueIsFull(WorkClass work_class) const;
   Duration PredictedWait(const SlotRequest& request) const;
@@ -184,6 +209,8 @@
   EjectionTrials trials;
   TargetRateLimits rate_limits;
   ServiceTimeEstimate estimate;
+  // Used unless the placement is kLoad.
+  TargetWork target_work;
   LongWorkShare long_share;
   std::vector<Candidate> candidates;
   std::map<HostId, HostActivity> hosts;
--- a/Libraries/LibDispatch/slot_table.cc
+++ b/Libraries/LibDispatch/slot_table.cc
@@ -18,7 +18,7 @@
     ++this->long_total;
   }
   this->by_host[holder.host].insert(attempt);
-  this->holders.emplace(attempt, holder);
+  count.holders.push_back(&this->holders.emplace(attempt, holder).first->second);
   return true;
 }
 
@@ -26,6 +26,7 @@
   const auto& [attempt, holder] = *position;
   Count& count = this->counts[holder.target];
   --count.total;
+  std::erase(count.holders, &holder);
   if (holder.work_class == WorkClass::kLong) {
     --count.long_work;
     --this->long_total;
@@ -78,7 +79,10 @@
       this->recently_ended.erase(item.attempt);
     }
     this->Add(now, item.attempt,
-              {.host = host, .target = item.target, .work_class = item.work_class});
+              {.host = host,
+               .target = item.target,
+               .work_class = item.work_class,
+               .work = {.work_class = item.work_class}});
   }
   const auto host_attempts = this->by_host.find(host);
   if (host_attempts == this->by_host.end()) {
@@ -165,4 +169,10 @@
   return position == this->counts.end() ? 0 : position->second.long_work;
 }
 
+const std::vector<const SlotHolder*>& SlotTable::HoldersAt(TargetId target) const {
+  static const std::vector<const SlotHolder*> kNone;
+  const auto position = this->counts.find(target);
+  return position == this->counts.end() ? kNone : position->second.holders;
+}
+
 }  // namespace pimentopin
--- a/Libraries/LibDispatch/slot_table.h
+++ b/Libraries/LibDispatch/slot_table.h
@@ -9,6 +9,7 @@
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/work_estimate.h"
 #include "Libraries/LibProtocol/slot_messages.h"
 
 namespace pimentopin {
@@ -26,6 +27,13 @@
   bool is_trial = false;
   // Already reported by TakeOverdueTargets().
   bool overdue = false;
+  WorkTraits work;
+  // Expected at the start: the wait for a slot of the target by known attempts and by the target's
+  // own statement, the run, and the factor by which this target prolongs it. Zero if unknown.
+  Duration expected_wait{};
+  Duration stated_wait{};
+  Duration expected_run{};
+  double slowness = 1.0;
 
   friend bool operator==(const SlotHolder&, const SlotHolder&) = default;
 };
@@ -44,6 +52,11 @@
   // from healthy targets in saturation, and 5 of 314 long requests starved.
   static constexpr std::size_t kMinOverdueAttempts = 2;
 
+  SlotTable() = default;
+  // The lists of holders refer to the attempts.
+  SlotTable(const SlotTable&) = delete;
+  SlotTable(SlotTable&&) = default;
+
   // Returns false and changes nothing if the attempt is known or was freed
   // within kReportTimeout.
   bool Add(TimePoint now, AttemptId attempt, SlotHolder holder);
@@ -71,6 +84,8 @@
   bool HasEndedRecently(AttemptId attempt) const { return this->recently_ended.contains(attempt); }
   std::uint32_t CountAt(TargetId target) const;
   std::uint32_t LongCountAt(TargetId target) const;
+  // Attempts at the target, in the order in which the broker learned of them.
+  const std::vector<const SlotHolder*>& HoldersAt(TargetId target) const;
   std::uint32_t long_count() const { return this->long_total; }
   std::size_t size() const { return this->holders.size(); }
 
@@ -78,6 +93,7 @@
   struct Count {
     std::uint32_t total = 0;
     std::uint32_t long_work = 0;
+    std::vector<const SlotHolder*> holders;
   };
 
   void Erase(TimePoint now, std::map<AttemptId, SlotHolder>::iterator position);
--- a/Libraries/LibDispatch/target_ranking.cc
+++ b/Libraries/LibDispatch/target_ranking.cc
@@ -9,6 +9,10 @@
 constexpr double kFailureCost = 1.0;
 constexpr double kIdempotentFailureCost = 0.4;
 constexpr double kLoadCost = 0.25;
+// The load still counts a little beside the delay: attempts may be on their way that the broker
+// does not know of.
+constexpr double kDelayCost = 0.25;
+constexpr double kLoadBesideDelayCost = 0.05;
 // Crossing failure domains costs time, and bandwidth for large responses.
 constexpr double kRemoteDomainCost = 0.005;
 constexpr double kRemoteDomainBulkCost = 0.5;
@@ -97,6 +101,9 @@
   const double domain_cost = candidate.same_domain ? 0.0
                              : request.bulk        ? kRemoteDomainBulkCost
                                                    : kRemoteDomainCost;
+  const double load_cost =
+      candidate.delay ? kDelayCost * *candidate.delay + kLoadBesideDelayCost * candidate.load
+                      : kLoadCost * candidate.load;
   const bool idle = candidate.load == 0;
   const bool is_new = idle && !history.failure_estimator.observed();
   const bool revisit_due =
@@ -104,7 +111,7 @@
       history.failure_probability < (has_retry_left ? kMaxIdempotentRevisitFailureProbability
                                                     : kMaxRevisitFailureProbability);
   return history.failure_probability * (has_retry_left ? kIdempotentFailureCost : kFailureCost) +
-         kLoadCost * candidate.load + domain_cost - (is_new ? kNewTargetBonus : 0.0) -
+         load_cost + domain_cost - (is_new ? kNewTargetBonus : 0.0) -
          (revisit_due ? kRevisitBonus : 0.0);
 }
 
--- a/Libraries/LibDispatch/target_ranking.h
+++ b/Libraries/LibDispatch/target_ranking.h
@@ -16,6 +16,8 @@
   TargetId target{};
   // Occupied fraction of the usable slots; may exceed 1.
   double load = 0;
+  // Delay of the request's completion relative to its own work; if empty, the load counts instead.
+  std::optional<double> delay;
   bool same_domain = false;
 };
 
--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -155,6 +155,7 @@
       // What the target stated in an earlier response need not hold any longer.
       this->response_info.retry_after = Duration::zero();
       this->response_info.request_rate_limit = 0;
+      this->response_info.load.reset();
     }
     this->digest = ContentDigest::Create(this->response_info.content_digest);
     header = {.status = code,
@@ -267,7 +268,8 @@
                    .may_have_been_sent = result.may_have_been_sent,
                    .service_time = result.elapsed,
                    .target_draining = this->response_info.leaving,
-                   .request_rate_limit = this->StatedRateLimitLocked()};
+                   .request_rate_limit = this->StatedRateLimitLocked(),
+                   .load = this->response_info.load};
   }
   this->callbacks.on_end(attempt_end);
 }
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -405,6 +405,9 @@
     for (const HealthEvent& event : broker->TakeHealthEvents()) {
       this->settings.on_health_event(service, event);
     }
+    for (const SpeedChange& change : broker->TakeSpeedChanges(now)) {
+      this->settings.on_speed_change(service, change);
+    }
   }
   this->Reschedule();
 }
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -71,6 +71,7 @@
     RetryLimits retry_limits;
     std::function<void(const FinishedRequest&)> on_finished;
     std::function<void(ServiceId, const HealthEvent&)> on_health_event;
+    std::function<void(ServiceId, const SpeedChange&)> on_speed_change;
     // Called when there is a new leaving target or crash fingerprint to broadcast.
     std::function<void()> on_new_notice;
   };
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -95,6 +95,7 @@
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(ServiceId service, const HealthEvent& event);
+  void OnSpeedChange(ServiceId service, const SpeedChange& change);
   void OnClaimLost(const ClaimKey& key, AttemptId attempt);
   void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
@@ -293,6 +294,7 @@
   BrokerPolicy policy;
   policy.view_min_request_rate = this->settings.view_rate;
   policy.retry_limits = fleet_limits;
+  policy.placement = this->settings.placement;
   DispatchController::Settings dispatch_settings{
       .self = this->self,
       .host_name = this->settings.name,
@@ -304,6 +306,9 @@
       .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
       .on_health_event = [this](ServiceId service,
                                 const HealthEvent& event) { this->OnHealthEvent(service, event); },
+      .on_speed_change = [this](
+                             ServiceId service,
+                             const SpeedChange& change) { this->OnSpeedChange(service, change); },
       .on_new_notice = [this] { this->directory->BroadcastNotices(); }};
   this->dispatch = std::make_unique<DispatchController>(this->loop, this->shared_state,
                                                         *this->peers, *this->claims, this->random,
@@ -523,6 +528,23 @@
   this->reports->OnHealthEvent(configured_service->name, event);
 }
 
+void HostProcess::OnSpeedChange(ServiceId service, const SpeedChange& change) {
+  const auto active_configuration = this->shared_state.configuration.Read();
+  const Service* configured_service = active_configuration->FindService(service);
+  const Target* target = active_configuration->FindTarget(change.target);
+  if (configured_service == nullptr || target == nullptr) {
+    return;
+  }
+  const std::string_view name = change.slow ? "target_slow" : "target_no_longer_slow";
+  Log(LogLevel::kInfo, name,
+      {{"service", configured_service->name},
+       {"target", target->name},
+       {"slowness", change.slowness}});
+  this->metrics.IncrementCounter(
+      "pimentopin_target_speed_changes_total",
+      "event=\"" + std::string(name) + "\",service=\"" + configured_service->name + "\"");
+}
+
 void HostProcess::OnClaimLost(const ClaimKey& key, AttemptId attempt) {
   this->metrics.IncrementCounter("pimentopin_lost_claims_total", "service=\"" + key.service + "\"");
   this->reports->OnClaimByOtherAttempt(key.service);
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -158,6 +158,12 @@
        .help = "who writes the configuration: the operators of the hosts or of the platform",
        .default_value = "own",
        .choices = {"own", "platform"}},
+      {.name = "placement",
+       .kind = SettingKind::kChoice,
+       .help = "what requests are placed by: the occupied slots of the targets, or the expected "
+               "completion, learned from the work of requests that look alike",
+       .default_value = "load",
+       .choices = {"load", "expected-completion"}},
       {.name = "log-level",
        .kind = SettingKind::kChoice,
        .help = "minimum severity of log lines",
@@ -189,6 +195,9 @@
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercentScale;
   result.platform_configuration = settings.Text("configuration") == "platform";
+  result.placement = settings.Text("placement") == "expected-completion"
+                         ? Placement::kExpectedCompletion
+                         : Placement::kLoad;
   result.log_level = ToLogLevel(settings.Text("log-level"));
   return result;
 }
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -8,6 +8,7 @@
 #include "Libraries/LibCore/json_log.h"
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/broker_policy.h"
 #include "Libraries/LibHttp/http_server.h"
 
 namespace pimentopin {
@@ -58,6 +59,7 @@
   std::string platform_bounds;
   // The platform's operator writes the configuration.
   bool platform_configuration = false;
+  Placement placement = Placement::kLoad;
   LogLevel log_level = LogLevel::kInfo;
 
   friend bool operator==(const HostSettings&, const HostSettings&) = default;
--- a/Libraries/LibHost/http_dialect.h
+++ b/Libraries/LibHost/http_dialect.h
@@ -7,6 +7,7 @@
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibHost/exchange.h"
 #include "Libraries/LibHttp/http_message.h"
+#include "Libraries/LibProtocol/slot_messages.h"
 
 namespace pimentopin {
 
@@ -53,6 +54,8 @@
   Duration retry_after{};
   // Requests a second that the target accepts from all hosts together; zero if it states no limit.
   double request_rate_limit = 0;
+  // Empty if the target states no load.
+  std::optional<TargetLoad> load;
   // Value of a Content-Digest header to check the body against; may be empty.
   std::string content_digest;
 
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -1,6 +1,7 @@
 #include "Libraries/LibHost/request_reader.h"
 
 #include <algorithm>
+#include <bit>
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -48,6 +49,34 @@
   return Fingerprint{StableHash(body, hash)};
 }
 
+// The first segments of a path. Segments with digits are taken for identifiers, which differ
+// between requests that are alike.
+std::string_view PathStart(std::string_view path) {
+  constexpr int kMaxSegments = 2;
+  std::size_t end = 0;
+  for (int segment = 0; segment < kMaxSegments && end < path.size(); ++segment) {
+    const std::size_t next = std::min(path.find('/', end + 1), path.size());
+    const std::string_view text = path.substr(end, next - end);
+    if (text.find_first_of("0123456789?") != std::string_view::npos) {
+      break;
+    }
+    end = next;
+  }
+  return path.substr(0, end);
+}
+
+WorkKey ComputeWorkKey(std::string_view route,
+                       std::string_view method,
+                       std::string_view organisation,
+                       std::size_t body_bytes,
+                       std::string_view path) {
+  std::uint64_t hash = StableHash(route);
+  hash = StableHash(method, hash);
+  hash = StableHash(organisation, hash);
+  hash = StableHash(PathStart(path), hash);
+  return WorkKey{StableHash(hash, static_cast<std::uint64_t>(std::bit_width(body_bytes))) | 1};
+}
+
 bool IsVisibleAscii(std::string_view text) {
   return std::all_of(text.begin(), text.end(),
                      [](unsigned char c) { return c > 0x20 && c < 0x7f; });
@@ -212,6 +241,9 @@
   description.deadline = now + *timeout;
   description.fingerprint =
       ComputeFingerprint(service.name, request.method, exchange.target_path, request.body.text());
+  description.work_key =
+      ComputeWorkKey(route != nullptr ? route->name : service.name, request.method,
+                     caller.organisation, request.body.text().size(), resolved->target_path);
   description.affinity_key =
       traits.affinity ? (StableHash(resolved->target_path) | 1) : std::uint64_t{0};
   for (const Target* target : allowed) {
--- a/Tests/LibHost/dispatch_controller_test.cc
+++ b/Tests/LibHost/dispatch_controller_test.cc
@@ -83,6 +83,7 @@
             .dialect = std::make_shared<NativeDialect>(),
             .on_finished = [this](const FinishedRequest& request) { this->finished = request; },
             .on_health_event = [](ServiceId, const HealthEvent&) {},
+            .on_speed_change = [](ServiceId, const SpeedChange&) {},
             .on_new_notice = [] {}});
   }
   void tearDown() override {
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -100,15 +100,31 @@
   }
 
   void TestValidSettings() {
-    const Findings findings =
-        this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
-                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
-                    "--platform-url", "http://127.0.0.1:1", "--retry-percent", "20",
-                    "--configuration", "platform", "--max-held-body-bytes", "1000"});
+    const Findings findings = this->Read({"--name",
+                                          "host-1",
+                                          "--domain",
+                                          "zone-a",
+                                          "--caller-address",
+                                          "127.0.0.1:0",
+                                          "--operator-address",
+                                          "127.0.0.1:0",
+                                          "--peer-address",
+                                          "127.0.0.1:0",
+                                          "--platform-url",
+                                          "http://127.0.0.1:1",
+                                          "--retry-percent",
+                                          "20",
+                                          "--configuration",
+                                          "platform",
+                                          "--max-held-body-bytes",
+                                          "1000",
+                                          "--placement",
+                                          "expected-completion"});
     CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
     const HostSettings settings = ReadHostSettings(*this->result.settings);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.2, settings.retry_fraction, 1e-9);
     CPPUNIT_ASSERT(settings.platform_configuration);
+    CPPUNIT_ASSERT(settings.placement == Placement::kExpectedCompletion);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, settings.max_held_body_bytes);
     CPPUNIT_ASSERT(settings.shutdown_delay == std::chrono::seconds(5));
   }
--- a/Tests/LibHost/request_reader_test.cc
+++ b/Tests/LibHost/request_reader_test.cc
@@ -56,9 +56,33 @@
   CPPUNIT_TEST(TestDeadlineAtItsLimitsIsNotMalformed);
   CPPUNIT_TEST(TestSplitFollowsWeights);
   CPPUNIT_TEST(TestRefusalNamesCallerOfRoute);
+  CPPUNIT_TEST(TestRequestsThatLookAlikeHaveDifferentWorkKeys);
+  CPPUNIT_TEST(TestRequestsThatDifferShareAWorkKey);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void TestRequestsThatLookAlikeHaveDifferentWorkKeys() {
+    HttpServerRequest other = SampleRequest();
+    other.path = "/booking/deposits/8";
+    other.query = "a=2";
+    other.body = "[]";
+    CPPUNIT_ASSERT(this->WorkKeyOf(SampleRequest()) == this->WorkKeyOf(other));
+    CPPUNIT_ASSERT(this->WorkKeyOf(other) != WorkKey{});
+  }
+
+  void TestRequestsThatDifferShareAWorkKey() {
+    const WorkKey key = this->WorkKeyOf(SampleRequest());
+    HttpServerRequest other = SampleRequest();
+    other.method = "PUT";
+    CPPUNIT_ASSERT(this->WorkKeyOf(other) != key);
+    other = SampleRequest();
+    other.path = "/booking/refunds/7";
+    CPPUNIT_ASSERT(this->WorkKeyOf(other) != key);
+    other = SampleRequest();
+    other.body = std::string(5000, 'x');
+    CPPUNIT_ASSERT(this->WorkKeyOf(other) != key);
+  }
+
   // Guards against treating a request as idempotent although a work rule says otherwise.
   void TestFillsDescriptionFromRules() {
     const auto exchange = this->Read(SampleRequest());
@@ -221,6 +245,10 @@
   }
 
  private:
+  WorkKey WorkKeyOf(const HttpServerRequest& request) {
+    return this->Read(request)->description.work_key;
+  }
+
   std::optional<Exchange> Read(const HttpServerRequest& request) {
     return this->ReadFrom(this->configuration, request);
   }
--- a/Tests/PlatformAdapter/copied_response_test.cc
+++ b/Tests/PlatformAdapter/copied_response_test.cc
@@ -161,6 +161,7 @@
             .retry_limits = {.fraction = kRequests, .minimum_per_second = kRequests},
             .on_finished = [this](const FinishedRequest& request) { this->OnFinished(request); },
             .on_health_event = [](ServiceId, const HealthEvent&) {},
+            .on_speed_change = [](ServiceId, const SpeedChange&) {},
             .on_new_notice = [] {}});
     for (int index = 0; index < kProcesses; ++index) {
       this->processes.push_back({.address = "127.0.0.1:" + std::to_string(index + 1)});
--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(TestLeavingIsReadFromEveryResponse);
   CPPUNIT_TEST(TestRetryAfterOfTarget);
   CPPUNIT_TEST(TestOwnStatuses);
+  CPPUNIT_TEST(TestMalformedLoadIsBelieved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -30,6 +31,17 @@
                                       {"Accept-Language", "en"}};
   }
 
+  void TestMalformedLoadIsBelieved() {
+    const auto load = [this](const char* text) {
+      return this->Read(200, {{"X-Pimentopin-Backend-Load", text}}).load;
+    };
+    CPPUNIT_ASSERT((load("3,0,8") == TargetLoad{.running = 3, .waiting = 0, .slots = 8}));
+    for (const char* text : {"", "3", "3,0", "3,0,8,1", "3, 0,8", "-1,0,8", "3,0,99999", "a,b,c"}) {
+      CPPUNIT_ASSERT(!load(text));
+    }
+    CPPUNIT_ASSERT(!this->Read(200, {}).load);
+  }
+
   // Guards against a target that works beyond the deadline of the caller, that runs a request with
   // an Expect-Instance header forged by the caller, or that receives a different Host header.
   void TestHeadersToTarget() {
