--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -22,6 +22,7 @@
   RequestKind kind{};
   // 0 is the most urgent.
   std::uint32_t priority = 0;
+  WorkKey work_key{};
   bool idempotent = false;
   // The response is large; targets in the host's failure domain are preferred.
   bool bulk = false;
@@ -116,6 +117,8 @@
   // Requests a second that the target accepts from all hosts together, as stated in its response;
   // zero if it states no limit, empty if there was no response.
   std::optional<double> request_rate_limit;
+  // Load that the target stated in its response; empty if it stated none.
+  std::optional<TargetLoad> load;
 
   friend bool operator==(const AttemptEnd&, const AttemptEnd&) = default;
 };
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -201,7 +201,8 @@
                                                        .service = description.service,
                                                        .target = *target,
                                                        .organisation = description.organisation,
-                                                       .work_class = description.work_class}});
+                                                       .work_class = description.work_class,
+                                                       .work_key = description.work_key}});
     return;
   }
   this->RequestSlot(now, *broker, *service, state, actions);
@@ -335,7 +336,8 @@
           .bulk = description.bulk,
           .forbidden = std::move(forbidden),
           .kind = description.kind,
-          .priority = description.priority};
+          .priority = description.priority,
+          .work_key = description.work_key};
 }
 
 void HostDispatcher::RequestSlot(TimePoint now,
@@ -394,6 +396,7 @@
                                                .organisation = description.organisation,
                                                .work_class = description.work_class,
                                                .kind = description.kind,
+                                               .work_key = description.work_key,
                                                .fingerprint = description.fingerprint,
                                                .broker = broker,
                                                .deadline = description.deadline});
@@ -603,7 +606,9 @@
                             .fingerprint = attempt.fingerprint,
                             .target_draining = end.target_draining,
                             .request_rate_limit = end.request_rate_limit,
-                            .kind = attempt.kind};
+                            .kind = attempt.kind,
+                            .work_key = attempt.work_key,
+                            .load = end.load};
   // The current broker needs the result even if another broker granted the
   // slot.
   const DispatchServiceState* service = this->FindService(attempt.service);
