Dispatch: Serve by priority with a minimum share, refuse at once what would be late

The broker's queue ignored the priority of routes, and requests waited up to their deadlines, so that in a burst nearly all responses came after the objective of their routes.

While more is offered than can be served, requests wait only as long as they can be on time. FairQueue orders by priority, and fairly between organisations within one. A full queue refuses less urgent work first.

--- a/Libraries/LibDispatch/broker_policy.h
+++ b/Libraries/LibDispatch/broker_policy.h
@@ -30,6 +30,9 @@
   // Share slots fairly between organisations; otherwise serve requests in order
   // of arrival.
   bool fair = true;
+  // Serve the most urgent priority first, with a minimum share for the others; otherwise all
+  // priorities are alike. See Admission.
+  bool by_priority = false;
   // A host receives views if it sends at least this many requests per second.
   // Below that rate, a slot request for each request costs less than the views.
   double view_min_request_rate = 0;
--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -20,6 +20,8 @@
   OrganisationId organisation{};
   WorkClass work_class = WorkClass::kShort;
   RequestKind kind{};
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
   bool idempotent = false;
   // The response is large; targets in the host's failure domain are preferred.
   bool bulk = false;
--- a/Libraries/LibDispatch/fair_queue.h
+++ b/Libraries/LibDispatch/fair_queue.h
@@ -3,12 +3,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/admission.h"
 #include "Libraries/LibProtocol/slot_messages.h"
 
 namespace pimentopin {
@@ -24,11 +28,18 @@
   friend bool operator==(const QueueEntry&, const QueueEntry&) = default;
 };
 
-// Start-time fair queueing over organisations with equal weights, separately
-// for each work class. Requests of one organisation are served in order of
-// arrival.
+// Serves the most urgent priority first, and within a priority by start-time fair queueing over
+// organisations with equal weights, separately for each work class. A less urgent priority that
+// waits gets a minimum share of the served requests. Requests of one organisation and priority are
+// served in order of arrival.
 class FairQueue {
  public:
+  // Returns the minimum share of a priority, between 0 and 1.
+  using MinimumShare = std::function<double(std::uint32_t priority)>;
+
+  // Without `share`, less urgent priorities are served only while no other waits.
+  explicit FairQueue(MinimumShare share = {}) : minimum_share(std::move(share)) {}
+
   // Returns false if the attempt is already queued.
   bool Push(QueueEntry entry);
   // Removes an entry to serve it and advances its organisation's start tag.
@@ -44,13 +55,25 @@
   // The pointers are valid until the queue changes.
   std::vector<const QueueEntry*> InServiceOrder(WorkClass work_class) const;
   std::vector<const QueueEntry*> All() const;
-  // Number of entries that would be served before a new request of the
+  // Calls `visit` for each entry in service order until it returns true. Returns whether it did.
+  bool VisitInServiceOrder(WorkClass work_class,
+                           const std::function<bool(const QueueEntry&)>& visit) const;
+  // Number of entries of the same priority that would be served before a new request of the
   // organisation.
-  std::size_t CountAhead(WorkClass work_class, OrganisationId organisation) const;
-  // Newest entry of the organisation with the most entries in the class. Empty
-  // unless it has at least two entries more than `organisation`.
+  std::size_t CountAhead(WorkClass work_class,
+                         OrganisationId organisation,
+                         std::uint32_t priority = 0) const;
+  QueuePosition PositionOf(WorkClass work_class,
+                           OrganisationId organisation,
+                           std::uint32_t priority) const;
+  // The entry that gives way to a new request of the organisation if the queue is full: of the
+  // least urgent priority beyond its minimum share of the entries, or of the same priority and an
+  // organisation with at least two entries more, or of any priority if that of the request is
+  // below its minimum share. The newest entry of the organisation with the most. Empty if there is
+  // none.
   std::optional<AttemptId> EvictionCandidate(WorkClass work_class,
-                                             OrganisationId organisation) const;
+                                             OrganisationId organisation,
+                                             std::uint32_t priority = 0) const;
 
  private:
   struct Flow {
@@ -59,19 +82,34 @@
     // flow is empty.
     double start_tag = 0;
   };
-  struct ClassQueue {
+  // The entries of one priority.
+  struct Level {
     std::map<OrganisationId, Flow> flows;
     double virtual_time = 0;
+    // Requests that are due by the minimum share. With one or more, the level goes first.
+    double credit = 0;
+
+    std::size_t size() const;
+    const Flow* LargestFlow() const;
   };
+  using ClassQueue = std::map<std::uint32_t, Level>;
 
   std::optional<QueueEntry> Extract(AttemptId attempt, bool served);
-  static void DropIdleFlows(ClassQueue& queue);
+  double MinimumShareOf(std::uint32_t priority) const;
+  // Gives the waiting levels their share of one served request.
+  void AddCredit(ClassQueue& queue, std::uint32_t served_priority) const;
+  // Visits the entries of one level after the first `skipped` ones.
+  static bool VisitLevel(const Level& level,
+                         std::size_t skipped,
+                         std::size_t limit,
+                         const std::function<bool(const QueueEntry&)>& visit);
   const ClassQueue& QueueOf(WorkClass work_class) const;
   ClassQueue& QueueOf(WorkClass work_class);
 
+  MinimumShare minimum_share;
   ClassQueue short_work;
   ClassQueue long_work;
-  std::map<AttemptId, std::pair<WorkClass, OrganisationId>> entry_index;
+  std::map<AttemptId, std::tuple<WorkClass, std::uint32_t, OrganisationId>> entry_index;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -274,7 +274,10 @@
   state.requested_at = now;
   state.pending_attempt = this->NewAttemptId();
   this->pending_attempts[state.pending_attempt] = state.description.request;
-  service.local_queue.Push({.request = this->MakeSlotRequest(now, service, state),
+  SlotRequest waiting = this->MakeSlotRequest(now, service, state);
+  // A host without a broker does not know what else the service is offered.
+  waiting.priority = 0;
+  service.local_queue.Push({.request = std::move(waiting),
                             .host = this->settings.self,
                             .domain = this->settings.domain,
                             .arrived = now,
@@ -334,7 +337,8 @@
           .idempotent = description.idempotent,
           .bulk = description.bulk,
           .forbidden = std::move(forbidden),
-          .kind = description.kind};
+          .kind = description.kind,
+          .priority = description.priority};
 }
 
 void HostDispatcher::RequestSlot(TimePoint now,
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -31,6 +31,13 @@
 // kMinViewInterval.
 constexpr Duration kQueueTickInterval = std::chrono::milliseconds(10);
 constexpr Duration kIdleTickInterval = std::chrono::seconds(1);
+// With an order by priority, the queue may be long, and is checked less often than at each tick.
+constexpr Duration kQueueCheckInterval = std::chrono::milliseconds(50);
+// Such a queue holds what the slots serve in this many service times, about a second.
+constexpr std::uint32_t kQueuedPerSlot = 4;
+// Waiting requests that are considered for a free slot. Those beyond rarely differ in the targets
+// that they may use.
+constexpr std::size_t kMaxConsideredEntries = 200;
 
 // An attempt is overdue after this multiple of the mean service time. About 3 %
 // of long-tailed work takes longer.
@@ -52,6 +59,7 @@
                        std::shared_ptr<RetryBudget> shared_retries)
     : configuration(std::move(initial)),
       policy(broker_policy),
+      queue([this](std::uint32_t priority) { return this->admission.MinimumShare(priority); }),
       retries(shared_retries ? std::move(shared_retries)
                              : std::make_shared<RetryBudget>(broker_policy.retry_limits)),
       long_share(broker_policy.long_headroom) {
@@ -346,14 +354,26 @@
          this->ChooseTarget(now, entry).has_value();
 }
 
+std::uint32_t SlotBroker::QueueLimit() const {
+  return this->policy.by_priority
+             ? std::max(this->configuration.queue_limit, kQueuedPerSlot * this->UsableSlots())
+             : this->configuration.queue_limit;
+}
+
 bool SlotBroker::QueueIsFull(WorkClass work_class) const {
-  const std::uint32_t limit = this->configuration.queue_limit;
+  const std::uint32_t limit = this->QueueLimit();
   // Long work takes at most half of the queue, so that it cannot exclude short
   // work.
   return this->queue.size() >= limit ||
          (work_class == WorkClass::kLong && this->queue.SizeOf(work_class) >= (limit + 1) / 2);
 }
 
+std::uint32_t SlotBroker::SlotsFor(WorkClass work_class) const {
+  const std::uint32_t usable = this->UnlimitedSlots();
+  return work_class == WorkClass::kLong ? this->LongSlotLimit()
+                                        : usable - std::min(usable, this->table.long_count());
+}
+
 Duration SlotBroker::PredictedWait(const SlotRequest& request) const {
   const std::size_t ahead = this->queue.CountAhead(request.work_class, request.organisation) + 1;
   const double rate_limit = this->TotalRateLimit();
@@ -361,12 +381,44 @@
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(static_cast<double>(ahead) / rate_limit));
   }
-  const std::uint32_t usable = this->UnlimitedSlots();
-  const std::uint32_t long_used = this->table.long_count();
-  const std::uint32_t slots = request.work_class == WorkClass::kLong
-                                  ? this->LongSlotLimit()
-                                  : usable - std::min(usable, long_used);
-  return this->estimate.PredictedWait(request.work_class, ahead, slots);
+  return this->estimate.PredictedWait(request.work_class, ahead,
+                                      this->SlotsFor(request.work_class));
+}
+
+AdmissionCase SlotBroker::CaseOf(const SlotRequest& request,
+                                 QueuePosition position,
+                                 Duration budget) const {
+  double capacity_per_s = this->TotalRateLimit();
+  const Duration mean = this->estimate.Mean(request.work_class);
+  if (capacity_per_s <= 0 && this->table.size() > 0 && mean > Duration::zero()) {
+    // The mean includes the wait in the queues of targets that hold more attempts than slots.
+    const std::size_t held = request.work_class == WorkClass::kLong
+                                 ? this->table.long_count()
+                                 : this->table.size() - this->table.long_count();
+    capacity_per_s =
+        static_cast<double>(std::max<std::size_t>(held, this->SlotsFor(request.work_class))) /
+        std::chrono::duration<double>(mean).count();
+  }
+  const auto objective = this->configuration.objectives.find(request.kind);
+  // The time that a retry has left until its objective is not known.
+  const bool has_objective = objective != this->configuration.objectives.end() &&
+                             !request.is_retry && request.excluded.empty();
+  return {.attempt = request.attempt,
+          .priority = request.priority,
+          .position = position,
+          .capacity_per_s = capacity_per_s,
+          .service_time = this->estimate.Mean(request.work_class, request.kind),
+          .budget = budget,
+          .objective = has_objective ? objective->second : Duration::zero()};
+}
+
+bool SlotBroker::IsTooLate(TimePoint now, const SlotRequest& request) const {
+  if (!this->policy.by_priority) {
+    return this->BudgetTooShort(request, this->PredictedWait(request), request.budget);
+  }
+  const QueuePosition position =
+      this->queue.PositionOf(request.work_class, request.organisation, request.priority);
+  return this->admission.IsTooLate(now, this->CaseOf(request, position, request.budget));
 }
 
 bool SlotBroker::BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const {
@@ -377,11 +429,21 @@
          wait + this->estimate.Mean(request.work_class, request.kind) > budget;
 }
 
-SlotRefusal SlotBroker::MakeRefusal(const SlotRequest& request, RefusalReason reason) const {
+SlotRefusal SlotBroker::MakeRefusal(TimePoint now,
+                                    const SlotRequest& request,
+                                    RefusalReason reason) {
+  Duration retry_after;
+  if (this->policy.by_priority) {
+    const QueuePosition position =
+        this->queue.PositionOf(request.work_class, request.organisation, request.priority);
+    retry_after = this->admission.RetryAfter(now, this->CaseOf(request, position, request.budget));
+  } else {
+    retry_after = std::max<Duration>(this->PredictedWait(request), kMinViewInterval);
+  }
   return {.attempt = request.attempt,
           .service = request.service,
           .reason = reason,
-          .retry_after = std::max<Duration>(this->PredictedWait(request), kMinViewInterval)};
+          .retry_after = retry_after};
 }
 
 void SlotBroker::SendRefusal(TimePoint now,
@@ -397,29 +459,32 @@
                                              Messages& messages) {
   const SlotRequest& request = entry.request;
   if (request.budget <= Duration::zero()) {
-    return this->MakeRefusal(request, RefusalReason::kDeadline);
+    return this->MakeRefusal(now, request, RefusalReason::kDeadline);
   }
   if (this->CandidatesFor(entry).empty()) {
-    return this->MakeRefusal(request, RefusalReason::kNoTarget);
+    return this->MakeRefusal(now, request, RefusalReason::kNoTarget);
   }
   const bool immediate = this->CanGrantImmediately(now, entry);
-  if (!immediate && this->BudgetTooShort(request, this->PredictedWait(request), request.budget)) {
-    return this->MakeRefusal(request, RefusalReason::kOverload);
+  if (!immediate && this->IsTooLate(now, request)) {
+    return this->MakeRefusal(now, request, RefusalReason::kOverload);
   }
   const bool full = !immediate && this->QueueIsFull(request.work_class);
   // An organisation that fills the queue must not exclude the others.
   const std::optional<AttemptId> evicted =
-      full ? this->queue.EvictionCandidate(request.work_class, request.organisation) : std::nullopt;
+      full ? this->queue.EvictionCandidate(request.work_class, request.organisation,
+                                           request.priority)
+           : std::nullopt;
   if (full && !evicted) {
-    return this->MakeRefusal(request, RefusalReason::kQueueFull);
+    return this->MakeRefusal(now, request, RefusalReason::kQueueFull);
   }
   if (request.is_retry && !this->retries->TryRetry(now)) {
-    return this->MakeRefusal(request, RefusalReason::kRetryBudget);
+    return this->MakeRefusal(now, request, RefusalReason::kRetryBudget);
   }
   if (evicted) {
     const std::optional<QueueEntry> removed = this->queue.Remove(*evicted);
     this->SendRefusal(now, removed->host,
-                      this->MakeRefusal(removed->request, RefusalReason::kQueueFull), messages);
+                      this->MakeRefusal(now, removed->request, RefusalReason::kQueueFull),
+                      messages);
   }
   return std::nullopt;
 }
@@ -446,7 +511,7 @@
     return messages;
   }
   if (fingerprint_blocked) {
-    messages.push_back({sender, this->MakeRefusal(request, RefusalReason::kCrashRequest)});
+    messages.push_back({sender, this->MakeRefusal(now, request, RefusalReason::kCrashRequest)});
     return messages;
   }
   activity.recent_requests += 1.0;
@@ -459,6 +524,11 @@
   if (!this->policy.fair) {
     entry.request.organisation = OrganisationId{};
   }
+  if (this->policy.by_priority) {
+    this->admission.RecordArrival(now, request.priority);
+  } else {
+    entry.request.priority = 0;
+  }
   if (const auto refusal = this->Admit(now, entry, messages)) {
     this->SendRefusal(now, sender, *refusal, messages);
     return messages;
@@ -660,6 +730,9 @@
 }
 
 bool SlotBroker::LongWorkGoesFirst(TimePoint now) const {
+  if (this->queue.SizeOf(WorkClass::kLong) == 0) {
+    return false;
+  }
   TimePoint oldest_long = TimePoint::max();
   TimePoint oldest_short = TimePoint::max();
   for (const QueueEntry* entry : this->queue.All()) {
@@ -683,21 +756,29 @@
   if (!room) {
     return false;
   }
-  for (const QueueEntry* entry : this->queue.InServiceOrder(work_class)) {
-    const AttemptId attempt = entry->request.attempt;
-    if (this->BudgetTooShort(entry->request, Duration::zero(), entry->deadline - now)) {
-      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-      this->SendRefusal(now, removed->host,
-                        this->MakeRefusal(removed->request, RefusalReason::kDeadline), messages);
-      return true;
-    }
-    if (const std::optional<TargetId> target = this->ChooseTarget(now, *entry)) {
-      const std::optional<QueueEntry> taken = this->queue.Dequeue(attempt);
-      this->Grant(now, *taken, *target, messages);
-      return true;
+  std::optional<AttemptId> attempt;
+  std::optional<TargetId> target;
+  std::size_t considered = 0;
+  this->queue.VisitInServiceOrder(work_class, [&](const QueueEntry& entry) {
+    const bool too_late =
+        this->BudgetTooShort(entry.request, Duration::zero(), entry.deadline - now);
+    target = too_late ? std::nullopt : this->ChooseTarget(now, entry);
+    if (too_late || target) {
+      attempt = entry.request.attempt;
     }
+    return attempt || (this->policy.by_priority && ++considered == kMaxConsideredEntries);
+  });
+  if (!attempt) {
+    return false;
   }
-  return false;
+  if (target) {
+    this->Grant(now, *this->queue.Dequeue(*attempt), *target, messages);
+  } else {
+    const std::optional<QueueEntry> removed = this->queue.Remove(*attempt);
+    this->SendRefusal(now, removed->host,
+                      this->MakeRefusal(now, removed->request, RefusalReason::kDeadline), messages);
+  }
+  return true;
 }
 
 void SlotBroker::GrantQueued(TimePoint now, Messages& messages) {
@@ -713,18 +794,54 @@
 
 void SlotBroker::RefuseExpired(TimePoint now, Messages& messages) {
   std::vector<std::pair<AttemptId, RefusalReason>> refused;
+  const bool check_targets =
+      !this->policy.by_priority || now - this->queue_checked_at >= kQueueCheckInterval;
   for (const QueueEntry* entry : this->queue.All()) {
     if (entry->deadline <= now ||
         this->BudgetTooShort(entry->request, Duration::zero(), entry->deadline - now)) {
       refused.emplace_back(entry->request.attempt, RefusalReason::kDeadline);
-    } else if (this->CandidatesFor(*entry).empty()) {
+    } else if (check_targets && this->CandidatesFor(*entry).empty()) {
       refused.emplace_back(entry->request.attempt, RefusalReason::kNoTarget);
     }
   }
   for (const auto& [attempt, reason] : refused) {
     const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-    this->SendRefusal(now, removed->host, this->MakeRefusal(removed->request, reason), messages);
+    this->SendRefusal(now, removed->host, this->MakeRefusal(now, removed->request, reason),
+                      messages);
   }
+  if (!this->policy.by_priority || !check_targets) {
+    return;
+  }
+  this->queue_checked_at = now;
+  for (const WorkClass work_class : {WorkClass::kShort, WorkClass::kLong}) {
+    for (const AttemptId attempt : this->HopelessAttempts(now, work_class)) {
+      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
+      this->SendRefusal(now, removed->host,
+                        this->MakeRefusal(now, removed->request, RefusalReason::kOverload),
+                        messages);
+    }
+  }
+}
+
+std::vector<AttemptId> SlotBroker::HopelessAttempts(TimePoint now, WorkClass work_class) const {
+  std::vector<AttemptId> hopeless;
+  // Entries that stay, by priority.
+  std::map<std::uint32_t, std::size_t> kept;
+  this->queue.VisitInServiceOrder(work_class, [&](const QueueEntry& entry) {
+    const std::uint32_t priority = entry.request.priority;
+    QueuePosition position{.equal = kept[priority]};
+    for (auto more_urgent = kept.begin(); more_urgent->first < priority; ++more_urgent) {
+      position.more_urgent += more_urgent->second;
+    }
+    const AdmissionCase waiting = this->CaseOf(entry.request, position, entry.deadline - now);
+    if (this->admission.IsHopeless(now, waiting)) {
+      hopeless.push_back(entry.request.attempt);
+    } else {
+      ++kept[priority];
+    }
+    return false;
+  });
+  return hopeless;
 }
 
 std::uint64_t SlotBroker::NextSequence(TimePoint now) {
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -9,6 +9,7 @@
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/admission.h"
 #include "Libraries/LibDispatch/broker_policy.h"
 #include "Libraries/LibDispatch/ejection_trials.h"
 #include "Libraries/LibDispatch/fair_queue.h"
@@ -37,6 +38,8 @@
   std::uint32_t floor_slots = 0;
   std::uint32_t queue_limit = 0;
   std::vector<BrokerTarget> targets;
+  // Response times after which a response is of less value, for the kinds that state one.
+  std::map<RequestKind, Duration> objectives;
 
   friend bool operator==(const BrokerConfiguration&, const BrokerConfiguration&) = default;
 };
@@ -52,6 +55,8 @@
   explicit SlotBroker(BrokerConfiguration initial,
                       BrokerPolicy broker_policy = {},
                       std::shared_ptr<RetryBudget> shared_retries = nullptr);
+  SlotBroker(const SlotBroker&) = delete;
+  SlotBroker& operator=(const SlotBroker&) = delete;
 
   std::vector<SendToHost> Configure(TimePoint now, BrokerConfiguration changed);
   std::vector<SendToHost> OnRequest(TimePoint now,
@@ -148,12 +153,18 @@
       const QueueEntry& entry,
       const std::vector<const Candidate*>& candidates) const;
   bool CanGrantImmediately(TimePoint now, const QueueEntry& entry);
+  std::uint32_t QueueLimit() const;
   bool QueueIsFull(WorkClass work_class) const;
+  // Slots that serve the class while requests of it wait.
+  std::uint32_t SlotsFor(WorkClass work_class) const;
   Duration PredictedWait(const SlotRequest& request) const;
+  AdmissionCase CaseOf(const SlotRequest& request, QueuePosition position, Duration budget) const;
+  // Whether the request would be served too late if it entered the queue.
+  bool IsTooLate(TimePoint now, const SlotRequest& request) const;
   bool BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const;
   // Returns the refusal, or an empty result if the request may enter the queue.
   std::optional<SlotRefusal> Admit(TimePoint now, const QueueEntry& entry, Messages& messages);
-  SlotRefusal MakeRefusal(const SlotRequest& request, RefusalReason reason) const;
+  SlotRefusal MakeRefusal(TimePoint now, const SlotRequest& request, RefusalReason reason);
   void SendRefusal(TimePoint now, HostId host, const SlotRefusal& refusal, Messages& messages);
   void Grant(TimePoint now, const QueueEntry& entry, TargetId target, Messages& messages);
   void GrantQueued(TimePoint now, Messages& messages);
@@ -163,6 +174,8 @@
   // that is started now; zero if it cannot be predicted.
   double QueueFactor(TargetId target, WorkClass work_class) const;
   void RefuseExpired(TimePoint now, Messages& messages);
+  // Attempts of the class that can no longer be served before their deadlines.
+  std::vector<AttemptId> HopelessAttempts(TimePoint now, WorkClass work_class) const;
   void PushViews(TimePoint now, Messages& messages);
   void AcknowledgeQueued(TimePoint now, HostId host, Messages& messages);
   // Makes a keep-alive message, with the state of the targets if the host
@@ -179,7 +192,9 @@
   TargetRanking ranking;
   TimePoint overdue_checked_at;
   SlotTable table;
+  Admission admission;
   FairQueue queue;
+  TimePoint queue_checked_at;
   std::shared_ptr<RetryBudget> retries;
   EjectionTrials trials;
   TargetRateLimits rate_limits;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -138,11 +138,20 @@
 void DispatchController::Configure(const Configuration& configuration) {
   std::vector<DispatchService> services;
   std::map<ServiceId, BrokerConfiguration> next;
+  std::map<RequestKind, Duration> objectives;
+  for (const Route& route : configuration.routes) {
+    if (route.latency_objective > Duration::zero()) {
+      objectives.emplace(IdFromName<RequestKind>(route.name), route.latency_objective);
+    }
+  }
   for (const Service& service : configuration.services) {
     const std::uint32_t floor_slots = configuration.FloorSlots(service);
     DispatchService dispatch{.service = service.id(), .floor_slots = floor_slots};
     BrokerConfiguration broker{
-        .service = service.id(), .floor_slots = floor_slots, .queue_limit = service.queue_limit};
+        .service = service.id(),
+        .floor_slots = floor_slots,
+        .queue_limit = service.queue_limit,
+        .objectives = objectives};
     for (const Target* target : configuration.TargetsOf(service.name)) {
       dispatch.targets.push_back(
           {target->id(), target->domain_id(), target->slots, target->connections});
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -292,6 +292,7 @@
   local_limits.extra = 0;
   BrokerPolicy policy;
   policy.view_min_request_rate = this->settings.view_rate;
+  policy.by_priority = this->settings.queue_by_priority;
   policy.retry_limits = fleet_limits;
   DispatchController::Settings dispatch_settings{
       .self = this->self,
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -122,6 +122,12 @@
        .unit = "requests per second",
        .default_value = "20",
        .maximum = 1000000},
+      {.name = "queue-order",
+       .kind = SettingKind::kChoice,
+       .help = "order in which waiting requests are served: by priority, with a minimum share for "
+               "each, or fair between organisations only",
+       .default_value = "fair",
+       .choices = {"fair", "priority"}},
       {.name = "retry-percent",
        .kind = SettingKind::kNumber,
        .help = "retries of a service per 100 first attempts within 10 s",
@@ -182,6 +188,7 @@
   result.shutdown_delay = std::chrono::milliseconds(settings.Number("shutdown-delay-ms"));
   result.probe_interval = std::chrono::milliseconds(settings.Number("probe-interval-ms"));
   result.view_rate = static_cast<double>(settings.Number("view-rate"));
+  result.queue_by_priority = settings.Text("queue-order") == "priority";
   result.retry_fraction = static_cast<double>(settings.Number("retry-percent")) / kPercentScale;
   result.retry_extra = static_cast<double>(settings.Number("retry-extra"));
   result.platform_bounds = settings.Text("platform-bounds");
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -42,6 +42,8 @@
   // Rate of requests of another host to a service, in requests per second, from which this
   // host, as the broker, sends the service's state to that host unrequested.
   double view_rate = 20;
+  // As a broker, serves requests of a service in the order of the priorities of their routes.
+  bool queue_by_priority = false;
   // Retries of a service within 10 s: per first attempt, and in addition.
   double retry_fraction = 0.08;
   double retry_extra = 0;
--- a/Tests/LibDispatch/components_test.cc
+++ b/Tests/LibDispatch/components_test.cc
@@ -18,8 +18,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-QueueEntry MakeEntry(std::uint64_t attempt, std::uint64_t organisation, int arrived_ms = 0) {
-  return {.request = {.attempt = AttemptId{attempt}, .organisation = OrganisationId{organisation}},
+QueueEntry MakeEntry(std::uint64_t attempt,
+                     std::uint64_t organisation,
+                     int arrived_ms = 0,
+                     std::uint32_t priority = 0) {
+  return {.request = {.attempt = AttemptId{attempt},
+                      .organisation = OrganisationId{organisation},
+                      .priority = priority},
           .arrived = TimePoint(milliseconds(arrived_ms))};
 }
 
@@ -29,6 +34,8 @@
   CPPUNIT_TEST(TestFairQueueGivesNoCreditForIdleTime);
   CPPUNIT_TEST(TestFairQueueCountAheadMatchesServiceOrder);
   CPPUNIT_TEST(TestFairQueueEvictsFromLargestOrganisation);
+  CPPUNIT_TEST(TestFairQueueEvictsMoreUrgentWorkFirst);
+  CPPUNIT_TEST(TestFairQueueIgnoresTheMinimumShare);
   CPPUNIT_TEST(TestRetryBudgetWindow);
   CPPUNIT_TEST(TestLongWorkShareFollowsOfferedWork);
   CPPUNIT_TEST(TestPredictedWait);
@@ -128,6 +135,44 @@
     CPPUNIT_ASSERT(!queue.EvictionCandidate(WorkClass::kShort, OrganisationId{1}));
   }
 
+  // Guards against a full queue that refuses urgent work while less urgent work waits, and against
+  // one that urgent work alone fills.
+  void TestFairQueueEvictsMoreUrgentWorkFirst() {
+    FairQueue queue([](std::uint32_t priority) { return priority == 2 ? 0.2 : 0.0; });
+    for (std::uint64_t index = 0; index < 8; ++index) {
+      queue.Push(MakeEntry(100 + index, 1));
+    }
+    for (std::uint64_t index = 0; index < 3; ++index) {
+      queue.Push(MakeEntry(200 + index, 2, 0, 2));
+    }
+    const auto candidate = [&queue](std::uint32_t priority) {
+      return queue.EvictionCandidate(WorkClass::kShort, OrganisationId{1}, priority);
+    };
+    CPPUNIT_ASSERT(!candidate(0));
+    queue.Push(MakeEntry(203, 2, 0, 2));
+    CPPUNIT_ASSERT(candidate(0) == AttemptId{203});
+    for (const std::uint64_t attempt : {200, 201, 202, 203}) {
+      queue.Remove(AttemptId{attempt});
+    }
+    CPPUNIT_ASSERT(candidate(2) == AttemptId{107});
+  }
+
+  // Guards against a priority that waits for ever, and against one that gets more than its share.
+  void TestFairQueueIgnoresTheMinimumShare() {
+    FairQueue queue([](std::uint32_t) { return 0.1; });
+    for (std::uint64_t index = 0; index < 200; ++index) {
+      queue.Push(MakeEntry(1000 + index, 1));
+      queue.Push(MakeEntry(2000 + index, 2, 0, 5));
+    }
+    int less_urgent = 0;
+    for (int index = 0; index < 100; ++index) {
+      const AttemptId next = queue.InServiceOrder(WorkClass::kShort).front()->request.attempt;
+      less_urgent += RawId(next) >= 2000 ? 1 : 0;
+      queue.Dequeue(next);
+    }
+    CPPUNIT_ASSERT(less_urgent >= 8 && less_urgent <= 10);
+  }
+
   // Guards against retries above 8 % of the first attempts of the last 10 s,
   // and against a service with few requests that can never retry.
   void TestRetryBudgetWindow() {
--- a/Tests/LibDispatch/fleet_simulation.cc
+++ b/Tests/LibDispatch/fleet_simulation.cc
@@ -120,8 +120,10 @@
 SlotBroker& FleetSimulation::BrokerAt(std::size_t host) {
   std::unique_ptr<SlotBroker>& broker = this->hosts[host]->broker;
   if (!broker) {
-    BrokerConfiguration configuration{
-        .service = this->service(), .floor_slots = 1, .queue_limit = this->settings.queue_limit};
+    BrokerConfiguration configuration{.service = this->service(),
+                                      .floor_slots = 1,
+                                      .queue_limit = this->settings.queue_limit,
+                                      .objectives = this->settings.objectives};
     for (std::size_t index = 0; index < this->settings.targets; ++index) {
       configuration.targets.push_back(
           {.target = this->TargetAt(index), .slots = this->settings.slots});
@@ -209,6 +211,8 @@
       .service = this->service(),
       .organisation = load.organisation,
       .work_class = this->Occurs(load.long_fraction) ? WorkClass::kLong : WorkClass::kShort,
+      .kind = load.kind,
+      .priority = load.priority,
       .idempotent = this->Occurs(load.idempotent_fraction),
       .deadline = this->time + load.deadline,
       .fingerprint = Fingerprint{this->random.Next()}};
@@ -396,7 +400,8 @@
     this->max_long_running = std::max(this->max_long_running, long_at_once);
     const Duration service = Exponential(
         this->random, is_long ? this->settings.long_service : this->settings.short_service);
-    this->Schedule(this->time + service, [this, attempt] { this->Respond(attempt); });
+    const auto slowed = std::chrono::duration_cast<Duration>(service * this->slowdown);
+    this->Schedule(this->time + slowed, [this, attempt] { this->Respond(attempt); });
   }
 }
 
--- a/Tests/LibDispatch/fleet_simulation.h
+++ b/Tests/LibDispatch/fleet_simulation.h
@@ -46,6 +46,7 @@
   Duration long_service = std::chrono::milliseconds(600);
   DispatchPolicy policy = DispatchPolicy::kBrokered;
   BrokerPolicy broker;
+  std::map<RequestKind, Duration> objectives;
   FleetFaults faults;
 };
 
@@ -56,6 +57,8 @@
   double long_fraction = 0;
   double idempotent_fraction = 0;
   Duration deadline = std::chrono::seconds(2);
+  std::uint32_t priority = 0;
+  RequestKind kind{};
   Duration from{};
   Duration until{};
 };
@@ -91,6 +94,8 @@
 
   // Stops injecting faults, so that all work can finish.
   void EndFaults() { this->settings.faults = {}; }
+  // Multiplies the service times of requests that targets start from now on.
+  void SetSlowdown(double factor) { this->slowdown = factor; }
   void SetLeaving(std::size_t target) { this->leaving.insert(this->TargetAt(target)); }
   void Suspect(Fingerprint fingerprint) { this->suspects.insert(fingerprint); }
   void Block(Fingerprint fingerprint) { this->blocked.insert(fingerprint); }
@@ -163,6 +168,7 @@
   std::set<Fingerprint> blocked;
   std::set<HostId> disconnected_brokers;
   std::vector<std::string> violation_messages;
+  double slowdown = 1;
   std::uint32_t max_long_running = 0;
   std::size_t claim_count = 0;
 };
