Health: Do not take requests that have been served for crash requests

Requests without a body and with the same path share a fingerprint. If two targets broke off connections with such requests in flight, all later ones were refused as crash-request (422) for 10 minutes, although others had been served. A fingerprint that was served is no longer suspect.

--- a/Libraries/LibHealth/crash_fingerprint_registry.cc
+++ b/Libraries/LibHealth/crash_fingerprint_registry.cc
@@ -32,6 +32,18 @@
   this->Add(now, {fingerprint, service, {CrashId(target, attempt)}, kRetention});
 }
 
+void CrashFingerprintRegistry::RecordSuccess(Fingerprint fingerprint) {
+  this->entries.erase(fingerprint);
+  if (!this->served.insert(fingerprint).second) {
+    return;
+  }
+  this->served_order.push_back(fingerprint);
+  if (this->served_order.size() > kMaxFingerprints) {
+    this->served.erase(this->served_order.front());
+    this->served_order.pop_front();
+  }
+}
+
 void CrashFingerprintRegistry::Merge(TimePoint now, const std::vector<FingerprintRecord>& records) {
   for (const FingerprintRecord& record : records) {
     this->Add(now, record);
@@ -81,7 +93,8 @@
 
 void CrashFingerprintRegistry::Add(TimePoint now, const FingerprintRecord& record) {
   const Duration remaining = std::min(record.remaining, kRetention);
-  if (record.kills.empty() || remaining <= Duration{}) {
+  if (record.kills.empty() || remaining <= Duration{} ||
+      this->served.contains(record.fingerprint)) {
     return;
   }
   if (!this->entries.contains(record.fingerprint) && this->entries.size() >= kMaxFingerprints) {
--- a/Libraries/LibHealth/crash_fingerprint_registry.h
+++ b/Libraries/LibHealth/crash_fingerprint_registry.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
@@ -28,6 +30,10 @@
                    Fingerprint fingerprint,
                    TargetId target,
                    AttemptId attempt);
+  // Records that a target has served the request, which therefore does not crash targets. Requests
+  // without a body share a fingerprint if they have the same path, and a target that fails breaks
+  // off whatever it runs.
+  void RecordSuccess(Fingerprint fingerprint);
   void Merge(TimePoint now, const std::vector<FingerprintRecord>& records);
   void Tick(TimePoint now);
 
@@ -53,6 +59,9 @@
   void Add(TimePoint now, const FingerprintRecord& record);
 
   std::map<Fingerprint, Entry> entries;
+  // The last fingerprints that were served, oldest first, and the same as a set.
+  std::deque<Fingerprint> served_order;
+  std::set<Fingerprint> served;
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -352,6 +352,9 @@
             this->RecordCrash(message.service, message.fingerprint, message.target,
                               message.attempt);
           }
+          if (message.result == AttemptResult::kSuccess) {
+            this->shared_state.fingerprints.RecordSuccess(message.fingerprint);
+          }
           if (SlotBroker* broker = this->GetOrCreateBroker(message.service)) {
             this->Execute(broker->OnRelease(now, sender, domain, message));
           }
@@ -550,6 +553,9 @@
     const RequestDescription& description = found->second.exchange->description;
     this->RecordCrash(description.service, description.fingerprint, target, attempt);
   }
+  if (end.result == AttemptResult::kSuccess && found != this->active.end()) {
+    this->shared_state.fingerprints.RecordSuccess(found->second.exchange->description.fingerprint);
+  }
   this->attempts.erase(attempt);
   this->Execute(this->dispatcher.OnAttemptEnd(now, attempt, end));
   this->Reschedule();
--- a/Tests/LibHealth/crash_fingerprint_registry_test.cc
+++ b/Tests/LibHealth/crash_fingerprint_registry_test.cc
@@ -18,11 +18,27 @@
   CPPUNIT_TEST(TestMergedTwiceCountsOnce);
   CPPUNIT_TEST(TestCrashesAtTwoHostsAddUp);
   CPPUNIT_TEST(TestThirdHostReceivesBothCrashes);
+  CPPUNIT_TEST(TestRequestThatWasServedIsBlocked);
   CPPUNIT_TEST(TestForgetsAfterRetention);
   CPPUNIT_TEST(TestRecordsNewestFirstWithLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against requests without a body that are refused because others with the same path were
+  // in flight at targets that failed.
+  void TestRequestThatWasServedIsBlocked() {
+    CrashFingerprintRegistry before;
+    before.RecordSuccess(kRequest);
+    before.RecordCrash(At(1s), kService, kRequest, TargetId{1}, AttemptId{1});
+    before.RecordCrash(At(2s), kService, kRequest, TargetId{2}, AttemptId{2});
+    CPPUNIT_ASSERT(!before.IsSuspect(kRequest));
+    CrashFingerprintRegistry between;
+    between.RecordCrash(At(1s), kService, kRequest, TargetId{1}, AttemptId{1});
+    between.RecordSuccess(kRequest);
+    between.RecordCrash(At(2s), kService, kRequest, TargetId{2}, AttemptId{2});
+    CPPUNIT_ASSERT(!between.IsBlocked(kRequest));
+  }
+
   // Guards against a request that keeps crashing targets.
   void TestSecondCrashBlocks() {
     CrashFingerprintRegistry registry;
