--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -275,7 +275,10 @@
   state.requested_at = now;
   state.pending_attempt = this->NewAttemptId();
   this->pending_attempts[state.pending_attempt] = state.description.request;
-  service.local_queue.Push({.request = this->MakeSlotRequest(now, service, state),
+  SlotRequest waiting = this->MakeSlotRequest(now, service, state);
+  // A host without a broker does not know what else the service is offered.
+  waiting.priority = 0;
+  service.local_queue.Push({.request = std::move(waiting),
                             .host = this->settings.self,
                             .domain = this->settings.domain,
                             .arrived = now,
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -148,11 +148,20 @@
 void DispatchController::Configure(const Configuration& configuration) {
   std::vector<DispatchService> services;
   std::map<ServiceId, BrokerConfiguration> next;
+  std::map<RequestKind, Duration> objectives;
+  for (const Route& route : configuration.routes) {
+    if (route.latency_objective > Duration::zero()) {
+      objectives.emplace(IdFromName<RequestKind>(route.name), route.latency_objective);
+    }
+  }
   for (const Service& service : configuration.services) {
     const std::uint32_t floor_slots = configuration.FloorSlots(service);
     DispatchService dispatch{.service = service.id(), .floor_slots = floor_slots};
     BrokerConfiguration broker{
-        .service = service.id(), .floor_slots = floor_slots, .queue_limit = service.queue_limit};
+        .service = service.id(),
+        .floor_slots = floor_slots,
+        .queue_limit = service.queue_limit,
+        .objectives = objectives};
     for (const Target* target : configuration.TargetsOf(service.name)) {
       dispatch.targets.push_back(
           {target->id(), target->domain_id(), target->slots, target->connections});
@@ -367,6 +376,9 @@
             this->RecordCrash(message.service, message.fingerprint, message.target,
                               message.attempt);
           }
+          if (message.result == AttemptResult::kSuccess) {
+            this->shared_state.fingerprints.RecordSuccess(message.fingerprint);
+          }
           if (SlotBroker* broker = this->GetOrCreateBroker(message.service)) {
             this->Execute(broker->OnRelease(now, sender, domain, message));
           }
@@ -568,6 +580,9 @@
     const RequestDescription& description = found->second.exchange->description;
     this->RecordCrash(description.service, description.fingerprint, target, attempt);
   }
+  if (end.result == AttemptResult::kSuccess && found != this->active.end()) {
+    this->shared_state.fingerprints.RecordSuccess(found->second.exchange->description.fingerprint);
+  }
   this->attempts.erase(attempt);
   this->Execute(this->dispatcher.OnAttemptEnd(now, attempt, end));
   this->Reschedule();
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -361,6 +361,7 @@
   local_limits.extra = 0;
   BrokerPolicy policy;
   policy.view_min_request_rate = this->settings.view_rate;
+  policy.by_priority = this->settings.queue_by_priority;
   policy.retry_limits = fleet_limits;
   policy.placement = this->settings.placement;
   DispatchController::Settings dispatch_settings{
