--- a/Tests/LibConfig/configuration_reader_test.cc
+++ b/Tests/LibConfig/configuration_reader_test.cc
@@ -311,11 +311,11 @@
     CPPUNIT_ASSERT(indexed.organisations[1].priority == 3U);
     Configuration linear = indexed;
     linear.index.pointer = nullptr;
-    for (const Configuration* configuration : {&indexed, &linear}) {
-      const KeyHolder holder = configuration->FindKeyHolder(ApiKeyDigest::Of("key-2"));
+    for (const Configuration& configuration : {indexed, linear}) {
+      const KeyHolder holder = configuration.FindKeyHolder(ApiKeyDigest::Of("key-2"));
       CPPUNIT_ASSERT_EQUAL(std::string("lifts"), holder.organisation->name);
       CPPUNIT_ASSERT_EQUAL(std::string("desk-2"), holder.caller->name);
-      CPPUNIT_ASSERT(configuration->FindKeyHolder(ApiKeyDigest::Of("key-3")) == KeyHolder{});
+      CPPUNIT_ASSERT(configuration.FindKeyHolder(ApiKeyDigest::Of("key-3")) == KeyHolder{});
     }
   }
 
