--- a/Tests/LibMembership/key_lease_fleet_test.cc
+++ b/Tests/LibMembership/key_lease_fleet_test.cc
@@ -116,6 +116,7 @@
   }
 
   void StartFleet(SimulatedFleet& fleet) const {
+    fleet.has_revocation_time = true;
     fleet.long_polls = true;
     fleet.configuration_poll_timeout = kPollTimeout;
     fleet.CommitToStore(1);
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -253,6 +253,9 @@
 }
 
 void SimulatedFleet::RefreshConfirmedStoreTime(Host& host) const {
+  if (!this->has_revocation_time) {
+    return;
+  }
   host.relay.SetConfirmedStoreTime(
       host.lease.ConfirmedAt(this->BootTime(host.directory.self().host, this->now)));
 }
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -137,6 +137,8 @@
   Duration store_keep_alive_timeout = std::chrono::seconds(2);
   // Hosts that the store does not answer.
   std::set<HostId> unanswered_hosts;
+  // The hosts tell each other up to when the store has confirmed the configuration.
+  bool has_revocation_time = false;
   // Time for which the store holds a read of the configuration.
   Duration configuration_poll_timeout = StoreRelay::kConfigurationPollTimeout;
   std::string document_content = std::string(500, 'x');
