--- a/Libraries/LibQuota/host_quotas.cc
+++ b/Libraries/LibQuota/host_quotas.cc
@@ -98,8 +98,10 @@
   HostQuotaActions actions;
   this->reading = false;
   this->clock_observed_at = now;
-  if (rows && store_time) {
-    this->clock.Observe(sent_at, now, *store_time);
+  if (rows && store_time && !this->clock.Observe(sent_at, now, *store_time)) {
+    for (std::size_t part = 0; part < this->parts.size(); ++part) {
+      this->Take(now, part, this->parts[part].lease.OnStoreClockJumped(now), actions);
+    }
   }
   for (std::size_t index = 0; index < this->parts.size(); ++index) {
     Part& part = this->parts[index];
--- a/Libraries/LibQuota/quota_part_lease.cc
+++ b/Libraries/LibQuota/quota_part_lease.cc
@@ -27,6 +27,15 @@
   return actions;
 }
 
+std::vector<LeaseAction> QuotaPartLease::OnStoreClockJumped(BootTimePoint now) {
+  this->clock_jumped_at = now;
+  if (!std::exchange(this->end, std::nullopt)) {
+    return {};
+  }
+  this->known = false;
+  return {QuotaPartEvent::kLost};
+}
+
 std::vector<LeaseAction> QuotaPartLease::OnHostsChanged(BootTimePoint now,
                                                         const StoreClock& clock) {
   std::vector<LeaseAction> actions;
@@ -144,16 +153,19 @@
 }
 
 bool QuotaPartLease::MayTake(BootTimePoint now, const StoreClock& clock) const {
-  if (this->unreadable) {
-    // Whoever wrote it has stopped by then.
-    return now - this->first_seen_at > kLength + kClockMargin;
-  }
   // A machine runs one process: an earlier one of this name has ended.
-  if (this->known_row.holder.empty() || this->known_row.holder == this->host_name) {
+  const bool is_free = this->known_row.holder.empty() || this->known_row.holder == this->host_name;
+  if (!this->unreadable && is_free) {
+    return true;
+  }
+  // Whoever wrote the row has stopped by then, whatever it states.
+  if (now - this->first_seen_at > kLength + kClockMargin) {
     return true;
   }
+  const bool states_end =
+      !this->unreadable && (!this->clock_jumped_at || now - *this->clock_jumped_at > kLength);
   const std::optional<StoreTimePoint> earliest = clock.Earliest(now);
-  return earliest && *earliest > this->known_row.end + kClockMargin;
+  return states_end && earliest && *earliest > this->known_row.end + kClockMargin;
 }
 
 void QuotaPartLease::Read(std::vector<LeaseAction>& actions) {
--- a/Libraries/LibQuota/quota_part_lease.h
+++ b/Libraries/LibQuota/quota_part_lease.h
@@ -52,6 +52,8 @@
   // Whether this host should hold the part. A part that is no longer wanted is not used from now
   // on, and released.
   std::vector<LeaseAction> SetWanted(BootTimePoint now, const StoreClock& clock, bool wanted);
+  // To be called when times that the store stated before mean nothing any more.
+  std::vector<LeaseAction> OnStoreClockJumped(BootTimePoint now);
   // To be called when other hosts have become unusable.
   std::vector<LeaseAction> OnHostsChanged(BootTimePoint now, const StoreClock& clock);
   std::vector<LeaseAction> Tick(BootTimePoint now, const StoreClock& clock);
@@ -93,6 +95,7 @@
   bool unreadable = false;
   // When this version of the row was first seen.
   BootTimePoint first_seen_at;
+  std::optional<BootTimePoint> clock_jumped_at;
   // Content of the write in flight.
   QuotaPartRow written;
   // Set while this host holds the part.
