--- a/Tests/LibHost/dispatch_controller_test.cc
+++ b/Tests/LibHost/dispatch_controller_test.cc
@@ -56,11 +56,14 @@
   CPPUNIT_TEST(TestKeyedRequestWaitsForItsClaimBeyondTheEndOfTheHost);
   CPPUNIT_TEST(TestKeyIsClaimedAfterTheEndOfTheHost);
   CPPUNIT_TEST(TestClaimTimeoutIsTakenForADeadline);
+  CPPUNIT_TEST(TestRequestAboveTheQuotaIsRun);
+  CPPUNIT_TEST(TestRequestWithUnknownQuotaIsRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void setUp() override {
     Error error;
+    this->quota_decision = QuotaDecision::kAdmitted;
     this->loop = std::make_unique<ControlLoop>();
     this->shared_state = std::make_unique<SharedState>();
     this->table = std::make_unique<SilentTable>();
@@ -83,7 +86,11 @@
             .dialect = std::make_shared<NativeDialect>(),
             .on_finished = [this](const FinishedRequest& request) { this->finished = request; },
             .on_health_event = [](ServiceId, const HealthEvent&) {},
-            .on_new_notice = [] {}});
+            .on_new_notice = [] {},
+            .admit =
+                [this](const Exchange& exchange, const auto& decided) {
+                  decided({exchange.description.request, this->quota_decision, milliseconds(1500)});
+                }});
   }
   void tearDown() override {
     this->controller.reset();
@@ -136,6 +143,22 @@
     this->AssertKeyIsReleased();
   }
 
+  void TestRequestAboveTheQuotaIsRun() {
+    this->quota_decision = QuotaDecision::kOverQuota;
+    this->Submit(seconds(10));
+    this->AssertNotRun("quota", 429);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         std::string(FindHeader(this->responder->headers, "Retry-After")));
+    CPPUNIT_ASSERT(this->table->rows.empty());
+  }
+
+  void TestRequestWithUnknownQuotaIsRun() {
+    this->quota_decision = QuotaDecision::kUnknown;
+    this->Submit(seconds(10));
+    this->AssertNotRun("quota-unknown", 503);
+    CPPUNIT_ASSERT(this->table->rows.empty());
+  }
+
  private:
   HostEnd EndIn(Duration delay) const {
     return {.last_start = SteadyNow() + delay, .last_answer = SteadyNow() + delay};
@@ -185,6 +208,7 @@
   std::unique_ptr<DispatchController> controller;
   std::shared_ptr<RecordingResponder> responder;
   std::optional<FinishedRequest> finished;
+  QuotaDecision quota_decision = QuotaDecision::kAdmitted;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatchControllerTest);
--- a/Tests/LibQuota/host_quotas_test.cc
+++ b/Tests/LibQuota/host_quotas_test.cc
@@ -23,6 +23,7 @@
 class HostQuotasTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HostQuotasTest);
   CPPUNIT_TEST(TestQuotaIsExceededUnderFaults);
+  CPPUNIT_TEST(TestHolderThatIsCutOffGrantsBesideItsSuccessor);
   CPPUNIT_TEST(TestLoweredQuotaIsExceeded);
   CPPUNIT_TEST(TestRequestBelowTheQuotaIsRefused);
   CPPUNIT_TEST(TestDemandThatFitsTheOtherPartsIsRefusedAfterTheLossOfAHolder);
@@ -63,6 +64,27 @@
     }
   }
 
+  // Holders that reach nobody still admit the requests of their own callers.
+  void TestHolderThatIsCutOffGrantsBesideItsSuccessor() {
+    for (int seed = 0; seed < kSeeds; ++seed) {
+      QuotaFleet fleet(8, static_cast<std::uint64_t>(seed));
+      fleet.Configure(kLimits);
+      fleet.Run(seconds(10));
+      for (std::size_t host = 0; host < fleet.size(); ++host) {
+        fleet.SetCutFromStore(host, fleet.PartsHeld(host) > 0);
+        fleet.SetCutFromHosts(host, fleet.PartsHeld(host) > 0);
+      }
+      for (const auto& [organisation, limit] : kLimits) {
+        fleet.SetDemand(organisation, 8 * limit.requests_per_second);
+      }
+      fleet.Run(seconds(30));
+      CPPUNIT_ASSERT_EQUAL(kQuotaParts, PartsHeld(fleet));
+      for (const auto& [organisation, limit] : kLimits) {
+        CPPUNIT_ASSERT(LargestExcess(fleet, organisation, limit) <= 0);
+      }
+    }
+  }
+
   void TestLoweredQuotaIsExceeded() {
     const QuotaLimit lowered{.requests_per_second = 30, .burst = 10};
     for (int seed = 0; seed < kSeeds; ++seed) {
@@ -235,8 +257,11 @@
                       .unseen_candidate = 0.5 * random.Unit()};
     }
     for (std::size_t host = 0; host < fleet.size(); ++host) {
-      fleet.SetCutFromStore(host, random.Unit() < 0.15);
-      fleet.SetCutFromHosts(host, random.Unit() < 0.1);
+      // For 10 s on average.
+      if (random.Unit() < 0.2) {
+        fleet.SetCutFromStore(host, random.Unit() < 0.2);
+        fleet.SetCutFromHosts(host, random.Unit() < 0.2);
+      }
       const double event = random.Unit();
       if (!fleet.IsUp(host)) {
         if (event < 0.7) {
--- a/Tests/LibQuota/quota_fleet.cc
+++ b/Tests/LibQuota/quota_fleet.cc
@@ -59,26 +59,46 @@
   return Duration(300 + static_cast<std::int64_t>(this->random.Below(range)));
 }
 
-void QuotaFleet::AtHost(std::size_t host,
-                        Duration at,
-                        std::function<HostQuotaActions(HostQuotas&)> task) {
+void QuotaFleet::AtHost(std::size_t host, Duration at, Task task) {
   const std::uint64_t process = this->hosts[host].process;
   this->At(at,
            [this, host, process, task = std::move(task)] { this->RunAtHost(host, process, task); });
 }
 
-void QuotaFleet::RunAtHost(std::size_t index,
-                           std::uint64_t process,
-                           const std::function<HostQuotaActions(HostQuotas&)>& task) {
+void QuotaFleet::RunAtHost(std::size_t index, std::uint64_t process, const Task& task) {
   Host& host = this->hosts[index];
   if (!host.quotas || host.process != process) {
     return;
   }
-  if (this->time < host.paused_until) {
-    this->At(host.paused_until,
-             [this, index, process, task] { this->RunAtHost(index, process, task); });
+  if (this->time < host.paused_until || !host.delayed.empty()) {
+    host.delayed.push_back(task);
+    if (host.delayed.size() == 1) {
+      this->Resume(index, process);
+    }
     return;
   }
+  this->RunNow(index, task);
+}
+
+void QuotaFleet::Resume(std::size_t index, std::uint64_t process) {
+  this->At(this->hosts[index].paused_until, [this, index, process] {
+    Host& host = this->hosts[index];
+    if (!host.quotas || host.process != process) {
+      return;
+    }
+    if (this->time < host.paused_until) {
+      this->Resume(index, process);
+      return;
+    }
+    const auto delayed = std::exchange(host.delayed, {});
+    for (const Task& task : delayed) {
+      this->RunNow(index, task);
+    }
+  });
+}
+
+void QuotaFleet::RunNow(std::size_t index, const Task& task) {
+  Host& host = this->hosts[index];
   this->Execute(index, task(*host.quotas));
   const BootTimePoint deadline = host.quotas->NextDeadline(this->HostTime(index));
   if (deadline == BootTimePoint::max()) {
@@ -191,6 +211,7 @@
   ++host.process;
   host.leaving = false;
   host.paused_until = this->time;
+  host.delayed.clear();
   host.wake_at = Duration::max();
   host.waiting.clear();
   host.quotas =
@@ -209,7 +230,10 @@
     std::vector<QuotaCandidate> candidates;
     for (std::size_t other = 0; other < this->hosts.size(); ++other) {
       const bool usable = this->IsUp(other) && !this->hosts[other].leaving;
-      if (usable && (other == index || this->random.Unit() >= this->faults.unseen_candidate)) {
+      const bool reachable =
+          !this->hosts[index].cut_from_hosts && !this->hosts[other].cut_from_hosts;
+      const bool seen = reachable && this->random.Unit() >= this->faults.unseen_candidate;
+      if (usable && (other == index || seen)) {
         candidates.push_back({IdFromName<HostId>(HostName(other)), DomainId{other % kDomains}});
       }
     }
--- a/Tests/LibQuota/quota_fleet.h
+++ b/Tests/LibQuota/quota_fleet.h
@@ -70,12 +70,15 @@
   RandomSource random;
 
  private:
+  using Task = std::function<HostQuotaActions(HostQuotas&)>;
   struct Host {
     std::unique_ptr<HostQuotas> quotas;
     // Counts starts; events of an earlier process are dropped.
     std::uint64_t process = 0;
     Duration clock_offset{};
     Duration paused_until{};
+    // Tasks that wait for the end of a pause, in order.
+    std::vector<Task> delayed;
     bool leaving = false;
     bool cut_from_store = false;
     bool cut_from_hosts = false;
@@ -93,10 +96,10 @@
 
   void At(Duration at, std::function<void()> task);
   // Runs the task at the host once it is not paused, if its process still runs.
-  void AtHost(std::size_t host, Duration at, std::function<HostQuotaActions(HostQuotas&)> task);
-  void RunAtHost(std::size_t host,
-                 std::uint64_t process,
-                 const std::function<HostQuotaActions(HostQuotas&)>& task);
+  void AtHost(std::size_t host, Duration at, Task task);
+  void RunAtHost(std::size_t host, std::uint64_t process, const Task& task);
+  void Resume(std::size_t host, std::uint64_t process);
+  void RunNow(std::size_t host, const Task& task);
   void Execute(std::size_t host, const HostQuotaActions& actions);
   void Deliver(std::size_t from, const SendToHost& action);
   // Runs the operation at the store and passes whether its response arrives to `done`.
--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -189,6 +189,7 @@
     CPPUNIT_ASSERT_EQUAL(503, this->dialect.HostResponseStatus(504, true));
     CPPUNIT_ASSERT_EQUAL(503, this->dialect.HostResponseStatus(422, true));
     CPPUNIT_ASSERT_EQUAL(404, this->dialect.HostResponseStatus(404, true));
+    CPPUNIT_ASSERT_EQUAL(429, this->dialect.HostResponseStatus(429, true));
     CPPUNIT_ASSERT_EQUAL(502, this->dialect.HostResponseStatus(502, false));
     CPPUNIT_ASSERT_EQUAL(std::string("0.250"),
                          this->dialect.RetryAfterText(std::chrono::milliseconds(250)));
