--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -50,7 +50,7 @@
 constexpr double kDelayedCompletion = 0.5;
 constexpr double kSoonerCompletionMargin = 0.4;
 // A request that is bound to a target early cannot use a slot that becomes free elsewhere, so it
-// waits there for this fraction of its work at most.
+// waits there for this fraction of the usual work at most.
 constexpr double kMaxBoundWait = 0.35;
 // Hosts that choose a target without the broker leave out targets that are slower than this.
 constexpr double kMaxUnaskedSlowness = 1.5;
@@ -230,14 +230,23 @@
          (work_class == WorkClass::kShort || this->table.long_count() < this->LongSlotLimit());
 }
 
-bool SlotBroker::HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const {
+bool SlotBroker::HasOvercommitRoom(TimePoint now,
+                                   const Candidate& candidate,
+                                   WorkClass work_class) {
   // Long work is never overcommitted, and no target whose slots are all held by
   // long work is, because the request would wait for a long time.
-  return work_class == WorkClass::kShort && !this->rate_limits.IsLimited(candidate.target) &&
-         candidate.health_status.state == TargetState::kHealthy &&
-         this->table.LongCountAt(candidate.target) < candidate.health_status.usable_slots &&
-         this->table.CountAt(candidate.target) <
-             candidate.health_status.usable_slots + this->policy.overcommit_per_target;
+  if (work_class != WorkClass::kShort || this->rate_limits.IsLimited(candidate.target) ||
+      candidate.health_status.state != TargetState::kHealthy ||
+      this->table.LongCountAt(candidate.target) >= candidate.health_status.usable_slots ||
+      this->table.CountAt(candidate.target) >=
+          candidate.health_status.usable_slots + this->policy.overcommit_per_target) {
+    return false;
+  }
+  if (this->policy.placement != Placement::kExpectedCompletion) {
+    return true;
+  }
+  const ExpectedCompletion expected = this->Expect(now, candidate, {.work_class = work_class});
+  return ToSeconds(expected.wait) <= kMaxBoundWait * ToSeconds(expected.work);
 }
 
 std::optional<TargetId> SlotBroker::ChooseTrial(TimePoint now, const QueueEntry& entry) {
@@ -344,7 +353,7 @@
 
 std::optional<double> SlotBroker::DelayOf(TimePoint now,
                                           const Candidate& candidate,
-                                          const WorkTraits& traits) const {
+                                          const WorkTraits& traits) {
   switch (this->policy.placement) {
     case Placement::kLoad:
       return std::nullopt;
@@ -365,12 +374,12 @@
 
 ExpectedCompletion SlotBroker::Expect(TimePoint now,
                                       const Candidate& candidate,
-                                      const WorkTraits& traits) const {
+                                      const WorkTraits& traits) {
   return this->target_work.Expect(now, candidate.target, candidate.health_status.usable_slots,
                                   this->table.HoldersAt(candidate.target), traits);
 }
 
-void SlotBroker::SetExpectation(TimePoint now, SlotHolder& holder) const {
+void SlotBroker::SetExpectation(TimePoint now, SlotHolder& holder) {
   const auto position = std::find_if(
       this->candidates.begin(), this->candidates.end(),
       [&holder](const Candidate& candidate) { return candidate.target == holder.target; });
@@ -387,7 +396,7 @@
 std::optional<TargetId> SlotBroker::ChooseSooner(TimePoint now,
                                                  const QueueEntry& entry,
                                                  const std::vector<const Candidate*>& usable,
-                                                 const Candidate& best) const {
+                                                 const Candidate& best) {
   if (this->policy.placement != Placement::kExpectedCompletion) {
     return std::nullopt;
   }
@@ -408,7 +417,7 @@
 std::optional<TargetId> SlotBroker::ChooseOvercommitted(
     TimePoint now,
     const QueueEntry& entry,
-    const std::vector<const Candidate*>& usable) const {
+    const std::vector<const Candidate*>& usable) {
   const bool by_completion = this->policy.placement != Placement::kLoad;
   const WorkTraits traits = TraitsOf(entry.request);
   const Candidate* best = nullptr;
@@ -417,15 +426,11 @@
   for (const Candidate* candidate : usable) {
     // A candidate with a free slot was skipped as unreliable.
     if (this->HasFreeSlot(now, *candidate, entry.request.work_class) ||
-        !this->HasOvercommitRoom(*candidate, entry.request.work_class)) {
+        !this->HasOvercommitRoom(now, *candidate, entry.request.work_class)) {
       continue;
     }
     const ExpectedCompletion expected =
         by_completion ? this->Expect(now, *candidate, traits) : ExpectedCompletion{};
-    if (this->policy.placement == Placement::kExpectedCompletion &&
-        ToSeconds(expected.wait) > kMaxBoundWait * ToSeconds(expected.work)) {
-      continue;
-    }
     const std::uint32_t short_work =
         this->table.CountAt(candidate->target) - this->table.LongCountAt(candidate->target);
     const double score =
@@ -805,7 +810,7 @@
                     std::any_of(this->candidates.begin(), this->candidates.end(),
                                 [&](const Candidate& candidate) {
                                   return this->HasFreeSlot(now, candidate, work_class) ||
-                                         this->HasOvercommitRoom(candidate, work_class);
+                                         this->HasOvercommitRoom(now, candidate, work_class);
                                 });
   if (!room) {
     return false;
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -131,15 +131,13 @@
   // Delay at the candidate as the placement counts it; empty if the load counts.
   std::optional<double> DelayOf(TimePoint now,
                                 const Candidate& candidate,
-                                const WorkTraits& traits) const;
+                                const WorkTraits& traits);
   // Learns from the end of an attempt that held a slot until now.
   void RecordWork(TimePoint now, const SlotHolder& holder, const SlotRelease& release);
   // Expected completion of a request of these traits that is sent to the candidate now.
-  ExpectedCompletion Expect(TimePoint now,
-                            const Candidate& candidate,
-                            const WorkTraits& traits) const;
+  ExpectedCompletion Expect(TimePoint now, const Candidate& candidate, const WorkTraits& traits);
   // Fills in what is expected of an attempt that starts now.
-  void SetExpectation(TimePoint now, SlotHolder& holder) const;
+  void SetExpectation(TimePoint now, SlotHolder& holder);
   // Expected time that the request takes at a target.
   Duration ExpectedWork(const SlotRequest& request) const;
   // Shows slow targets as busy, so that no host starts work there without asking.
@@ -158,20 +156,19 @@
   // Targets that may run the request, with or without a free slot.
   std::vector<const Candidate*> CandidatesFor(const QueueEntry& entry) const;
   bool HasFreeSlot(TimePoint now, const Candidate& candidate, WorkClass work_class) const;
-  bool HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const;
+  bool HasOvercommitRoom(TimePoint now, const Candidate& candidate, WorkClass work_class);
   std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry);
   // The idle ejected target that the request should test; std::nullopt if it should test none.
   std::optional<TargetId> ChooseTrial(TimePoint now, const QueueEntry& entry);
-  std::optional<TargetId> ChooseOvercommitted(
-      TimePoint now,
-      const QueueEntry& entry,
-      const std::vector<const Candidate*>& candidates) const;
+  std::optional<TargetId> ChooseOvercommitted(TimePoint now,
+                                              const QueueEntry& entry,
+                                              const std::vector<const Candidate*>& candidates);
   // A target that is expected to complete the request clearly before `best`, although the request
   // must wait there for a slot.
   std::optional<TargetId> ChooseSooner(TimePoint now,
                                        const QueueEntry& entry,
                                        const std::vector<const Candidate*>& usable,
-                                       const Candidate& best) const;
+                                       const Candidate& best);
   bool CanGrantImmediately(TimePoint now, const QueueEntry& entry);
   bool QueueIsFull(WorkClass work_class) const;
   Duration PredictedWait(const SlotRequest& request) const;
--- a/Libraries/LibDispatch/target_work.cc
+++ b/Libraries/LibDispatch/target_work.cc
@@ -25,6 +25,8 @@
 constexpr double kTrustGain = 0.05;
 constexpr double kTrustLoss = 0.8;
 constexpr double kMinRestUs = 1000.0;
+// Rests change slowly in comparison with the rate of requests.
+constexpr Duration kRateValidity = std::chrono::milliseconds(5);
 constexpr double kMaxRelativeDelay = 4.0;
 
 double Seconds(Duration duration) {
@@ -109,11 +111,40 @@
          std::exp(-std::max(0.0, Seconds(now - state.stated_at)) / kStatementMemorySeconds);
 }
 
+double TargetWork::EndRate(TimePoint now,
+                           State& state,
+                           std::uint32_t slots,
+                           double slowness,
+                           const std::vector<const SlotHolder*>& holders) {
+  const SlotHolder* const oldest = holders.empty() ? nullptr : holders.front();
+  if (state.rated_attempts == holders.size() && state.rated_oldest == oldest &&
+      now - state.rated_at < kRateValidity) {
+    return state.end_rate;
+  }
+  // The target runs its requests in the order in which they came, so the first ones are those that
+  // run.
+  double rate = 0;
+  for (std::size_t index = 0; index < std::min<std::size_t>(holders.size(), slots); ++index) {
+    const SlotHolder& holder = *holders[index];
+    const Duration age =
+        std::max<Duration>(now - holder.held_since - holder.expected_wait, Duration::zero());
+    const double rest_us =
+        Microseconds(this->work_estimate.Rest(holder.work, FromUs(Microseconds(age) / slowness))) *
+        slowness;
+    rate += 1.0 / std::max(rest_us, kMinRestUs);
+  }
+  state.end_rate = rate;
+  state.rated_at = now;
+  state.rated_attempts = holders.size();
+  state.rated_oldest = oldest;
+  return rate;
+}
+
 ExpectedCompletion TargetWork::Expect(TimePoint now,
                                       TargetId target,
                                       std::uint32_t slots,
                                       const std::vector<const SlotHolder*>& holders,
-                                      const WorkTraits& traits) const {
+                                      const WorkTraits& traits) {
   ExpectedCompletion expected{.work = this->work_estimate.Mean(traits),
                               .slowness = this->Slowness(now, target)};
   const double foreign = this->ForeignAttempts(now, target);
@@ -124,19 +155,8 @@
   if (ahead_of_all <= 0) {
     return expected;
   }
-  // Slots that become free in a microsecond. The target runs its requests in the order in which
-  // they came, so the first ones are those that run.
-  double rate = 0;
   const std::size_t running = std::min<std::size_t>(holders.size(), slots);
-  for (std::size_t index = 0; index < running; ++index) {
-    const SlotHolder& holder = *holders[index];
-    const Duration age =
-        std::max<Duration>(now - holder.held_since - holder.expected_wait, Duration::zero());
-    const double rest_us = Microseconds(this->work_estimate.Rest(
-                               holder.work, FromUs(Microseconds(age) / expected.slowness))) *
-                           expected.slowness;
-    rate += 1.0 / std::max(rest_us, kMinRestUs);
-  }
+  double rate = this->EndRate(now, this->targets[target], slots, expected.slowness, holders);
   const double mean_us = std::max(
       Microseconds(this->work_estimate.Mean({.work_class = traits.work_class})) * expected.slowness,
       kMinRestUs);
--- a/Libraries/LibDispatch/target_work.h
+++ b/Libraries/LibDispatch/target_work.h
@@ -57,7 +57,7 @@
                             TargetId target,
                             std::uint32_t slots,
                             const std::vector<const SlotHolder*>& holders,
-                            const WorkTraits& traits) const;
+                            const WorkTraits& traits);
   // Expected work left of the attempts at the target.
   Duration Outstanding(TimePoint now,
                        TargetId target,
@@ -92,8 +92,19 @@
     // Confidence in the statements, from 0 to 1: whether attempts waited as stated.
     double trust = 0.5;
     bool reported_slow = false;
+    // Last result of EndRate(), and what it was computed from.
+    double end_rate = 0;
+    TimePoint rated_at;
+    std::size_t rated_attempts = 0;
+    const SlotHolder* rated_oldest = nullptr;
   };
 
+  // Attempts per microsecond that the target ends while it has more of them than slots.
+  double EndRate(TimePoint now,
+                 State& state,
+                 std::uint32_t slots,
+                 double slowness,
+                 const std::vector<const SlotHolder*>& holders);
   double ForeignAttempts(TimePoint now, TargetId target) const;
 
   WorkEstimate work_estimate;
