--- a/Bench/Runner/placement_command.cc
+++ b/Bench/Runner/placement_command.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/core.h>
 
+#include <cstdio>
 #include <cxxopts.hpp>
 #include <vector>
 
@@ -29,6 +30,17 @@
 
 constexpr Trouble kTroubles[] = {{}, {.slow = 3, .cold = 2}};
 
+void PrintRow(const PlacementRun& run, const PlacementResult& result, const PlacementResult& base) {
+  const double short_p99 = result.short_kinds.QuantileMs(0.99);
+  fmt::print("{:7} {:5.2f} {:>9} {:30} {:8.1f} {:8.1f} {:8.1f} {:8.1f} {:8.4f} {:8.3f}\n",
+             run.targets, run.load, fmt::format("{},{}", run.slow_targets, run.cold_targets),
+             fmt::format("{}{}", PlacementName(run.placement), run.shuffled ? ", shuffled" : ""),
+             result.short_kinds.QuantileMs(0.5), short_p99, result.all_kinds.QuantileMs(0.5),
+             result.all_kinds.QuantileMs(0.99),
+             static_cast<double>(result.served_in_time) / static_cast<double>(result.requests),
+             short_p99 / base.short_kinds.QuantileMs(0.99));
+}
+
 }  // namespace
 
 int RunPlacementCommand(int argc, char** argv) {
@@ -70,25 +82,20 @@
       }
     }
   }
-  std::vector<PlacementResult> results(runs.size());
-  RunParallel(runs.size(), parsed["jobs"].as<std::size_t>(),
-              [&](std::size_t index) { results[index] = RunPlacement(runs[index]); });
+  const std::size_t jobs = parsed["jobs"].as<std::size_t>();
   fmt::print("{:>7} {:>5} {:>9} {:30} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}\n", "targets", "load",
              "slow,cold", "placement", "short50", "short99", "all50", "all99", "in time",
              "p99/load");
   std::uint64_t violations = 0;
-  for (std::size_t index = 0; index < runs.size(); ++index) {
-    const PlacementRun& run = runs[index];
-    const PlacementResult& result = results[index];
-    const PlacementResult& base = results[index / std::size(kVariants) * std::size(kVariants)];
-    violations += result.violations;
-    fmt::print("{:7} {:5.2f} {:>9} {:30} {:8.1f} {:8.1f} {:8.1f} {:8.1f} {:8.4f} {:8.3f}\n",
-               run.targets, run.load, fmt::format("{},{}", run.slow_targets, run.cold_targets),
-               fmt::format("{}{}", PlacementName(run.placement), run.shuffled ? ", shuffled" : ""),
-               result.short_kinds.QuantileMs(0.5), result.short_kinds.QuantileMs(0.99),
-               result.all_kinds.QuantileMs(0.5), result.all_kinds.QuantileMs(0.99),
-               static_cast<double>(result.served_in_time) / static_cast<double>(result.requests),
-               result.short_kinds.QuantileMs(0.99) / base.short_kinds.QuantileMs(0.99));
+  for (std::size_t first = 0; first < runs.size(); first += std::size(kVariants)) {
+    std::vector<PlacementResult> results(std::size(kVariants));
+    RunParallel(results.size(), jobs,
+                [&](std::size_t index) { results[index] = RunPlacement(runs[first + index]); });
+    for (std::size_t index = 0; index < results.size(); ++index) {
+      violations += results[index].violations;
+      PrintRow(runs[first + index], results[index], results.front());
+    }
+    std::fflush(stdout);
   }
   fmt::print("violations of the invariants: {}\n", violations);
   return violations == 0 ? kExitSuccess : kExitFailure;
