Dispatch: Prefer targets that do not shed, compute the capacity once a check

A target that refuses requests as not run looked like any other to the ranking, so that requests went on to it and their second attempts used the retry budget. ShedShare keeps the share of refused requests, which decays within seconds; it adds to the expected cost of the target.

TestSheddingTargetIsPreferred fails before (by review; not run on the code before).

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -385,20 +385,24 @@
                                       this->SlotsFor(request.work_class));
 }
 
+double SlotBroker::CapacityPerSecond(WorkClass work_class) const {
+  const double rate_limit = this->TotalRateLimit();
+  const Duration mean = this->estimate.Mean(work_class);
+  if (rate_limit > 0 || this->table.size() == 0 || mean == Duration::zero()) {
+    return rate_limit;
+  }
+  // The mean includes the wait in the queues of targets that hold more attempts than slots.
+  const std::size_t held = work_class == WorkClass::kLong
+                               ? this->table.long_count()
+                               : this->table.size() - this->table.long_count();
+  return static_cast<double>(std::max<std::size_t>(held, this->SlotsFor(work_class))) /
+         std::chrono::duration<double>(mean).count();
+}
+
 AdmissionCase SlotBroker::CaseOf(const SlotRequest& request,
                                  QueuePosition position,
+                                 double capacity_per_s,
                                  Duration budget) const {
-  double capacity_per_s = this->TotalRateLimit();
-  const Duration mean = this->estimate.Mean(request.work_class);
-  if (capacity_per_s <= 0 && this->table.size() > 0 && mean > Duration::zero()) {
-    // The mean includes the wait in the queues of targets that hold more attempts than slots.
-    const std::size_t held = request.work_class == WorkClass::kLong
-                                 ? this->table.long_count()
-                                 : this->table.size() - this->table.long_count();
-    capacity_per_s =
-        static_cast<double>(std::max<std::size_t>(held, this->SlotsFor(request.work_class))) /
-        std::chrono::duration<double>(mean).count();
-  }
   const auto objective = this->configuration.objectives.find(request.kind);
   // The time that a retry has left until its objective is not known.
   const bool has_objective = objective != this->configuration.objectives.end() &&
@@ -412,13 +416,17 @@
           .objective = has_objective ? objective->second : Duration::zero()};
 }
 
+AdmissionCase SlotBroker::CaseOf(const SlotRequest& request) const {
+  return this->CaseOf(
+      request, this->queue.PositionOf(request.work_class, request.organisation, request.priority),
+      this->CapacityPerSecond(request.work_class), request.budget);
+}
+
 bool SlotBroker::IsTooLate(TimePoint now, const SlotRequest& request) const {
   if (!this->policy.by_priority) {
     return this->BudgetTooShort(request, this->PredictedWait(request), request.budget);
   }
-  const QueuePosition position =
-      this->queue.PositionOf(request.work_class, request.organisation, request.priority);
-  return this->admission.IsTooLate(now, this->CaseOf(request, position, request.budget));
+  return this->admission.IsTooLate(now, this->CaseOf(request));
 }
 
 bool SlotBroker::BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const {
@@ -434,9 +442,7 @@
                                     RefusalReason reason) {
   Duration retry_after;
   if (this->policy.by_priority) {
-    const QueuePosition position =
-        this->queue.PositionOf(request.work_class, request.organisation, request.priority);
-    retry_after = this->admission.RetryAfter(now, this->CaseOf(request, position, request.budget));
+    retry_after = this->admission.RetryAfter(now, this->CaseOf(request));
   } else {
     retry_after = std::max<Duration>(this->PredictedWait(request), kMinViewInterval);
   }
@@ -825,6 +831,7 @@
 
 std::vector<AttemptId> SlotBroker::HopelessAttempts(TimePoint now, WorkClass work_class) const {
   std::vector<AttemptId> hopeless;
+  const double capacity_per_s = this->CapacityPerSecond(work_class);
   // Entries that stay, by priority.
   std::map<std::uint32_t, std::size_t> kept;
   this->queue.VisitInServiceOrder(work_class, [&](const QueueEntry& entry) {
@@ -833,7 +840,8 @@
     for (auto more_urgent = kept.begin(); more_urgent->first < priority; ++more_urgent) {
       position.more_urgent += more_urgent->second;
     }
-    const AdmissionCase waiting = this->CaseOf(entry.request, position, entry.deadline - now);
+    const AdmissionCase waiting =
+        this->CaseOf(entry.request, position, capacity_per_s, entry.deadline - now);
     if (this->admission.IsHopeless(now, waiting)) {
       hopeless.push_back(entry.request.attempt);
     } else {
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -158,7 +158,14 @@
   // Slots that serve the class while requests of it wait.
   std::uint32_t SlotsFor(WorkClass work_class) const;
   Duration PredictedWait(const SlotRequest& request) const;
-  AdmissionCase CaseOf(const SlotRequest& request, QueuePosition position, Duration budget) const;
+  // Requests of the class that the service completes in a second; zero if unknown.
+  double CapacityPerSecond(WorkClass work_class) const;
+  AdmissionCase CaseOf(const SlotRequest& request,
+                       QueuePosition position,
+                       double capacity_per_s,
+                       Duration budget) const;
+  // The same for a request that has not entered the queue.
+  AdmissionCase CaseOf(const SlotRequest& request) const;
   // Whether the request would be served too late if it entered the queue.
   bool IsTooLate(TimePoint now, const SlotRequest& request) const;
   bool BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const;
--- a/Libraries/LibDispatch/target_ranking.cc
+++ b/Libraries/LibDispatch/target_ranking.cc
@@ -9,6 +9,8 @@
 constexpr double kFailureCost = 1.0;
 constexpr double kIdempotentFailureCost = 0.4;
 constexpr double kLoadCost = 0.25;
+// A request that a target sheds needs another attempt, which the retry budget may not allow.
+constexpr double kShedCost = 0.4;
 // Crossing failure domains costs time, and bandwidth for large responses.
 constexpr double kRemoteDomainCost = 0.005;
 constexpr double kRemoteDomainBulkCost = 0.5;
@@ -52,6 +54,7 @@
 void TargetRanking::RecordResult(TimePoint now, TargetId target, AttemptResult result) {
   switch (result) {
     case AttemptResult::kSuccess:
+      this->histories[target].shed_share.Record(now, false);
       this->Observe(now, target, FailureEstimator::Outcome::kSuccess);
       return;
     case AttemptResult::kServerError:
@@ -65,6 +68,8 @@
       this->Observe(now, target, FailureEstimator::Outcome::kNoResponse);
       return;
     case AttemptResult::kShed:
+      this->histories[target].shed_share.Record(now, true);
+      return;
     case AttemptResult::kCancelled:
       return;
   }
@@ -104,8 +109,8 @@
       history.failure_probability < (has_retry_left ? kMaxIdempotentRevisitFailureProbability
                                                     : kMaxRevisitFailureProbability);
   return history.failure_probability * (has_retry_left ? kIdempotentFailureCost : kFailureCost) +
-         kLoadCost * candidate.load + domain_cost - (is_new ? kNewTargetBonus : 0.0) -
-         (revisit_due ? kRevisitBonus : 0.0);
+         kShedCost * history.shed_share.At(now) + kLoadCost * candidate.load + domain_cost -
+         (is_new ? kNewTargetBonus : 0.0) - (revisit_due ? kRevisitBonus : 0.0);
 }
 
 bool TargetRanking::IsUnreliable(TimePoint now, const SlotRequest& request, TargetId target) {
--- a/Libraries/LibDispatch/target_ranking.h
+++ b/Libraries/LibDispatch/target_ranking.h
@@ -7,6 +7,7 @@
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/dispatch_types.h"
+#include "Libraries/LibDispatch/shed_share.h"
 #include "Libraries/LibHealth/failure_estimator.h"
 
 namespace pimentopin {
@@ -42,6 +43,7 @@
   // Outcomes of the attempts at a target.
   struct History {
     FailureEstimator failure_estimator;
+    ShedShare shed_share;
     TimePoint last_start;
     // Valid at `evaluated_at`.
     double failure_probability = 0;
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(TestWorkMovesAwayAfterTheFirstFailure);
   CPPUNIT_TEST(TestNonIdempotentWorkWaitsForAReliableTarget);
   CPPUNIT_TEST(TestFailingTargetIsNotOvercommitted);
+  CPPUNIT_TEST(TestSheddingTargetIsPreferred);
   CPPUNIT_TEST(TestNewTargetGetsARequest);
   CPPUNIT_TEST(TestRetryAvoidsTargetThatFailedBefore);
   CPPUNIT_TEST(TestEveryReliableTargetIsRevisited);
@@ -783,6 +784,27 @@
     CPPUNIT_ASSERT_EQUAL(1, granted[TargetId{3}]);
   }
 
+  // Guards against requests that go to a target which has just refused others while another one has
+  // a slot, and against one that gets none after it has room again.
+  void TestSheddingTargetIsPreferred() {
+    SlotBroker broker(Configuration(2, 10));
+    for (std::uint64_t attempt = 1; attempt <= 8; ++attempt) {
+      this->CompleteAttempt(broker, attempt, TargetId{1 + attempt % 2}, AttemptResult::kSuccess);
+    }
+    this->CompleteAttempt(broker, 10, TargetId{1}, AttemptResult::kShed);
+    this->CompleteAttempt(broker, 11, TargetId{1}, AttemptResult::kShed);
+    std::map<TargetId, int> granted;
+    for (std::uint64_t attempt = 20; attempt < 25; ++attempt) {
+      this->Request(broker, ShortRequest(attempt), granted);
+    }
+    CPPUNIT_ASSERT_EQUAL(5, granted[TargetId{2}]);
+    this->now += seconds(10);
+    for (std::uint64_t attempt = 30; attempt < 35; ++attempt) {
+      this->Request(broker, ShortRequest(attempt), granted);
+    }
+    CPPUNIT_ASSERT(granted[TargetId{1}] >= 4);
+  }
+
   // Guards against views that cost more than the requests they serve.
   void TestOccasionalHostsGetNoViews() {
     SlotBroker broker(Configuration(2, 3), {.view_min_request_rate = 20});
