--- a/Libraries/LibHost/attempt_transfer.cc
+++ b/Libraries/LibHost/attempt_transfer.cc
@@ -8,21 +8,23 @@
 namespace pimentopin {
 namespace {
 
-// Flow control: reading from the target is paused when more than kPauseThresholdBytes are
-// buffered and resumed when fewer than kResumeThresholdBytes are left.
-constexpr std::size_t kPauseThresholdBytes = 256 * 1024;
-constexpr std::size_t kResumeThresholdBytes = 64 * 1024;
+// Flow control: reading from the target is paused when a response holds more than the budget allows
+// it, and resumed when it holds less than this part of that.
+constexpr std::size_t kResumeDivisor = 4;
 
 }  // namespace
 
 AttemptTransfer::AttemptTransfer(std::shared_ptr<Exchange> exchange,
                                  TargetAttempt attempt,
                                  const HttpDialect& dialect,
+                                 std::shared_ptr<ResponseBudget> response_budget,
                                  Callbacks callbacks)
     : exchange(std::move(exchange)),
       attempt(std::move(attempt)),
       dialect(dialect),
-      callbacks(std::move(callbacks)) {
+      budget(std::move(response_budget)),
+      callbacks(std::move(callbacks)),
+      reservation(this->budget) {
   if (this->exchange->claim_key) {
     this->stored_body.emplace();
   }
@@ -73,7 +75,7 @@
   std::size_t length = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
   return !text.empty() && error == std::errc() && end == text.data() + text.size() &&
-         length <= kPauseThresholdBytes;
+         length <= this->budget->MaxPerResponse();
 }
 
 void AttemptTransfer::Forward() {
@@ -92,16 +94,14 @@
   if (!this->buffered_body.empty()) {
     this->WriteLocked(std::exchange(this->buffered_body, {}));
   }
-  if (this->paused && this->unsent_bytes < kResumeThresholdBytes) {
-    this->paused = false;
-    this->transfer->Resume();
-  }
+  this->ResumeLocked();
 }
 
 void AttemptTransfer::DiscardBody() {
   const std::lock_guard lock(this->mutex);
   this->discarding = true;
   this->buffered_body.clear();
+  this->UpdateReservationLocked();
   if (this->paused && this->transfer) {
     this->paused = false;
     this->transfer->Resume();
@@ -141,7 +141,7 @@
 
 bool AttemptTransfer::OnHeaders(int code, const HttpHeaders& received) {
   AttemptHeader header;
-  bool header_deferred = false;
+  bool deferred = false;
   {
     const std::lock_guard lock(this->mutex);
     this->status = code;
@@ -165,10 +165,11 @@
     // The header of a short response is reported only once the response is complete, so
     // that a retry can still replace a truncated one. The body of a response that is not
     // forwarded has no effect.
-    header_deferred =
+    deferred =
         code < 500 && !header.shed && !header.wrong_attempt_id && this->BuffersUntilComplete();
+    this->header_deferred = deferred;
   }
-  if (!header_deferred) {
+  if (!deferred) {
     this->callbacks.on_header(header);
   }
   // After a response to another request, the one to this request is still to come and must not be
@@ -196,7 +197,8 @@
   } else {
     this->buffered_body += bytes;
   }
-  if (!this->paused && this->buffered_body.size() + this->unsent_bytes > kPauseThresholdBytes) {
+  this->UpdateReservationLocked();
+  if (!this->paused && this->MustPauseLocked()) {
     this->paused = true;
     if (this->transfer) {
       this->transfer->Pause();
@@ -214,7 +216,28 @@
 void AttemptTransfer::OnWritten(std::size_t bytes) {
   const std::lock_guard lock(this->mutex);
   this->unsent_bytes -= bytes;
-  if (this->paused && this->unsent_bytes < kResumeThresholdBytes) {
+  this->UpdateReservationLocked();
+  this->ResumeLocked();
+}
+
+void AttemptTransfer::UpdateReservationLocked() {
+  this->reservation.Set(this->buffered_body.size() + this->unsent_bytes);
+}
+
+bool AttemptTransfer::MustPauseLocked() {
+  const std::size_t held = this->buffered_body.size() + this->unsent_bytes;
+  if (held <= this->budget->MaxPerResponse() || (this->header_deferred && !this->forwarding)) {
+    return false;
+  }
+  if (held <= ResponseBudget::kMaxPerResponse) {
+    this->budget->RecordEarlyPause();
+  }
+  return true;
+}
+
+void AttemptTransfer::ResumeLocked() {
+  if (this->paused && (this->unsent_bytes == 0 ||
+                       this->unsent_bytes < this->budget->MaxPerResponse() / kResumeDivisor)) {
     this->paused = false;
     this->transfer->Resume();
   }
--- a/Libraries/LibHost/attempt_transfer.h
+++ b/Libraries/LibHost/attempt_transfer.h
@@ -11,6 +11,7 @@
 #include "Libraries/LibHost/content_digest.h"
 #include "Libraries/LibHost/exchange.h"
 #include "Libraries/LibHost/http_dialect.h"
+#include "Libraries/LibHost/response_budget.h"
 #include "Libraries/LibHttp/http_client.h"
 
 namespace pimentopin {
@@ -40,6 +41,7 @@
   AttemptTransfer(std::shared_ptr<Exchange> exchange,
                   TargetAttempt attempt,
                   const HttpDialect& dialect,
+                  std::shared_ptr<ResponseBudget> response_budget,
                   Callbacks callbacks);
 
   // Sends the request to `address` (IP:port).
@@ -67,6 +69,12 @@
   void OnEnd(const TransferResult& result);
   void WriteLocked(std::string bytes);
   void OnWritten(std::size_t bytes);
+  // To be called when the held bytes have changed.
+  void UpdateReservationLocked();
+  // Whether the response holds so much that reading from the target pauses.
+  bool MustPauseLocked();
+  // Continues to read from the target if the caller has read enough.
+  void ResumeLocked();
   AttemptResult ResultLocked(const TransferResult& result);
   // Empty if the response does not tell whether the target limits the rate of its requests.
   std::optional<double> StatedRateLimitLocked() const;
@@ -78,9 +86,13 @@
   const std::shared_ptr<Exchange> exchange;
   const TargetAttempt attempt;
   const HttpDialect& dialect;
+  const std::shared_ptr<ResponseBudget> budget;
   const Callbacks callbacks;
 
   std::mutex mutex;
+  ResponseReservation reservation;
+  // The response is forwarded only once it is complete, so reading it must not pause.
+  bool header_deferred = false;
   std::shared_ptr<Transfer> transfer;
   int status = 0;
   HttpHeaders headers;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -147,11 +147,10 @@
   for (const Service& service : configuration.services) {
     const std::uint32_t floor_slots = configuration.FloorSlots(service);
     DispatchService dispatch{.service = service.id(), .floor_slots = floor_slots};
-    BrokerConfiguration broker{
-        .service = service.id(),
-        .floor_slots = floor_slots,
-        .queue_limit = service.queue_limit,
-        .objectives = objectives};
+    BrokerConfiguration broker{.service = service.id(),
+                               .floor_slots = floor_slots,
+                               .queue_limit = service.queue_limit,
+                               .objectives = objectives};
     for (const Target* target : configuration.TargetsOf(service.name)) {
       dispatch.targets.push_back(
           {target->id(), target->domain_id(), target->slots, target->connections});
@@ -501,8 +500,9 @@
        {"target", target->name},
        {"service", target->service},
        {"remaining_ms", Milliseconds(attempt.remaining)}});
-  auto transfer = std::make_shared<AttemptTransfer>(request.exchange, std::move(attempt),
-                                                    *this->settings.dialect, std::move(callbacks));
+  auto transfer = std::make_shared<AttemptTransfer>(
+      request.exchange, std::move(attempt), *this->settings.dialect, this->settings.response_budget,
+      std::move(callbacks));
   request.transfers[action.attempt] = transfer;
   this->attempts[action.attempt] = action.request;
   HttpClient& client =
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -98,6 +98,8 @@
   void OnClaimLost(const ClaimKey& key, AttemptId attempt);
   void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
+  // Publishes what the host holds for callers and targets.
+  void RecordMemory();
   // The stop that has begun, if any. Callable from any thread.
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
@@ -134,6 +136,9 @@
   PauseMonitor pauses{kRunningCheckInterval};
   SharedState shared_state;
   Metrics metrics;
+  const std::shared_ptr<ResponseBudget> response_budget =
+      std::make_shared<ResponseBudget>(this->settings.max_held_response_bytes);
+  std::size_t logged_early_pauses = 0;
   bool shutting_down = false;
   // Of the active configuration.
   std::size_t configured_body_bytes = 0;
@@ -300,6 +305,7 @@
       .domain_name = this->settings.domain,
       .clients = {this->target_client.get()},
       .dialect = this->adapter.dialect,
+      .response_budget = this->response_budget,
       .broker_policy = policy,
       .retry_limits = local_limits,
       .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
@@ -388,6 +394,7 @@
   this->loop.RunPeriodically(kHousekeepingInterval, [this] {
     this->reports->Tick(SteadyNow());
     this->UpdateReadiness();
+    this->RecordMemory();
   });
   this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->RecordRunning(); });
   this->directory->Start();
@@ -560,6 +567,24 @@
       active_configuration ? static_cast<double>(active_configuration->revision) : 0.0);
 }
 
+void HostProcess::RecordMemory() {
+  const std::size_t held_responses = this->response_budget->held_bytes();
+  const std::size_t early_pauses = this->response_budget->early_pauses();
+  this->metrics.SetGauge("pimentopin_held_request_body_bytes", "",
+                         static_cast<double>(this->caller_server->held_body_bytes()));
+  this->metrics.SetGauge("pimentopin_held_response_bytes", "", static_cast<double>(held_responses));
+  const std::size_t pauses = early_pauses - std::exchange(this->logged_early_pauses, early_pauses);
+  if (pauses == 0) {
+    return;
+  }
+  this->metrics.IncrementCounter("pimentopin_responses_paused_early_total", "", pauses);
+  Log(LogLevel::kWarning, "responses_paused_early",
+      {{"pauses", pauses},
+       {"held_bytes", held_responses},
+       {"max_bytes", this->settings.max_held_response_bytes},
+       {"max_bytes_per_response", this->response_budget->MaxPerResponse()}});
+}
+
 void HostProcess::Run() {
   const ScopedSignalMask handled_signals(SIG_UNBLOCK, {SIGTERM, SIGINT, SIGHUP});
   this->WaitForSignals();
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -14,6 +14,9 @@
 constexpr double kPercentScale = 100.0;
 constexpr double kMaxCores = 1024.0;
 constexpr double kMillicoresPerCore = 1000.0;
+// Parts of the machine's memory. The rest is for the process itself and the buffers of sockets.
+constexpr std::size_t kBodyMemoryDivisor = 2;
+constexpr std::size_t kResponseMemoryDivisor = 8;
 
 std::string CheckName(const std::string& value) {
   const bool is_name =
@@ -96,6 +99,13 @@
        .default_value = std::to_string(kDefaultMaxHeldBodyBytes),
        .minimum = 1,
        .maximum = std::int64_t{1} << 40},
+      {.name = "memory-mb",
+       .kind = SettingKind::kNumber,
+       .help = "memory of this host's machine; request bodies take up to a half and unread "
+               "responses up to an eighth of it; 0 if it is not limited",
+       .unit = "megabytes",
+       .default_value = "0",
+       .maximum = 1 << 24},
       {.name = "max-concurrent-requests",
        .kind = SettingKind::kNumber,
        .help = "maximum number of concurrent requests; further ones are refused as not run",
@@ -183,6 +193,13 @@
   result.traffic_threads = static_cast<std::size_t>(settings.Number("traffic-threads"));
   result.max_body_bytes = static_cast<std::size_t>(settings.Number("max-body-bytes"));
   result.max_held_body_bytes = static_cast<std::size_t>(settings.Number("max-held-body-bytes"));
+  if (const auto memory_bytes = static_cast<std::size_t>(settings.Number("memory-mb")) << 20;
+      memory_bytes > 0) {
+    result.max_held_body_bytes =
+        std::min(result.max_held_body_bytes, memory_bytes / kBodyMemoryDivisor);
+    result.max_held_response_bytes =
+        std::min(result.max_held_response_bytes, memory_bytes / kResponseMemoryDivisor);
+  }
   result.max_concurrent_requests =
       static_cast<std::size_t>(settings.Number("max-concurrent-requests"));
   result.shutdown_delay = std::chrono::milliseconds(settings.Number("shutdown-delay-ms"));
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -15,6 +15,8 @@
 // Where a limit comes from.
 enum class LimitSource : std::uint8_t { kNone, kFlag, kPlatform };
 
+inline constexpr std::size_t kDefaultHeldResponseBytes = 64 << 20;
+
 // Settings of a host process.
 struct HostSettings {
   std::string name;
@@ -28,6 +30,8 @@
   std::size_t traffic_threads = 2;
   std::size_t max_body_bytes = 1 << 20;
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
+  // Sum of the bytes of target responses that callers have not read yet.
+  std::size_t max_held_response_bytes = kDefaultHeldResponseBytes;
   std::size_t max_concurrent_requests = 1024;
   // Time for the load balancer to detect that the host is not ready.
   Duration shutdown_delay = std::chrono::seconds(5);
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 
 #include "Libraries/LibHost/error_response.h"
+#include "Libraries/LibHost/host_settings.h"
 #include "Libraries/LibHost/native_dialect.h"
 #include "Tests/LibHttp/http_test_support.h"
 
@@ -88,6 +89,7 @@
   CPPUNIT_TEST(TestShortResponseIsReportedWhenComplete);
   CPPUNIT_TEST(TestLargeResponseIsForwardedImmediately);
   CPPUNIT_TEST(TestLimitsBufferForSlowCaller);
+  CPPUNIT_TEST(TestSlowCallersFillTheMemory);
   CPPUNIT_TEST(TestDigestMismatchIsRejected);
   CPPUNIT_TEST(TestMismatchedAttemptIdIsRejected);
   CPPUNIT_TEST(TestConnectionIsKeptAfterAResponseToAnotherRequest);
@@ -177,6 +179,42 @@
     CPPUNIT_ASSERT(!this->client.transfer->paused);
   }
 
+  // Guards against slow callers that together hold more than the budget, against one whose transfer
+  // never resumes, and against bytes that are counted after their response has ended.
+  void TestSlowCallersFillTheMemory() {
+    constexpr std::size_t kBudget = 1 << 20;
+    this->budget = std::make_shared<ResponseBudget>(kBudget);
+    std::vector<std::shared_ptr<AttemptTransfer>> transfers;
+    std::vector<std::shared_ptr<FakeTransfer>> connections;
+    for (int caller = 0; caller < 20; ++caller) {
+      this->client.transfer = std::make_shared<FakeTransfer>();
+      this->StartTransfer();
+      transfers.push_back(this->transfer);
+      connections.push_back(this->client.transfer);
+      this->Callbacks().on_headers(200, {});
+      this->transfer->Forward();
+      while (!connections.back()->paused) {
+        this->Callbacks().on_body(std::string(4 << 10, 'x'));
+      }
+    }
+    CPPUNIT_ASSERT(this->budget->held_bytes() < kBudget);
+    CPPUNIT_ASSERT(this->budget->early_pauses() > 0);
+    while (!this->responder->write_callbacks.empty()) {
+      this->responder->write_callbacks.front()();
+      this->responder->write_callbacks.pop_front();
+    }
+    for (const auto& connection : connections) {
+      CPPUNIT_ASSERT(!connection->paused);
+    }
+    this->Callbacks().on_body(std::string(4 << 10, 'x'));
+    CPPUNIT_ASSERT(this->budget->held_bytes() > 0);
+    this->responder->write_callbacks.clear();
+    this->client.callbacks = {};
+    this->transfer.reset();
+    transfers.clear();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->budget->held_bytes());
+  }
+
   // Guards against forwarding a corrupted body as complete.
   void TestDigestMismatchIsRejected() {
     CPPUNIT_ASSERT(this->ResultWithBody("hello", kHelloDigest) == AttemptResult::kSuccess);
@@ -371,7 +409,7 @@
     const auto attempt = std::make_shared<AttemptTransfer>(
         this->exchange,
         TargetAttempt{.attempt_id = AttemptId{7}, .remaining = std::chrono::seconds(20)},
-        this->dialect,
+        this->dialect, std::make_shared<ResponseBudget>(kDefaultHeldResponseBytes),
         AttemptTransfer::Callbacks{[&](const AttemptHeader&) { has_header = true; },
                                    [&](const AttemptEnd& last) { ended.set_value(last); }});
     attempt->Start(http_client, server.address());
@@ -401,7 +439,7 @@
     this->transfer = std::make_shared<AttemptTransfer>(
         this->exchange,
         TargetAttempt{.attempt_id = AttemptId{7}, .remaining = std::chrono::milliseconds(1500)},
-        transfer_dialect,
+        transfer_dialect, this->budget,
         AttemptTransfer::Callbacks{[this](const AttemptHeader& last) { this->header = last; },
                                    [this](const AttemptEnd& last) { this->end = last; }});
     this->transfer->Start(this->client, "127.0.0.1:1");
@@ -419,6 +457,8 @@
   std::shared_ptr<FakeResponder> responder = std::make_shared<FakeResponder>();
   std::shared_ptr<Exchange> exchange;
   FakeClient client;
+  std::shared_ptr<ResponseBudget> budget =
+      std::make_shared<ResponseBudget>(kDefaultHeldResponseBytes);
   std::shared_ptr<AttemptTransfer> transfer;
   NativeDialect dialect;
   // The most recently reported header.
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(TestPlatformWithoutLimitsEndsTheStart);
   CPPUNIT_TEST(TestLimitOfThePlatformThatIsMissingIsNoWarning);
   CPPUNIT_TEST(TestValidSettings);
+  CPPUNIT_TEST(TestHeldBytesExceedTheMemory);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -113,6 +114,18 @@
     CPPUNIT_ASSERT(settings.shutdown_delay == std::chrono::seconds(5));
   }
 
+  // Guards against a host on a small machine that is ended because it holds too many bytes.
+  void TestHeldBytesExceedTheMemory() {
+    const Findings findings =
+        this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
+                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+                    "--platform-url", "http://127.0.0.1:1", "--memory-mb", "160"});
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    const HostSettings settings = ReadHostSettings(*this->result.settings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{80} << 20, settings.max_held_body_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20} << 20, settings.max_held_response_bytes);
+  }
+
  private:
   Findings Read(const std::vector<std::string>& arguments) {
     Findings findings;
