--- a/Libraries/LibDispatch/target_ranking.cc
+++ b/Libraries/LibDispatch/target_ranking.cc
@@ -13,6 +13,8 @@
 // does not know of.
 constexpr double kDelayCost = 0.25;
 constexpr double kLoadBesideDelayCost = 0.05;
+// A request that a target sheds needs another attempt, which the retry budget may not allow.
+constexpr double kShedCost = 0.4;
 // Crossing failure domains costs time, and bandwidth for large responses.
 constexpr double kRemoteDomainCost = 0.005;
 constexpr double kRemoteDomainBulkCost = 0.5;
@@ -56,6 +58,7 @@
 void TargetRanking::RecordResult(TimePoint now, TargetId target, AttemptResult result) {
   switch (result) {
     case AttemptResult::kSuccess:
+      this->histories[target].shed_share.Record(now, false);
       this->Observe(now, target, FailureEstimator::Outcome::kSuccess);
       return;
     case AttemptResult::kServerError:
@@ -69,6 +72,8 @@
       this->Observe(now, target, FailureEstimator::Outcome::kNoResponse);
       return;
     case AttemptResult::kShed:
+      this->histories[target].shed_share.Record(now, true);
+      return;
     case AttemptResult::kCancelled:
       return;
   }
@@ -111,8 +116,8 @@
       history.failure_probability < (has_retry_left ? kMaxIdempotentRevisitFailureProbability
                                                     : kMaxRevisitFailureProbability);
   return history.failure_probability * (has_retry_left ? kIdempotentFailureCost : kFailureCost) +
-         load_cost + domain_cost - (is_new ? kNewTargetBonus : 0.0) -
-         (revisit_due ? kRevisitBonus : 0.0);
+         kShedCost * history.shed_share.At(now) + load_cost + domain_cost -
+         (is_new ? kNewTargetBonus : 0.0) - (revisit_due ? kRevisitBonus : 0.0);
 }
 
 bool TargetRanking::IsUnreliable(TimePoint now, const SlotRequest& request, TargetId target) {
