Dispatch: Bound the bytes of slot requests and views of services with many targets

While one target of a service left, every slot request named all others: 1.5 to 2.4 KB with 185 targets. The list is now left out whenever the caller may use all targets; the host checks each grant anyway, and forbids a target that was granted although it leaves.

A view of 185 targets was pushed every 20 ms to each host that uses the service often. Views now keep a budget of 64 KB/s a host. Up to 37 targets the interval stays 20 ms. Views that could be sent only every 50 ms or less are sent once a second, as evidence for hosts without a broker, and lead to no optimistic starts. Waiting hosts get keep-alives without targets in between.

--- a/Libraries/LibDispatch/broker_policy.h
+++ b/Libraries/LibDispatch/broker_policy.h
@@ -4,6 +4,7 @@
 
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/view_budget.h"
 
 namespace pimentopin {
 
@@ -33,6 +34,9 @@
   // A host receives views if it sends at least this many requests per second.
   // Below that rate, a slot request for each request costs less than the views.
   double view_min_request_rate = 0;
+  // Limit of the views that one host receives. Views of services with many targets are sent less
+  // often.
+  double view_bytes_per_second = kViewBytesPerSecond;
   RetryLimits retry_limits;
 
   friend bool operator==(const BrokerPolicy&, const BrokerPolicy&) = default;
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -310,13 +310,17 @@
                                             const DispatchServiceState& service,
                                             const RequestState& state) const {
   const RequestDescription& description = state.description;
-  std::vector<TargetId> allowed = this->chooser.AllowedTargets(service, description);
-  if (allowed.size() == service.configuration.targets.size()) {
-    allowed.clear();
+  // OnGrant() checks the target again, so that leaving targets need no list.
+  std::vector<TargetId> allowed;
+  if (!TargetChooser::MayUseAllTargets(service, description)) {
+    allowed = this->chooser.AllowedTargets(service, description);
   }
   std::vector<TargetId> forbidden;
   for (const DispatchService::Target& target : service.configuration.targets) {
-    if (this->chooser.IsForbidden(now, state, target.target)) {
+    // The broker does not know yet that a target leaves if it has granted it.
+    const bool granted_while_leaving =
+        Contains(state.excluded, target.target) && this->settings.IsLeaving(target.target);
+    if (granted_while_leaving || this->chooser.IsForbidden(now, state, target.target)) {
       forbidden.push_back(target.target);
     }
   }
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -10,7 +10,6 @@
 namespace pimentopin {
 namespace {
 
-constexpr Duration kMinViewInterval = std::chrono::milliseconds(20);
 // Hosts make optimistic starts only on views younger than 250 ms
 // (ViewState::kMaxViewAge), so an unchanged view is repeated within that time
 // while a host uses the service.
@@ -28,9 +27,11 @@
 constexpr Duration kPauseThreshold = std::chrono::milliseconds(50);
 // Tick intervals while requests wait, and while only held slots and target
 // health need updates. While hosts receive views, ticks follow
-// kMinViewInterval.
+// PushInterval().
 constexpr Duration kQueueTickInterval = std::chrono::milliseconds(10);
 constexpr Duration kIdleTickInterval = std::chrono::seconds(1);
+// Longest tick interval while hosts receive views that are sent less often.
+constexpr Duration kMaxViewTickInterval = std::chrono::milliseconds(100);
 
 // An attempt is overdue after this multiple of the mean service time. About 3 %
 // of long-tailed work takes longer.
@@ -472,22 +473,35 @@
 }
 
 void SlotBroker::AcknowledgeQueued(TimePoint now, HostId host, Messages& messages) {
-  HostActivity& activity = this->hosts[host];
-  activity.view_sent_at = now;
-  ServiceView view = this->View();
-  view.sequence = this->NextSequence(now);
-  messages.push_back(this->MakeViewMessage(now, host, activity, std::move(view)));
+  this->NextSequence(now);
+  std::optional<ServiceView> view;
+  messages.push_back(this->MakeViewMessage(now, host, this->hosts[host], view));
+}
+
+Duration SlotBroker::PushInterval() const {
+  return ViewInterval(this->configuration.targets.size(), this->policy.view_bytes_per_second);
+}
+
+bool SlotBroker::MaySendTargets(TimePoint now, const HostActivity& activity) const {
+  const Duration interval = this->PushInterval();
+  return this->ReceivesViews(now, activity) &&
+         (interval <= kMinViewInterval || now - activity.targets_sent_at >= interval);
 }
 
 SendToHost SlotBroker::MakeViewMessage(TimePoint now,
                                        HostId host,
-                                       const HostActivity& activity,
-                                       ServiceView view) const {
-  if (!this->ReceivesViews(now, activity)) {
-    view.targets.clear();
-    return {host, std::move(view)};
+                                       HostActivity& activity,
+                                       std::optional<ServiceView>& view) {
+  activity.view_sent_at = now;
+  if (!this->MaySendTargets(now, activity)) {
+    return {host, this->ViewHeader()};
+  }
+  activity.targets_sent_at = now;
+  activity.view_pending = false;
+  if (!view) {
+    view = this->View();
   }
-  return {host, this->ViewForHost(host, activity, std::move(view))};
+  return {host, this->ViewForHost(host, activity, *view)};
 }
 
 std::vector<SendToHost> SlotBroker::OnCancel(TimePoint now,
@@ -760,7 +774,7 @@
   } else if (std::any_of(this->hosts.begin(), this->hosts.end(), [this, now](const auto& item) {
                return this->ReceivesViews(now, item.second);
              })) {
-    next = now + kMinViewInterval;
+    next = now + std::min(this->PushInterval(), kMaxViewTickInterval);
   } else if (!this->hosts.empty() || this->table.size() > 0) {
     next = now + kIdleTickInterval;
   }
@@ -772,32 +786,34 @@
 }
 
 void SlotBroker::PushViews(TimePoint now, Messages& messages) {
-  ServiceView view = this->View();
-  view.sequence = 0;
-  const bool changed = view != this->last_pushed_view && now - this->pushed_at >= kMinViewInterval;
-  if (changed) {
-    this->last_pushed_view = view;
-    this->pushed_at = now;
-    for (auto& [host, activity] : this->hosts) {
-      activity.view_pending = true;
+  if (now - this->pushed_at >= this->PushInterval()) {
+    ServiceView current = this->View();
+    current.sequence = 0;
+    if (current != this->last_pushed_view) {
+      this->last_pushed_view = std::move(current);
+      this->pushed_at = now;
+      for (auto& [host, activity] : this->hosts) {
+        activity.view_pending = true;
+      }
     }
   }
-  view.sequence = this->NextSequence(now);
+  this->NextSequence(now);
+  std::optional<ServiceView> view;
   std::set<HostId> waiting;
   for (const QueueEntry* entry : this->queue.All()) {
     waiting.insert(entry->host);
   }
   for (auto& [host, activity] : this->hosts) {
-    if (!waiting.contains(host) && !this->ReceivesViews(now, activity)) {
+    const bool receives_views = this->ReceivesViews(now, activity);
+    if (!waiting.contains(host) && !receives_views) {
       continue;
     }
     const Duration repeat_interval = waiting.contains(host) ? kWaitingViewRepeatInterval
                                      : now - activity.last_active_at < kRecentActivity
-                                         ? kViewRepeatInterval
-                                         : kIdleViewRepeatInterval;
-    if (activity.view_pending || now - activity.view_sent_at >= repeat_interval) {
-      activity.view_pending = false;
-      activity.view_sent_at = now;
+                                         ? std::max(kViewRepeatInterval, this->PushInterval())
+                                         : std::max(kIdleViewRepeatInterval, this->PushInterval());
+    const bool changed = activity.view_pending && this->MaySendTargets(now, activity);
+    if (changed || now - activity.view_sent_at >= repeat_interval) {
       messages.push_back(this->MakeViewMessage(now, host, activity, view));
     }
   }
@@ -818,12 +834,16 @@
   return this->health.TakeEvents();
 }
 
+ServiceView SlotBroker::ViewHeader() const {
+  return {.service = this->configuration.service,
+          .sequence = this->sequence,
+          .queued = static_cast<std::uint32_t>(this->queue.size()),
+          .active_hosts =
+              static_cast<std::uint16_t>(std::clamp<std::size_t>(this->hosts.size(), 1, 65535))};
+}
+
 ServiceView SlotBroker::View() const {
-  ServiceView view{.service = this->configuration.service,
-                   .sequence = this->sequence,
-                   .queued = static_cast<std::uint32_t>(this->queue.size()),
-                   .active_hosts = static_cast<std::uint16_t>(
-                       std::clamp<std::size_t>(this->hosts.size(), 1, 65535))};
+  ServiceView view = this->ViewHeader();
   for (const Candidate& candidate : this->candidates) {
     const std::uint32_t usable = candidate.health_status.usable_slots;
     // A start without a grant would exceed the limit.
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -96,6 +96,8 @@
     DomainId domain{};
     TimePoint last_active_at;
     TimePoint view_sent_at;
+    // Time of the last view with targets.
+    TimePoint targets_sent_at;
     bool view_pending = false;
     // Number of requests and claims, with exponential decay by age.
     double recent_requests = 0;
@@ -165,12 +167,19 @@
   void RefuseExpired(TimePoint now, Messages& messages);
   void PushViews(TimePoint now, Messages& messages);
   void AcknowledgeQueued(TimePoint now, HostId host, Messages& messages);
+  // Whether a view with targets may be sent to the host without exceeding its budget.
+  bool MaySendTargets(TimePoint now, const HostActivity& activity) const;
   // Makes a keep-alive message, with the state of the targets if the host
-  // receives views.
+  // receives views and its budget allows.
+  // Fills `view` if it is empty and needed.
   SendToHost MakeViewMessage(TimePoint now,
                              HostId host,
-                             const HostActivity& activity,
-                             ServiceView view) const;
+                             HostActivity& activity,
+                             std::optional<ServiceView>& view);
+  // The minimum time between two views with targets to the same host.
+  Duration PushInterval() const;
+  // A view without targets.
+  ServiceView ViewHeader() const;
   std::uint64_t NextSequence(TimePoint now);
 
   BrokerConfiguration configuration;
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -4,6 +4,7 @@
 
 #include "Libraries/LibCore/contains.h"
 #include "Libraries/LibDispatch/affinity.h"
+#include "Libraries/LibDispatch/view_budget.h"
 
 namespace pimentopin {
 namespace {
@@ -75,6 +76,19 @@
   return allowed;
 }
 
+bool TargetChooser::MayUseAllTargets(const DispatchServiceState& service,
+                                     const RequestDescription& description) {
+  // As above, the lists normally have the same order.
+  std::size_t next = 0;
+  return std::all_of(service.configuration.targets.begin(), service.configuration.targets.end(),
+                     [&](const DispatchService::Target& target) {
+                       const bool is_next = next < description.allowed.size() &&
+                                            description.allowed[next] == target.target;
+                       next += is_next ? 1 : 0;
+                       return is_next || Contains(description.allowed, target.target);
+                     });
+}
+
 bool TargetChooser::IsForbidden(TimePoint now, const RequestState& state, TargetId target) const {
   return Contains(state.refused_by, target) || this->settings.HoldOffEnd(now, target).has_value();
 }
@@ -109,6 +123,7 @@
   // holds.
   if (!this->settings.optimistic_starts || description.work_class == WorkClass::kLong ||
       this->settings.IsSuspect(description.fingerprint) || !service.view.IsFreshFrom(now, broker) ||
+      !AllowsOptimisticStarts(service.view.view()->targets.size()) ||
       service.view.view()->queued > 0 || service.waiting_at_broker > 0 ||
       service.local_queue.size() > 0) {
     return std::nullopt;
--- a/Libraries/LibDispatch/target_chooser.h
+++ b/Libraries/LibDispatch/target_chooser.h
@@ -29,6 +29,9 @@
   // Configured targets that the caller may use and that are not leaving.
   std::vector<TargetId> AllowedTargets(const DispatchServiceState& service,
                                        const RequestDescription& description) const;
+  // Whether the caller may use all configured targets, leaving ones included.
+  static bool MayUseAllTargets(const DispatchServiceState& service,
+                               const RequestDescription& description);
   // Those of the allowed targets that may receive the request now: they do not hold this host off
   // and have not refused the request, if it is non-idempotent.
   std::vector<TargetId> UsableTargets(TimePoint now,
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -318,7 +318,7 @@
           this->Execute(this->dispatcher.OnRefusal(now, sender, message));
         } else if constexpr (std::is_same_v<T, ServiceView>) {
           this->dispatcher.OnView(now, sender, message);
-          this->views[message.service] = message;
+          this->StoreView(message);
           this->PublishViews();
         } else if constexpr (std::is_same_v<T, SlotRequest>) {
           SlotBroker* broker = this->GetOrCreateBroker(message.service);
@@ -419,6 +419,15 @@
   this->alarm->Set(next);
 }
 
+void DispatchController::StoreView(const ServiceView& view) {
+  ServiceView& known = this->views[view.service];
+  std::vector<TargetView> targets = std::move(known.targets);
+  known = view;
+  if (known.targets.empty()) {
+    known.targets = std::move(targets);
+  }
+}
+
 void DispatchController::PublishViews() {
   std::vector<ServiceView> current;
   for (const auto& [service, view] : this->views) {
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -117,6 +117,8 @@
   void Tick();
   // Sets the alarm to the next deadline of the dispatcher and the brokers.
   void Reschedule();
+  // A view without targets does not replace the known targets.
+  void StoreView(const ServiceView& view);
   void PublishViews();
   void OnBrokerCandidates(const std::vector<HostId>& hosts);
   void OnMembers(const std::vector<MemberRecord>& members);
--- a/Tests/LibDispatch/slot_broker_test.cc
+++ b/Tests/LibDispatch/slot_broker_test.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Libraries/LibProtocol/codec.h"
+
 namespace pimentopin {
 namespace {
 
@@ -53,6 +55,7 @@
   CPPUNIT_TEST(TestMessageAfterOwnPauseFreesSlots);
   CPPUNIT_TEST(TestBulkWorkStaysInItsFailureDomain);
   CPPUNIT_TEST(TestOccasionalHostsGetNoViews);
+  CPPUNIT_TEST(TestViewsOfManyTargetsFillTheLink);
   CPPUNIT_TEST(TestIdleBrokerNeedsNoTick);
   CPPUNIT_TEST_SUITE_END();
 
@@ -802,6 +805,33 @@
     CPPUNIT_ASSERT(views > 0);
   }
 
+  // Guards against views that grow with the number of targets until the broker's link is full, and
+  // against waiting hosts that hear nothing meanwhile.
+  void TestViewsOfManyTargetsFillTheLink() {
+    SlotBroker broker(Configuration(185, 1), {.overcommit_per_target = 0});
+    std::uint64_t attempt = 1;
+    for (; attempt <= 190; ++attempt) {
+      broker.OnRequest(this->now, kHost, kDomain, ShortRequest(attempt), false);
+    }
+    std::size_t bytes = 0;
+    TimePoint last_message_at = this->now;
+    for (int tick = 0; tick < 100; ++tick) {
+      this->now += milliseconds(10);
+      std::vector<SendToHost> messages =
+          broker.OnRequest(this->now, kHost, kDomain, ShortRequest(++attempt), false);
+      const std::vector<SendToHost> pushed = broker.Tick(this->now);
+      messages.insert(messages.end(), pushed.begin(), pushed.end());
+      for (const SendToHost& message : messages) {
+        bytes += EncodeFrame({kHost, kDomain, message.message}).size();
+        last_message_at = this->now;
+      }
+      CPPUNIT_ASSERT(this->now - last_message_at < milliseconds(50));
+    }
+    // The keep-alives are small. One view may precede the budget.
+    CPPUNIT_ASSERT(static_cast<double>(bytes) < kViewBytesPerSecond);
+    CPPUNIT_ASSERT(EncodeFrame({kHost, kDomain, broker.View()}).size() <= ViewSize(185));
+  }
+
   // Guards against a broker that uses processor time while idle.
   void TestIdleBrokerNeedsNoTick() {
     SlotBroker broker(Configuration(1, 1),
