--- a/Libraries/LibDispatch/broker_policy.h
+++ b/Libraries/LibDispatch/broker_policy.h
@@ -37,6 +37,8 @@
   // Limit of the views that one host receives. Views of services with many targets are sent less
   // often.
   double view_bytes_per_second = kViewBytesPerSecond;
+  // Send views only as often as hosts need them for lack of a broker.
+  bool evidence_views_only = false;
   RetryLimits retry_limits;
 
   friend bool operator==(const BrokerPolicy&, const BrokerPolicy&) = default;
--- a/Libraries/LibDispatch/dispatch_service_state.h
+++ b/Libraries/LibDispatch/dispatch_service_state.h
@@ -10,6 +10,7 @@
 #include "Libraries/LibDispatch/dispatch_types.h"
 #include "Libraries/LibDispatch/fair_queue.h"
 #include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/target_ranking.h"
 #include "Libraries/LibDispatch/target_rate_limits.h"
 #include "Libraries/LibDispatch/view_state.h"
 
@@ -26,9 +27,15 @@
   // Limits that targets stated to this host. The broker keeps them for all hosts; without one, each
   // host keeps its share.
   TargetRateLimits rate_limits;
+  // Results of this host's own attempts, for choices without a broker.
+  TargetRanking own_results;
   std::map<TargetId, std::uint32_t> outstanding;
   std::uint32_t outstanding_total = 0;
   std::uint32_t waiting_at_broker = 0;
+  // The cells of a divided service, in the order in which this host prefers them.
+  std::vector<ServiceId> cell_order;
+  // Of a cell: until when it is expected to refuse requests for lack of room.
+  TimePoint full_until;
   std::optional<HostId> reported_to;
   TimePoint reported_at;
 };
--- a/Libraries/LibDispatch/dispatch_types.h
+++ b/Libraries/LibDispatch/dispatch_types.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
+#include "Libraries/LibCore/rendezvous.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/retry_budget.h"
 #include "Libraries/LibProtocol/envelope.h"
@@ -48,12 +50,29 @@
   friend bool operator==(const HostEnd&, const HostEnd&) = default;
 };
 
+// Who chose the target of an attempt: the broker with a grant, this host by the broker's view, or
+// this host without a broker.
+enum class PlacedBy : std::uint8_t { kBroker, kOptimistic, kFallback };
+
+constexpr std::string_view PlacedByName(PlacedBy placed_by) {
+  switch (placed_by) {
+    case PlacedBy::kBroker:
+      return "broker";
+    case PlacedBy::kOptimistic:
+      return "optimistic";
+    case PlacedBy::kFallback:
+      return "fallback";
+  }
+  return "";
+}
+
 // Action: send the request to the target.
 struct StartAttempt {
   RequestId request{};
   AttemptId attempt{};
   TargetId target{};
   TimePoint deadline;
+  PlacedBy placed_by = PlacedBy::kBroker;
 
   friend bool operator==(const StartAttempt&, const StartAttempt&) = default;
 };
@@ -118,7 +137,16 @@
   friend bool operator==(const AttemptEnd&, const AttemptEnd&) = default;
 };
 
-// Configuration of a service as a host needs it.
+// A part of a service: the targets of one failure domain, with a broker of its own.
+struct ServiceCell {
+  ServiceId id{};
+  DomainId domain{};
+  std::uint32_t floor_slots = 0;
+
+  friend bool operator==(const ServiceCell&, const ServiceCell&) = default;
+};
+
+// Configuration of a service, or of one cell, as a host needs it.
 struct DispatchService {
   ServiceId service{};
   std::uint32_t floor_slots = 0;
@@ -130,10 +158,17 @@
     friend bool operator==(const Target&, const Target&) = default;
   };
   std::vector<Target> targets;
+  // Empty if the service is not divided.
+  std::vector<ServiceCell> cells;
+  // Whether views may lead to starts without a grant.
+  bool optimistic_starts = true;
 
   friend bool operator==(const DispatchService&, const DispatchService&) = default;
 };
 
+// Orders the hosts that may be the broker of a service or cell; the first one is preferred.
+using BrokerRanker = std::function<std::vector<HostId>(ServiceId, const std::vector<HostId>&)>;
+
 // How targets are chosen. All policies but kBrokered are baselines for
 // comparison.
 enum class DispatchPolicy { kBrokered, kLeastOutstanding, kRandom };
@@ -147,6 +182,8 @@
   bool optimistic_starts = true;
   // Limits retries for which no broker is available.
   RetryLimits retry_limits;
+  // Ranks by rendezvous hashing if it is not set.
+  BrokerRanker rank_brokers;
   // These callbacks are called at each decision, so that the latest notices
   // apply.
   std::function<bool(TargetId)> is_leaving;
@@ -155,6 +192,9 @@
   std::function<bool(Fingerprint)> is_suspect;
   std::function<bool(Fingerprint)> is_blocked;
 
+  std::vector<HostId> RankBrokers(ServiceId id, const std::vector<HostId>& hosts) const {
+    return this->rank_brokers ? this->rank_brokers(id, hosts) : RendezvousRank(RawId(id), hosts);
+  }
   // The following return false or nothing if their callback is not set.
   bool IsLeaving(TargetId target) const { return this->is_leaving && this->is_leaving(target); }
   std::optional<TimePoint> HoldOffEnd(TimePoint now, TargetId target) const {
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -1,10 +1,12 @@
 #include "Libraries/LibDispatch/host_dispatcher.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Libraries/LibCore/contains.h"
 #include "Libraries/LibCore/rendezvous.h"
+#include "Libraries/LibDispatch/service_cells.h"
 
 namespace pimentopin {
 namespace {
@@ -30,6 +32,8 @@
 constexpr Duration kLastAttemptEndTimeout = std::chrono::milliseconds(100);
 constexpr std::uint32_t kMaxUnusableGrants = 5;
 constexpr std::size_t kMaxLocalQueueLength = 64;
+// Time for which a cell that had no room for a request is not asked for others at most.
+constexpr Duration kMaxFullTime = std::chrono::milliseconds(500);
 constexpr Duration kFallbackRetryAfter = std::chrono::seconds(1);
 // With more requests in progress, ticks are periodic, as a search for the next
 // deadline would cost more.
@@ -88,34 +92,109 @@
 }
 
 void HostDispatcher::Configure(TimePoint /*now*/, std::vector<DispatchService> configured) {
+  std::set<ServiceId> present;
   for (DispatchService& service : configured) {
-    const auto [position, is_new] = this->services.try_emplace(service.service);
-    DispatchServiceState& state = position->second;
-    if (is_new) {
-      state.retries = RetryBudget(this->settings.retry_limits);
+    present.insert(service.service);
+    for (const ServiceCell& cell : service.cells) {
+      present.insert(cell.id);
+      this->ConfigureService(CellAsService(service, cell));
     }
-    state.configuration = std::move(service);
-    state.broker_selector.SetRanking(
-        RendezvousRank(RawId(state.configuration.service), this->members));
+    this->ConfigureService(std::move(service));
   }
-  // A removed service keeps its state, without targets, because its requests
+  // A removed service or cell keeps its state, without targets, because its requests
   // may still be in progress.
   for (auto& [id, state] : this->services) {
-    const ServiceId service = id;
-    if (std::none_of(configured.begin(), configured.end(),
-                     [service](const DispatchService& item) { return item.service == service; })) {
+    if (!present.contains(id)) {
       state.configuration.targets.clear();
+      state.configuration.cells.clear();
+      state.cell_order.clear();
     }
   }
 }
 
+void HostDispatcher::ConfigureService(DispatchService service) {
+  const auto [position, is_new] = this->services.try_emplace(service.service);
+  DispatchServiceState& state = position->second;
+  if (is_new) {
+    state.retries = RetryBudget(this->settings.retry_limits);
+  }
+  state.configuration = std::move(service);
+  state.own_results.RemoveTargets([&state](TargetId target) {
+    const auto& targets = state.configuration.targets;
+    return std::none_of(targets.begin(), targets.end(),
+                        [target](const auto& item) { return item.target == target; });
+  });
+  state.broker_selector.SetRanking(
+      this->settings.RankBrokers(state.configuration.service, this->members));
+  // The other cells come in an order of this host's own, so that what one cell cannot take is
+  // spread.
+  std::vector<ServiceCell> cells = state.configuration.cells;
+  std::sort(cells.begin(), cells.end(), [this](const ServiceCell& left, const ServiceCell& right) {
+    const auto score = [this](const ServiceCell& cell) {
+      return std::pair(cell.domain != this->settings.domain,
+                       StableHash(RawId(this->settings.self), RawId(cell.id)));
+    };
+    return score(left) < score(right);
+  });
+  state.cell_order.clear();
+  for (const ServiceCell& cell : cells) {
+    state.cell_order.push_back(cell.id);
+  }
+}
+
+bool HostDispatcher::IsUntriedCell(TimePoint now, const RequestState& state, ServiceId cell) const {
+  const auto found = this->services.find(cell);
+  return found != this->services.end() && !Contains(state.refused_by_cells, cell) &&
+         !this->chooser.UsableTargets(now, found->second, state).empty();
+}
+
+bool HostDispatcher::HasOtherCell(TimePoint now, const RequestState& state) const {
+  const auto service = this->services.find(state.description.service);
+  return service != this->services.end() &&
+         std::any_of(service->second.cell_order.begin(), service->second.cell_order.end(),
+                     [&](ServiceId cell) {
+                       return this->IsUntriedCell(now, state, cell) &&
+                              this->services.at(cell).full_until <= now &&
+                              this->services.at(cell).broker_selector.Current(now).has_value();
+                     });
+}
+
+DispatchServiceState* HostDispatcher::ChoosePlace(TimePoint now, RequestState& state) {
+  DispatchServiceState* service = this->FindService(state.description.service);
+  state.place = state.description.service;
+  if (service == nullptr || service->cell_order.empty()) {
+    return service;
+  }
+  // The own domain's cell is asked even when it was full a moment ago: its answer is cheap and
+  // depends on the request's deadline.
+  const ServiceId own = service->cell_order.front();
+  int best_rank = 4;
+  for (const ServiceId cell : service->cell_order) {
+    const DispatchServiceState& candidate = this->services.at(cell);
+    const bool has_broker = candidate.broker_selector.Current(now).has_value();
+    const bool has_room = cell == own || candidate.full_until <= now;
+    const int rank = !this->IsUntriedCell(now, state, cell) ? 3
+                     : !has_broker                          ? 2
+                     : !has_room                            ? 1
+                                                            : 0;
+    if (rank < best_rank) {
+      best_rank = rank;
+      state.place = cell;
+    }
+    if (rank == 0) {
+      break;
+    }
+  }
+  return this->FindService(state.place);
+}
+
 std::vector<DispatchAction> HostDispatcher::SetMembers(TimePoint now,
                                                        std::vector<HostId> eligible_hosts) {
   this->members = std::move(eligible_hosts);
   this->chooser.SetHostCount(this->members.size());
   Actions actions;
   for (auto& [id, service] : this->services) {
-    service.broker_selector.SetRanking(RendezvousRank(RawId(id), this->members));
+    service.broker_selector.SetRanking(this->settings.RankBrokers(id, this->members));
     this->TickService(now, service, actions);
   }
   return actions;
@@ -174,17 +253,22 @@
     this->ForwardHeldOrFinish(state, RefusalReason::kCrashRequest, Duration::zero(), actions);
     return;
   }
-  DispatchServiceState* service = this->FindService(description.service);
-  if (service == nullptr || this->chooser.AllowedTargets(*service, description).empty()) {
+  const bool brokered = this->settings.policy == DispatchPolicy::kBrokered;
+  DispatchServiceState* service = this->ChoosePlace(now, state);
+  const bool usable =
+      service != nullptr && brokered && !this->chooser.UsableTargets(now, *service, state).empty();
+  if (service == nullptr ||
+      (!usable && this->chooser.AllowedTargets(*this->FindService(description.service), description)
+                      .empty())) {
     this->ForwardHeldOrFinish(state, RefusalReason::kNoTarget, Duration::zero(), actions);
     return;
   }
-  if (this->settings.policy != DispatchPolicy::kBrokered) {
+  if (!brokered) {
     this->PlaceByBaselinePolicy(now, *service, state, actions);
     return;
   }
-  if (this->chooser.UsableTargets(now, *service, state).empty()) {
-    this->WaitForHoldOff(now, *service, state, actions);
+  if (!usable) {
+    this->WaitForHoldOff(now, state, actions);
     return;
   }
   const std::optional<HostId> broker = service->broker_selector.Current(now);
@@ -196,9 +280,10 @@
       state.attempts_started == 0 ? this->chooser.ChooseOptimistic(now, *broker, *service, state)
                                   : std::nullopt;
   if (target) {
-    this->Start(now, *service, state, this->NewAttemptId(), *target, broker, actions);
+    this->Start(now, *service, state, this->NewAttemptId(), *target, broker, PlacedBy::kOptimistic,
+                actions);
     actions.emplace_back(SendToHost{*broker, SlotClaim{.attempt = *state.running_attempt,
-                                                       .service = description.service,
+                                                       .service = state.place,
                                                        .target = *target,
                                                        .organisation = description.organisation,
                                                        .work_class = description.work_class}});
@@ -207,10 +292,8 @@
   this->RequestSlot(now, *broker, *service, state, actions);
 }
 
-void HostDispatcher::WaitForHoldOff(TimePoint now,
-                                    const DispatchServiceState& service,
-                                    RequestState& state,
-                                    Actions& actions) {
+void HostDispatcher::WaitForHoldOff(TimePoint now, RequestState& state, Actions& actions) {
+  const DispatchServiceState& service = *this->FindService(state.description.service);
   const std::optional<TimePoint> end = this->chooser.FirstHoldOffEnd(now, service, state);
   if (!end) {
     this->ForwardHeldOrFinish(state, RefusalReason::kShed, kFallbackRetryAfter, actions);
@@ -238,7 +321,8 @@
     return;
   }
   const TargetId target = *this->chooser.ChooseBaseline(service, state);
-  this->Start(now, service, state, this->NewAttemptId(), target, std::nullopt, actions);
+  this->Start(now, service, state, this->NewAttemptId(), target, std::nullopt, PlacedBy::kFallback,
+              actions);
 }
 
 void HostDispatcher::PlaceInFallback(TimePoint now,
@@ -267,7 +351,8 @@
     return;
   }
   if (!at_limit) {
-    this->Start(now, service, state, this->NewAttemptId(), *target, std::nullopt, actions);
+    this->Start(now, service, state, this->NewAttemptId(), *target, std::nullopt,
+                PlacedBy::kFallback, actions);
     return;
   }
   state.phase = RequestPhase::kWaitingLocally;
@@ -297,7 +382,7 @@
     const std::optional<TargetId> target = this->chooser.ChooseFallback(now, service, *state);
     if (target && now < this->StartLimit(state->description) &&
         !this->settings.IsBlocked(state->description.fingerprint)) {
-      this->Start(now, service, *state, next, *target, std::nullopt, actions);
+      this->Start(now, service, *state, next, *target, std::nullopt, PlacedBy::kFallback, actions);
     } else {
       this->ForwardHeldOrFinish(
           *state, target ? LimitReason(now, state->description) : RefusalReason::kNoTarget,
@@ -325,7 +410,7 @@
     }
   }
   return {.attempt = state.pending_attempt,
-          .service = description.service,
+          .service = state.place,
           .organisation = description.organisation,
           .caller = description.caller,
           .work_class = description.work_class,
@@ -367,8 +452,7 @@
     --service.waiting_at_broker;
     if (notify_broker) {
       actions.emplace_back(SendToHost{
-          state.broker,
-          SlotCancel{.attempt = state.pending_attempt, .service = state.description.service}});
+          state.broker, SlotCancel{.attempt = state.pending_attempt, .service = state.place}});
     }
   } else if (state.phase == RequestPhase::kWaitingLocally) {
     service.local_queue.Remove(state.pending_attempt);
@@ -385,6 +469,7 @@
                            AttemptId attempt,
                            TargetId target,
                            std::optional<HostId> broker,
+                           PlacedBy placed_by,
                            Actions& actions) {
   if (state.held_attempt) {
     this->Cancel(*state.held_attempt, CancelReason::kReplaced, actions);
@@ -392,7 +477,7 @@
   }
   const RequestDescription& description = state.description;
   this->attempts.emplace(attempt, AttemptState{.request = description.request,
-                                               .service = description.service,
+                                               .service = service.configuration.service,
                                                .target = target,
                                                .organisation = description.organisation,
                                                .work_class = description.work_class,
@@ -408,6 +493,7 @@
   ++state.attempts_started;
   state.running_attempt = attempt;
   state.phase = RequestPhase::kRunning;
+  state.refused_by_cells.clear();
   ++service.outstanding[target];
   ++service.outstanding_total;
   service.view.RecordStart(target);
@@ -415,7 +501,8 @@
   actions.emplace_back(StartAttempt{.request = description.request,
                                     .attempt = attempt,
                                     .target = target,
-                                    .deadline = description.deadline});
+                                    .deadline = description.deadline,
+                                    .placed_by = placed_by});
 }
 
 void HostDispatcher::Cancel(AttemptId attempt, CancelReason reason, Actions& actions) {
@@ -466,7 +553,7 @@
   }
   RequestState* state = this->FindByPendingAttempt(grant.attempt);
   if (service == nullptr || state == nullptr || state->phase != RequestPhase::kWaitingAtBroker ||
-      state->broker != sender) {
+      state->broker != sender || state->place != grant.service) {
     this->ReturnGrant(sender, grant, actions);
     return actions;
   }
@@ -476,7 +563,8 @@
   const bool blocked = this->settings.IsBlocked(description.fingerprint);
   const bool usable = Contains(this->chooser.UsableTargets(now, *service, *state), grant.target);
   if (!too_late && !blocked && usable) {
-    this->Start(now, *service, *state, grant.attempt, grant.target, sender, actions);
+    this->Start(now, *service, *state, grant.attempt, grant.target, sender, PlacedBy::kBroker,
+                actions);
     return actions;
   }
   this->ReturnGrant(sender, grant, actions);
@@ -503,7 +591,7 @@
   }
   RequestState* state = this->FindByPendingAttempt(refusal.attempt);
   if (service == nullptr || state == nullptr || state->phase != RequestPhase::kWaitingAtBroker ||
-      state->broker != sender) {
+      state->broker != sender || state->place != refusal.service) {
     return actions;
   }
   this->StopWaiting(*service, *state, false, actions);
@@ -512,6 +600,17 @@
     this->PlaceNextAttempt(now, *state, actions);
     return actions;
   }
+  const bool lacks_room =
+      refusal.reason == RefusalReason::kOverload || refusal.reason == RefusalReason::kQueueFull ||
+      refusal.reason == RefusalReason::kDeadline || refusal.reason == RefusalReason::kNoTarget;
+  if (lacks_room && state->place != state->description.service) {
+    service->full_until = now + std::min<Duration>(refusal.retry_after, kMaxFullTime);
+    state->refused_by_cells.push_back(state->place);
+    if (this->HasOtherCell(now, *state)) {
+      this->PlaceNextAttempt(now, *state, actions);
+      return actions;
+    }
+  }
   // The broker knows only the time that the end of this host leaves. After a failed attempt, the
   // failure is the reason that the caller is told.
   const bool lacks_time =
@@ -650,6 +749,7 @@
       corrected_end.result = AttemptResult::kServerError;
     }
   }
+  service.own_results.RecordResult(now, ended.target, corrected_end.result);
   this->SendRelease(now, ended, attempt, corrected_end, actions);
 
   RequestState* state = this->FindRequest(ended.request);
@@ -754,7 +854,7 @@
     this->Cancel(*state->running_attempt, CancelReason::kCallerDisconnected, actions);
     return actions;
   }
-  this->StopWaiting(*this->FindService(state->description.service), *state, true, actions);
+  this->StopWaiting(*this->FindService(state->place), *state, true, actions);
   this->ForwardHeldOrFinish(*state, RefusalReason::kNone, Duration::zero(), actions);
   return actions;
 }
@@ -820,7 +920,7 @@
     // Checks periodically whether a broker is available again.
     return std::min(next, state.requested_at + kResendInterval);
   }
-  const DispatchServiceState& service = this->services.at(state.description.service);
+  const DispatchServiceState& service = this->services.at(state.place);
   next = std::min(next, BrokerTimeoutAt(service.broker_selector, state));
   return std::min(next, state.last_sent_at + kResendInterval);
 }
@@ -853,7 +953,7 @@
     return;
   }
   if (now >= this->StartLimit(state.description)) {
-    this->StopWaiting(*this->FindService(state.description.service), state, true, actions);
+    this->StopWaiting(*this->FindService(state.place), state, true, actions);
     if (now >= state.description.deadline) {
       this->Finish(state, this->OutcomeWithoutResponse(state), RefusalReason::kDeadline,
                    Duration::zero(), actions);
@@ -866,7 +966,7 @@
 }
 
 void HostDispatcher::TickWaiting(TimePoint now, RequestState& state, Actions& actions) {
-  DispatchServiceState& service = *this->FindService(state.description.service);
+  DispatchServiceState& service = *this->FindService(state.place);
   if (state.held_attempt && now - state.held_at >= kMaxResponseHold) {
     this->StopWaiting(service, state, true, actions);
     this->ForwardHeldOrFinish(state, RefusalReason::kRetryBudget, Duration::zero(), actions);
@@ -880,7 +980,7 @@
     return;
   }
   if (state.phase == RequestPhase::kWaitingLocally) {
-    if (service.broker_selector.Current(now)) {
+    if (service.broker_selector.Current(now) || this->HasOtherCell(now, state)) {
       this->StopWaiting(service, state, false, actions);
       this->PlaceNextAttempt(now, state, actions);
     } else {
--- a/Libraries/LibDispatch/host_dispatcher.h
+++ b/Libraries/LibDispatch/host_dispatcher.h
@@ -61,6 +61,13 @@
   using Actions = std::vector<DispatchAction>;
 
   DispatchServiceState* FindService(ServiceId service);
+  void ConfigureService(DispatchService service);
+  // Chooses the service, or the cell of a divided one, in which the next attempt is placed. Null if
+  // the service is unknown.
+  DispatchServiceState* ChoosePlace(TimePoint now, RequestState& state);
+  // Whether a cell that is not known to be full may still be asked for the attempt.
+  bool HasOtherCell(TimePoint now, const RequestState& state) const;
+  bool IsUntriedCell(TimePoint now, const RequestState& state, ServiceId cell) const;
   RequestState* FindRequest(RequestId request);
   RequestState* FindByPendingAttempt(AttemptId attempt);
   AttemptId NewAttemptId();
@@ -77,10 +84,7 @@
                        Actions& actions);
   // For a request without a usable target: waits for the end of a hold-off, if one ends before the
   // deadline, or ends the request.
-  void WaitForHoldOff(TimePoint now,
-                      const DispatchServiceState& service,
-                      RequestState& state,
-                      Actions& actions);
+  void WaitForHoldOff(TimePoint now, RequestState& state, Actions& actions);
   void StartFromLocalQueue(TimePoint now, DispatchServiceState& service, Actions& actions);
   void RequestSlot(TimePoint now,
                    HostId broker,
@@ -102,6 +106,7 @@
              AttemptId attempt,
              TargetId target,
              std::optional<HostId> broker,
+             PlacedBy placed_by,
              Actions& actions);
   void Cancel(AttemptId attempt, CancelReason reason, Actions& actions);
   // The same for an attempt whose end a request waits for.
--- a/Libraries/LibDispatch/request_state.h
+++ b/Libraries/LibDispatch/request_state.h
@@ -26,6 +26,10 @@
   RequestDescription description;
   RequestPhase phase = RequestPhase::kPlacing;
 
+  // Where the current attempt is placed: the service, or one of its cells.
+  ServiceId place{};
+  // Cells that had no room for the current attempt.
+  std::vector<ServiceId> refused_by_cells;
   // Id of the attempt that waits for a slot, and the broker that received the
   // slot request.
   AttemptId pending_attempt{};
--- a/Libraries/LibDispatch/retry_usage_exchange.cc
+++ b/Libraries/LibDispatch/retry_usage_exchange.cc
@@ -22,11 +22,14 @@
 
 RetryUsageExchange::RetryUsageExchange(HostId self_host,
                                        RetryCounterId counter,
-                                       const RetryLimits& retry_limits)
-    : self(self_host), counter_id(counter), limits(retry_limits) {}
+                                       const RetryLimits& retry_limits,
+                                       Hooks service_hooks)
+    : self(self_host), counter_id(counter), limits(retry_limits), hooks(std::move(service_hooks)) {}
 
 std::vector<HostId> RetryUsageExchange::CandidatesOf(ServiceId service) const {
-  std::vector<HostId> ranking = RendezvousRank(RawId(service), this->members);
+  std::vector<HostId> ranking = this->hooks.rank_brokers
+                                    ? this->hooks.rank_brokers(service, this->members)
+                                    : RendezvousRank(RawId(service), this->members);
   ranking.resize(std::min(ranking.size(), BrokerSelector::kMaxCandidates));
   return ranking;
 }
@@ -34,7 +37,9 @@
 RetryUsageExchange::Share& RetryUsageExchange::FindOrCreate(ServiceId service) {
   const auto [position, is_new] = this->shares.try_emplace(service);
   if (is_new) {
-    position->second.budget = std::make_shared<RetryBudget>(this->limits, this->counter_id);
+    const RetryLimits share =
+        this->hooks.limits_of ? this->hooks.limits_of(service, this->limits) : this->limits;
+    position->second.budget = std::make_shared<RetryBudget>(share, this->counter_id);
     position->second.candidates = this->CandidatesOf(service);
   }
   return position->second;
--- a/Libraries/LibDispatch/retry_usage_exchange.h
+++ b/Libraries/LibDispatch/retry_usage_exchange.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/dispatch_types.h"
 #include "Libraries/LibDispatch/retry_budget.h"
 #include "Libraries/LibProtocol/envelope.h"
 
@@ -22,8 +24,19 @@
   // Time within which a retry is reported.
   static constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 
+  // Properties of a service or cell.
+  struct Hooks {
+    // Ranks by rendezvous hashing if it is not set.
+    BrokerRanker rank_brokers;
+    // Returns the limits of the service's share of `retry_limits`.
+    std::function<RetryLimits(ServiceId, const RetryLimits&)> limits_of;
+  };
+
   // `counter` identifies this process.
-  RetryUsageExchange(HostId self_host, RetryCounterId counter, const RetryLimits& retry_limits);
+  RetryUsageExchange(HostId self_host,
+                     RetryCounterId counter,
+                     const RetryLimits& retry_limits,
+                     Hooks service_hooks = {});
 
   // Sets the hosts that may be brokers.
   std::vector<SendToHost> SetMembers(TimePoint now, std::vector<HostId> eligible_hosts);
@@ -64,6 +77,7 @@
   HostId self{};
   RetryCounterId counter_id{};
   RetryLimits limits;
+  Hooks hooks;
   std::vector<HostId> members;
   std::map<ServiceId, Share> shares;
 };
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -479,7 +479,9 @@
 }
 
 Duration SlotBroker::PushInterval() const {
-  return ViewInterval(this->configuration.targets.size(), this->policy.view_bytes_per_second);
+  const Duration interval =
+      ViewInterval(this->configuration.targets.size(), this->policy.view_bytes_per_second);
+  return this->policy.evidence_views_only ? std::max(interval, kEvidenceViewInterval) : interval;
 }
 
 bool SlotBroker::MaySendTargets(TimePoint now, const HostActivity& activity) const {
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -14,6 +14,31 @@
 // sent to the broker, which also grants slots of targets on probation.
 constexpr std::uint64_t kProbationSampleInterval = 10;
 
+// Finds targets in a list that normally has the order of the searches, so that all searches
+// together visit each entry once.
+class OrderedSearch {
+ public:
+  explicit OrderedSearch(const std::vector<TargetId>& searched) : list(searched) {}
+
+  bool Finds(TargetId target) {
+    const auto begin = this->list.begin();
+    const auto start = begin + static_cast<std::ptrdiff_t>(this->next);
+    auto found = std::find(start, this->list.end(), target);
+    if (found == this->list.end()) {
+      found = std::find(begin, start, target);
+      if (found == start) {
+        return false;
+      }
+    }
+    this->next = static_cast<std::size_t>(found - begin) + 1;
+    return true;
+  }
+
+ private:
+  const std::vector<TargetId>& list;
+  std::size_t next = 0;
+};
+
 std::optional<TargetId> AffinityTarget(std::uint64_t key, const std::vector<TargetId>& targets) {
   const auto best =
       std::max_element(targets.begin(), targets.end(), [key](TargetId left, TargetId right) {
@@ -62,14 +87,9 @@
 std::vector<TargetId> TargetChooser::AllowedTargets(const DispatchServiceState& service,
                                                     const RequestDescription& description) const {
   std::vector<TargetId> allowed;
-  // Both lists normally have the same order, so that no target has to be searched for.
-  std::size_t next = 0;
+  OrderedSearch search(description.allowed);
   for (const DispatchService::Target& target : service.configuration.targets) {
-    const bool is_next =
-        next < description.allowed.size() && description.allowed[next] == target.target;
-    next += is_next ? 1 : 0;
-    if ((is_next || Contains(description.allowed, target.target)) &&
-        !this->settings.IsLeaving(target.target)) {
+    if (search.Finds(target.target) && !this->settings.IsLeaving(target.target)) {
       allowed.push_back(target.target);
     }
   }
@@ -78,15 +98,10 @@
 
 bool TargetChooser::MayUseAllTargets(const DispatchServiceState& service,
                                      const RequestDescription& description) {
-  // As above, the lists normally have the same order.
-  std::size_t next = 0;
-  return std::all_of(service.configuration.targets.begin(), service.configuration.targets.end(),
-                     [&](const DispatchService::Target& target) {
-                       const bool is_next = next < description.allowed.size() &&
-                                            description.allowed[next] == target.target;
-                       next += is_next ? 1 : 0;
-                       return is_next || Contains(description.allowed, target.target);
-                     });
+  OrderedSearch search(description.allowed);
+  return std::all_of(
+      service.configuration.targets.begin(), service.configuration.targets.end(),
+      [&](const DispatchService::Target& target) { return search.Finds(target.target); });
 }
 
 bool TargetChooser::IsForbidden(TimePoint now, const RequestState& state, TargetId target) const {
@@ -121,7 +136,8 @@
   const RequestDescription& description = state.description;
   // Long work always needs a grant, as only the broker knows how many slots it
   // holds.
-  if (!this->settings.optimistic_starts || description.work_class == WorkClass::kLong ||
+  if (!this->settings.optimistic_starts || !service.configuration.optimistic_starts ||
+      description.work_class == WorkClass::kLong ||
       this->settings.IsSuspect(description.fingerprint) || !service.view.IsFreshFrom(now, broker) ||
       !AllowsOptimisticStarts(service.view.view()->targets.size()) ||
       service.view.view()->queued > 0 || service.waiting_at_broker > 0 ||
@@ -206,7 +222,7 @@
 }
 
 std::optional<TargetId> TargetChooser::ChooseFallback(TimePoint now,
-                                                      const DispatchServiceState& service,
+                                                      DispatchServiceState& service,
                                                       const RequestState& state) {
   const std::vector<TargetId> allowed = this->UsableTargets(now, service, state);
   std::vector<TargetId> usable;
@@ -221,6 +237,16 @@
   if (usable.empty()) {
     return std::nullopt;
   }
+  const SlotRequest request{.is_retry = state.reached_target(),
+                            .excluded = state.excluded,
+                            .idempotent = state.description.idempotent};
+  std::vector<TargetId> unreliable;
+  for (const TargetId target : usable) {
+    if (service.own_results.IsUnreliable(now, request, target)) {
+      unreliable.push_back(target);
+    }
+  }
+  usable = PreferUntried(usable, unreliable);
   // Each host uses its highest ranked targets by rendezvous hashing. Their number is the
   // sum of the targets' connection limits divided by the number of active hosts, at least
   // one, so that a large fleet does not connect every host to every target and exceed the
--- a/Libraries/LibDispatch/target_chooser.h
+++ b/Libraries/LibDispatch/target_chooser.h
@@ -49,8 +49,9 @@
                                            HostId broker,
                                            const DispatchServiceState& service,
                                            const RequestState& state);
+  // Prefers targets without recent failures at this host.
   std::optional<TargetId> ChooseFallback(TimePoint now,
-                                         const DispatchServiceState& service,
+                                         DispatchServiceState& service,
                                          const RequestState& state);
   // Maximum number of outstanding attempts of this host in fallback.
   std::uint32_t FallbackLimit(const DispatchServiceState& service) const;
--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::size_t kMaxLoggedRequestsInProgress = 50;
+constexpr Duration kFallbackLogInterval = std::chrono::seconds(1);
+// Requests per second from which a host receives the views of a cell.
+constexpr double kMinCellViewRate = 1;
 
 bool IsLeaving(const SharedState& shared_state, TargetId target) {
   if (shared_state.leaving_targets.IsLeaving(target)) {
@@ -25,8 +28,10 @@
 }
 
 DispatchSettings DispatcherSettings(const DispatchController::Settings& settings,
-                                    SharedState& shared_state) {
+                                    SharedState& shared_state,
+                                    BrokerRanker rank_brokers) {
   DispatchSettings result;
+  result.rank_brokers = std::move(rank_brokers);
   result.self = settings.self;
   result.domain = IdFromName<DomainId>(settings.domain_name);
   result.retry_limits = settings.retry_limits;
@@ -119,10 +124,24 @@
       claims(claims),
       random(random),
       settings(std::move(settings)),
-      dispatcher(DispatcherSettings(this->settings, shared_state), random),
+      division(this->settings.cell_targets),
+      dispatcher(DispatcherSettings(this->settings,
+                                    shared_state,
+                                    [this](ServiceId id, const std::vector<HostId>& hosts) {
+                                      return this->RankBrokers(id, hosts);
+                                    }),
+                 random),
       retry_usage(this->settings.self,
                   RetryCounterId{random.Next()},
-                  this->settings.broker_policy.retry_limits),
+                  this->settings.broker_policy.retry_limits,
+                  {.rank_brokers =
+                       [this](ServiceId id, const std::vector<HostId>& hosts) {
+                         return this->RankBrokers(id, hosts);
+                       },
+                   .limits_of =
+                       [this](ServiceId id, const RetryLimits& limits) {
+                         return ShareOf(limits, this->division.CellCountOf(id));
+                       }}),
       alarm(loop.CreateAlarm([this] { this->Tick(); })) {
   shared_state.configuration.Observe(
       [this](const Configuration& configuration) { this->Configure(configuration); });
@@ -135,22 +154,44 @@
   }
 }
 
+void DispatchController::AddBrokers(
+    const DispatchService& dispatch,
+    const Service& service,
+    std::map<ServiceId, BrokerConfiguration>& configurations) const {
+  const auto add = [&](const DispatchService& part) {
+    BrokerConfiguration broker{.service = part.service, .floor_slots = part.floor_slots};
+    // Rounded up, so that no cell is without a queue.
+    const std::size_t all = std::max<std::size_t>(dispatch.targets.size(), 1);
+    const std::size_t own = dispatch.targets.empty() ? 1 : part.targets.size();
+    broker.queue_limit = static_cast<std::uint32_t>((service.queue_limit * own + all - 1) / all);
+    for (const DispatchService::Target& target : part.targets) {
+      broker.targets.push_back({target.target, target.domain, target.slots,
+                                IsLeaving(this->shared_state, target.target)});
+    }
+    configurations.emplace(part.service, std::move(broker));
+  };
+  // Hosts that do not divide the service yet use the broker of the whole.
+  add(dispatch);
+  for (const ServiceCell& cell : dispatch.cells) {
+    add(CellAsService(dispatch, cell));
+  }
+}
+
 void DispatchController::Configure(const Configuration& configuration) {
   std::vector<DispatchService> services;
-  std::map<ServiceId, BrokerConfiguration> next;
   for (const Service& service : configuration.services) {
-    const std::uint32_t floor_slots = configuration.FloorSlots(service);
-    DispatchService dispatch{.service = service.id(), .floor_slots = floor_slots};
-    BrokerConfiguration broker{
-        .service = service.id(), .floor_slots = floor_slots, .queue_limit = service.queue_limit};
+    DispatchService dispatch{.service = service.id(),
+                             .floor_slots = configuration.FloorSlots(service)};
     for (const Target* target : configuration.TargetsOf(service.name)) {
       dispatch.targets.push_back(
           {target->id(), target->domain_id(), target->slots, target->connections});
-      broker.targets.push_back({target->id(), target->domain_id(), target->slots,
-                                IsLeaving(this->shared_state, target->id())});
     }
     services.push_back(std::move(dispatch));
-    next.emplace(service.id(), std::move(broker));
+  }
+  this->division.Divide(services);
+  std::map<ServiceId, BrokerConfiguration> next;
+  for (std::size_t index = 0; index < services.size(); ++index) {
+    this->AddBrokers(services[index], configuration.services[index], next);
   }
   this->broker_configurations = std::move(next);
   this->dispatcher.Configure(this->Now(), std::move(services));
@@ -275,12 +316,11 @@
                                std::optional<AttemptId> claimant) {
   const RequestId request = exchange->description.request;
   const ServiceId service = exchange->description.service;
-  const auto view = this->views.find(service);
-  this->active.emplace(
-      request, ActiveRequest{.exchange = exchange,
-                             .claimant = claimant,
-                             .in_demand_peak = view != this->views.end() && view->second.queued > 0,
-                             .arrived_during_long_work = this->HasLongWork(service)});
+  this->active.emplace(request,
+                       ActiveRequest{.exchange = exchange,
+                                     .claimant = claimant,
+                                     .in_demand_peak = this->HasQueue(service),
+                                     .arrived_during_long_work = this->HasLongWork(service)});
   exchange->responder->OnCallerDisconnect(
       [this, request] { this->loop.Post([this, request] { this->OnCallerDisconnect(request); }); });
   this->Execute(this->dispatcher.Begin(this->Now(), exchange->description));
@@ -340,8 +380,8 @@
           }
         } else if constexpr (std::is_same_v<T, SlotRelease>) {
           if (message.result == AttemptResult::kConnectionLost) {
-            this->RecordCrash(message.service, message.fingerprint, message.target,
-                              message.attempt);
+            this->RecordCrash(this->division.WholeOf(message.service), message.fingerprint,
+                              message.target, message.attempt);
           }
           if (SlotBroker* broker = this->GetOrCreateBroker(message.service)) {
             this->Execute(broker->OnRelease(now, sender, domain, message));
@@ -372,9 +412,10 @@
   if (!hosts || hosts->empty()) {
     return;
   }
-  const HostId broker = RendezvousRank(RawId(service), *hosts).front();
-  this->Execute(SendToHost{broker, ProbeReport{service, observation.target, observation.result,
-                                               observation.service_time}});
+  const ServiceId place = this->division.PlaceOf(service, observation.target);
+  this->Execute(SendToHost{
+      this->RankBrokers(place, *hosts).front(),
+      ProbeReport{place, observation.target, observation.result, observation.service_time}});
 }
 
 SlotBroker* DispatchController::GetOrCreateBroker(ServiceId service) {
@@ -387,9 +428,15 @@
     std::vector<SendToHost> messages;
     std::shared_ptr<RetryBudget> retries = this->retry_usage.Open(this->Now(), service, messages);
     this->Execute(messages);
+    BrokerPolicy policy = this->settings.broker_policy;
+    if (this->division.DomainOf(service)) {
+      // The views of a cell only tell what to avoid without a broker, and each host of the domain
+      // needs that.
+      policy.evidence_views_only = true;
+      policy.view_min_request_rate = std::min(policy.view_min_request_rate, kMinCellViewRate);
+    }
     found = this->brokers
-                .emplace(service, std::make_unique<SlotBroker>(configuration->second,
-                                                               this->settings.broker_policy,
+                .emplace(service, std::make_unique<SlotBroker>(configuration->second, policy,
                                                                std::move(retries)))
                 .first;
   }
@@ -403,7 +450,7 @@
   for (auto& [service, broker] : this->brokers) {
     this->Execute(broker->Tick(now));
     for (const HealthEvent& event : broker->TakeHealthEvents()) {
-      this->settings.on_health_event(service, event);
+      this->settings.on_health_event(this->division.WholeOf(service), event);
     }
   }
   this->Reschedule();
@@ -430,8 +477,18 @@
 
 void DispatchController::PublishViews() {
   std::vector<ServiceView> current;
-  for (const auto& [service, view] : this->views) {
-    current.push_back(view);
+  for (const auto& [id, view] : this->views) {
+    const ServiceId service = this->division.WholeOf(id);
+    const auto found = std::find_if(current.begin(), current.end(), [service](const auto& item) {
+      return item.service == service;
+    });
+    if (found == current.end()) {
+      current.push_back(view);
+      current.back().service = service;
+      continue;
+    }
+    found->queued += view.queued;
+    found->targets.insert(found->targets.end(), view.targets.begin(), view.targets.end());
   }
   this->shared_state.views.Write(std::move(current));
 }
@@ -475,6 +532,10 @@
   }
   ActiveRequest& request = found->second;
   request.target = target->name;
+  request.placed_by = action.placed_by;
+  if (action.placed_by == PlacedBy::kFallback) {
+    this->RecordFallbackStart(*request.exchange);
+  }
   AttemptTransfer::Callbacks callbacks;
   callbacks.on_header = [this, action](const AttemptHeader& header) {
     this->loop.Post([this, action, header] {
@@ -507,6 +568,21 @@
   transfer->Start(client, target->address);
 }
 
+void DispatchController::RecordFallbackStart(const Exchange& exchange) {
+  if (this->settings.on_fallback_start) {
+    this->settings.on_fallback_start(exchange.service);
+  }
+  const TimePoint now = this->Now();
+  ++this->unlogged_fallback_starts;
+  if (now - this->fallback_logged_at < kFallbackLogInterval) {
+    return;
+  }
+  Log(LogLevel::kWarning, "started_without_broker",
+      {{"service", exchange.service}, {"starts", this->unlogged_fallback_starts}});
+  this->fallback_logged_at = now;
+  this->unlogged_fallback_starts = 0;
+}
+
 void DispatchController::Execute(const CancelAttempt& action) {
   const auto request = this->attempts.find(action.attempt);
   if (request == this->attempts.end()) {
@@ -645,6 +721,7 @@
   const Exchange& exchange = *request.exchange;
   FinishedRequest finished{.outcome = action.outcome,
                            .attempts = action.attempts,
+                           .placed_by = request.placed_by,
                            .possible_runs = request.possible_runs,
                            .broken = action.abort_connection && !request.caller_disconnected,
                            .abandoned = request.caller_disconnected,
@@ -696,6 +773,23 @@
                           .status = response.StatusFor(*this->settings.dialect)});
 }
 
+bool DispatchController::HasQueue(ServiceId service) const {
+  return std::any_of(this->views.begin(), this->views.end(), [&](const auto& entry) {
+    return this->division.WholeOf(entry.first) == service && entry.second.queued > 0;
+  });
+}
+
+std::vector<HostId> DispatchController::RankBrokers(ServiceId id,
+                                                    const std::vector<HostId>& hosts) const {
+  const auto members = this->shared_state.members.Read();
+  return this->division.RankBrokers(id, hosts, [&](HostId host, DomainId domain) {
+    return members &&
+           std::any_of(members->begin(), members->end(), [&](const MemberRecord& member) {
+             return member.host == host && member.domain == domain;
+           });
+  });
+}
+
 bool DispatchController::HasLongWork(ServiceId service) const {
   return std::any_of(this->active.begin(), this->active.end(), [service](const auto& entry) {
     const RequestDescription& description = entry.second.exchange->description;
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -3,12 +3,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Libraries/LibCore/random_source.h"
 #include "Libraries/LibDispatch/host_dispatcher.h"
 #include "Libraries/LibDispatch/retry_usage_exchange.h"
+#include "Libraries/LibDispatch/service_cells.h"
 #include "Libraries/LibDispatch/slot_broker.h"
 #include "Libraries/LibHost/attempt_transfer.h"
 #include "Libraries/LibHost/control_loop.h"
@@ -37,6 +39,8 @@
   // Status code of the response to the caller.
   int status = 0;
   std::uint32_t attempts = 0;
+  // How the target of the last attempt was chosen.
+  std::optional<PlacedBy> placed_by;
   // Attempts that may have been sent and were not shed.
   std::uint32_t possible_runs = 0;
   Duration latency{};
@@ -67,10 +71,14 @@
     std::vector<HttpClient*> clients;
     std::shared_ptr<const HttpDialect> dialect;
     BrokerPolicy broker_policy;
+    // Number of targets from which a service is divided into cells; 0 divides none.
+    std::size_t cell_targets = 0;
     // For retries without a broker's permission.
     RetryLimits retry_limits;
     std::function<void(const FinishedRequest&)> on_finished;
     std::function<void(ServiceId, const HealthEvent&)> on_health_event;
+    // Called for each attempt that starts without a broker, with the name of the service.
+    std::function<void(const std::string&)> on_fallback_start;
     // Called when there is a new leaving target or crash fingerprint to broadcast.
     std::function<void()> on_new_notice;
   };
@@ -103,6 +111,7 @@
     std::map<AttemptId, std::shared_ptr<AttemptTransfer>> transfers;
     // Name of the target of the last attempt.
     std::string target;
+    std::optional<PlacedBy> placed_by;
     // The attempt whose response is sent to the caller.
     std::shared_ptr<AttemptTransfer> forwarded;
     std::optional<AttemptId> claimant;
@@ -138,6 +147,8 @@
   void Execute(const CancelAttempt& action);
   void Execute(const ForwardResponse& action);
   void Execute(const FinishRequest& action);
+  // Counts the start, and logs the number of such starts at most once a second.
+  void RecordFallbackStart(const Exchange& exchange);
   void LogFailedAttempt(const ActiveRequest& request,
                         AttemptId attempt,
                         TargetId target,
@@ -157,6 +168,13 @@
   // Adds the properties of the exchange and calls on_finished.
   void Report(const Exchange& exchange, FinishedRequest finished);
   bool HasLongWork(ServiceId service) const;
+  // Whether requests were queued at a broker of the service when it sent its last view.
+  bool HasQueue(ServiceId service) const;
+  std::vector<HostId> RankBrokers(ServiceId id, const std::vector<HostId>& hosts) const;
+  // Adds the configurations of the brokers of a service and its cells.
+  void AddBrokers(const DispatchService& dispatch,
+                  const Service& service,
+                  std::map<ServiceId, BrokerConfiguration>& configurations) const;
   // Null if the configuration does not have the service.
   SlotBroker* GetOrCreateBroker(ServiceId service);
   TimePoint Now() const { return SteadyNow(); }
@@ -167,6 +185,7 @@
   ClaimStore& claims;
   RandomSource& random;
   const Settings settings;
+  ServiceDivision division;
   HostDispatcher dispatcher;
   RetryUsageExchange retry_usage;
   std::map<ServiceId, std::unique_ptr<SlotBroker>> brokers;
@@ -175,6 +194,8 @@
   std::map<AttemptId, RequestId> attempts;
   std::map<ServiceId, ServiceView> views;
   std::unique_ptr<Alarm> alarm;
+  std::uint64_t unlogged_fallback_starts = 0;
+  TimePoint fallback_logged_at;
   // Limits that targets stated last, for the log.
   std::map<TargetId, double> logged_rate_limits;
 };
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -251,7 +251,8 @@
                .address = this->peers->address(),
                .domain = this->domain,
                .incarnation = this->incarnation,
-               .capacity = this->settings.capacity_millicores},
+               .capacity = this->settings.capacity_millicores,
+               .link_mbps = this->settings.link_mbps},
       .target_table = from_platform ? this->adapter.target_table : "",
       .read_target = this->adapter.read_target,
       .configuration_polled = !from_platform,
@@ -300,10 +301,16 @@
       .clients = {this->target_client.get()},
       .dialect = this->adapter.dialect,
       .broker_policy = policy,
+      .cell_targets = this->settings.cell_targets,
       .retry_limits = local_limits,
       .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
       .on_health_event = [this](ServiceId service,
                                 const HealthEvent& event) { this->OnHealthEvent(service, event); },
+      .on_fallback_start =
+          [this](const std::string& service) {
+            this->metrics.IncrementCounter("pimentopin_starts_without_broker_total",
+                                           "service=\"" + service + "\"");
+          },
       .on_new_notice = [this] { this->directory->BroadcastNotices(); }};
   this->dispatch = std::make_unique<DispatchController>(this->loop, this->shared_state,
                                                         *this->peers, *this->claims, this->random,
@@ -500,6 +507,7 @@
        {"refusal", finished.refusal},
        {"status", finished.status},
        {"attempts", finished.attempts},
+       {"placed_by", finished.placed_by ? PlacedByName(*finished.placed_by) : ""},
        {"latency_us", finished.latency.count()}});
 }
 
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxNameBytes = 63;
 constexpr double kPercentScale = 100.0;
 constexpr double kMaxCores = 1024.0;
+constexpr double kMaxBandwidth = 1'000'000.0;
 constexpr double kMillicoresPerCore = 1000.0;
 
 std::string CheckName(const std::string& value) {
@@ -35,6 +36,14 @@
   return valid ? "" : "must be a number of cores above 0 and at most 1024";
 }
 
+std::string CheckBandwidth(const std::string& value) {
+  double bandwidth = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), bandwidth);
+  const bool valid = error == std::errc() && end == value.data() + value.size() && bandwidth >= 0 &&
+                     bandwidth <= kMaxBandwidth;
+  return valid ? "" : "must be a bandwidth in Mbit/s of at least 0 and at most 1000000";
+}
+
 LogLevel ToLogLevel(const std::string& text) {
   if (text == "debug") {
     return LogLevel::kDebug;
@@ -153,6 +162,20 @@
        .unit = "cores",
        .default_value = "1",
        .check = CheckCores},
+      {.name = "link-mbps",
+       .help = "bandwidth of this host's link; of the hosts with enough processor time, those with "
+               "less "
+               "than half of the largest value are no brokers; 0 if unknown",
+       .unit = "Mbit/s",
+       .default_value = "0",
+       .check = CheckBandwidth},
+      {.name = "cell-targets",
+       .kind = SettingKind::kNumber,
+       .help = "number of targets from which a service is divided into cells by failure domain; 0 "
+               "divides none. All hosts must have the same value",
+       .unit = "targets",
+       .default_value = "0",
+       .maximum = 1000000},
       {.name = "configuration",
        .kind = SettingKind::kChoice,
        .help = "who writes the configuration: the operators of the hosts or of the platform",
@@ -187,6 +210,8 @@
   result.platform_bounds = settings.Text("platform-bounds");
   result.capacity_millicores =
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
+  result.link_mbps = static_cast<std::uint32_t>(std::stod(settings.Text("link-mbps")));
+  result.cell_targets = static_cast<std::size_t>(settings.Number("cell-targets"));
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercentScale;
   result.platform_configuration = settings.Text("configuration") == "platform";
   result.log_level = ToLogLevel(settings.Text("log-level"));
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -50,6 +50,10 @@
   // CPU time available to this host, in thousandths of a core. Hosts with less than half of
   // the largest capacity in the fleet are not broker candidates.
   std::uint32_t capacity_millicores = 1000;
+  // Bandwidth of the machine's link; 0 if unknown.
+  std::uint32_t link_mbps = 0;
+  // Number of targets from which a service is divided into cells; 0 divides none.
+  std::size_t cell_targets = 0;
   // Share of a service's slots that ejection leaves in use, unless the configuration of the
   // service sets a number of slots.
   double floor_share = 0;
--- a/Libraries/LibMembership/host_directory.cc
+++ b/Libraries/LibMembership/host_directory.cc
@@ -37,11 +37,10 @@
 }
 
 std::string EncodeHostRow(const MemberRecord& record) {
-  return json{{"address", record.address},
-              {"domain", RawId(record.domain)},
-              {"incarnation", record.incarnation},
-              {"capacity", record.capacity},
-              {"leaving", record.state == MemberState::kLeaving}}
+  return json{
+      {"address", record.address},         {"domain", RawId(record.domain)},
+      {"incarnation", record.incarnation}, {"capacity", record.capacity},
+      {"link_mbps", record.link_mbps},     {"leaving", record.state == MemberState::kLeaving}}
       .dump();
 }
 
@@ -59,6 +58,8 @@
     error = {ErrorCode::kProtocol, "host row is not a JSON object with the required fields"};
     return std::nullopt;
   }
+  // Hosts of earlier versions do not write the field.
+  const bool has_link = has("link_mbps", &json::is_number_unsigned);
   return MemberRecord{
       .host = IdFromName<HostId>(name),
       .name = std::string(name),
@@ -66,7 +67,8 @@
       .domain = DomainId{row["domain"].get<std::uint64_t>()},
       .incarnation = row["incarnation"].get<std::uint64_t>(),
       .state = row["leaving"].get<bool>() ? MemberState::kLeaving : MemberState::kAlive,
-      .capacity = row["capacity"].get<std::uint32_t>()};
+      .capacity = row["capacity"].get<std::uint32_t>(),
+      .link_mbps = has_link ? row["link_mbps"].get<std::uint32_t>() : 0};
 }
 
 HostDirectory::HostDirectory(MemberRecord self) : self_record(std::move(self)) {}
@@ -136,10 +138,18 @@
   for (const MemberRecord& member : members) {
     largest = std::max(largest, member.state == MemberState::kAlive ? member.capacity : 0);
   }
-  std::vector<HostId> hosts;
+  std::uint32_t fastest_link = 0;
+  std::vector<const MemberRecord*> large;
   for (const MemberRecord& member : members) {
     if (member.state == MemberState::kAlive && IsLargeEnoughToServe(member.capacity, largest)) {
-      hosts.push_back(member.host);
+      large.push_back(&member);
+      fastest_link = std::max(fastest_link, member.link_mbps);
+    }
+  }
+  std::vector<HostId> hosts;
+  for (const MemberRecord* member : large) {
+    if (IsLargeEnoughToServe(member->link_mbps, fastest_link)) {
+      hosts.push_back(member->host);
     }
   }
   return hosts;
--- a/Libraries/LibMembership/host_directory.h
+++ b/Libraries/LibMembership/host_directory.h
@@ -51,8 +51,8 @@
   std::vector<MemberRecord> Members() const;
   // Hosts that are reachable and not leaving, this one included.
   std::vector<HostId> UsableHosts() const;
-  // Usable hosts that may work as slot brokers: those with at least half of the
-  // largest capacity among the usable hosts.
+  // Usable hosts that may work as slot brokers: of those with at least half of the largest
+  // capacity among the usable hosts, the ones with at least half of the largest link bandwidth.
   std::vector<HostId> BrokerCandidates() const;
   // Reachable hosts of each failure domain, ranked by RankMembers; those that are leaving come
   // last.
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -34,6 +34,8 @@
   MemberState state = MemberState::kAlive;
   // CPU time that the host may use, in thousandths of a core.
   std::uint32_t capacity = 0;
+  // Bandwidth of the host's link; 0 if unknown.
+  std::uint32_t link_mbps = 0;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "Libraries/LibCore/rendezvous.h"
+#include "Libraries/LibDispatch/service_cells.h"
 
 namespace pimentopin {
 namespace {
@@ -52,6 +53,13 @@
   CPPUNIT_TEST(TestGrantOfLeavingTargetIsReturnedAndSlotRequestedAgain);
   CPPUNIT_TEST(TestLeavingTargetAddsAListOfTheOthersToRequests);
   CPPUNIT_TEST(TestOptimisticStartOnAViewThatIsRarelySent);
+  CPPUNIT_TEST(TestRequestLeavesItsDomainAlthoughTheOwnCellHasRoom);
+  CPPUNIT_TEST(TestRequestIsRefusedAlthoughAnotherCellHasRoom);
+  CPPUNIT_TEST(TestFullCellIsAskedAgainByOtherDomains);
+  CPPUNIT_TEST(TestSilentBrokerOfACellLeadsToAStartWithoutBroker);
+  CPPUNIT_TEST(TestRetryInAnotherCellRepeatsTheFailedTarget);
+  CPPUNIT_TEST(TestRequestOfTheWholeServiceIsLostWhenItIsDivided);
+  CPPUNIT_TEST(TestFallbackReturnsToTheTargetThatFailed);
   CPPUNIT_TEST(TestGrantOfUnknownTargetIsReturnedAsNotDraining);
   CPPUNIT_TEST(TestGrantOfForbiddenTargetIsReturned);
   CPPUNIT_TEST(TestFailedConnectionNeedsNoRetryBudget);
@@ -253,6 +261,107 @@
     this->AssertRequestsSlot(this->dispatcher->Begin(this->now, request));
   }
 
+  // Guards against requests and responses that cross failure domains without need.
+  void TestRequestLeavesItsDomainAlthoughTheOwnCellHasRoom() {
+    this->Divide();
+    const SlotRequest request = this->BeginDivided(1).second;
+    CPPUNIT_ASSERT(request.service == this->cells[0]);
+    CPPUNIT_ASSERT(request.allowed.empty());
+    const auto actions = this->dispatcher->OnGrant(
+        this->now, this->BrokerOf(0),
+        {.attempt = request.attempt, .service = this->cells[0], .target = TargetId{1}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ActionsOf<StartAttempt>(actions).size());
+    const auto end = this->dispatcher->OnAttemptEnd(this->now, request.attempt, SuccessfulEnd());
+    CPPUNIT_ASSERT(MessagesOf<SlotRelease>(end).at(0).second.service == this->cells[0]);
+  }
+
+  // Guards against refusals in a busy failure domain while others are idle.
+  void TestRequestIsRefusedAlthoughAnotherCellHasRoom() {
+    this->Divide();
+    const SlotRequest first = this->BeginDivided(1).second;
+    const auto actions = this->RefuseInCell(first, RefusalReason::kQueueFull);
+    const auto second = MessagesOf<SlotRequest>(actions).at(0).second;
+    CPPUNIT_ASSERT(second.service != this->cells[0]);
+    const auto third =
+        MessagesOf<SlotRequest>(this->RefuseInCell(second, RefusalReason::kOverload)).at(0).second;
+    CPPUNIT_ASSERT(third.service != this->cells[0] && third.service != second.service);
+    const auto last = this->RefuseInCell(third, RefusalReason::kOverload);
+    CPPUNIT_ASSERT(ActionsOf<FinishRequest>(last).at(0).refusal == RefusalReason::kOverload);
+  }
+
+  // Guards against an overload in which each request is sent to the brokers of all domains.
+  void TestFullCellIsAskedAgainByOtherDomains() {
+    this->Divide();
+    this->TestRequestIsRefusedByAllCells(1);
+    const SlotRequest again = this->BeginDivided(2).second;
+    CPPUNIT_ASSERT(again.service == this->cells[0]);
+    const auto actions = this->RefuseInCell(again, RefusalReason::kOverload);
+    CPPUNIT_ASSERT(MessagesOf<SlotRequest>(actions).empty());
+    this->now += seconds(1);
+    this->TestRequestIsRefusedByAllCells(3);
+  }
+
+  // Guards against starts without evidence while brokers of other cells answer.
+  void TestSilentBrokerOfACellLeadsToAStartWithoutBroker() {
+    this->Divide();
+    this->BeginDivided(1);
+    const auto second = this->TickUntil<SlotRequest>(milliseconds(50));
+    CPPUNIT_ASSERT(second.at(0).second.service == this->cells[0]);
+    const auto other = this->TickUntil<SlotRequest>(milliseconds(50));
+    CPPUNIT_ASSERT(other.at(0).second.service != this->cells[0]);
+  }
+
+  // Guards against a second attempt at the target that failed, through the broker of another cell.
+  void TestRetryInAnotherCellRepeatsTheFailedTarget() {
+    this->Divide();
+    const SlotRequest first = this->BeginDivided(1, true).second;
+    this->dispatcher->OnGrant(
+        this->now, this->BrokerOf(0),
+        {.attempt = first.attempt, .service = this->cells[0], .target = TargetId{1}});
+    const auto retry = MessagesOf<SlotRequest>(this->EndShed(first.attempt)).at(0).second;
+    const auto other =
+        MessagesOf<SlotRequest>(this->RefuseInCell(retry, RefusalReason::kOverload)).at(0).second;
+    CPPUNIT_ASSERT(other.service != this->cells[0]);
+    CPPUNIT_ASSERT(other.excluded == std::vector<TargetId>{TargetId{1}});
+    CPPUNIT_ASSERT(other.is_retry);
+  }
+
+  // Guards against requests that wait forever because their service is divided meanwhile.
+  void TestRequestOfTheWholeServiceIsLostWhenItIsDivided() {
+    const AttemptId attempt = this->RequestSlot(1);
+    this->Divide();
+    const auto actions = this->Grant(attempt, this->broker);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ActionsOf<StartAttempt>(actions).size());
+    const SlotRequest divided = this->BeginDivided(2).second;
+    this->dispatcher->Configure(this->now, {this->DividedService(false)});
+    this->dispatcher->OnRefusal(this->now, this->BrokerOf(0),
+                                {.attempt = divided.attempt,
+                                 .service = this->cells[0],
+                                 .reason = RefusalReason::kNotBroker});
+    const auto again = this->TickUntil<SlotRequest>(milliseconds(300));
+    CPPUNIT_ASSERT(again.empty() || again.at(0).second.service == kService);
+  }
+
+  // Guards against a host without a broker that sends each request to the target that fails at
+  // once, as it has the fewest attempts outstanding.
+  void TestFallbackReturnsToTheTargetThatFailed() {
+    this->dispatcher->SetMembers(this->now, {});
+    std::map<TargetId, int> starts;
+    for (std::uint64_t index = 1; index <= 60; ++index) {
+      const StartAttempt start =
+          ActionsOf<StartAttempt>(this->dispatcher->Begin(this->now, this->Request(index))).at(0);
+      CPPUNIT_ASSERT(start.placed_by == PlacedBy::kFallback);
+      ++starts[start.target];
+      this->dispatcher->OnAttemptEnd(
+          this->now, start.attempt,
+          {.result =
+               start.target == TargetId{1} ? AttemptResult::kServerError : AttemptResult::kSuccess,
+           .may_have_been_sent = true});
+      this->now += milliseconds(5);
+    }
+    CPPUNIT_ASSERT(starts[TargetId{1}] <= 2);
+  }
+
   // Guards against a new target that receives no work. If the broker's host
   // knows the target milliseconds earlier than this host, the returned grant
   // must not report it as draining.
@@ -1055,6 +1164,62 @@
     this->dispatcher->OnView(this->now, this->broker, view);
   }
 
+  // Three domains with 20 targets each. This host is in the first one.
+  DispatchService DividedService(bool divided) const {
+    DispatchService service{.service = kService, .floor_slots = 60};
+    for (std::uint64_t index = 0; index < 60; ++index) {
+      service.targets.push_back({.target = TargetId{index + 1},
+                                 .domain = DomainId{index / 20 + 1},
+                                 .slots = 3,
+                                 .connections = 100});
+    }
+    if (divided) {
+      service.cells = CellsByDomain(service);
+    }
+    return service;
+  }
+
+  void Divide() {
+    this->cells = {CellId(kService, DomainId{1}), CellId(kService, DomainId{2}),
+                   CellId(kService, DomainId{3})};
+    this->dispatcher->Configure(this->now, {this->DividedService(true)});
+  }
+
+  HostId BrokerOf(std::size_t cell) const {
+    return RendezvousRank(RawId(this->cells[cell]), {kSelf, HostId{2}, HostId{3}, HostId{4}})[0];
+  }
+
+  std::pair<HostId, SlotRequest> BeginDivided(std::uint64_t id, bool idempotent = false) {
+    RequestDescription request = this->Request(id, idempotent);
+    request.allowed.clear();
+    for (std::uint64_t index = 1; index <= 60; ++index) {
+      request.allowed.push_back(TargetId{index});
+    }
+    return MessagesOf<SlotRequest>(this->dispatcher->Begin(this->now, request)).at(0);
+  }
+
+  std::vector<DispatchAction> RefuseInCell(const SlotRequest& request, RefusalReason reason) {
+    const auto cell = std::find(this->cells.begin(), this->cells.end(), request.service);
+    return this->dispatcher->OnRefusal(
+        this->now, this->BrokerOf(static_cast<std::size_t>(cell - this->cells.begin())),
+        {.attempt = request.attempt,
+         .service = request.service,
+         .reason = reason,
+         .retry_after = milliseconds(300)});
+  }
+
+  // Each cell is asked once.
+  void TestRequestIsRefusedByAllCells(std::uint64_t id) {
+    std::set<ServiceId> asked;
+    std::vector<std::pair<HostId, SlotRequest>> requests{this->BeginDivided(id)};
+    while (!requests.empty()) {
+      asked.insert(requests[0].second.service);
+      requests =
+          MessagesOf<SlotRequest>(this->RefuseInCell(requests[0].second, RefusalReason::kOverload));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked.size());
+  }
+
   RequestDescription Request(std::uint64_t id, bool idempotent = false) const {
     return {.request = RequestId{id},
             .service = kService,
@@ -1125,6 +1290,7 @@
   std::uint64_t sequence = 0;
   HostId broker{};
   HostId second_broker{};
+  std::vector<ServiceId> cells;
   std::set<TargetId> leaving;
   std::set<Fingerprint> suspects;
   std::set<Fingerprint> blocked;
--- a/Tests/LibMembership/host_directory_test.cc
+++ b/Tests/LibMembership/host_directory_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(TestInvalidRowAddsNoHost);
   CPPUNIT_TEST(TestRowWithInvalidFieldIsRejected);
   CPPUNIT_TEST(TestSmallHostsAreNoBrokerCandidates);
+  CPPUNIT_TEST(TestBrokerHasAThinLink);
   CPPUNIT_TEST(TestLeavingHostsRankLast);
   CPPUNIT_TEST(TestIsRegisteredComparesStoredRecord);
   CPPUNIT_TEST_SUITE_END();
@@ -92,6 +93,25 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.BrokerCandidates().size());
   }
 
+  // Guards against a broker that cannot send what hundreds of requests a second need, and against
+  // a fleet without brokers because its hosts do not know their links.
+  void TestBrokerHasAThinLink() {
+    HostDirectory directory(MakeRecord("a", 250));
+    const auto with_link = [](const std::string& name, std::uint32_t capacity, std::uint32_t link) {
+      MemberRecord record = MakeRecord(name, capacity);
+      record.link_mbps = link;
+      return MakeRow(record);
+    };
+    this->Apply(directory, {with_link("b", 250, 0), with_link("c", 500, 0)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, directory.BrokerCandidates().size());
+    // The fastest link belongs to a host with too little processor time.
+    this->Apply(directory,
+                {with_link("b", 250, 10), with_link("c", 500, 200), with_link("d", 100, 10000)});
+    const std::vector<HostId> candidates = directory.BrokerCandidates();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, candidates.size());
+    CPPUNIT_ASSERT(candidates[0] == IdFromName<HostId>("c"));
+  }
+
   // Guards against leaving hosts that hear nothing from the reader of their failure domain and
   // read the store themselves.
   void TestLeavingHostsRankLast() {
