--- a/Libraries/LibDispatch/broker_policy.h
+++ b/Libraries/LibDispatch/broker_policy.h
@@ -4,6 +4,7 @@
 
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/view_budget.h"
 
 namespace pimentopin {
 
@@ -46,6 +47,11 @@
   // A host receives views if it sends at least this many requests per second.
   // Below that rate, a slot request for each request costs less than the views.
   double view_min_request_rate = 0;
+  // Limit of the views that one host receives. Views of services with many targets are sent less
+  // often.
+  double view_bytes_per_second = kViewBytesPerSecond;
+  // Send views only as often as hosts need them for lack of a broker.
+  bool evidence_views_only = false;
   RetryLimits retry_limits;
   Placement placement = Placement::kLoad;
 
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -311,7 +311,8 @@
                .address = this->peers->address(),
                .domain = this->domain,
                .incarnation = this->incarnation,
-               .capacity = this->settings.capacity_millicores},
+               .capacity = this->settings.capacity_millicores,
+               .link_mbps = this->settings.link_mbps},
       .target_table = from_platform ? this->adapter.target_table : "",
       .read_target = this->adapter.read_target,
       .configuration_polled = !from_platform,
@@ -377,6 +378,7 @@
       .dialect = this->adapter.dialect,
       .response_budget = this->response_budget,
       .broker_policy = policy,
+      .cell_targets = this->settings.cell_targets,
       .retry_limits = local_limits,
       .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
       .on_health_event = [this](ServiceId service,
@@ -384,6 +386,11 @@
       .on_speed_change = [this](
                              ServiceId service,
                              const SpeedChange& change) { this->OnSpeedChange(service, change); },
+      .on_fallback_start =
+          [this](const std::string& service) {
+            this->metrics.IncrementCounter("pimentopin_starts_without_broker_total",
+                                           "service=\"" + service + "\"");
+          },
       .on_new_notice = [this] { this->directory->BroadcastNotices(); },
       .admit =
           [this](const Exchange& exchange, QuotaController::Decided decided) {
@@ -595,6 +602,7 @@
        {"refusal", finished.refusal},
        {"status", finished.status},
        {"attempts", finished.attempts},
+       {"placed_by", finished.placed_by ? PlacedByName(*finished.placed_by) : ""},
        {"latency_us", finished.latency.count()}});
 }
 
