--- a/Libraries/LibCore/store_clock.cc
+++ b/Libraries/LibCore/store_clock.cc
@@ -11,7 +11,7 @@
 // in a million of each other.
 constexpr int kDriftDivisor = 5000;
 // The store states its time in rounded fractions of a second.
-constexpr Duration kResolution = std::chrono::milliseconds(1);
+constexpr Duration kResolution = std::chrono::milliseconds(20);
 
 }  // namespace
 
