Quota: Refuse a request when all holders that answer are empty

While a holder was silent, requests above the quota waited for 200 ms and then got 503 quota-unknown, as the pauses of the empty parts had ended.

--- a/Libraries/LibQuota/quota_client.cc
+++ b/Libraries/LibQuota/quota_client.cc
@@ -159,7 +159,8 @@
   if (!state.waiting.empty() && !waits_for_reply) {
     if (const auto part = this->NextPart(now, state)) {
       this->Send(now, organisation, state, *part, actions);
-    } else if (state.asks.empty()) {
+    } else if (state.asks.empty() || AnyEmpty(now, state)) {
+      // A holder that is silent may still answer, but those that did answer decide.
       for (const WaitingRequest& waiting : state.waiting) {
         actions.emplace_back(Refusal(now, state, waiting.request));
       }
@@ -212,16 +213,13 @@
 std::optional<std::size_t> QuotaClient::NextPart(BootTimePoint now,
                                                  OrganisationState& state) const {
   std::optional<std::size_t> paused;
-  bool any_empty = false;
   for (const std::size_t part : this->order) {
     if (part >= this->holders.size()) {
       continue;
     }
     const bool asked = std::any_of(state.asks.begin(), state.asks.end(),
                                    [part](const Ask& ask) { return ask.part == part; });
-    const bool empty = state.empty_until[part] > now;
-    any_empty = any_empty || empty;
-    if (asked || empty) {
+    if (asked || state.empty_until[part] > now) {
       continue;
     }
     const Holder& holder = this->holders[part];
@@ -233,7 +231,8 @@
     }
   }
   // A request is not refused for want of an answer before anybody was asked for one.
-  if (paused && !any_empty && state.asks.empty() && now - state.paused_asked_at >= kReplyTimeout) {
+  if (paused && !AnyEmpty(now, state) && state.asks.empty() &&
+      now - state.paused_asked_at >= kReplyTimeout) {
     state.paused_asked_at = now;
     return paused;
   }
@@ -259,12 +258,17 @@
   return recent ? std::min(state.admitted_before / 2, kMaxPrefetch) : 0;
 }
 
+bool QuotaClient::AnyEmpty(BootTimePoint now, const OrganisationState& state) {
+  return std::any_of(state.empty_until.begin(), state.empty_until.end(),
+                     [now](BootTimePoint until) { return until > now; });
+}
+
 QuotaVerdict QuotaClient::Refusal(BootTimePoint now,
                                   const OrganisationState& state,
                                   RequestId request) {
   std::optional<Duration> shortest;
   for (std::size_t part = 0; part < kQuotaParts; ++part) {
-    if (state.empty_until[part] > now) {
+    if (std::max(state.empty_until[part], state.token_at[part]) > now) {
       const Duration retry_after = std::max(state.token_at[part] - now, kMinRetryAfter);
       shortest = std::min(shortest.value_or(retry_after), retry_after);
     }
--- a/Libraries/LibQuota/quota_client.h
+++ b/Libraries/LibQuota/quota_client.h
@@ -119,6 +119,8 @@
             std::vector<QuotaAction>& actions);
   // Tokens to get beyond those of waiting requests.
   static std::uint32_t Prefetch(BootTimePoint now, OrganisationState& state);
+  // Whether a holder that answered has no token.
+  static bool AnyEmpty(BootTimePoint now, const OrganisationState& state);
   static QuotaVerdict Refusal(BootTimePoint now, const OrganisationState& state, RequestId request);
   void OnNotHeld(BootTimePoint now, HostId sender, const QuotaReply& reply);
 
--- a/Tests/LibQuota/quota_client_test.cc
+++ b/Tests/LibQuota/quota_client_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(TestTokenIsUsedAfterItsLifetime);
   CPPUNIT_TEST(TestLateReplyAdmitsARequest);
   CPPUNIT_TEST(TestReplyIsUsedTwice);
+  CPPUNIT_TEST(TestSilentHolderHidesThatTheQuotaIsUsedUp);
   CPPUNIT_TEST(TestHolderIsNotFoundByTheExpectedHost);
   CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,19 @@
     CPPUNIT_ASSERT(this->Reply(HostId{1}, asked, 1).empty());
   }
 
+  void TestSilentHolderHidesThatTheQuotaIsUsedUp() {
+    this->Ask(RequestId{1}, milliseconds(200));
+    this->now += QuotaClient::kReplyTimeout;
+    auto actions = this->client.Tick(this->now);
+    for (std::uint64_t host = 2; host <= 4; ++host) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+      const auto& asked = std::get<QuotaRequest>(std::get<SendToHost>(actions.front()).message);
+      actions = this->Reply(HostId{host}, asked, 0);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, actions.size());
+    CPPUNIT_ASSERT(std::get<QuotaVerdict>(actions.front()).decision == QuotaDecision::kOverQuota);
+  }
+
   void TestHolderIsNotFoundByTheExpectedHost() {
     const QuotaRequest asked = this->Ask(RequestId{1}, milliseconds(200));
     const auto actions = this->client.OnReply(
