--- a/Libraries/LibHost/quota_controller.cc
+++ b/Libraries/LibHost/quota_controller.cc
@@ -71,7 +71,8 @@
       [this](const Configuration& configuration) { this->Configure(configuration); });
   shared_state.broker_candidates.Observe(
       [this](const std::vector<HostId>& /*hosts*/) { this->UpdateCandidates(); });
-  this->UpdateCandidates();
+  shared_state.readiness.Observe(
+      [this](const Readiness& /*readiness*/) { this->UpdateCandidates(); });
 }
 
 void QuotaController::Configure(const Configuration& configuration) {
@@ -91,7 +92,9 @@
 void QuotaController::UpdateCandidates() {
   const auto hosts = this->shared_state.broker_candidates.Read();
   const auto members = this->shared_state.members.Read();
-  if (!hosts || !members) {
+  const auto readiness = this->shared_state.readiness.Read();
+  // Until the tables have been read, every starting host is its own only candidate.
+  if (!hosts || !members || !readiness || !readiness->has_targets) {
     return;
   }
   std::vector<QuotaCandidate> candidates;
--- a/Libraries/LibQuota/quota_holders.cc
+++ b/Libraries/LibQuota/quota_holders.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <numeric>
+#include <optional>
 #include <tuple>
+#include <utility>
 
 #include "Libraries/LibCore/rendezvous.h"
 
@@ -18,8 +20,8 @@
     hosts.push_back(candidate.host);
   }
   for (std::size_t part = 0; part < kQuotaParts; ++part) {
-    const QuotaCandidate* best = nullptr;
-    std::pair<std::ptrdiff_t, std::ptrdiff_t> fewest;
+    QuotaCandidate best = candidates.front();
+    std::optional<std::pair<std::ptrdiff_t, std::ptrdiff_t>> fewest;
     for (const HostId host : RendezvousRank(StableHash("quota-part", part), hosts)) {
       const auto candidate =
           std::find_if(candidates.begin(), candidates.end(),
@@ -29,12 +31,12 @@
           std::count_if(holders.begin(), holders.end(), [&](const QuotaCandidate& holder) {
             return holder.domain == candidate->domain;
           }));
-      if (best == nullptr || parts_held < fewest) {
-        best = &*candidate;
+      if (!fewest || parts_held < *fewest) {
+        best = *candidate;
         fewest = parts_held;
       }
     }
-    holders.push_back(*best);
+    holders.push_back(best);
   }
   return holders;
 }
