Dispatch: Do not search the queue for trials while no target is ejected

While a tenth of the requests is not served, GrantNext() compared each entry of the queue with all targets at every message, also without an ejected target that it could have tried.

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -806,12 +806,19 @@
 }
 
 bool SlotBroker::GrantNext(TimePoint now, WorkClass work_class, Messages& messages) {
-  const bool room = this->trials.active(now) ||
-                    std::any_of(this->candidates.begin(), this->candidates.end(),
-                                [&](const Candidate& candidate) {
-                                  return this->HasFreeSlot(now, candidate, work_class) ||
-                                         this->HasOvercommitRoom(now, candidate, work_class);
-                                });
+  // Without an ejected target there is nothing to try, and each entry of a long queue would be
+  // compared with all targets at every message.
+  const bool may_try =
+      this->trials.active(now) &&
+      std::any_of(this->candidates.begin(), this->candidates.end(), [](const Candidate& candidate) {
+        return candidate.health_status.state == TargetState::kEjected;
+      });
+  const bool room =
+      may_try || std::any_of(this->candidates.begin(), this->candidates.end(),
+                             [&](const Candidate& candidate) {
+                               return this->HasFreeSlot(now, candidate, work_class) ||
+                                      this->HasOvercommitRoom(now, candidate, work_class);
+                             });
   if (!room) {
     return false;
   }
