--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -66,7 +66,8 @@
     // Attempts are distributed over the clients by attempt id.
     std::vector<HttpClient*> clients;
     std::shared_ptr<const HttpDialect> dialect;
-    std::shared_ptr<ResponseBudget> response_budget;
+    std::shared_ptr<ResponseBudget> response_budget =
+        std::make_shared<ResponseBudget>(ResponseBudget::kDefaultMaxBytes);
     BrokerPolicy broker_policy;
     // For retries without a broker's permission.
     RetryLimits retry_limits;
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -8,6 +8,7 @@
 #include "Libraries/LibCore/json_log.h"
 #include "Libraries/LibCore/settings.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibHost/response_budget.h"
 #include "Libraries/LibHttp/http_server.h"
 
 namespace pimentopin {
@@ -15,8 +16,6 @@
 // Where a limit comes from.
 enum class LimitSource : std::uint8_t { kNone, kFlag, kPlatform };
 
-inline constexpr std::size_t kDefaultHeldResponseBytes = 64 << 20;
-
 // Settings of a host process.
 struct HostSettings {
   std::string name;
@@ -31,7 +30,7 @@
   std::size_t max_body_bytes = 1 << 20;
   std::size_t max_held_body_bytes = kDefaultMaxHeldBodyBytes;
   // Sum of the bytes of target responses that callers have not read yet.
-  std::size_t max_held_response_bytes = kDefaultHeldResponseBytes;
+  std::size_t max_held_response_bytes = ResponseBudget::kDefaultMaxBytes;
   std::size_t max_concurrent_requests = 1024;
   // Time for the load balancer to detect that the host is not ready.
   Duration shutdown_delay = std::chrono::seconds(5);
--- a/Libraries/LibHost/response_budget.h
+++ b/Libraries/LibHost/response_budget.h
@@ -13,6 +13,7 @@
   // Bytes that a response may hold at most, and in any case.
   static constexpr std::size_t kMaxPerResponse = 256 << 10;
   static constexpr std::size_t kMinPerResponse = 16 << 10;
+  static constexpr std::size_t kDefaultMaxBytes = 64 << 20;
 
   explicit ResponseBudget(std::size_t max_bytes) : max_bytes(max_bytes) {}
 
--- a/Tests/LibHost/attempt_transfer_test.cc
+++ b/Tests/LibHost/attempt_transfer_test.cc
@@ -8,7 +8,6 @@
 #include <optional>
 
 #include "Libraries/LibHost/error_response.h"
-#include "Libraries/LibHost/host_settings.h"
 #include "Libraries/LibHost/native_dialect.h"
 #include "Tests/LibHttp/http_test_support.h"
 
@@ -409,7 +408,7 @@
     const auto attempt = std::make_shared<AttemptTransfer>(
         this->exchange,
         TargetAttempt{.attempt_id = AttemptId{7}, .remaining = std::chrono::seconds(20)},
-        this->dialect, std::make_shared<ResponseBudget>(kDefaultHeldResponseBytes),
+        this->dialect, std::make_shared<ResponseBudget>(ResponseBudget::kDefaultMaxBytes),
         AttemptTransfer::Callbacks{[&](const AttemptHeader&) { has_header = true; },
                                    [&](const AttemptEnd& last) { ended.set_value(last); }});
     attempt->Start(http_client, server.address());
@@ -458,7 +457,7 @@
   std::shared_ptr<Exchange> exchange;
   FakeClient client;
   std::shared_ptr<ResponseBudget> budget =
-      std::make_shared<ResponseBudget>(kDefaultHeldResponseBytes);
+      std::make_shared<ResponseBudget>(ResponseBudget::kDefaultMaxBytes);
   std::shared_ptr<AttemptTransfer> transfer;
   NativeDialect dialect;
   // The most recently reported header.
