Dispatch: Tell callers of shed requests a time after which they can still return

A request that its last allowed target refused got the default Retry-After of 1 s. Callers wait for a third of the time that they have left at most, so with a deadline of 3 s or less none returned, though the target may have room again within a service time. The time is now an eighth to a quarter of what is left, different for each request, at most 1 s as before.

TestShedCallerCannotReturnInTime fails before (no time was stated).

--- a/Libraries/LibDispatch/admission.cc
+++ b/Libraries/LibDispatch/admission.cc
@@ -50,8 +50,8 @@
 
 void Admission::RecordArrival(TimePoint now, std::uint32_t priority) {
   const std::uint32_t key = KeyFor(this->offered, priority);
-  this->offered.try_emplace(key, kRateTimeS).first->second.Record(now);
-  this->long_offered.try_emplace(key, kShareTimeS).first->second.Record(now);
+  this->offered.try_emplace(key, Rate{.time_s = kRateTimeS}).first->second.Record(now);
+  this->long_offered.try_emplace(key, Rate{.time_s = kShareTimeS}).first->second.Record(now);
   this->arrived_at = std::max(this->arrived_at, now);
 }
 
@@ -137,7 +137,8 @@
 
 Duration Admission::RetryAfter(TimePoint now, const AdmissionCase& request) {
   Rate& recently_refused =
-      this->refused.try_emplace(KeyFor(this->refused, request.priority), kRefusalTimeS)
+      this->refused
+          .try_emplace(KeyFor(this->refused, request.priority), Rate{.time_s = kRefusalTimeS})
           .first->second;
   recently_refused.Record(now);
   const Duration wait = this->ExpectedWait(now, request).value_or(Duration::zero());
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -51,6 +51,17 @@
              : state.requested_at + kFirstReplyTimeout;
 }
 
+// When a caller may return whose request the last allowed target refused. Targets refuse for short
+// times, and a caller that is told to wait for most of the time that it has left does not return.
+// The times of different requests differ, so that their callers do not return together.
+Duration ShedRetryAfter(TimePoint now, const RequestDescription& request) {
+  constexpr Duration::rep kEarliestDivisor = 8;
+  const Duration earliest = (request.deadline - now) / kEarliestDivisor;
+  const double part = static_cast<double>(RawId(request.request) >> 11) * 0x1.0p-53;
+  return std::clamp<Duration>(earliest + std::chrono::duration_cast<Duration>(earliest * part),
+                              Duration::zero(), kFallbackRetryAfter);
+}
+
 // Why no attempt may start after the start limit of a request.
 RefusalReason LimitReason(TimePoint now, const RequestDescription& request) {
   return now >= request.deadline ? RefusalReason::kDeadline : RefusalReason::kHostEnd;
@@ -703,7 +714,10 @@
                             too_late ? LimitReason(now, state.description)
                             : shed   ? RefusalReason::kShed
                                      : RefusalReason::kNone,
-                            Duration::zero(), actions);
+                            shed && !too_late && !state.may_have_run
+                                ? ShedRetryAfter(now, state.description)
+                                : Duration::zero(),
+                            actions);
 }
 
 Outcome HostDispatcher::OutcomeWithoutResponse(const RequestState& state) const {
--- a/Tests/LibDispatch/host_dispatcher_test.cc
+++ b/Tests/LibDispatch/host_dispatcher_test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(TestHoldOffBeyondDeadlineIsRefusedAtOnce);
   CPPUNIT_TEST(TestNotRunOnlyIfNothingWasSent);
   CPPUNIT_TEST(TestShedIsNotRun);
+  CPPUNIT_TEST(TestShedCallerCannotReturnInTime);
   CPPUNIT_TEST(TestShedAttemptIsCancelledAtHeader);
   CPPUNIT_TEST(TestServerErrorIsHeldUntilRetryIsDecided);
   CPPUNIT_TEST(TestFailedRunIsForgottenIfItsEndIsLate);
@@ -327,6 +328,19 @@
     CPPUNIT_ASSERT(ActionsOf<FinishRequest>(refused).at(0).outcome == Outcome::kNotRun);
   }
 
+  // Guards against a caller that is told to wait for longer than a third of the time that it has
+  // left, and does not return.
+  void TestShedCallerCannotReturnInTime() {
+    RequestDescription request = this->Request(1, false);
+    request.max_attempts = 1;
+    const AttemptId attempt =
+        MessagesOf<SlotRequest>(this->dispatcher->Begin(this->now, request)).at(0).second.attempt;
+    this->Grant(attempt, this->broker, TargetId{1});
+    const Duration retry_after = ActionsOf<FinishRequest>(this->EndShed(attempt)).at(0).retry_after;
+    CPPUNIT_ASSERT(retry_after > Duration::zero());
+    CPPUNIT_ASSERT(retry_after <= (request.deadline - this->now) / 3);
+  }
+
   // Guards against refusing work that no target ran while another target could run it, and against
   // a second attempt at the target that refused it.
   void TestShedNonIdempotentWorkGoesToAnotherTarget() {
