--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -71,7 +71,8 @@
     // Attempts are distributed over the clients by attempt id.
     std::vector<HttpClient*> clients;
     std::shared_ptr<const HttpDialect> dialect;
-    std::shared_ptr<ResponseBudget> response_budget;
+    std::shared_ptr<ResponseBudget> response_budget =
+        std::make_shared<ResponseBudget>(ResponseBudget::kDefaultMaxBytes);
     BrokerPolicy broker_policy;
     // Number of targets from which a service is divided into cells; 0 divides none.
     std::size_t cell_targets = 0;
