--- a/Libraries/LibHost/dispatch_controller.cc
+++ b/Libraries/LibHost/dispatch_controller.cc
@@ -445,6 +445,7 @@
 
 void DispatchController::Tick() {
   const TimePoint now = this->Now();
+  this->LogFallbackStarts();
   this->Execute(this->dispatcher.Tick(now));
   this->Execute(this->retry_usage.Tick(now));
   for (auto& [service, broker] : this->brokers) {
@@ -572,15 +573,19 @@
   if (this->settings.on_fallback_start) {
     this->settings.on_fallback_start(exchange.service);
   }
+  ++this->unlogged_fallback_starts[exchange.service];
+  this->LogFallbackStarts();
+}
+
+void DispatchController::LogFallbackStarts() {
   const TimePoint now = this->Now();
-  ++this->unlogged_fallback_starts;
   if (now - this->fallback_logged_at < kFallbackLogInterval) {
     return;
   }
-  Log(LogLevel::kWarning, "started_without_broker",
-      {{"service", exchange.service}, {"starts", this->unlogged_fallback_starts}});
-  this->fallback_logged_at = now;
-  this->unlogged_fallback_starts = 0;
+  for (const auto& [service, starts] : std::exchange(this->unlogged_fallback_starts, {})) {
+    this->fallback_logged_at = now;
+    Log(LogLevel::kWarning, "started_without_broker", {{"service", service}, {"starts", starts}});
+  }
 }
 
 void DispatchController::Execute(const CancelAttempt& action) {
--- a/Libraries/LibHost/dispatch_controller.h
+++ b/Libraries/LibHost/dispatch_controller.h
@@ -147,8 +147,9 @@
   void Execute(const CancelAttempt& action);
   void Execute(const ForwardResponse& action);
   void Execute(const FinishRequest& action);
-  // Counts the start, and logs the number of such starts at most once a second.
   void RecordFallbackStart(const Exchange& exchange);
+  // Logs the starts without a broker since the last lines, at most once a second.
+  void LogFallbackStarts();
   void LogFailedAttempt(const ActiveRequest& request,
                         AttemptId attempt,
                         TargetId target,
@@ -194,7 +195,8 @@
   std::map<AttemptId, RequestId> attempts;
   std::map<ServiceId, ServiceView> views;
   std::unique_ptr<Alarm> alarm;
-  std::uint64_t unlogged_fallback_starts = 0;
+  // By name of the service.
+  std::map<std::string, std::uint64_t> unlogged_fallback_starts;
   TimePoint fallback_logged_at;
   // Limits that targets stated last, for the log.
   std::map<TargetId, double> logged_rate_limits;
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -165,9 +165,10 @@
       {.name = "link-mbps",
        .help = "bandwidth of this host's link; of the hosts with enough processor time, those with "
                "less "
-               "than half of the largest value are no brokers; 0 if unknown",
+               "than half of the largest value are no brokers; 0 or empty if unknown",
        .unit = "Mbit/s",
        .default_value = "0",
+       .may_be_empty = true,
        .check = CheckBandwidth},
       {.name = "cell-targets",
        .kind = SettingKind::kNumber,
@@ -210,7 +211,8 @@
   result.platform_bounds = settings.Text("platform-bounds");
   result.capacity_millicores =
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
-  result.link_mbps = static_cast<std::uint32_t>(std::stod(settings.Text("link-mbps")));
+  const std::string link = settings.Text("link-mbps");
+  result.link_mbps = link.empty() ? 0 : static_cast<std::uint32_t>(std::stod(link));
   result.cell_targets = static_cast<std::size_t>(settings.Number("cell-targets"));
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercentScale;
   result.platform_configuration = settings.Text("configuration") == "platform";
