--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Libraries/LibConfig/api_key.h"
 #include "Libraries/LibConfig/configuration_index.h"
 #include "Libraries/LibConfig/labels.h"
 #include "Libraries/LibConfig/route.h"
@@ -19,6 +20,14 @@
 struct Organisation {
   std::string name;
   Labels labels;
+  // Keys by which callers identify themselves as part of the organisation.
+  std::vector<ApiKeyDigest> keys;
+  // Goes before the priority of the route; 0 is the most urgent.
+  std::optional<std::uint32_t> priority;
+  // Quota over all hosts: requests per second, and requests beyond that at once. Zero requests per
+  // second means no limit.
+  double requests_per_second = 0;
+  double burst = 0;
 
   OrganisationId id() const { return IdFromName<OrganisationId>(this->name); }
   friend bool operator==(const Organisation&, const Organisation&) = default;
@@ -119,11 +128,22 @@
   friend bool operator==(const RequestTraits&, const RequestTraits&) = default;
 };
 
+// Whom a key identifies. The caller is the first one of the organisation; both are null for an
+// unknown key, and the caller is null for an organisation without callers.
+struct KeyHolder {
+  const Organisation* organisation = nullptr;
+  const Caller* caller = nullptr;
+
+  friend bool operator==(const KeyHolder&, const KeyHolder&) = default;
+};
+
 // A validated configuration document. It is immutable after reading; a change is
 // a new configuration with a higher revision.
 struct Configuration {
   std::uint64_t revision = 0;
   std::vector<Organisation> organisations;
+  // Requests need a key of an organisation, except on anonymous routes.
+  bool requires_keys = false;
   std::vector<Caller> callers;
   std::vector<Service> services;
   std::vector<Target> targets;
@@ -144,6 +164,8 @@
   const Service* FindService(std::string_view name) const;
   const Service* FindService(ServiceId id) const;
   const Target* FindTarget(TargetId id) const;
+  const Organisation* FindOrganisation(OrganisationId id) const;
+  KeyHolder FindKeyHolder(const ApiKeyDigest& key) const;
 
   // Route of the host name with the longest matching path prefix; null if none
   // matches.
--- a/Libraries/LibDispatch/broker_policy.h
+++ b/Libraries/LibDispatch/broker_policy.h
@@ -4,9 +4,20 @@
 
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/retry_budget.h"
+#include "Libraries/LibDispatch/view_budget.h"
 
 namespace pimentopin {
 
+// What a target's load costs a request that may go to it.
+enum class Placement : std::uint8_t {
+  // The occupied fraction of its slots.
+  kLoad,
+  // The work that it still has to do. Only experiments use this.
+  kLeastWork,
+  // The delay of the request's completion there, relative to the request's own work.
+  kExpectedCompletion,
+};
+
 // Tunable parameters of the broker's scheduling policy. The defaults are the
 // production policy; other values serve the experiments in Bench.
 struct BrokerPolicy {
@@ -30,10 +41,19 @@
   // Share slots fairly between organisations; otherwise serve requests in order
   // of arrival.
   bool fair = true;
+  // Serve the most urgent priority first, with a minimum share for the others; otherwise all
+  // priorities are alike. See Admission.
+  bool by_priority = false;
   // A host receives views if it sends at least this many requests per second.
   // Below that rate, a slot request for each request costs less than the views.
   double view_min_request_rate = 0;
+  // Limit of the views that one host receives. Views of services with many targets are sent less
+  // often.
+  double view_bytes_per_second = kViewBytesPerSecond;
+  // Send views only as often as hosts need them for lack of a broker.
+  bool evidence_views_only = false;
   RetryLimits retry_limits;
+  Placement placement = Placement::kLoad;
 
   friend bool operator==(const BrokerPolicy&, const BrokerPolicy&) = default;
 };
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -10,7 +10,6 @@
 namespace pimentopin {
 namespace {
 
-constexpr Duration kMinViewInterval = std::chrono::milliseconds(20);
 // Hosts make optimistic starts only on views younger than 250 ms
 // (ViewState::kMaxViewAge), so an unchanged view is repeated within that time
 // while a host uses the service.
@@ -28,9 +27,18 @@
 constexpr Duration kPauseThreshold = std::chrono::milliseconds(50);
 // Tick intervals while requests wait, and while only held slots and target
 // health need updates. While hosts receive views, ticks follow
-// kMinViewInterval.
+// PushInterval().
 constexpr Duration kQueueTickInterval = std::chrono::milliseconds(10);
 constexpr Duration kIdleTickInterval = std::chrono::seconds(1);
+// With an order by priority, the queue may be long, and is checked less often than at each tick.
+constexpr Duration kQueueCheckInterval = std::chrono::milliseconds(50);
+// Such a queue holds what the slots serve in this many service times, about a second.
+constexpr std::uint32_t kQueuedPerSlot = 4;
+// Waiting requests that are considered for a free slot. Those beyond rarely differ in the targets
+// that they may use.
+constexpr std::size_t kMaxConsideredEntries = 200;
+// Longest tick interval while hosts receive views that are sent less often.
+constexpr Duration kMaxViewTickInterval = std::chrono::milliseconds(100);
 
 // An attempt is overdue after this multiple of the mean service time. About 3 %
 // of long-tailed work takes longer.
@@ -45,6 +53,24 @@
 constexpr Duration kMaxReliableTargetWait = std::chrono::milliseconds(300);
 constexpr Duration::rep kReliableTargetWaitBudgetDivisor = 5;
 
+// Delay, relative to the request's work, from which a free slot is compared with slots that become
+// free soon, and by which the latter must be better.
+constexpr double kDelayedCompletion = 0.5;
+constexpr double kSoonerCompletionMargin = 0.4;
+// A request that is bound to a target early cannot use a slot that becomes free elsewhere, so it
+// waits there for this fraction of the usual work at most.
+constexpr double kMaxBoundWait = 0.35;
+// Hosts that choose a target without the broker leave out targets that are slower than this.
+constexpr double kMaxUnaskedSlowness = 1.5;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+WorkTraits TraitsOf(const SlotRequest& request) {
+  return {.work_class = request.work_class, .kind = request.kind, .key = request.work_key};
+}
+
 }  // namespace
 
 SlotBroker::SlotBroker(BrokerConfiguration initial,
@@ -52,6 +78,7 @@
                        std::shared_ptr<RetryBudget> shared_retries)
     : configuration(std::move(initial)),
       policy(broker_policy),
+      queue([this](std::uint32_t priority) { return this->admission.MinimumShare(priority); }),
       retries(shared_retries ? std::move(shared_retries)
                              : std::make_shared<RetryBudget>(broker_policy.retry_limits)),
       long_share(broker_policy.long_headroom) {
@@ -67,6 +94,7 @@
   std::erase_if(this->draining, is_removed);
   this->rate_limits.RemoveTargets(is_removed);
   this->ranking.RemoveTargets(is_removed);
+  this->target_work.RemoveTargets(is_removed);
   this->ConfigureHealth(now);
   Messages messages;
   this->RefuseExpired(now, messages);
@@ -211,14 +239,23 @@
          (work_class == WorkClass::kShort || this->table.long_count() < this->LongSlotLimit());
 }
 
-bool SlotBroker::HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const {
+bool SlotBroker::HasOvercommitRoom(TimePoint now,
+                                   const Candidate& candidate,
+                                   WorkClass work_class) {
   // Long work is never overcommitted, and no target whose slots are all held by
   // long work is, because the request would wait for a long time.
-  return work_class == WorkClass::kShort && !this->rate_limits.IsLimited(candidate.target) &&
-         candidate.health_status.state == TargetState::kHealthy &&
-         this->table.LongCountAt(candidate.target) < candidate.health_status.usable_slots &&
-         this->table.CountAt(candidate.target) <
-             candidate.health_status.usable_slots + this->policy.overcommit_per_target;
+  if (work_class != WorkClass::kShort || this->rate_limits.IsLimited(candidate.target) ||
+      candidate.health_status.state != TargetState::kHealthy ||
+      this->table.LongCountAt(candidate.target) >= candidate.health_status.usable_slots ||
+      this->table.CountAt(candidate.target) >=
+          candidate.health_status.usable_slots + this->policy.overcommit_per_target) {
+    return false;
+  }
+  if (this->policy.placement != Placement::kExpectedCompletion) {
+    return true;
+  }
+  const ExpectedCompletion expected = this->Expect(now, candidate, {.work_class = work_class});
+  return ToSeconds(expected.wait) <= kMaxBoundWait * ToSeconds(expected.work);
 }
 
 std::optional<TargetId> SlotBroker::ChooseTrial(TimePoint now, const QueueEntry& entry) {
@@ -287,7 +324,8 @@
   }
   const bool worth_waiting = !reliable.empty() && best_unreliable;
   if (best != nullptr && !worth_waiting) {
-    return best->target;
+    const std::optional<TargetId> sooner = this->ChooseSooner(now, entry, reliable, *best);
+    return sooner ? sooner : best->target;
   }
   // A failing target responds at once, so it would take the queue before a reliable one is free.
   return this->ChooseOvercommitted(now, entry, reliable.empty() ? usable : reliable);
@@ -317,25 +355,98 @@
   const RankedTarget ranked{.target = candidate.target,
                             .load = static_cast<double>(this->table.CountAt(candidate.target)) /
                                     candidate.health_status.usable_slots,
+                            .delay = this->DelayOf(now, candidate, TraitsOf(entry.request)),
                             .same_domain = candidate.domain == entry.domain};
   return this->ranking.Cost(now, entry.request, ranked);
 }
 
+std::optional<double> SlotBroker::DelayOf(TimePoint now,
+                                          const Candidate& candidate,
+                                          const WorkTraits& traits) {
+  switch (this->policy.placement) {
+    case Placement::kLoad:
+      return std::nullopt;
+    case Placement::kLeastWork: {
+      const Duration mean = this->target_work.estimate().Mean({.work_class = traits.work_class});
+      const Duration outstanding = this->target_work.Outstanding(
+          now, candidate.target, this->table.HoldersAt(candidate.target));
+      return mean > Duration::zero()
+                 ? std::chrono::duration<double>(outstanding) /
+                       std::chrono::duration<double>(mean) / candidate.health_status.usable_slots
+                 : 0.0;
+    }
+    case Placement::kExpectedCompletion:
+      return this->Expect(now, candidate, traits).RelativeDelay();
+  }
+  return std::nullopt;
+}
+
+ExpectedCompletion SlotBroker::Expect(TimePoint now,
+                                      const Candidate& candidate,
+                                      const WorkTraits& traits) {
+  return this->target_work.Expect(now, candidate.target, candidate.health_status.usable_slots,
+                                  this->table.HoldersAt(candidate.target), traits);
+}
+
+void SlotBroker::SetExpectation(TimePoint now, SlotHolder& holder) {
+  const auto position = std::find_if(
+      this->candidates.begin(), this->candidates.end(),
+      [&holder](const Candidate& candidate) { return candidate.target == holder.target; });
+  if (this->policy.placement == Placement::kLoad || position == this->candidates.end()) {
+    return;
+  }
+  const ExpectedCompletion expected = this->Expect(now, *position, holder.work);
+  holder.expected_wait = expected.wait;
+  holder.stated_wait = expected.stated_wait;
+  holder.expected_run = expected.Run();
+  holder.slowness = expected.slowness;
+}
+
+std::optional<TargetId> SlotBroker::ChooseSooner(TimePoint now,
+                                                 const QueueEntry& entry,
+                                                 const std::vector<const Candidate*>& usable,
+                                                 const Candidate& best) {
+  if (this->policy.placement != Placement::kExpectedCompletion) {
+    return std::nullopt;
+  }
+  const WorkTraits traits = TraitsOf(entry.request);
+  const double limit = this->Expect(now, best, traits).RelativeDelay() - kSoonerCompletionMargin;
+  if (limit < kDelayedCompletion - kSoonerCompletionMargin) {
+    return std::nullopt;
+  }
+  const std::optional<TargetId> other = this->ChooseOvercommitted(now, entry, usable);
+  const auto position =
+      std::find_if(usable.begin(), usable.end(),
+                   [&other](const Candidate* candidate) { return candidate->target == other; });
+  return position != usable.end() && this->Expect(now, **position, traits).RelativeDelay() < limit
+             ? other
+             : std::nullopt;
+}
+
 std::optional<TargetId> SlotBroker::ChooseOvercommitted(
     TimePoint now,
     const QueueEntry& entry,
-    const std::vector<const Candidate*>& usable) const {
+    const std::vector<const Candidate*>& usable) {
+  const bool by_completion = this->policy.placement != Placement::kLoad;
+  const WorkTraits traits = TraitsOf(entry.request);
   const Candidate* best = nullptr;
-  std::uint32_t best_short = 0;
+  // The lowest one is best.
+  double best_score = 0;
   for (const Candidate* candidate : usable) {
+    // A candidate with a free slot was skipped as unreliable.
+    if (this->HasFreeSlot(now, *candidate, entry.request.work_class) ||
+        !this->HasOvercommitRoom(now, *candidate, entry.request.work_class)) {
+      continue;
+    }
+    const ExpectedCompletion expected =
+        by_completion ? this->Expect(now, *candidate, traits) : ExpectedCompletion{};
     const std::uint32_t short_work =
         this->table.CountAt(candidate->target) - this->table.LongCountAt(candidate->target);
-    // A candidate with a free slot was skipped as unreliable.
-    if (!this->HasFreeSlot(now, *candidate, entry.request.work_class) &&
-        this->HasOvercommitRoom(*candidate, entry.request.work_class) &&
-        (best == nullptr || short_work > best_short)) {
+    const double score =
+        by_completion ? ToSeconds(expected.Total()) : -static_cast<double>(short_work);
+    if (best == nullptr || score < best_score) {
       best = candidate;
-      best_short = short_work;
+      best_score = score;
     }
   }
   return best != nullptr ? std::optional(best->target) : std::nullopt;
@@ -346,14 +457,26 @@
          this->ChooseTarget(now, entry).has_value();
 }
 
+std::uint32_t SlotBroker::QueueLimit() const {
+  return this->policy.by_priority
+             ? std::max(this->configuration.queue_limit, kQueuedPerSlot * this->UsableSlots())
+             : this->configuration.queue_limit;
+}
+
 bool SlotBroker::QueueIsFull(WorkClass work_class) const {
-  const std::uint32_t limit = this->configuration.queue_limit;
+  const std::uint32_t limit = this->QueueLimit();
   // Long work takes at most half of the queue, so that it cannot exclude short
   // work.
   return this->queue.size() >= limit ||
          (work_class == WorkClass::kLong && this->queue.SizeOf(work_class) >= (limit + 1) / 2);
 }
 
+std::uint32_t SlotBroker::SlotsFor(WorkClass work_class) const {
+  const std::uint32_t usable = this->UnlimitedSlots();
+  return work_class == WorkClass::kLong ? this->LongSlotLimit()
+                                        : usable - std::min(usable, this->table.long_count());
+}
+
 Duration SlotBroker::PredictedWait(const SlotRequest& request) const {
   const std::size_t ahead = this->queue.CountAhead(request.work_class, request.organisation) + 1;
   const double rate_limit = this->TotalRateLimit();
@@ -361,12 +484,52 @@
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(static_cast<double>(ahead) / rate_limit));
   }
-  const std::uint32_t usable = this->UnlimitedSlots();
-  const std::uint32_t long_used = this->table.long_count();
-  const std::uint32_t slots = request.work_class == WorkClass::kLong
-                                  ? this->LongSlotLimit()
-                                  : usable - std::min(usable, long_used);
-  return this->estimate.PredictedWait(request.work_class, ahead, slots);
+  return this->estimate.PredictedWait(request.work_class, ahead,
+                                      this->SlotsFor(request.work_class));
+}
+
+double SlotBroker::CapacityPerSecond(WorkClass work_class) const {
+  const double rate_limit = this->TotalRateLimit();
+  const Duration mean = this->estimate.Mean(work_class);
+  if (rate_limit > 0 || this->table.size() == 0 || mean == Duration::zero()) {
+    return rate_limit;
+  }
+  // The mean includes the wait in the queues of targets that hold more attempts than slots.
+  const std::size_t held = work_class == WorkClass::kLong
+                               ? this->table.long_count()
+                               : this->table.size() - this->table.long_count();
+  return static_cast<double>(std::max<std::size_t>(held, this->SlotsFor(work_class))) /
+         std::chrono::duration<double>(mean).count();
+}
+
+AdmissionCase SlotBroker::CaseOf(const SlotRequest& request,
+                                 QueuePosition position,
+                                 double capacity_per_s,
+                                 Duration budget) const {
+  const auto objective = this->configuration.objectives.find(request.kind);
+  // The time that a retry has left until its objective is not known.
+  const bool has_objective = objective != this->configuration.objectives.end() &&
+                             !request.is_retry && request.excluded.empty();
+  return {.attempt = request.attempt,
+          .priority = request.priority,
+          .position = position,
+          .capacity_per_s = capacity_per_s,
+          .service_time = this->estimate.Mean(request.work_class, request.kind),
+          .budget = budget,
+          .objective = has_objective ? objective->second : Duration::zero()};
+}
+
+AdmissionCase SlotBroker::CaseOf(const SlotRequest& request) const {
+  return this->CaseOf(
+      request, this->queue.PositionOf(request.work_class, request.organisation, request.priority),
+      this->CapacityPerSecond(request.work_class), request.budget);
+}
+
+bool SlotBroker::IsTooLate(TimePoint now, const SlotRequest& request) const {
+  if (!this->policy.by_priority) {
+    return this->BudgetTooShort(request, this->PredictedWait(request), request.budget);
+  }
+  return this->admission.IsTooLate(now, this->CaseOf(request));
 }
 
 bool SlotBroker::BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const {
@@ -374,14 +537,32 @@
   // not applied.
   // A stated limit is no estimate.
   return (this->table.size() > 0 || this->TotalRateLimit() > 0) &&
-         wait + this->estimate.Mean(request.work_class, request.kind) > budget;
+         wait + this->ExpectedWork(request) > budget;
 }
 
-SlotRefusal SlotBroker::MakeRefusal(const SlotRequest& request, RefusalReason reason) const {
+Duration SlotBroker::ExpectedWork(const SlotRequest& request) const {
+  const Duration kind_mean = this->estimate.Mean(request.work_class, request.kind);
+  if (this->policy.placement == Placement::kLoad) {
+    return kind_mean;
+  }
+  // Requests that are all refused give no sample that could correct the mean of their key.
+  return std::min(this->estimate.Mean(request.work_class),
+                  this->target_work.estimate().Mean(TraitsOf(request)));
+}
+
+SlotRefusal SlotBroker::MakeRefusal(TimePoint now,
+                                    const SlotRequest& request,
+                                    RefusalReason reason) {
+  Duration retry_after;
+  if (this->policy.by_priority) {
+    retry_after = this->admission.RetryAfter(now, this->CaseOf(request));
+  } else {
+    retry_after = std::max<Duration>(this->PredictedWait(request), kMinViewInterval);
+  }
   return {.attempt = request.attempt,
           .service = request.service,
           .reason = reason,
-          .retry_after = std::max<Duration>(this->PredictedWait(request), kMinViewInterval)};
+          .retry_after = retry_after};
 }
 
 void SlotBroker::SendRefusal(TimePoint now,
@@ -397,29 +578,32 @@
                                              Messages& messages) {
   const SlotRequest& request = entry.request;
   if (request.budget <= Duration::zero()) {
-    return this->MakeRefusal(request, RefusalReason::kDeadline);
+    return this->MakeRefusal(now, request, RefusalReason::kDeadline);
   }
   if (this->CandidatesFor(entry).empty()) {
-    return this->MakeRefusal(request, RefusalReason::kNoTarget);
+    return this->MakeRefusal(now, request, RefusalReason::kNoTarget);
   }
   const bool immediate = this->CanGrantImmediately(now, entry);
-  if (!immediate && this->BudgetTooShort(request, this->PredictedWait(request), request.budget)) {
-    return this->MakeRefusal(request, RefusalReason::kOverload);
+  if (!immediate && this->IsTooLate(now, request)) {
+    return this->MakeRefusal(now, request, RefusalReason::kOverload);
   }
   const bool full = !immediate && this->QueueIsFull(request.work_class);
   // An organisation that fills the queue must not exclude the others.
   const std::optional<AttemptId> evicted =
-      full ? this->queue.EvictionCandidate(request.work_class, request.organisation) : std::nullopt;
+      full ? this->queue.EvictionCandidate(request.work_class, request.organisation,
+                                           request.priority)
+           : std::nullopt;
   if (full && !evicted) {
-    return this->MakeRefusal(request, RefusalReason::kQueueFull);
+    return this->MakeRefusal(now, request, RefusalReason::kQueueFull);
   }
   if (request.is_retry && !this->retries->TryRetry(now)) {
-    return this->MakeRefusal(request, RefusalReason::kRetryBudget);
+    return this->MakeRefusal(now, request, RefusalReason::kRetryBudget);
   }
   if (evicted) {
     const std::optional<QueueEntry> removed = this->queue.Remove(*evicted);
     this->SendRefusal(now, removed->host,
-                      this->MakeRefusal(removed->request, RefusalReason::kQueueFull), messages);
+                      this->MakeRefusal(now, removed->request, RefusalReason::kQueueFull),
+                      messages);
   }
   return std::nullopt;
 }
@@ -446,7 +630,7 @@
     return messages;
   }
   if (fingerprint_blocked) {
-    messages.push_back({sender, this->MakeRefusal(request, RefusalReason::kCrashRequest)});
+    messages.push_back({sender, this->MakeRefusal(now, request, RefusalReason::kCrashRequest)});
     return messages;
   }
   activity.recent_requests += 1.0;
@@ -459,6 +643,11 @@
   if (!this->policy.fair) {
     entry.request.organisation = OrganisationId{};
   }
+  if (this->policy.by_priority) {
+    this->admission.RecordArrival(now, request.priority);
+  } else {
+    entry.request.priority = 0;
+  }
   if (const auto refusal = this->Admit(now, entry, messages)) {
     this->SendRefusal(now, sender, *refusal, messages);
     return messages;
@@ -472,22 +661,37 @@
 }
 
 void SlotBroker::AcknowledgeQueued(TimePoint now, HostId host, Messages& messages) {
-  HostActivity& activity = this->hosts[host];
-  activity.view_sent_at = now;
-  ServiceView view = this->View();
-  view.sequence = this->NextSequence(now);
-  messages.push_back(this->MakeViewMessage(now, host, activity, std::move(view)));
+  this->NextSequence(now);
+  std::optional<ServiceView> view;
+  messages.push_back(this->MakeViewMessage(now, host, this->hosts[host], view));
+}
+
+Duration SlotBroker::PushInterval() const {
+  const Duration interval =
+      ViewInterval(this->configuration.targets.size(), this->policy.view_bytes_per_second);
+  return this->policy.evidence_views_only ? std::max(interval, kEvidenceViewInterval) : interval;
+}
+
+bool SlotBroker::MaySendTargets(TimePoint now, const HostActivity& activity) const {
+  const Duration interval = this->PushInterval();
+  return this->ReceivesViews(now, activity) &&
+         (interval <= kMinViewInterval || now - activity.targets_sent_at >= interval);
 }
 
 SendToHost SlotBroker::MakeViewMessage(TimePoint now,
                                        HostId host,
-                                       const HostActivity& activity,
-                                       ServiceView view) const {
-  if (!this->ReceivesViews(now, activity)) {
-    view.targets.clear();
-    return {host, std::move(view)};
+                                       HostActivity& activity,
+                                       std::optional<ServiceView>& view) {
+  activity.view_sent_at = now;
+  if (!this->MaySendTargets(now, activity)) {
+    return {host, this->ViewHeader()};
+  }
+  activity.targets_sent_at = now;
+  activity.view_pending = false;
+  if (!view) {
+    view = this->ViewForHosts(now);
   }
-  return {host, this->ViewForHost(host, activity, std::move(view))};
+  return {host, this->ViewForHost(host, activity, *view)};
 }
 
 std::vector<SendToHost> SlotBroker::OnCancel(TimePoint now,
@@ -508,13 +712,13 @@
                                             DomainId sender_domain,
                                             const SlotClaim& claim) {
   this->RecordActivity(now, sender, sender_domain).recent_requests += 1.0;
-  const bool added =
-      this->table.Add(now, claim.attempt,
-                      {.host = sender,
-                       .target = claim.target,
-                       .work_class = claim.work_class,
-                       .queue_factor = this->QueueFactor(claim.target, claim.work_class)});
-  if (added) {
+  SlotHolder holder{.host = sender,
+                    .target = claim.target,
+                    .work_class = claim.work_class,
+                    .queue_factor = this->QueueFactor(claim.target, claim.work_class),
+                    .work = {.work_class = claim.work_class, .key = claim.work_key}};
+  this->SetExpectation(now, holder);
+  if (this->table.Add(now, claim.attempt, holder)) {
     this->ranking.RecordStart(now, claim.target);
     this->rate_limits.RecordSend(now, claim.target);
     this->long_share.RecordArrival(now, claim.work_class, this->estimate.Mean(claim.work_class));
@@ -544,6 +748,9 @@
   const bool already_released = holder == nullptr && this->table.HasEndedRecently(release.attempt);
   const double queue_factor = known ? holder->queue_factor : 1.0;
   const bool is_trial = known && holder->is_trial;
+  if (known) {
+    this->RecordWork(now, *holder, release);
+  }
   if (holder == nullptr || known) {
     this->table.Free(now, release.attempt);
   }
@@ -579,6 +786,20 @@
   return messages;
 }
 
+void SlotBroker::RecordWork(TimePoint now, const SlotHolder& holder, const SlotRelease& release) {
+  if (this->policy.placement == Placement::kLoad) {
+    return;
+  }
+  if (release.load) {
+    this->target_work.RecordLoad(now, release.target, this->table.CountAt(release.target),
+                                 *release.load);
+  }
+  // A report of its host tells less of an attempt than its release.
+  SlotHolder ended = holder;
+  ended.work = {.work_class = release.work_class, .kind = release.kind, .key = release.work_key};
+  this->target_work.RecordEnd(now, ended, release.result, release.service_time);
+}
+
 std::vector<SendToHost> SlotBroker::OnReport(TimePoint now,
                                              HostId sender,
                                              DomainId sender_domain,
@@ -618,12 +839,14 @@
                        Messages& messages) {
   const SlotRequest& request = entry.request;
   const bool is_trial = this->health.Status(target).state == TargetState::kEjected;
-  this->table.Add(now, request.attempt,
-                  {.host = entry.host,
-                   .target = target,
-                   .work_class = request.work_class,
-                   .queue_factor = this->QueueFactor(target, request.work_class),
-                   .is_trial = is_trial});
+  SlotHolder holder{.host = entry.host,
+                    .target = target,
+                    .work_class = request.work_class,
+                    .queue_factor = this->QueueFactor(target, request.work_class),
+                    .is_trial = is_trial,
+                    .work = TraitsOf(request)};
+  this->SetExpectation(now, holder);
+  this->table.Add(now, request.attempt, holder);
   this->ranking.RecordStart(now, target);
   this->rate_limits.RecordSend(now, target);
   if (is_trial) {
@@ -660,6 +883,9 @@
 }
 
 bool SlotBroker::LongWorkGoesFirst(TimePoint now) const {
+  if (this->queue.SizeOf(WorkClass::kLong) == 0) {
+    return false;
+  }
   TimePoint oldest_long = TimePoint::max();
   TimePoint oldest_short = TimePoint::max();
   for (const QueueEntry* entry : this->queue.All()) {
@@ -674,30 +900,45 @@
 }
 
 bool SlotBroker::GrantNext(TimePoint now, WorkClass work_class, Messages& messages) {
-  const bool room = this->trials.active(now) ||
-                    std::any_of(this->candidates.begin(), this->candidates.end(),
-                                [&](const Candidate& candidate) {
-                                  return this->HasFreeSlot(now, candidate, work_class) ||
-                                         this->HasOvercommitRoom(candidate, work_class);
-                                });
+  // Without an ejected target there is nothing to try, and each entry of a long queue would be
+  // compared with all targets at every message.
+  const bool may_try =
+      this->trials.active(now) &&
+      std::any_of(this->candidates.begin(), this->candidates.end(), [](const Candidate& candidate) {
+        return candidate.health_status.state == TargetState::kEjected;
+      });
+  const bool room =
+      may_try || std::any_of(this->candidates.begin(), this->candidates.end(),
+                             [&](const Candidate& candidate) {
+                               return this->HasFreeSlot(now, candidate, work_class) ||
+                                      this->HasOvercommitRoom(now, candidate, work_class);
+                             });
   if (!room) {
     return false;
   }
-  for (const QueueEntry* entry : this->queue.InServiceOrder(work_class)) {
-    const AttemptId attempt = entry->request.attempt;
-    if (this->BudgetTooShort(entry->request, Duration::zero(), entry->deadline - now)) {
-      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-      this->SendRefusal(now, removed->host,
-                        this->MakeRefusal(removed->request, RefusalReason::kDeadline), messages);
-      return true;
-    }
-    if (const std::optional<TargetId> target = this->ChooseTarget(now, *entry)) {
-      const std::optional<QueueEntry> taken = this->queue.Dequeue(attempt);
-      this->Grant(now, *taken, *target, messages);
-      return true;
+  std::optional<AttemptId> attempt;
+  std::optional<TargetId> target;
+  std::size_t considered = 0;
+  this->queue.VisitInServiceOrder(work_class, [&](const QueueEntry& entry) {
+    const bool too_late =
+        this->BudgetTooShort(entry.request, Duration::zero(), entry.deadline - now);
+    target = too_late ? std::nullopt : this->ChooseTarget(now, entry);
+    if (too_late || target) {
+      attempt = entry.request.attempt;
     }
+    return attempt || (this->policy.by_priority && ++considered == kMaxConsideredEntries);
+  });
+  if (!attempt) {
+    return false;
+  }
+  if (target) {
+    this->Grant(now, *this->queue.Dequeue(*attempt), *target, messages);
+  } else {
+    const std::optional<QueueEntry> removed = this->queue.Remove(*attempt);
+    this->SendRefusal(now, removed->host,
+                      this->MakeRefusal(now, removed->request, RefusalReason::kDeadline), messages);
   }
-  return false;
+  return true;
 }
 
 void SlotBroker::GrantQueued(TimePoint now, Messages& messages) {
@@ -713,20 +954,58 @@
 
 void SlotBroker::RefuseExpired(TimePoint now, Messages& messages) {
   std::vector<std::pair<AttemptId, RefusalReason>> refused;
+  const bool check_targets =
+      !this->policy.by_priority || now - this->queue_checked_at >= kQueueCheckInterval;
   for (const QueueEntry* entry : this->queue.All()) {
     if (entry->deadline <= now ||
         this->BudgetTooShort(entry->request, Duration::zero(), entry->deadline - now)) {
       refused.emplace_back(entry->request.attempt, RefusalReason::kDeadline);
-    } else if (this->CandidatesFor(*entry).empty()) {
+    } else if (check_targets && this->CandidatesFor(*entry).empty()) {
       refused.emplace_back(entry->request.attempt, RefusalReason::kNoTarget);
     }
   }
   for (const auto& [attempt, reason] : refused) {
     const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-    this->SendRefusal(now, removed->host, this->MakeRefusal(removed->request, reason), messages);
+    this->SendRefusal(now, removed->host, this->MakeRefusal(now, removed->request, reason),
+                      messages);
+  }
+  if (!this->policy.by_priority || !check_targets) {
+    return;
+  }
+  this->queue_checked_at = now;
+  for (const WorkClass work_class : {WorkClass::kShort, WorkClass::kLong}) {
+    for (const AttemptId attempt : this->HopelessAttempts(now, work_class)) {
+      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
+      this->SendRefusal(now, removed->host,
+                        this->MakeRefusal(now, removed->request, RefusalReason::kOverload),
+                        messages);
+    }
   }
 }
 
+std::vector<AttemptId> SlotBroker::HopelessAttempts(TimePoint now, WorkClass work_class) const {
+  std::vector<AttemptId> hopeless;
+  const double capacity_per_s = this->CapacityPerSecond(work_class);
+  // Entries that stay, by priority.
+  std::map<std::uint32_t, std::size_t> kept;
+  this->queue.VisitInServiceOrder(work_class, [&](const QueueEntry& entry) {
+    const std::uint32_t priority = entry.request.priority;
+    QueuePosition position{.equal = kept[priority]};
+    for (auto more_urgent = kept.begin(); more_urgent->first < priority; ++more_urgent) {
+      position.more_urgent += more_urgent->second;
+    }
+    const AdmissionCase waiting =
+        this->CaseOf(entry.request, position, capacity_per_s, entry.deadline - now);
+    if (this->admission.IsHopeless(now, waiting)) {
+      hopeless.push_back(entry.request.attempt);
+    } else {
+      ++kept[priority];
+    }
+    return false;
+  });
+  return hopeless;
+}
+
 std::uint64_t SlotBroker::NextSequence(TimePoint now) {
   // Sequences start from the clock, so that the views of a restarted broker
   // replace those of its previous incarnation.
@@ -760,7 +1039,7 @@
   } else if (std::any_of(this->hosts.begin(), this->hosts.end(), [this, now](const auto& item) {
                return this->ReceivesViews(now, item.second);
              })) {
-    next = now + kMinViewInterval;
+    next = now + std::min(this->PushInterval(), kMaxViewTickInterval);
   } else if (!this->hosts.empty() || this->table.size() > 0) {
     next = now + kIdleTickInterval;
   }
@@ -772,32 +1051,34 @@
 }
 
 void SlotBroker::PushViews(TimePoint now, Messages& messages) {
-  ServiceView view = this->View();
-  view.sequence = 0;
-  const bool changed = view != this->last_pushed_view && now - this->pushed_at >= kMinViewInterval;
-  if (changed) {
-    this->last_pushed_view = view;
-    this->pushed_at = now;
-    for (auto& [host, activity] : this->hosts) {
-      activity.view_pending = true;
+  if (now - this->pushed_at >= this->PushInterval()) {
+    ServiceView current = this->ViewForHosts(now);
+    current.sequence = 0;
+    if (current != this->last_pushed_view) {
+      this->last_pushed_view = std::move(current);
+      this->pushed_at = now;
+      for (auto& [host, activity] : this->hosts) {
+        activity.view_pending = true;
+      }
     }
   }
-  view.sequence = this->NextSequence(now);
+  this->NextSequence(now);
+  std::optional<ServiceView> view;
   std::set<HostId> waiting;
   for (const QueueEntry* entry : this->queue.All()) {
     waiting.insert(entry->host);
   }
   for (auto& [host, activity] : this->hosts) {
-    if (!waiting.contains(host) && !this->ReceivesViews(now, activity)) {
+    const bool receives_views = this->ReceivesViews(now, activity);
+    if (!waiting.contains(host) && !receives_views) {
       continue;
     }
     const Duration repeat_interval = waiting.contains(host) ? kWaitingViewRepeatInterval
                                      : now - activity.last_active_at < kRecentActivity
-                                         ? kViewRepeatInterval
-                                         : kIdleViewRepeatInterval;
-    if (activity.view_pending || now - activity.view_sent_at >= repeat_interval) {
-      activity.view_pending = false;
-      activity.view_sent_at = now;
+                                         ? std::max(kViewRepeatInterval, this->PushInterval())
+                                         : std::max(kIdleViewRepeatInterval, this->PushInterval());
+    const bool changed = activity.view_pending && this->MaySendTargets(now, activity);
+    if (changed || now - activity.view_sent_at >= repeat_interval) {
       messages.push_back(this->MakeViewMessage(now, host, activity, view));
     }
   }
@@ -814,16 +1095,37 @@
   return view;
 }
 
+ServiceView SlotBroker::ViewForHosts(TimePoint now) const {
+  ServiceView view = this->View();
+  if (this->policy.placement != Placement::kExpectedCompletion) {
+    return view;
+  }
+  for (TargetView& target : view.targets) {
+    if (this->target_work.Slowness(now, target.target) > kMaxUnaskedSlowness) {
+      target.free_slots = 0;
+    }
+  }
+  return view;
+}
+
 std::vector<HealthEvent> SlotBroker::TakeHealthEvents() {
   return this->health.TakeEvents();
 }
 
+std::vector<SpeedChange> SlotBroker::TakeSpeedChanges(TimePoint now) {
+  return this->target_work.TakeSpeedChanges(now);
+}
+
+ServiceView SlotBroker::ViewHeader() const {
+  return {.service = this->configuration.service,
+          .sequence = this->sequence,
+          .queued = static_cast<std::uint32_t>(this->queue.size()),
+          .active_hosts =
+              static_cast<std::uint16_t>(std::clamp<std::size_t>(this->hosts.size(), 1, 65535))};
+}
+
 ServiceView SlotBroker::View() const {
-  ServiceView view{.service = this->configuration.service,
-                   .sequence = this->sequence,
-                   .queued = static_cast<std::uint32_t>(this->queue.size()),
-                   .active_hosts = static_cast<std::uint16_t>(
-                       std::clamp<std::size_t>(this->hosts.size(), 1, 65535))};
+  ServiceView view = this->ViewHeader();
   for (const Candidate& candidate : this->candidates) {
     const std::uint32_t usable = candidate.health_status.usable_slots;
     // A start without a grant would exceed the limit.
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -9,6 +9,7 @@
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
+#include "Libraries/LibDispatch/admission.h"
 #include "Libraries/LibDispatch/broker_policy.h"
 #include "Libraries/LibDispatch/ejection_trials.h"
 #include "Libraries/LibDispatch/fair_queue.h"
@@ -18,6 +19,7 @@
 #include "Libraries/LibDispatch/slot_table.h"
 #include "Libraries/LibDispatch/target_ranking.h"
 #include "Libraries/LibDispatch/target_rate_limits.h"
+#include "Libraries/LibDispatch/target_work.h"
 #include "Libraries/LibHealth/service_health.h"
 #include "Libraries/LibProtocol/envelope.h"
 
@@ -37,6 +39,8 @@
   std::uint32_t floor_slots = 0;
   std::uint32_t queue_limit = 0;
   std::vector<BrokerTarget> targets;
+  // Response times after which a response is of less value, for the kinds that state one.
+  std::map<RequestKind, Duration> objectives;
 
   friend bool operator==(const BrokerConfiguration&, const BrokerConfiguration&) = default;
 };
@@ -52,6 +56,8 @@
   explicit SlotBroker(BrokerConfiguration initial,
                       BrokerPolicy broker_policy = {},
                       std::shared_ptr<RetryBudget> shared_retries = nullptr);
+  SlotBroker(const SlotBroker&) = delete;
+  SlotBroker& operator=(const SlotBroker&) = delete;
 
   std::vector<SendToHost> Configure(TimePoint now, BrokerConfiguration changed);
   std::vector<SendToHost> OnRequest(TimePoint now,
@@ -83,6 +89,8 @@
   TimePoint NextDeadline(TimePoint now);
 
   std::vector<HealthEvent> TakeHealthEvents();
+  // Empty if the placement is kLoad.
+  std::vector<SpeedChange> TakeSpeedChanges(TimePoint now);
   ServiceView View() const;
 
   std::size_t queued() const { return this->queue.size(); }
@@ -96,6 +104,8 @@
     DomainId domain{};
     TimePoint last_active_at;
     TimePoint view_sent_at;
+    // Time of the last view with targets.
+    TimePoint targets_sent_at;
     bool view_pending = false;
     // Number of requests and claims, with exponential decay by age.
     double recent_requests = 0;
@@ -125,6 +135,20 @@
   // which may hang, long before their deadlines expire.
   void ObserveOverdue(TimePoint now);
   double CostOf(TimePoint now, const QueueEntry& entry, const Candidate& candidate);
+  // Delay at the candidate as the placement counts it; empty if the load counts.
+  std::optional<double> DelayOf(TimePoint now,
+                                const Candidate& candidate,
+                                const WorkTraits& traits);
+  // Learns from the end of an attempt that held a slot until now.
+  void RecordWork(TimePoint now, const SlotHolder& holder, const SlotRelease& release);
+  // Expected completion of a request of these traits that is sent to the candidate now.
+  ExpectedCompletion Expect(TimePoint now, const Candidate& candidate, const WorkTraits& traits);
+  // Fills in what is expected of an attempt that starts now.
+  void SetExpectation(TimePoint now, SlotHolder& holder);
+  // Expected time that the request takes at a target.
+  Duration ExpectedWork(const SlotRequest& request) const;
+  // Shows slow targets as busy, so that no host starts work there without asking.
+  ServiceView ViewForHosts(TimePoint now) const;
   // Returns the view with the targets that this host cannot reach marked as
   // unreachable from its failure domain.
   ServiceView ViewForHost(HostId host, const HostActivity& activity, ServiceView view) const;
@@ -139,21 +163,39 @@
   // Targets that may run the request, with or without a free slot.
   std::vector<const Candidate*> CandidatesFor(const QueueEntry& entry) const;
   bool HasFreeSlot(TimePoint now, const Candidate& candidate, WorkClass work_class) const;
-  bool HasOvercommitRoom(const Candidate& candidate, WorkClass work_class) const;
+  bool HasOvercommitRoom(TimePoint now, const Candidate& candidate, WorkClass work_class);
   std::optional<TargetId> ChooseTarget(TimePoint now, const QueueEntry& entry);
   // The idle ejected target that the request should test; std::nullopt if it should test none.
   std::optional<TargetId> ChooseTrial(TimePoint now, const QueueEntry& entry);
-  std::optional<TargetId> ChooseOvercommitted(
-      TimePoint now,
-      const QueueEntry& entry,
-      const std::vector<const Candidate*>& candidates) const;
+  std::optional<TargetId> ChooseOvercommitted(TimePoint now,
+                                              const QueueEntry& entry,
+                                              const std::vector<const Candidate*>& candidates);
+  // A target that is expected to complete the request clearly before `best`, although the request
+  // must wait there for a slot.
+  std::optional<TargetId> ChooseSooner(TimePoint now,
+                                       const QueueEntry& entry,
+                                       const std::vector<const Candidate*>& usable,
+                                       const Candidate& best);
   bool CanGrantImmediately(TimePoint now, const QueueEntry& entry);
+  std::uint32_t QueueLimit() const;
   bool QueueIsFull(WorkClass work_class) const;
+  // Slots that serve the class while requests of it wait.
+  std::uint32_t SlotsFor(WorkClass work_class) const;
   Duration PredictedWait(const SlotRequest& request) const;
+  // Requests of the class that the service completes in a second; zero if unknown.
+  double CapacityPerSecond(WorkClass work_class) const;
+  AdmissionCase CaseOf(const SlotRequest& request,
+                       QueuePosition position,
+                       double capacity_per_s,
+                       Duration budget) const;
+  // The same for a request that has not entered the queue.
+  AdmissionCase CaseOf(const SlotRequest& request) const;
+  // Whether the request would be served too late if it entered the queue.
+  bool IsTooLate(TimePoint now, const SlotRequest& request) const;
   bool BudgetTooShort(const SlotRequest& request, Duration wait, Duration budget) const;
   // Returns the refusal, or an empty result if the request may enter the queue.
   std::optional<SlotRefusal> Admit(TimePoint now, const QueueEntry& entry, Messages& messages);
-  SlotRefusal MakeRefusal(const SlotRequest& request, RefusalReason reason) const;
+  SlotRefusal MakeRefusal(TimePoint now, const SlotRequest& request, RefusalReason reason);
   void SendRefusal(TimePoint now, HostId host, const SlotRefusal& refusal, Messages& messages);
   void Grant(TimePoint now, const QueueEntry& entry, TargetId target, Messages& messages);
   void GrantQueued(TimePoint now, Messages& messages);
@@ -163,14 +205,23 @@
   // that is started now; zero if it cannot be predicted.
   double QueueFactor(TargetId target, WorkClass work_class) const;
   void RefuseExpired(TimePoint now, Messages& messages);
+  // Attempts of the class that can no longer be served before their deadlines.
+  std::vector<AttemptId> HopelessAttempts(TimePoint now, WorkClass work_class) const;
   void PushViews(TimePoint now, Messages& messages);
   void AcknowledgeQueued(TimePoint now, HostId host, Messages& messages);
+  // Whether a view with targets may be sent to the host without exceeding its budget.
+  bool MaySendTargets(TimePoint now, const HostActivity& activity) const;
   // Makes a keep-alive message, with the state of the targets if the host
-  // receives views.
+  // receives views and its budget allows.
+  // Fills `view` if it is empty and needed.
   SendToHost MakeViewMessage(TimePoint now,
                              HostId host,
-                             const HostActivity& activity,
-                             ServiceView view) const;
+                             HostActivity& activity,
+                             std::optional<ServiceView>& view);
+  // The minimum time between two views with targets to the same host.
+  Duration PushInterval() const;
+  // A view without targets.
+  ServiceView ViewHeader() const;
   std::uint64_t NextSequence(TimePoint now);
 
   BrokerConfiguration configuration;
@@ -179,11 +230,15 @@
   TargetRanking ranking;
   TimePoint overdue_checked_at;
   SlotTable table;
+  Admission admission;
   FairQueue queue;
+  TimePoint queue_checked_at;
   std::shared_ptr<RetryBudget> retries;
   EjectionTrials trials;
   TargetRateLimits rate_limits;
   ServiceTimeEstimate estimate;
+  // Used unless the placement is kLoad.
+  TargetWork target_work;
   LongWorkShare long_share;
   std::vector<Candidate> candidates;
   std::map<HostId, HostActivity> hosts;
--- a/Libraries/LibDispatch/target_ranking.h
+++ b/Libraries/LibDispatch/target_ranking.h
@@ -7,6 +7,7 @@
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibDispatch/dispatch_types.h"
+#include "Libraries/LibDispatch/shed_share.h"
 #include "Libraries/LibHealth/failure_estimator.h"
 
 namespace pimentopin {
@@ -16,6 +17,8 @@
   TargetId target{};
   // Occupied fraction of the usable slots; may exceed 1.
   double load = 0;
+  // Delay of the request's completion relative to its own work; if empty, the load counts instead.
+  std::optional<double> delay;
   bool same_domain = false;
 };
 
@@ -42,6 +45,7 @@
   // Outcomes of the attempts at a target.
   struct History {
     FailureEstimator failure_estimator;
+    ShedShare shed_share;
     TimePoint last_start;
     // Valid at `evaluated_at`.
     double failure_probability = 0;
--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -22,11 +22,13 @@
 #include "Libraries/LibHost/control_loop.h"
 #include "Libraries/LibHost/directory_controller.h"
 #include "Libraries/LibHost/dispatch_controller.h"
+#include "Libraries/LibHost/key_lease_controller.h"
 #include "Libraries/LibHost/limits_in_force.h"
 #include "Libraries/LibHost/metrics.h"
 #include "Libraries/LibHost/operator_endpoint.h"
 #include "Libraries/LibHost/platform_configuration_source.h"
 #include "Libraries/LibHost/probe_controller.h"
+#include "Libraries/LibHost/quota_controller.h"
 #include "Libraries/LibHost/report_controller.h"
 #include "Libraries/LibHost/request_reader.h"
 #include "Libraries/LibHost/stop_admission.h"
@@ -56,6 +58,17 @@
 // Limits how long pending writes to the platform delay the exit, if the host's end does not.
 constexpr Duration kFlushTimeout = std::chrono::seconds(2);
 
+// A read of the configuration confirms it when it ends. With a limit on withdrawn keys, a read
+// waits so shortly that a host which loses its contact can accept keys for more than half of the
+// limit.
+Duration ConfigurationPollTimeout(Duration key_revocation_time) {
+  constexpr int kPollsPerRevocationTime = 8;
+  return key_revocation_time == Duration::zero()
+             ? Duration(StoreRelay::kConfigurationPollTimeout)
+             : std::min<Duration>(StoreRelay::kConfigurationPollTimeout,
+                                  key_revocation_time / kPollsPerRevocationTime);
+}
+
 std::uint64_t RandomSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
@@ -76,6 +89,7 @@
 
  private:
   void CreateStore();
+  void CreateKeyLease();
   bool CreatePeers(Error& error);
   void CreateDirectory();
   void CreateDispatch();
@@ -95,9 +109,12 @@
   std::string NewRequestId();
   void OnFinished(const FinishedRequest& finished);
   void OnHealthEvent(ServiceId service, const HealthEvent& event);
+  void OnSpeedChange(ServiceId service, const SpeedChange& change);
   void OnClaimLost(const ClaimKey& key, AttemptId attempt);
   void OnSummaryDropped(const HostSummary& summary);
   void UpdateReadiness();
+  // Publishes what the host holds for callers and targets.
+  void RecordMemory();
   // The stop that has begun, if any. Callable from any thread.
   std::optional<StopAdmission> CurrentStop() const;
   void BeginShutdown();
@@ -134,6 +151,9 @@
   PauseMonitor pauses{kRunningCheckInterval};
   SharedState shared_state;
   Metrics metrics;
+  const std::shared_ptr<ResponseBudget> response_budget =
+      std::make_shared<ResponseBudget>(this->settings.max_held_response_bytes);
+  std::size_t logged_early_pauses = 0;
   bool shutting_down = false;
   // Of the active configuration.
   std::size_t configured_body_bytes = 0;
@@ -152,9 +172,13 @@
   std::unique_ptr<ClaimStore> claims;
   std::unique_ptr<Alarm> claims_alarm;
 
+  // Null if withdrawn keys have no time limit.
+  std::unique_ptr<KeyLeaseController> key_lease;
+
   std::unique_ptr<PeerNetwork> peers;
   std::unique_ptr<DirectoryController> directory;
   std::unique_ptr<ConfigurationController> configuration;
+  std::unique_ptr<QuotaController> quotas;
   std::unique_ptr<DispatchController> dispatch;
   std::unique_ptr<ProbeController> probes;
   std::unique_ptr<ReportController> reports;
@@ -168,6 +192,7 @@
 
 bool HostProcess::Start(Error& error) {
   this->CreateStore();
+  this->CreateKeyLease();
   if (!this->CreatePeers(error)) {
     return false;
   }
@@ -190,21 +215,56 @@
   return true;
 }
 
+void HostProcess::CreateKeyLease() {
+  if (this->settings.key_revocation_time == Duration::zero()) {
+    return;
+  }
+  this->key_lease = std::make_unique<KeyLeaseController>(
+      this->shared_state,
+      KeyLeaseController::Settings{.revocation_time = this->settings.key_revocation_time,
+                                   .call_store =
+                                       [this](const std::function<void()>& done) {
+                                         // Reads this host's own row.
+                                         this->store->Read(
+                                             std::string(kHostTable) + "/" + this->settings.name,
+                                             [done](const auto&, const Error&) { done(); });
+                                       },
+                                   .clock = BootNow,
+                                   .on_changed = [this] { this->UpdateReadiness(); }});
+}
+
 void HostProcess::CreateStore() {
   this->platform_client = HttpClient::Create(
       {.max_connections_per_address = 8, .keep_alive_idle_time = std::chrono::seconds(1)});
   this->store = this->adapter.create_store(
       *this->platform_client,
       {.base_url = this->settings.platform_url,
-       .post = [this](std::function<void()> task) { this->loop.Post(std::move(task)); }});
+       .post = [this](std::function<void()> task) { this->loop.Post(std::move(task)); },
+       .on_store_time =
+           [this](BootTimePoint sent, BootTimePoint answered, StoreTimePoint at_store) {
+             if (this->key_lease) {
+               this->key_lease->OnStoreTime(sent, answered, at_store);
+             }
+           }});
   this->configuration_store = std::make_unique<ConfigurationStore>(
       *this->store, *this->store, [this](std::function<void()> task) {
         this->loop.RunAfter(kCommitRetryDelay, std::move(task));
       });
   if (this->settings.platform_configuration) {
     this->platform_configuration_source = std::make_unique<PlatformConfigurationSource>(
-        *this->store, this->adapter.configuration_table, this->adapter.configuration_key,
-        this->adapter.read_configuration, StoreRelay::kConfigurationPollTimeout);
+        *this->store,
+        PlatformConfigurationSource::Settings{
+            .table = this->adapter.configuration_table,
+            .key = this->adapter.configuration_key,
+            .reader = this->adapter.read_configuration,
+            .without_keys = this->adapter.without_keys,
+            .on_confirmed =
+                [this](const ConfigurationConfirmation& confirmation) {
+                  if (this->key_lease) {
+                    this->key_lease->OnConfirmed(confirmation);
+                  }
+                },
+            .long_poll_timeout = ConfigurationPollTimeout(this->settings.key_revocation_time)});
   }
   this->claims_alarm = this->loop.CreateAlarm([this] { this->claims->Tick(SteadyNow()); });
   this->claims = std::make_unique<ClaimStore>(
@@ -251,7 +311,8 @@
                .address = this->peers->address(),
                .domain = this->domain,
                .incarnation = this->incarnation,
-               .capacity = this->settings.capacity_millicores},
+               .capacity = this->settings.capacity_millicores,
+               .link_mbps = this->settings.link_mbps},
       .target_table = from_platform ? this->adapter.target_table : "",
       .read_target = this->adapter.read_target,
       .configuration_polled = !from_platform,
@@ -259,6 +320,14 @@
           [this](const ReadNewestConfiguration& read, std::function<void(const Error&)> done) {
             this->configuration->ReadNewest(read, std::move(done));
           },
+      .on_digest =
+          [this](const StoreDigest& digest) {
+            if (this->key_lease) {
+              this->key_lease->OnDigest(digest);
+            }
+          },
+      .confirmed_store_time =
+          [this] { return this->key_lease ? this->key_lease->ConfirmedAt() : std::nullopt; },
       .on_revision_seen =
           [this](HostId host, std::uint64_t revision) {
             this->configuration->OnRevisionSeen(host, revision);
@@ -273,6 +342,12 @@
 }
 
 void HostProcess::CreateDispatch() {
+  this->quotas = std::make_unique<QuotaController>(
+      this->loop, this->shared_state, *this->peers, *this->store, this->metrics,
+      QuotaController::Settings{.self = this->self,
+                                .host_name = this->settings.name,
+                                .domain = this->domain,
+                                .incarnation = this->incarnation});
   // Each probe opens a connection.
   this->probe_client =
       HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget,
@@ -292,19 +367,35 @@
   local_limits.extra = 0;
   BrokerPolicy policy;
   policy.view_min_request_rate = this->settings.view_rate;
+  policy.by_priority = this->settings.queue_by_priority;
   policy.retry_limits = fleet_limits;
+  policy.placement = this->settings.placement;
   DispatchController::Settings dispatch_settings{
       .self = this->self,
       .host_name = this->settings.name,
       .domain_name = this->settings.domain,
       .clients = {this->target_client.get()},
       .dialect = this->adapter.dialect,
+      .response_budget = this->response_budget,
       .broker_policy = policy,
+      .cell_targets = this->settings.cell_targets,
       .retry_limits = local_limits,
       .on_finished = [this](const FinishedRequest& finished) { this->OnFinished(finished); },
       .on_health_event = [this](ServiceId service,
                                 const HealthEvent& event) { this->OnHealthEvent(service, event); },
-      .on_new_notice = [this] { this->directory->BroadcastNotices(); }};
+      .on_speed_change = [this](
+                             ServiceId service,
+                             const SpeedChange& change) { this->OnSpeedChange(service, change); },
+      .on_fallback_start =
+          [this](const std::string& service) {
+            this->metrics.IncrementCounter("pimentopin_starts_without_broker_total",
+                                           "service=\"" + service + "\"");
+          },
+      .on_new_notice = [this] { this->directory->BroadcastNotices(); },
+      .admit =
+          [this](const Exchange& exchange, QuotaController::Decided decided) {
+            this->quotas->Admit(exchange, std::move(decided));
+          }};
   this->dispatch = std::make_unique<DispatchController>(this->loop, this->shared_state,
                                                         *this->peers, *this->claims, this->random,
                                                         std::move(dispatch_settings));
@@ -323,6 +414,9 @@
   this->probes = std::make_unique<ProbeController>(this->loop, this->shared_state,
                                                    *this->probe_client, std::move(probe_settings));
   this->shared_state.configuration.Observe([this](const Configuration& active_configuration) {
+    if (this->key_lease) {
+      this->key_lease->SetActiveRevision(active_configuration.revision);
+    }
     this->directory->SetConfigurationRevision(active_configuration.revision);
     this->ApplyRequestLimits(active_configuration);
     this->UpdateReadiness();
@@ -386,7 +480,11 @@
   }
   this->loop.RunPeriodically(kHousekeepingInterval, [this] {
     this->reports->Tick(SteadyNow());
+    if (this->key_lease) {
+      this->key_lease->Tick();
+    }
     this->UpdateReadiness();
+    this->RecordMemory();
   });
   this->loop.RunPeriodically(kRunningCheckInterval, [this] { this->RecordRunning(); });
   this->directory->Start();
@@ -403,6 +501,9 @@
   } else if (const auto* compressed =
                  std::get_if<CompressedConfigurationDocument>(&envelope.message)) {
     this->configuration->OnCompressedDocument(*compressed);
+  } else if (std::holds_alternative<QuotaRequest>(envelope.message) ||
+             std::holds_alternative<QuotaReply>(envelope.message)) {
+    this->quotas->OnMessage(envelope);
   } else {
     this->dispatch->OnMessage(envelope);
   }
@@ -414,13 +515,14 @@
   if (request_id.empty()) {
     request_id = this->NewRequestId();
   }
-  const auto active_configuration = this->shared_state.configuration.Read();
+  const auto [active_configuration, keys_confirmed] =
+      ReadActiveConfiguration(this->shared_state, BootNow);
   ErrorResponse refusal{503, Outcome::kNotRun, "no-configuration",
                         "this host has no configuration yet"};
   std::optional<Exchange> exchange;
   if (active_configuration) {
     exchange = ReadRequest(*active_configuration, *this->adapter.dialect, request, request_id,
-                           SteadyNow(), refusal);
+                           SteadyNow(), keys_confirmed, refusal);
   }
   const std::optional<StopAdmission> admission = this->CurrentStop();
   if (exchange && admission && !admission->Accepts(SteadyNow(), exchange->description)) {
@@ -500,6 +602,7 @@
        {"refusal", finished.refusal},
        {"status", finished.status},
        {"attempts", finished.attempts},
+       {"placed_by", finished.placed_by ? PlacedByName(*finished.placed_by) : ""},
        {"latency_us", finished.latency.count()}});
 }
 
@@ -523,6 +626,23 @@
   this->reports->OnHealthEvent(configured_service->name, event);
 }
 
+void HostProcess::OnSpeedChange(ServiceId service, const SpeedChange& change) {
+  const auto active_configuration = this->shared_state.configuration.Read();
+  const Service* configured_service = active_configuration->FindService(service);
+  const Target* target = active_configuration->FindTarget(change.target);
+  if (configured_service == nullptr || target == nullptr) {
+    return;
+  }
+  const std::string_view name = change.slow ? "target_slow" : "target_no_longer_slow";
+  Log(LogLevel::kInfo, name,
+      {{"service", configured_service->name},
+       {"target", target->name},
+       {"slowness", change.slowness}});
+  this->metrics.IncrementCounter(
+      "pimentopin_target_speed_changes_total",
+      "event=\"" + std::string(name) + "\",service=\"" + configured_service->name + "\"");
+}
+
 void HostProcess::OnClaimLost(const ClaimKey& key, AttemptId attempt) {
   this->metrics.IncrementCounter("pimentopin_lost_claims_total", "service=\"" + key.service + "\"");
   this->reports->OnClaimByOtherAttempt(key.service);
@@ -543,6 +663,9 @@
   const auto active_configuration = this->shared_state.configuration.Read();
   const Readiness next{.has_configuration = active_configuration != nullptr,
                        .has_targets = this->directory->HasTargets(),
+                       .keys_unconfirmed = active_configuration && this->key_lease &&
+                                           active_configuration->requires_keys &&
+                                           !this->key_lease->accepts_keys(),
                        .isolated = !this->directory->HasContactWithin(kIsolationWindow),
                        .shutting_down = this->shutting_down};
   const auto before = this->shared_state.readiness.Read();
@@ -550,6 +673,7 @@
     Log(LogLevel::kInfo, next.ready() ? "host_ready" : "host_not_ready",
         {{"has_configuration", next.has_configuration},
          {"has_targets", next.has_targets},
+         {"keys_unconfirmed", next.keys_unconfirmed},
          {"isolated", next.isolated},
          {"shutting_down", next.shutting_down}});
   }
@@ -559,6 +683,24 @@
       active_configuration ? static_cast<double>(active_configuration->revision) : 0.0);
 }
 
+void HostProcess::RecordMemory() {
+  const std::size_t held_responses = this->response_budget->held_bytes();
+  const std::size_t early_pauses = this->response_budget->early_pauses();
+  this->metrics.SetGauge("pimentopin_held_request_body_bytes", "",
+                         static_cast<double>(this->caller_server->held_body_bytes()));
+  this->metrics.SetGauge("pimentopin_held_response_bytes", "", static_cast<double>(held_responses));
+  const std::size_t pauses = early_pauses - std::exchange(this->logged_early_pauses, early_pauses);
+  if (pauses == 0) {
+    return;
+  }
+  this->metrics.IncrementCounter("pimentopin_responses_paused_early_total", "", pauses);
+  Log(LogLevel::kWarning, "responses_paused_early",
+      {{"pauses", pauses},
+       {"held_bytes", held_responses},
+       {"max_bytes", this->settings.max_held_response_bytes},
+       {"max_bytes_per_response", this->response_budget->MaxPerResponse()}});
+}
+
 void HostProcess::Run() {
   const ScopedSignalMask handled_signals(SIG_UNBLOCK, {SIGTERM, SIGINT, SIGHUP});
   this->WaitForSignals();
@@ -613,6 +755,7 @@
        {"longest_pause_ms", Milliseconds(admission.longest_pause)}});
   this->UpdateReadiness();
   this->directory->SetLeaving();
+  this->quotas->SetLeaving();
   this->caller_server->DisableKeepAlive();
   // Load balancers need the delay from when they can see that the host is not ready.
   const Duration remaining = std::max(this->host_end.last_start - now, Duration::zero());
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -13,7 +13,11 @@
 constexpr std::size_t kMaxNameBytes = 63;
 constexpr double kPercentScale = 100.0;
 constexpr double kMaxCores = 1024.0;
+constexpr double kMaxBandwidth = 1'000'000.0;
 constexpr double kMillicoresPerCore = 1000.0;
+// Parts of the machine's memory. The rest is for the process itself and the buffers of sockets.
+constexpr std::size_t kBodyMemoryDivisor = 2;
+constexpr std::size_t kResponseMemoryDivisor = 8;
 
 std::string CheckName(const std::string& value) {
   const bool is_name =
@@ -35,6 +39,14 @@
   return valid ? "" : "must be a number of cores above 0 and at most 1024";
 }
 
+std::string CheckBandwidth(const std::string& value) {
+  double bandwidth = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), bandwidth);
+  const bool valid = error == std::errc() && end == value.data() + value.size() && bandwidth >= 0 &&
+                     bandwidth <= kMaxBandwidth;
+  return valid ? "" : "must be a bandwidth in Mbit/s of at least 0 and at most 1000000";
+}
+
 LogLevel ToLogLevel(const std::string& text) {
   if (text == "debug") {
     return LogLevel::kDebug;
@@ -96,6 +108,13 @@
        .default_value = std::to_string(kDefaultMaxHeldBodyBytes),
        .minimum = 1,
        .maximum = std::int64_t{1} << 40},
+      {.name = "memory-mb",
+       .kind = SettingKind::kNumber,
+       .help = "memory of this host's machine; request bodies take up to a half and unread "
+               "responses up to an eighth of it; 0 if it is not limited",
+       .unit = "megabytes",
+       .default_value = "0",
+       .maximum = 1 << 24},
       {.name = "max-concurrent-requests",
        .kind = SettingKind::kNumber,
        .help = "maximum number of concurrent requests; further ones are refused as not run",
@@ -122,6 +141,12 @@
        .unit = "requests per second",
        .default_value = "20",
        .maximum = 1000000},
+      {.name = "queue-order",
+       .kind = SettingKind::kChoice,
+       .help = "order in which waiting requests are served: by priority, with a minimum share for "
+               "each, or fair between organisations only",
+       .default_value = "fair",
+       .choices = {"fair", "priority"}},
       {.name = "retry-percent",
        .kind = SettingKind::kNumber,
        .help = "retries of a service per 100 first attempts within 10 s",
@@ -140,11 +165,19 @@
        .unit = "percent",
        .default_value = "0",
        .maximum = 100},
+      {.name = "key-revocation-ms",
+       .kind = SettingKind::kNumber,
+       .help = "time after which no host accepts a key that was withdrawn in the store, not even "
+               "one without contact, which then refuses requests that need a key; 0 for no limit; "
+               "needs --configuration platform",
+       .unit = "milliseconds",
+       .default_value = "0",
+       .maximum = 3600000},
       {.name = "platform-bounds",
-       .help =
-           "limits of the platform (retry-budget-ratio, budget-extra, floor-share, grace-s), as a "
-           "JSON object or as name=value separated by commas; they replace retry-percent, "
-           "retry-extra and floor-percent",
+       .help = "limits of the platform (retry-budget-ratio, budget-extra, floor-share, grace-s, "
+               "strict-revoke with revoke-s), as a JSON object or as name=value separated by "
+               "commas; they replace retry-percent, retry-extra, floor-percent and "
+               "key-revocation-ms",
        .may_be_empty = true},
       {.name = "cores",
        .help =
@@ -153,11 +186,32 @@
        .unit = "cores",
        .default_value = "1",
        .check = CheckCores},
+      {.name = "link-mbps",
+       .help = "bandwidth of this host's link; of the hosts with enough processor time, those with "
+               "less "
+               "than half of the largest value are no brokers; 0 or empty if unknown",
+       .unit = "Mbit/s",
+       .default_value = "0",
+       .may_be_empty = true,
+       .check = CheckBandwidth},
+      {.name = "cell-targets",
+       .kind = SettingKind::kNumber,
+       .help = "number of targets from which a service is divided into cells by failure domain; 0 "
+               "divides none. All hosts must have the same value",
+       .unit = "targets",
+       .default_value = "0",
+       .maximum = 1000000},
       {.name = "configuration",
        .kind = SettingKind::kChoice,
        .help = "who writes the configuration: the operators of the hosts or of the platform",
        .default_value = "own",
        .choices = {"own", "platform"}},
+      {.name = "placement",
+       .kind = SettingKind::kChoice,
+       .help = "what requests are placed by: the occupied slots of the targets, or the expected "
+               "completion, learned from the work of requests that look alike",
+       .default_value = "load",
+       .choices = {"load", "expected-completion"}},
       {.name = "log-level",
        .kind = SettingKind::kChoice,
        .help = "minimum severity of log lines",
@@ -177,18 +231,36 @@
   result.traffic_threads = static_cast<std::size_t>(settings.Number("traffic-threads"));
   result.max_body_bytes = static_cast<std::size_t>(settings.Number("max-body-bytes"));
   result.max_held_body_bytes = static_cast<std::size_t>(settings.Number("max-held-body-bytes"));
+  if (const auto memory_bytes = static_cast<std::size_t>(settings.Number("memory-mb")) << 20;
+      memory_bytes > 0) {
+    result.max_held_body_bytes =
+        std::min(result.max_held_body_bytes, memory_bytes / kBodyMemoryDivisor);
+    result.max_held_response_bytes =
+        std::min(result.max_held_response_bytes, memory_bytes / kResponseMemoryDivisor);
+  }
   result.max_concurrent_requests =
       static_cast<std::size_t>(settings.Number("max-concurrent-requests"));
   result.shutdown_delay = std::chrono::milliseconds(settings.Number("shutdown-delay-ms"));
   result.probe_interval = std::chrono::milliseconds(settings.Number("probe-interval-ms"));
   result.view_rate = static_cast<double>(settings.Number("view-rate"));
+  result.queue_by_priority = settings.Text("queue-order") == "priority";
   result.retry_fraction = static_cast<double>(settings.Number("retry-percent")) / kPercentScale;
   result.retry_extra = static_cast<double>(settings.Number("retry-extra"));
   result.platform_bounds = settings.Text("platform-bounds");
   result.capacity_millicores =
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
+  const std::string link = settings.Text("link-mbps");
+  result.link_mbps = link.empty() ? 0 : static_cast<std::uint32_t>(std::stod(link));
+  result.cell_targets = static_cast<std::size_t>(settings.Number("cell-targets"));
   result.floor_share = static_cast<double>(settings.Number("floor-percent")) / kPercentScale;
+  result.key_revocation_time = std::chrono::milliseconds(settings.Number("key-revocation-ms"));
+  if (result.key_revocation_time > Duration::zero()) {
+    result.key_revocation_source = LimitSource::kFlag;
+  }
   result.platform_configuration = settings.Text("configuration") == "platform";
+  result.placement = settings.Text("placement") == "expected-completion"
+                         ? Placement::kExpectedCompletion
+                         : Placement::kLoad;
   result.log_level = ToLogLevel(settings.Text("log-level"));
   return result;
 }
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Libraries/LibCore/identifiers.h"
+#include "Libraries/LibCore/store_clock.h"
 #include "Libraries/LibCore/time.h"
 
 namespace pimentopin {
@@ -32,6 +34,8 @@
   MemberState state = MemberState::kAlive;
   // CPU time that the host may use, in thousandths of a core.
   std::uint32_t capacity = 0;
+  // Bandwidth of the host's link; 0 if unknown.
+  std::uint32_t link_mbps = 0;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
@@ -92,6 +96,8 @@
   Duration age{};
   // The sender asks for the receiver's digest.
   bool asks = false;
+  // Time of the store up to which `configuration_revision` is known to be the newest one there.
+  std::optional<StoreTimePoint> confirmed_store_time;
 
   friend bool operator==(const StoreDigest&, const StoreDigest&) = default;
 };
--- a/Libraries/LibProtocol/messages_generated.h
+++ b/Libraries/LibProtocol/messages_generated.h
@@ -32,6 +32,8 @@
 struct SlotClaim;
 struct SlotClaimBuilder;
 
+struct TargetLoad;
+
 struct SlotRelease;
 struct SlotReleaseBuilder;
 
@@ -92,6 +94,12 @@
 struct ProbeReport;
 struct ProbeReportBuilder;
 
+struct QuotaRequest;
+struct QuotaRequestBuilder;
+
+struct QuotaReply;
+struct QuotaReplyBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -114,11 +122,13 @@
   ConfigurationDocument = 15,
   ProbeReport = 16,
   CompressedConfigurationDocument = 17,
+  QuotaRequest = 18,
+  QuotaReply = 19,
   MIN = NONE,
-  MAX = CompressedConfigurationDocument
+  MAX = QuotaReply
 };
 
-inline const Message (&EnumValuesMessage())[18] {
+inline const Message (&EnumValuesMessage())[20] {
   static const Message values[] = {
     Message::NONE,
     Message::SlotRequest,
@@ -137,13 +147,15 @@
     Message::ConfigurationRequest,
     Message::ConfigurationDocument,
     Message::ProbeReport,
-    Message::CompressedConfigurationDocument
+    Message::CompressedConfigurationDocument,
+    Message::QuotaRequest,
+    Message::QuotaReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "SlotRequest",
     "SlotCancel",
@@ -162,13 +174,15 @@
     "ConfigurationDocument",
     "ProbeReport",
     "CompressedConfigurationDocument",
+    "QuotaRequest",
+    "QuotaReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CompressedConfigurationDocument)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::QuotaReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -245,9 +259,51 @@
   static const Message enum_value = Message::CompressedConfigurationDocument;
 };
 
+template<> struct MessageTraits<pimentopin::wire::QuotaRequest> {
+  static const Message enum_value = Message::QuotaRequest;
+};
+
+template<> struct MessageTraits<pimentopin::wire::QuotaReply> {
+  static const Message enum_value = Message::QuotaReply;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(2) TargetLoad FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint16_t running_;
+  uint16_t waiting_;
+  uint16_t slots_;
+
+ public:
+  struct Traits;
+  TargetLoad()
+      : running_(0),
+        waiting_(0),
+        slots_(0) {
+  }
+  TargetLoad(uint16_t _running, uint16_t _waiting, uint16_t _slots)
+      : running_(flatbuffers::EndianScalar(_running)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        slots_(flatbuffers::EndianScalar(_slots)) {
+  }
+  uint16_t running() const {
+    return flatbuffers::EndianScalar(running_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+};
+FLATBUFFERS_STRUCT_END(TargetLoad, 6);
+
+struct TargetLoad::Traits {
+  using type = TargetLoad;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) OutstandingAttempt FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t attempt_;
@@ -369,7 +425,9 @@
     VT_IDEMPOTENT = 26,
     VT_BULK = 28,
     VT_FORBIDDEN = 30,
-    VT_KIND = 32
+    VT_KIND = 32,
+    VT_PRIORITY = 34,
+    VT_WORK_KEY = 36
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -416,6 +474,12 @@
   uint64_t kind() const {
     return GetField<uint64_t>(VT_KIND, 0);
   }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint64_t work_key() const {
+    return GetField<uint64_t>(VT_WORK_KEY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -436,6 +500,8 @@
            VerifyOffset(verifier, VT_FORBIDDEN) &&
            verifier.VerifyVector(forbidden()) &&
            VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_KEY, 8) &&
            verifier.EndTable();
   }
 };
@@ -489,6 +555,12 @@
   void add_kind(uint64_t kind) {
     fbb_.AddElement<uint64_t>(SlotRequest::VT_KIND, kind, 0);
   }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(SlotRequest::VT_PRIORITY, priority, 0);
+  }
+  void add_work_key(uint64_t work_key) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_WORK_KEY, work_key, 0);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -516,8 +588,11 @@
     bool idempotent = false,
     bool bulk = false,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> forbidden = 0,
-    uint64_t kind = 0) {
+    uint64_t kind = 0,
+    uint32_t priority = 0,
+    uint64_t work_key = 0) {
   SlotRequestBuilder builder_(_fbb);
+  builder_.add_work_key(work_key);
   builder_.add_kind(kind);
   builder_.add_affinity_key(affinity_key);
   builder_.add_fingerprint(fingerprint);
@@ -526,6 +601,7 @@
   builder_.add_organisation(organisation);
   builder_.add_service(service);
   builder_.add_attempt(attempt);
+  builder_.add_priority(priority);
   builder_.add_forbidden(forbidden);
   builder_.add_excluded(excluded);
   builder_.add_allowed(allowed);
@@ -557,7 +633,9 @@
     bool idempotent = false,
     bool bulk = false,
     const std::vector<uint64_t> *forbidden = nullptr,
-    uint64_t kind = 0) {
+    uint64_t kind = 0,
+    uint32_t priority = 0,
+    uint64_t work_key = 0) {
   auto allowed__ = allowed ? _fbb.CreateVector<uint64_t>(*allowed) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<uint64_t>(*excluded) : 0;
   auto forbidden__ = forbidden ? _fbb.CreateVector<uint64_t>(*forbidden) : 0;
@@ -577,7 +655,9 @@
       idempotent,
       bulk,
       forbidden__,
-      kind);
+      kind,
+      priority,
+      work_key);
 }
 
 struct SlotCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -790,7 +870,8 @@
     VT_TARGET = 8,
     VT_ORGANISATION = 10,
     VT_WORK_CLASS = 12,
-    VT_IS_RETRY = 14
+    VT_IS_RETRY = 14,
+    VT_WORK_KEY = 16
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -810,6 +891,9 @@
   bool is_retry() const {
     return GetField<uint8_t>(VT_IS_RETRY, 0) != 0;
   }
+  uint64_t work_key() const {
+    return GetField<uint64_t>(VT_WORK_KEY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -818,6 +902,7 @@
            VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_WORK_CLASS, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_RETRY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_KEY, 8) &&
            verifier.EndTable();
   }
 };
@@ -844,6 +929,9 @@
   void add_is_retry(bool is_retry) {
     fbb_.AddElement<uint8_t>(SlotClaim::VT_IS_RETRY, static_cast<uint8_t>(is_retry), 0);
   }
+  void add_work_key(uint64_t work_key) {
+    fbb_.AddElement<uint64_t>(SlotClaim::VT_WORK_KEY, work_key, 0);
+  }
   explicit SlotClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -862,8 +950,10 @@
     uint64_t target = 0,
     uint64_t organisation = 0,
     uint8_t work_class = 0,
-    bool is_retry = false) {
+    bool is_retry = false,
+    uint64_t work_key = 0) {
   SlotClaimBuilder builder_(_fbb);
+  builder_.add_work_key(work_key);
   builder_.add_organisation(organisation);
   builder_.add_target(target);
   builder_.add_service(service);
@@ -892,7 +982,9 @@
     VT_FINGERPRINT = 18,
     VT_TARGET_DRAINING = 20,
     VT_REQUEST_RATE_LIMIT = 22,
-    VT_KIND = 24
+    VT_KIND = 24,
+    VT_WORK_KEY = 26,
+    VT_LOAD = 28
   };
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
@@ -927,6 +1019,12 @@
   uint64_t kind() const {
     return GetField<uint64_t>(VT_KIND, 0);
   }
+  uint64_t work_key() const {
+    return GetField<uint64_t>(VT_WORK_KEY, 0);
+  }
+  const pimentopin::wire::TargetLoad *load() const {
+    return GetStruct<const pimentopin::wire::TargetLoad *>(VT_LOAD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
@@ -940,6 +1038,8 @@
            VerifyField<uint8_t>(verifier, VT_TARGET_DRAINING, 1) &&
            VerifyField<double>(verifier, VT_REQUEST_RATE_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WORK_KEY, 8) &&
+           VerifyField<pimentopin::wire::TargetLoad>(verifier, VT_LOAD, 2) &&
            verifier.EndTable();
   }
 };
@@ -981,6 +1081,12 @@
   void add_kind(uint64_t kind) {
     fbb_.AddElement<uint64_t>(SlotRelease::VT_KIND, kind, 0);
   }
+  void add_work_key(uint64_t work_key) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_WORK_KEY, work_key, 0);
+  }
+  void add_load(const pimentopin::wire::TargetLoad *load) {
+    fbb_.AddStruct(SlotRelease::VT_LOAD, load);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1004,8 +1110,11 @@
     uint64_t fingerprint = 0,
     bool target_draining = false,
     flatbuffers::Optional<double> request_rate_limit = flatbuffers::nullopt,
-    uint64_t kind = 0) {
+    uint64_t kind = 0,
+    uint64_t work_key = 0,
+    const pimentopin::wire::TargetLoad *load = nullptr) {
   SlotReleaseBuilder builder_(_fbb);
+  builder_.add_work_key(work_key);
   builder_.add_kind(kind);
   if(request_rate_limit) { builder_.add_request_rate_limit(*request_rate_limit); }
   builder_.add_fingerprint(fingerprint);
@@ -1014,6 +1123,7 @@
   builder_.add_target(target);
   builder_.add_service(service);
   builder_.add_attempt(attempt);
+  builder_.add_load(load);
   builder_.add_target_draining(target_draining);
   builder_.add_result(result);
   builder_.add_work_class(work_class);
@@ -1749,7 +1859,8 @@
     VT_TABLES = 10,
     VT_READER = 12,
     VT_AGE_US = 14,
-    VT_ASKS = 16
+    VT_ASKS = 16,
+    VT_CONFIRMED_STORE_TIME_US = 18
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -1772,6 +1883,9 @@
   bool asks() const {
     return GetField<uint8_t>(VT_ASKS, 0) != 0;
   }
+  flatbuffers::Optional<int64_t> confirmed_store_time_us() const {
+    return GetOptional<int64_t, int64_t>(VT_CONFIRMED_STORE_TIME_US);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
@@ -1784,6 +1898,7 @@
            VerifyField<uint64_t>(verifier, VT_READER, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
+           VerifyField<int64_t>(verifier, VT_CONFIRMED_STORE_TIME_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1813,6 +1928,9 @@
   void add_asks(bool asks) {
     fbb_.AddElement<uint8_t>(StoreDigest::VT_ASKS, static_cast<uint8_t>(asks), 0);
   }
+  void add_confirmed_store_time_us(int64_t confirmed_store_time_us) {
+    fbb_.AddElement<int64_t>(StoreDigest::VT_CONFIRMED_STORE_TIME_US, confirmed_store_time_us);
+  }
   explicit StoreDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1832,8 +1950,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<pimentopin::wire::TableVersion>>> tables = 0,
     uint64_t reader = 0,
     int64_t age_us = 0,
-    bool asks = false) {
+    bool asks = false,
+    flatbuffers::Optional<int64_t> confirmed_store_time_us = flatbuffers::nullopt) {
   StoreDigestBuilder builder_(_fbb);
+  if(confirmed_store_time_us) { builder_.add_confirmed_store_time_us(*confirmed_store_time_us); }
   builder_.add_age_us(age_us);
   builder_.add_reader(reader);
   builder_.add_configuration_revision(configuration_revision);
@@ -1857,7 +1977,8 @@
     const std::vector<flatbuffers::Offset<pimentopin::wire::TableVersion>> *tables = nullptr,
     uint64_t reader = 0,
     int64_t age_us = 0,
-    bool asks = false) {
+    bool asks = false,
+    flatbuffers::Optional<int64_t> confirmed_store_time_us = flatbuffers::nullopt) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto tables__ = tables ? _fbb.CreateVector<flatbuffers::Offset<pimentopin::wire::TableVersion>>(*tables) : 0;
   return pimentopin::wire::CreateStoreDigest(
@@ -1868,7 +1989,8 @@
       tables__,
       reader,
       age_us,
-      asks);
+      asks,
+      confirmed_store_time_us);
 }
 
 struct RelayedRow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2503,6 +2625,190 @@
   static auto constexpr Create = CreateProbeReport;
 };
 
+struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ORGANISATION = 6,
+    VT_PART = 8,
+    VT_WANTED = 10
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
+  uint8_t part() const {
+    return GetField<uint8_t>(VT_PART, 0);
+  }
+  uint16_t wanted() const {
+    return GetField<uint16_t>(VT_WANTED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyField<uint16_t>(verifier, VT_WANTED, 2) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaRequestBuilder {
+  typedef QuotaRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_REQUEST, request, 0);
+  }
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_ORGANISATION, organisation, 0);
+  }
+  void add_part(uint8_t part) {
+    fbb_.AddElement<uint8_t>(QuotaRequest::VT_PART, part, 0);
+  }
+  void add_wanted(uint16_t wanted) {
+    fbb_.AddElement<uint16_t>(QuotaRequest::VT_WANTED, wanted, 0);
+  }
+  explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t organisation = 0,
+    uint8_t part = 0,
+    uint16_t wanted = 0) {
+  QuotaRequestBuilder builder_(_fbb);
+  builder_.add_organisation(organisation);
+  builder_.add_request(request);
+  builder_.add_wanted(wanted);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+struct QuotaRequest::Traits {
+  using type = QuotaRequest;
+  static auto constexpr Create = CreateQuotaRequest;
+};
+
+struct QuotaReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ORGANISATION = 6,
+    VT_PART = 8,
+    VT_HOLDS = 10,
+    VT_GRANTED = 12,
+    VT_RETRY_AFTER_US = 14,
+    VT_HOLDER = 16
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
+  uint8_t part() const {
+    return GetField<uint8_t>(VT_PART, 0);
+  }
+  bool holds() const {
+    return GetField<uint8_t>(VT_HOLDS, 0) != 0;
+  }
+  uint16_t granted() const {
+    return GetField<uint16_t>(VT_GRANTED, 0);
+  }
+  int64_t retry_after_us() const {
+    return GetField<int64_t>(VT_RETRY_AFTER_US, 0);
+  }
+  uint64_t holder() const {
+    return GetField<uint64_t>(VT_HOLDER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDS, 1) &&
+           VerifyField<uint16_t>(verifier, VT_GRANTED, 2) &&
+           VerifyField<int64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HOLDER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaReplyBuilder {
+  typedef QuotaReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_REQUEST, request, 0);
+  }
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_ORGANISATION, organisation, 0);
+  }
+  void add_part(uint8_t part) {
+    fbb_.AddElement<uint8_t>(QuotaReply::VT_PART, part, 0);
+  }
+  void add_holds(bool holds) {
+    fbb_.AddElement<uint8_t>(QuotaReply::VT_HOLDS, static_cast<uint8_t>(holds), 0);
+  }
+  void add_granted(uint16_t granted) {
+    fbb_.AddElement<uint16_t>(QuotaReply::VT_GRANTED, granted, 0);
+  }
+  void add_retry_after_us(int64_t retry_after_us) {
+    fbb_.AddElement<int64_t>(QuotaReply::VT_RETRY_AFTER_US, retry_after_us, 0);
+  }
+  void add_holder(uint64_t holder) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_HOLDER, holder, 0);
+  }
+  explicit QuotaReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaReply> CreateQuotaReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint64_t organisation = 0,
+    uint8_t part = 0,
+    bool holds = false,
+    uint16_t granted = 0,
+    int64_t retry_after_us = 0,
+    uint64_t holder = 0) {
+  QuotaReplyBuilder builder_(_fbb);
+  builder_.add_holder(holder);
+  builder_.add_retry_after_us(retry_after_us);
+  builder_.add_organisation(organisation);
+  builder_.add_request(request);
+  builder_.add_granted(granted);
+  builder_.add_holds(holds);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+struct QuotaReply::Traits {
+  using type = QuotaReply;
+  static auto constexpr Create = CreateQuotaReply;
+};
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -2576,6 +2882,12 @@
   const pimentopin::wire::CompressedConfigurationDocument *message_as_CompressedConfigurationDocument() const {
     return message_type() == pimentopin::wire::Message::CompressedConfigurationDocument ? static_cast<const pimentopin::wire::CompressedConfigurationDocument *>(message()) : nullptr;
   }
+  const pimentopin::wire::QuotaRequest *message_as_QuotaRequest() const {
+    return message_type() == pimentopin::wire::Message::QuotaRequest ? static_cast<const pimentopin::wire::QuotaRequest *>(message()) : nullptr;
+  }
+  const pimentopin::wire::QuotaReply *message_as_QuotaReply() const {
+    return message_type() == pimentopin::wire::Message::QuotaReply ? static_cast<const pimentopin::wire::QuotaReply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SENDER, 8) &&
@@ -2655,6 +2967,14 @@
   return message_as_CompressedConfigurationDocument();
 }
 
+template<> inline const pimentopin::wire::QuotaRequest *Envelope::message_as<pimentopin::wire::QuotaRequest>() const {
+  return message_as_QuotaRequest();
+}
+
+template<> inline const pimentopin::wire::QuotaReply *Envelope::message_as<pimentopin::wire::QuotaReply>() const {
+  return message_as_QuotaReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2774,6 +3094,14 @@
       auto ptr = reinterpret_cast<const pimentopin::wire::CompressedConfigurationDocument *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::QuotaRequest: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::QuotaRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::QuotaReply: {
+      auto ptr = reinterpret_cast<const pimentopin::wire::QuotaReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/Tests/LibHost/host_settings_test.cc
+++ b/Tests/LibHost/host_settings_test.cc
@@ -16,7 +16,9 @@
   CPPUNIT_TEST(TestLogHidesWhereLimitsComeFrom);
   CPPUNIT_TEST(TestPlatformWithoutLimitsEndsTheStart);
   CPPUNIT_TEST(TestLimitOfThePlatformThatIsMissingIsNoWarning);
+  CPPUNIT_TEST(TestRevocationTimeThatCannotBeKeptIsAnError);
   CPPUNIT_TEST(TestValidSettings);
+  CPPUNIT_TEST(TestHeldBytesExceedTheMemory);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +70,26 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.7, after["floor_share"].get<double>(), 1e-9);
   }
 
+  // Guards against a promise on withdrawn keys that the host does not keep, or keeps by refusing
+  // all of them.
+  void TestRevocationTimeThatCannotBeKeptIsAnError() {
+    const auto findings_of = [](Duration time, bool platform_configuration) {
+      Findings findings;
+      CheckLimits({.key_revocation_time = time, .platform_configuration = platform_configuration},
+                  findings);
+      return findings.all().size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, findings_of({}, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, findings_of(std::chrono::seconds(5), true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings_of(std::chrono::seconds(5), false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, findings_of(std::chrono::milliseconds(300), true));
+    HostSettings settings;
+    ApplyPlatformLimits({.key_revocation_s = 2.5}, settings);
+    CPPUNIT_ASSERT(settings.key_revocation_time == std::chrono::milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(std::string("platform"),
+                         LimitsInForce(settings)["key_revocation_source"].get<std::string>());
+  }
+
   // Guards against a fleet that does not start on a platform that states no limits.
   void TestPlatformWithoutLimitsEndsTheStart() {
     const Findings findings =
@@ -100,19 +122,47 @@
   }
 
   void TestValidSettings() {
-    const Findings findings =
-        this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
-                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
-                    "--platform-url", "http://127.0.0.1:1", "--retry-percent", "20",
-                    "--configuration", "platform", "--max-held-body-bytes", "1000"});
+    const Findings findings = this->Read({"--name",
+                                          "host-1",
+                                          "--domain",
+                                          "zone-a",
+                                          "--caller-address",
+                                          "127.0.0.1:0",
+                                          "--operator-address",
+                                          "127.0.0.1:0",
+                                          "--peer-address",
+                                          "127.0.0.1:0",
+                                          "--platform-url",
+                                          "http://127.0.0.1:1",
+                                          "--retry-percent",
+                                          "20",
+                                          "--configuration",
+                                          "platform",
+                                          "--max-held-body-bytes",
+                                          "1000",
+                                          "--placement",
+                                          "expected-completion"});
     CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
     const HostSettings settings = ReadHostSettings(*this->result.settings);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.2, settings.retry_fraction, 1e-9);
     CPPUNIT_ASSERT(settings.platform_configuration);
+    CPPUNIT_ASSERT(settings.placement == Placement::kExpectedCompletion);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1000}, settings.max_held_body_bytes);
     CPPUNIT_ASSERT(settings.shutdown_delay == std::chrono::seconds(5));
   }
 
+  // Guards against a host on a small machine that is ended because it holds too many bytes.
+  void TestHeldBytesExceedTheMemory() {
+    const Findings findings =
+        this->Read({"--name", "host-1", "--domain", "zone-a", "--caller-address", "127.0.0.1:0",
+                    "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
+                    "--platform-url", "http://127.0.0.1:1", "--memory-mb", "160"});
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToText());
+    const HostSettings settings = ReadHostSettings(*this->result.settings);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{80} << 20, settings.max_held_body_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{20} << 20, settings.max_held_response_bytes);
+  }
+
  private:
   Findings Read(const std::vector<std::string>& arguments) {
     Findings findings;
--- a/Tests/PlatformAdapter/platform_dialect_test.cc
+++ b/Tests/PlatformAdapter/platform_dialect_test.cc
@@ -8,6 +8,7 @@
 class PlatformDialectTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformDialectTest);
   CPPUNIT_TEST(TestHeadersToTarget);
+  CPPUNIT_TEST(TestKeyIsNeverForwarded);
   CPPUNIT_TEST(TestNotRunRequiresStatementOfTarget);
   CPPUNIT_TEST(TestUnsealedSuccessIsUnusable);
   CPPUNIT_TEST(TestLateResponseToAnotherRequestIsUnusable);
@@ -18,6 +19,7 @@
   CPPUNIT_TEST(TestLeavingIsReadFromEveryResponse);
   CPPUNIT_TEST(TestRetryAfterOfTarget);
   CPPUNIT_TEST(TestOwnStatuses);
+  CPPUNIT_TEST(TestMalformedLoadIsBelieved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -30,6 +32,17 @@
                                       {"Accept-Language", "en"}};
   }
 
+  void TestMalformedLoadIsBelieved() {
+    const auto load = [this](const char* text) {
+      return this->Read(200, {{"X-Pimentopin-Backend-Load", text}}).load;
+    };
+    CPPUNIT_ASSERT((load("3,0,8") == TargetLoad{.running = 3, .waiting = 0, .slots = 8}));
+    for (const char* text : {"", "3", "3,0", "3,0,8,1", "3, 0,8", "-1,0,8", "3,0,99999", "a,b,c"}) {
+      CPPUNIT_ASSERT(!load(text));
+    }
+    CPPUNIT_ASSERT(!this->Read(200, {}).load);
+  }
+
   // Guards against a target that works beyond the deadline of the caller, that runs a request with
   // an Expect-Instance header forged by the caller, or that receives a different Host header.
   void TestHeadersToTarget() {
@@ -44,6 +57,32 @@
     CPPUNIT_ASSERT(FindHeader(sent, "Connection").empty());
   }
 
+  // Guards against a target that learns a key, or that believes the tenant that a caller names.
+  void TestKeyIsNeverForwarded() {
+    this->exchange.request.headers.push_back({"x-pimentopin-credential", "key-1"});
+    this->exchange.request.headers.push_back({"X-Pimentopin-Tenant", "forged"});
+    this->exchange.request.headers.push_back({"x-pimentopin-TENANT", "forged"});
+    this->exchange.organisation = "port-a";
+    CPPUNIT_ASSERT(this->dialect.CallerCredential(this->exchange.request.headers) == "key-1");
+    const auto sent_values = [this](std::string_view name) {
+      std::vector<std::string> values;
+      for (const HttpHeader& header : this->dialect.TargetHeaders(this->exchange, {})) {
+        if (EqualHeaderNames(header.name, name)) {
+          values.push_back(header.value);
+        }
+      }
+      return values;
+    };
+    // Without keys in the configuration, the header has no meaning and is forwarded like any other.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent_values("X-Pimentopin-Tenant").size());
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Credential").empty());
+    this->exchange.names_organisation = true;
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Tenant").empty());
+    this->exchange.identified_by_key = true;
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Tenant") == std::vector<std::string>{"port-a"});
+    CPPUNIT_ASSERT(sent_values("X-Pimentopin-Credential").empty());
+  }
+
   // Guards against reporting "not run" for a request that may have run: only the Not-Executed
   // header or status 421 from the target counts, not the other statuses.
   void TestNotRunRequiresStatementOfTarget() {
@@ -162,6 +201,7 @@
     CPPUNIT_ASSERT_EQUAL(503, this->dialect.HostResponseStatus(504, true));
     CPPUNIT_ASSERT_EQUAL(503, this->dialect.HostResponseStatus(422, true));
     CPPUNIT_ASSERT_EQUAL(404, this->dialect.HostResponseStatus(404, true));
+    CPPUNIT_ASSERT_EQUAL(429, this->dialect.HostResponseStatus(429, true));
     CPPUNIT_ASSERT_EQUAL(502, this->dialect.HostResponseStatus(502, false));
     CPPUNIT_ASSERT_EQUAL(std::string("0.250"),
                          this->dialect.RetryAfterText(std::chrono::milliseconds(250)));
