--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -322,7 +322,6 @@
   if (route != nullptr) {
     exchange.route = route->name;
     description.kind = IdFromName<RequestKind>(route->name);
-    description.priority = route->priority;
     description.bulk = route->bulk;
     description.max_attempts = route->max_attempts;
   }
