--- a/Meta/deploy_file.py
+++ b/Meta/deploy_file.py
@@ -100,6 +100,6 @@
         "port-range": [int(peer_port), int(peer_port)],
         "listen": {"front": caller, "ready-addr": operator},
         "provider": {"addr": platform_url.removeprefix("http://")},
-        "limits": {"cpu-share": 0.2, "link-mbps": 1000.0},
+        "limits": {"cpu-share": 0.2, "link-mbps": 1000.0, "memory-mb": 260},
         "bounds": bounds,
     }
