Quota: Let a restarted host release the parts of its earlier process

A candidate now reads the rows once when it starts and releases those that an earlier process of its name holds. TestPartOfAnEarlierProcessStaysTaken; TestLibQuota: 24 tests, 0 failures.

--- a/Libraries/LibQuota/host_quotas.cc
+++ b/Libraries/LibQuota/host_quotas.cc
@@ -180,6 +180,12 @@
     }
     this->Take(now, part, this->parts[part].lease.SetWanted(now, this->clock, wanted), actions);
   }
+  // Only candidates hold parts, so that only those can have held one before.
+  if (takes_part && !std::exchange(this->released_former, true)) {
+    for (std::size_t part = 0; part < this->parts.size(); ++part) {
+      this->Take(now, part, this->parts[part].lease.ReleaseFormer(now, this->clock), actions);
+    }
+  }
 }
 
 void HostQuotas::Take(BootTimePoint now,
--- a/Libraries/LibQuota/host_quotas.h
+++ b/Libraries/LibQuota/host_quotas.h
@@ -119,6 +119,8 @@
   // The hosts that may acquire the parts.
   std::vector<QuotaCandidate> holders;
   bool leaving = false;
+  // The parts that an earlier process of this host holds are, or will be, released.
+  bool released_former = false;
   StoreClock clock;
   BootTimePoint clock_observed_at;
   bool reading = false;
--- a/Libraries/LibQuota/quota_part_lease.cc
+++ b/Libraries/LibQuota/quota_part_lease.cc
@@ -46,6 +46,13 @@
   return actions;
 }
 
+std::vector<LeaseAction> QuotaPartLease::ReleaseFormer(BootTimePoint now, const StoreClock& clock) {
+  this->checks_former = true;
+  std::vector<LeaseAction> actions;
+  this->Advance(now, clock, actions);
+  return actions;
+}
+
 std::vector<LeaseAction> QuotaPartLease::Tick(BootTimePoint now, const StoreClock& clock) {
   std::vector<LeaseAction> actions;
   this->Advance(now, clock, actions);
@@ -73,6 +80,7 @@
       this->known_version = read->version;
     }
     this->known = true;
+    this->checks_former = false;
     if (this->end && !this->IsOwn(this->known_row)) {
       this->end.reset();
       actions.emplace_back(QuotaPartEvent::kLost);
@@ -146,10 +154,15 @@
   return row.holder == this->host_name && row.incarnation == this->incarnation;
 }
 
+bool QuotaPartLease::IsFormer(const QuotaPartRow& row) const {
+  return row.holder == this->host_name && row.incarnation != this->incarnation;
+}
+
 bool QuotaPartLease::HasWork() const {
-  // A row that this process has never written needs no release.
-  return this->wanted || this->IsOwn(this->known_row) ||
-         (!this->known && this->IsOwn(this->written));
+  // A row that no process of this host has written needs no release. That of an earlier one would
+  // otherwise keep the part from its new holder until it ends.
+  return this->wanted || this->checks_former || this->IsOwn(this->known_row) ||
+         this->IsFormer(this->known_row) || (!this->known && this->IsOwn(this->written));
 }
 
 bool QuotaPartLease::MayTake(BootTimePoint now, const StoreClock& clock) const {
--- a/Libraries/LibQuota/quota_part_lease.h
+++ b/Libraries/LibQuota/quota_part_lease.h
@@ -66,6 +66,9 @@
                                      const StoreClock& clock,
                                      const std::optional<WriteResult>& result);
 
+  // Reads the row once, and releases it if an earlier process of this host holds it.
+  std::vector<LeaseAction> ReleaseFormer(BootTimePoint now, const StoreClock& clock);
+
   // True while tokens may be granted.
   bool HoldsAt(BootTimePoint now, const StoreClock& clock) const;
   // The holder that the row named when it was last read; empty if unknown or released.
@@ -77,6 +80,8 @@
   // Whether the row may be replaced by this host's.
   bool MayTake(BootTimePoint now, const StoreClock& clock) const;
   bool IsOwn(const QuotaPartRow& row) const;
+  // Whether an earlier process of this host wrote the row.
+  bool IsFormer(const QuotaPartRow& row) const;
   // Whether the row may have to be read or written.
   bool HasWork() const;
   void Read(std::vector<LeaseAction>& actions);
@@ -87,6 +92,8 @@
   const std::uint64_t incarnation;
   const IsUsable is_usable;
   bool wanted = false;
+  // The row has not been read since ReleaseFormer().
+  bool checks_former = false;
   bool in_flight = false;
   // Whether known_version and known_row are the result of the last call.
   bool known = false;
--- a/Tests/LibQuota/quota_part_lease_test.cc
+++ b/Tests/LibQuota/quota_part_lease_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(TestLateReleaseEndsAPartThatIsHeldAgain);
   CPPUNIT_TEST(TestPartIsTakenBeforeItsEnd);
   CPPUNIT_TEST(TestRestartedHostWaitsForItsEarlierProcess);
+  CPPUNIT_TEST(TestPartOfAnEarlierProcessStaysTaken);
   CPPUNIT_TEST(TestPartIsHeldWhenTheClockOfTheStoreGoesBack);
   CPPUNIT_TEST(TestUnreadableRowIsTakenAtOnce);
   CPPUNIT_TEST(TestStoreWithoutTimeIsReadWithoutPause);
@@ -62,6 +63,21 @@
     CPPUNIT_ASSERT(Writes(this->lease->OnRead(this->now, this->clock, TableRow{1, earlier})));
   }
 
+  // Guards against a restarted host whose part is assigned to another one, which would wait for the
+  // end of the earlier process's lease.
+  void TestPartOfAnEarlierProcessStaysTaken() {
+    this->lease->ReleaseFormer(this->now, this->clock);
+    const auto other = EncodeQuotaPartRow({"host-b", 1, StoreTimePoint(seconds(1010))});
+    CPPUNIT_ASSERT(!Writes(this->lease->OnRead(this->now, this->clock, TableRow{1, other})));
+    this->lease->ReleaseFormer(this->now, this->clock);
+    const auto earlier = EncodeQuotaPartRow({"host-a", 1, StoreTimePoint(seconds(1010))});
+    const auto actions = this->lease->OnRead(this->now, this->clock, TableRow{2, earlier});
+    CPPUNIT_ASSERT(Writes(actions));
+    this->lease->OnWritten(this->now, this->clock, WriteResult{true, 3});
+    CPPUNIT_ASSERT(!this->lease->HoldsAt(this->now, this->clock));
+    CPPUNIT_ASSERT_EQUAL(std::string(), this->lease->known_holder());
+  }
+
   void TestPartIsHeldWhenTheClockOfTheStoreGoesBack() {
     this->Acquire();
     CPPUNIT_ASSERT(!this->Observe(seconds(10)));
