Config, Dispatch: Mend two findings of the linter

clang-tidy 14 rejects a structured binding that a lambda captures, and a local constant named like a global one.

--- a/Libraries/LibConfig/configuration_reader.cc
+++ b/Libraries/LibConfig/configuration_reader.cc
@@ -132,6 +132,12 @@
     bool has_valid_slots = true;
   };
 
+  // An organisation with keys, and where it stands in the document.
+  struct KeyHolderPlace {
+    std::string organisation;
+    std::string json_pointer;
+  };
+
   void ReadRequestLimits(const ObjectReader& reader) {
     reader.RejectUnknownFields(
         {"max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms"});
@@ -158,7 +164,7 @@
       organisation.priority = static_cast<std::uint32_t>(*priority);
     }
     if (!organisation.keys.empty()) {
-      this->key_holders.emplace_back(organisation.name, reader.json_pointer());
+      this->key_holders.push_back({organisation.name, reader.json_pointer()});
     }
     this->organisation_names.Add(organisation.name, reader.FieldPointer("name"));
     this->RejectOrganisationLabel(reader, organisation.labels);
@@ -450,12 +456,13 @@
 
   // Requests with a key are sent on behalf of the first caller of its organisation.
   void CheckKeyHolders() {
-    for (const auto& [organisation, json_pointer] : this->key_holders) {
-      const bool has_caller =
-          std::any_of(this->configuration.callers.begin(), this->configuration.callers.end(),
-                      [&](const Caller& caller) { return caller.organisation == organisation; });
+    for (const KeyHolderPlace& holder : this->key_holders) {
+      const bool has_caller = std::any_of(
+          this->configuration.callers.begin(), this->configuration.callers.end(),
+          [&holder](const Caller& caller) { return caller.organisation == holder.organisation; });
       if (!has_caller) {
-        this->report(ChildPointer(json_pointer, "key_digests"), "the organisation has no caller");
+        this->report(ChildPointer(holder.json_pointer, "key_digests"),
+                     "the organisation has no caller");
       }
     }
   }
@@ -491,8 +498,7 @@
   UniqueNames route_names;
   UniqueNames route_keys;
   UniqueKeys unique_keys;
-  // Organisations with keys, and their places.
-  std::vector<std::pair<std::string, std::string>> key_holders;
+  std::vector<KeyHolderPlace> key_holders;
   std::map<std::string, Labels> organisation_labels;
   std::map<std::string, ServiceCapacity> service_capacities;
 };
--- a/Libraries/LibDispatch/slot_table.cc
+++ b/Libraries/LibDispatch/slot_table.cc
@@ -170,9 +170,9 @@
 }
 
 const std::vector<const SlotHolder*>& SlotTable::HoldersAt(TargetId target) const {
-  static const std::vector<const SlotHolder*> kNone;
+  static const std::vector<const SlotHolder*> no_holders;
   const auto position = this->counts.find(target);
-  return position == this->counts.end() ? kNone : position->second.holders;
+  return position == this->counts.end() ? no_holders : position->second.holders;
 }
 
 }  // namespace pimentopin
