Dispatch: One way to refuse a waiting request and to find a target

The removal from the queue with its refusal stood four times, the search for a target twice, and each grant searched for its target also where the placement by load needs no expectation. No change of behaviour (TestLibDispatch: 176 tests, 0 failures).

--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -163,6 +163,13 @@
   }
 }
 
+const SlotBroker::Candidate* SlotBroker::FindCandidate(TargetId target) const {
+  const auto position =
+      std::find_if(this->candidates.begin(), this->candidates.end(),
+                   [target](const Candidate& candidate) { return candidate.target == target; });
+  return position == this->candidates.end() ? nullptr : &*position;
+}
+
 std::uint32_t SlotBroker::UsableSlots() const {
   std::uint32_t slots = 0;
   for (const Candidate& candidate : this->candidates) {
@@ -389,13 +396,14 @@
 }
 
 void SlotBroker::SetExpectation(TimePoint now, SlotHolder& holder) {
-  const auto position = std::find_if(
-      this->candidates.begin(), this->candidates.end(),
-      [&holder](const Candidate& candidate) { return candidate.target == holder.target; });
-  if (this->policy.placement == Placement::kLoad || position == this->candidates.end()) {
+  if (this->policy.placement == Placement::kLoad) {
     return;
   }
-  const ExpectedCompletion expected = this->Expect(now, *position, holder.work);
+  const Candidate* const candidate = this->FindCandidate(holder.target);
+  if (candidate == nullptr) {
+    return;
+  }
+  const ExpectedCompletion expected = this->Expect(now, *candidate, holder.work);
   holder.expected_wait = expected.wait;
   holder.stated_wait = expected.stated_wait;
   holder.expected_run = expected.Run();
@@ -541,9 +549,8 @@
 }
 
 Duration SlotBroker::ExpectedWork(const SlotRequest& request) const {
-  const Duration kind_mean = this->estimate.Mean(request.work_class, request.kind);
   if (this->policy.placement == Placement::kLoad) {
-    return kind_mean;
+    return this->estimate.Mean(request.work_class, request.kind);
   }
   // Requests that are all refused give no sample that could correct the mean of their key.
   return std::min(this->estimate.Mean(request.work_class),
@@ -573,6 +580,15 @@
   messages.push_back({host, refusal});
 }
 
+void SlotBroker::RefuseQueued(TimePoint now,
+                              AttemptId attempt,
+                              RefusalReason reason,
+                              Messages& messages) {
+  // Removed first, so that the request is not counted as waiting before itself.
+  const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
+  this->SendRefusal(now, removed->host, this->MakeRefusal(now, removed->request, reason), messages);
+}
+
 std::optional<SlotRefusal> SlotBroker::Admit(TimePoint now,
                                              const QueueEntry& entry,
                                              Messages& messages) {
@@ -600,10 +616,7 @@
     return this->MakeRefusal(now, request, RefusalReason::kRetryBudget);
   }
   if (evicted) {
-    const std::optional<QueueEntry> removed = this->queue.Remove(*evicted);
-    this->SendRefusal(now, removed->host,
-                      this->MakeRefusal(now, removed->request, RefusalReason::kQueueFull),
-                      messages);
+    this->RefuseQueued(now, *evicted, RefusalReason::kQueueFull, messages);
   }
   return std::nullopt;
 }
@@ -864,10 +877,8 @@
 }
 
 double SlotBroker::QueueFactor(TargetId target, WorkClass work_class) const {
-  const auto position =
-      std::find_if(this->candidates.begin(), this->candidates.end(),
-                   [target](const Candidate& candidate) { return candidate.target == target; });
-  if (position == this->candidates.end()) {
+  const Candidate* const candidate = this->FindCandidate(target);
+  if (candidate == nullptr) {
     return 1.0;
   }
   // Short work waits for the slots that long work leaves free. The time that
@@ -878,7 +889,7 @@
   const bool is_long = work_class == WorkClass::kLong;
   const std::uint32_t attempts = (is_long ? long_work : short_work) + 1;
   const std::uint32_t slots =
-      is_long ? position->slots : position->slots - std::min(position->slots, long_work);
+      is_long ? candidate->slots : candidate->slots - std::min(candidate->slots, long_work);
   return slots == 0 ? 0.0 : std::max(1.0, static_cast<double>(attempts) / slots);
 }
 
@@ -934,9 +945,7 @@
   if (target) {
     this->Grant(now, *this->queue.Dequeue(*attempt), *target, messages);
   } else {
-    const std::optional<QueueEntry> removed = this->queue.Remove(*attempt);
-    this->SendRefusal(now, removed->host,
-                      this->MakeRefusal(now, removed->request, RefusalReason::kDeadline), messages);
+    this->RefuseQueued(now, *attempt, RefusalReason::kDeadline, messages);
   }
   return true;
 }
@@ -965,9 +974,7 @@
     }
   }
   for (const auto& [attempt, reason] : refused) {
-    const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-    this->SendRefusal(now, removed->host, this->MakeRefusal(now, removed->request, reason),
-                      messages);
+    this->RefuseQueued(now, attempt, reason, messages);
   }
   if (!this->policy.by_priority || !check_targets) {
     return;
@@ -975,10 +982,7 @@
   this->queue_checked_at = now;
   for (const WorkClass work_class : {WorkClass::kShort, WorkClass::kLong}) {
     for (const AttemptId attempt : this->HopelessAttempts(now, work_class)) {
-      const std::optional<QueueEntry> removed = this->queue.Remove(attempt);
-      this->SendRefusal(now, removed->host,
-                        this->MakeRefusal(now, removed->request, RefusalReason::kOverload),
-                        messages);
+      this->RefuseQueued(now, attempt, RefusalReason::kOverload, messages);
     }
   }
 }
--- a/Libraries/LibDispatch/slot_broker.h
+++ b/Libraries/LibDispatch/slot_broker.h
@@ -125,6 +125,8 @@
   void RefreshCandidates();
   // Updates one candidate; the states of the others have not changed.
   void RefreshCandidate(TargetId target);
+  // Null if the target is not configured.
+  const Candidate* FindCandidate(TargetId target) const;
   HostActivity& RecordActivity(TimePoint now, HostId host, std::optional<DomainId> domain);
   static double RecentRequests(TimePoint now, const HostActivity& activity);
   // Whether the host uses the service often enough to receive views.
@@ -197,6 +199,8 @@
   std::optional<SlotRefusal> Admit(TimePoint now, const QueueEntry& entry, Messages& messages);
   SlotRefusal MakeRefusal(TimePoint now, const SlotRequest& request, RefusalReason reason);
   void SendRefusal(TimePoint now, HostId host, const SlotRefusal& refusal, Messages& messages);
+  // Refuses a request that waits in the queue.
+  void RefuseQueued(TimePoint now, AttemptId attempt, RefusalReason reason, Messages& messages);
   void Grant(TimePoint now, const QueueEntry& entry, TargetId target, Messages& messages);
   void GrantQueued(TimePoint now, Messages& messages);
   bool GrantNext(TimePoint now, WorkClass work_class, Messages& messages);
