--- a/Bench/Load/load_runner.cc
+++ b/Bench/Load/load_runner.cc
@@ -16,10 +16,6 @@
 constexpr Duration kResponseGracePeriod = std::chrono::seconds(2);
 constexpr double kMaxDuplicateDelayMs = 20;
 
-Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 struct LoadRunner::PendingRequest {
--- a/Bench/Runner/gray_failure_command.cc
+++ b/Bench/Runner/gray_failure_command.cc
@@ -38,10 +38,6 @@
   return detector == DetectorKind::kShared ? "fleet" : "host";
 }
 
-double Seconds(Duration duration) {
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 std::optional<GrayFailureOptions> ParseOptions(int argc, char** argv) {
   cxxopts::Options options("pimentopin-bench gray", "Detection of gray failures, in virtual time");
   options.add_options()("revision", "Git revision for the records",
@@ -112,9 +108,9 @@
                       {"p99_before_ms", result.p99_before_ms},
                       {"p99_after_ms", result.p99_after_ms},
                       {"violations", result.violations}};
-  line["detection_s"] = result.detection ? nlohmann::json(Seconds(*result.detection)) : nullptr;
+  line["detection_s"] = result.detection ? nlohmann::json(ToSeconds(*result.detection)) : nullptr;
   line["bound_s"] = run.failure_case.detection_bound
-                        ? nlohmann::json(Seconds(*run.failure_case.detection_bound))
+                        ? nlohmann::json(ToSeconds(*run.failure_case.detection_bound))
                         : nullptr;
   return line;
 }
@@ -137,7 +133,7 @@
   SeedSummary summary;
   for (const GrayFailureResult* result = results; result != results + count; ++result) {
     if (result->detection) {
-      summary.detections.push_back(Seconds(*result->detection));
+      summary.detections.push_back(ToSeconds(*result->detection));
     } else {
       ++summary.undetected;
     }
@@ -168,7 +164,7 @@
     return safe ? "" : "MISSED";
   }
   const bool in_time = summary.undetected == 0 && !summary.detections.empty() &&
-                       summary.detections.back() <= Seconds(*run.failure_case.detection_bound);
+                       summary.detections.back() <= ToSeconds(*run.failure_case.detection_bound);
   return safe && in_time ? "met" : "MISSED";
 }
 
--- a/Libraries/LibCore/identifiers.h
+++ b/Libraries/LibCore/identifiers.h
@@ -26,6 +26,12 @@
 // Combines two values into a hash that is the same on every host.
 std::uint64_t StableHash(std::uint64_t first, std::uint64_t second);
 
+// Spreads evenly distributed hashes evenly over 0 to 1, 1 excluded.
+constexpr double HashFraction(std::uint64_t hash) {
+  // A double holds 53 bits exactly.
+  return static_cast<double>(hash >> 11) * 0x1.0p-53;
+}
+
 template <typename Id>
 Id IdFromName(std::string_view name) {
   return Id{StableHash(name)};
--- a/Libraries/LibCore/time.h
+++ b/Libraries/LibCore/time.h
@@ -23,6 +23,19 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Both drop fractions of a microsecond.
+constexpr Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+constexpr Duration FromMicroseconds(double microseconds) {
+  return Duration(static_cast<Duration::rep>(microseconds));
+}
+
 // Current time of the process's steady clock.
 inline TimePoint SteadyNow() {
   return TimePoint(
--- a/Libraries/LibDispatch/admission.cc
+++ b/Libraries/LibDispatch/admission.cc
@@ -25,10 +25,6 @@
 // close to its service times keeps its slots busy.
 constexpr Duration::rep kMinWaitDivisor = 4;
 
-Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-}
-
 // Key of the priority in a map that does not grow beyond kMaxPriorities.
 template <typename Map>
 std::uint32_t KeyFor(const Map& rates, std::uint32_t priority) {
@@ -39,7 +35,7 @@
 }  // namespace
 
 double Admission::Rate::At(TimePoint now) const {
-  const double age = std::max(0.0, std::chrono::duration<double>(now - this->updated_at).count());
+  const double age = std::max(0.0, ToSeconds(now - this->updated_at));
   return this->per_s * std::exp(-age / this->time_s);
 }
 
@@ -147,7 +143,7 @@
   const double spread_s = request.capacity_per_s > 0
                               ? recently_refused.At(now) * kRefusalTimeS / request.capacity_per_s
                               : 0;
-  const double part = static_cast<double>(StableHash(RawId(request.attempt), 0) >> 11) * 0x1.0p-53;
+  const double part = HashFraction(StableHash(RawId(request.attempt), 0));
   return std::clamp<Duration>(excess + FromSeconds(std::min(spread_s, 3600.0) * part),
                               kMinRetryAfter, kMaxRetryAfter);
 }
--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -61,7 +61,7 @@
 Duration ShedRetryAfter(TimePoint now, const RequestDescription& request) {
   constexpr Duration::rep kEarliestDivisor = 8;
   const Duration earliest = (request.deadline - now) / kEarliestDivisor;
-  const double part = static_cast<double>(RawId(request.request) >> 11) * 0x1.0p-53;
+  const double part = HashFraction(RawId(request.request));
   return std::clamp<Duration>(earliest + std::chrono::duration_cast<Duration>(earliest * part),
                               Duration::zero(), kFallbackRetryAfter);
 }
--- a/Libraries/LibDispatch/shed_share.cc
+++ b/Libraries/LibDispatch/shed_share.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 double ShedShare::At(TimePoint now) const {
-  const double age = std::max(0.0, std::chrono::duration<double>(now - this->updated_at).count());
+  const double age = std::max(0.0, ToSeconds(now - this->updated_at));
   return this->share > 0 ? this->share * std::exp(-age / kDecayTimeS) : 0;
 }
 
--- a/Libraries/LibDispatch/slot_broker.cc
+++ b/Libraries/LibDispatch/slot_broker.cc
@@ -63,10 +63,6 @@
 // Hosts that choose a target without the broker leave out targets that are slower than this.
 constexpr double kMaxUnaskedSlowness = 1.5;
 
-double ToSeconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 WorkTraits TraitsOf(const SlotRequest& request) {
   return {.work_class = request.work_class, .kind = request.kind, .key = request.work_key};
 }
@@ -124,7 +120,7 @@
 }
 
 double SlotBroker::RecentRequests(TimePoint now, const HostActivity& activity) {
-  const double age = std::chrono::duration<double>(now - activity.last_active_at).count();
+  const double age = ToSeconds(now - activity.last_active_at);
   return activity.recent_requests * std::exp(-std::max(0.0, age));
 }
 
@@ -378,8 +374,7 @@
       const Duration outstanding = this->target_work.Outstanding(
           now, candidate.target, this->table.HoldersAt(candidate.target));
       return mean > Duration::zero()
-                 ? std::chrono::duration<double>(outstanding) /
-                       std::chrono::duration<double>(mean) / candidate.health_status.usable_slots
+                 ? ToSeconds(outstanding) / ToSeconds(mean) / candidate.health_status.usable_slots
                  : 0.0;
     }
     case Placement::kExpectedCompletion:
@@ -489,8 +484,7 @@
   const std::size_t ahead = this->queue.CountAhead(request.work_class, request.organisation) + 1;
   const double rate_limit = this->TotalRateLimit();
   if (rate_limit > 0) {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(static_cast<double>(ahead) / rate_limit));
+    return FromSeconds(static_cast<double>(ahead) / rate_limit);
   }
   return this->estimate.PredictedWait(request.work_class, ahead,
                                       this->SlotsFor(request.work_class));
@@ -507,7 +501,7 @@
                                ? this->table.long_count()
                                : this->table.size() - this->table.long_count();
   return static_cast<double>(std::max<std::size_t>(held, this->SlotsFor(work_class))) /
-         std::chrono::duration<double>(mean).count();
+         ToSeconds(mean);
 }
 
 AdmissionCase SlotBroker::CaseOf(const SlotRequest& request,
--- a/Libraries/LibDispatch/target_rate_limits.cc
+++ b/Libraries/LibDispatch/target_rate_limits.cc
@@ -9,9 +9,7 @@
     this->limits.erase(target);
     return;
   }
-  const double max_seconds = std::chrono::duration<double>(kMaxInterval).count();
-  const auto interval = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(1 / rate, max_seconds)));
+  const Duration interval = FromSeconds(std::min(1 / rate, ToSeconds(kMaxInterval)));
   const auto [limit, is_new] =
       this->limits.try_emplace(target, Limit{.interval = interval, .last_sent_at = now});
   limit->second.interval = interval;
@@ -30,9 +28,7 @@
 
 double TargetRateLimits::Rate(TargetId target) const {
   const auto limit = this->limits.find(target);
-  return limit == this->limits.end()
-             ? 0
-             : 1 / std::chrono::duration<double>(limit->second.interval).count();
+  return limit == this->limits.end() ? 0 : 1 / ToSeconds(limit->second.interval);
 }
 
 bool TargetRateLimits::MaySend(TimePoint now, TargetId target, std::size_t senders) const {
--- a/Libraries/LibDispatch/target_work.cc
+++ b/Libraries/LibDispatch/target_work.cc
@@ -29,18 +29,10 @@
 constexpr Duration kRateValidity = std::chrono::milliseconds(5);
 constexpr double kMaxRelativeDelay = 4.0;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 double Microseconds(Duration duration) {
   return static_cast<double>(duration.count());
 }
 
-Duration FromUs(double microseconds) {
-  return Duration(static_cast<Duration::rep>(microseconds));
-}
-
 }  // namespace
 
 double ExpectedCompletion::RelativeDelay() const {
@@ -53,7 +45,7 @@
 
 double TargetWork::DecayingAverage::WeightAt(TimePoint now) const {
   return this->weight *
-         std::exp(-std::max(0.0, Seconds(now - this->updated_at)) / kRatioMemorySeconds);
+         std::exp(-std::max(0.0, ToSeconds(now - this->updated_at)) / kRatioMemorySeconds);
 }
 
 void TargetWork::DecayingAverage::Add(TimePoint now, double value) {
@@ -108,7 +100,7 @@
   }
   const State& state = found->second;
   return state.foreign_attempts * state.trust *
-         std::exp(-std::max(0.0, Seconds(now - state.stated_at)) / kStatementMemorySeconds);
+         std::exp(-std::max(0.0, ToSeconds(now - state.stated_at)) / kStatementMemorySeconds);
 }
 
 double TargetWork::EndRate(TimePoint now,
@@ -128,9 +120,9 @@
     const SlotHolder& holder = *holders[index];
     const Duration age =
         std::max<Duration>(now - holder.held_since - holder.expected_wait, Duration::zero());
-    const double rest_us =
-        Microseconds(this->work_estimate.Rest(holder.work, FromUs(Microseconds(age) / slowness))) *
-        slowness;
+    const double rest_us = Microseconds(this->work_estimate.Rest(
+                               holder.work, FromMicroseconds(Microseconds(age) / slowness))) *
+                           slowness;
     rate += 1.0 / std::max(rest_us, kMinRestUs);
   }
   state.end_rate = rate;
@@ -164,8 +156,8 @@
   if (rate <= 0) {
     return expected;
   }
-  expected.wait = FromUs(ahead_of_known / rate);
-  expected.stated_wait = FromUs(ahead_of_all / rate) - expected.wait;
+  expected.wait = FromMicroseconds(ahead_of_known / rate);
+  expected.stated_wait = FromMicroseconds(ahead_of_all / rate) - expected.wait;
   return expected;
 }
 
@@ -176,7 +168,7 @@
   for (const SlotHolder* holder : holders) {
     sum += this->work_estimate.Rest(holder->work, now - holder->held_since);
   }
-  return FromUs(Microseconds(sum) * this->Slowness(now, target));
+  return FromMicroseconds(Microseconds(sum) * this->Slowness(now, target));
 }
 
 void TargetWork::RecordEnd(TimePoint now,
@@ -203,7 +195,7 @@
   if (is_complete) {
     // Takes out the wait in the target's queue and the slowness of the target.
     this->work_estimate.Observe(
-        holder.work, FromUs(Microseconds(holder.expected_run) / holder.slowness * ratio));
+        holder.work, FromMicroseconds(Microseconds(holder.expected_run) / holder.slowness * ratio));
   }
   if (holder.stated_wait > Duration::zero()) {
     const bool waited = lasted >= expected + holder.stated_wait / 2;
--- a/Libraries/LibDispatch/target_work.h
+++ b/Libraries/LibDispatch/target_work.h
@@ -23,8 +23,7 @@
   double slowness = 1.0;
 
   Duration Run() const {
-    return Duration(
-        static_cast<Duration::rep>(static_cast<double>(this->work.count()) * this->slowness));
+    return FromMicroseconds(static_cast<double>(this->work.count()) * this->slowness);
   }
   Duration Total() const { return this->wait + this->stated_wait + this->Run(); }
   // Delay by this target's load and speed, relative to the work of the request; negative at a fast
--- a/Libraries/LibDispatch/view_budget.h
+++ b/Libraries/LibDispatch/view_budget.h
@@ -26,8 +26,8 @@
 // Minimum time between two views with this number of targets to the same host.
 constexpr Duration ViewInterval(std::size_t target_count,
                                 double bytes_per_second = kViewBytesPerSecond) {
-  const Duration interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      static_cast<double>(ViewSize(target_count)) / bytes_per_second));
+  const Duration interval =
+      FromSeconds(static_cast<double>(ViewSize(target_count)) / bytes_per_second);
   return interval <= kMaxOptimisticViewInterval ? std::max(interval, kMinViewInterval)
                                                 : std::max(interval, kEvidenceViewInterval);
 }
--- a/Libraries/LibDispatch/work_estimate.cc
+++ b/Libraries/LibDispatch/work_estimate.cc
@@ -23,10 +23,6 @@
              : kSmallestWorkUs * std::exp2(static_cast<double>(bucket - 1) / kBucketsPerDoubling);
 }
 
-Duration FromUs(double microseconds) {
-  return Duration(static_cast<Duration::rep>(microseconds));
-}
-
 }  // namespace
 
 std::size_t WorkHistogram::BucketOf(double work_us) {
@@ -49,7 +45,8 @@
 }
 
 Duration WorkHistogram::Mean() const {
-  return this->counts[0] > 0 ? FromUs(this->sums_us[0] / this->counts[0]) : Duration::zero();
+  return this->counts[0] > 0 ? FromMicroseconds(this->sums_us[0] / this->counts[0])
+                             : Duration::zero();
 }
 
 Duration WorkHistogram::Rest(Duration age) const {
@@ -69,7 +66,7 @@
     count += this->counts[bucket + 1] + longer;
     sum_us += this->sums_us[bucket + 1] + longer * (age_us + end_us) / 2.0;
   }
-  return FromUs(std::max(0.0, sum_us / count - age_us));
+  return FromMicroseconds(std::max(0.0, sum_us / count - age_us));
 }
 
 WorkHistogram& WorkEstimate::Pool::FindOrAdd(std::uint64_t id) {
--- a/Libraries/LibHost/http_dialect.cc
+++ b/Libraries/LibHost/http_dialect.cc
@@ -51,8 +51,7 @@
   if (!is_number || !(seconds > 0)) {
     return Duration::zero();
   }
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(seconds, kMaxRetryAfterSeconds)));
+  return FromSeconds(std::min(seconds, kMaxRetryAfterSeconds));
 }
 
 double ParseRequestRate(std::string_view text) {
--- a/Libraries/LibHost/limits_in_force.cc
+++ b/Libraries/LibHost/limits_in_force.cc
@@ -44,13 +44,11 @@
     settings.floor_source = LimitSource::kPlatform;
   }
   if (limits.shutdown_grace_s) {
-    settings.shutdown_grace = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(*limits.shutdown_grace_s));
+    settings.shutdown_grace = FromSeconds(*limits.shutdown_grace_s);
     settings.grace_source = LimitSource::kPlatform;
   }
   if (limits.key_revocation_s) {
-    settings.key_revocation_time = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(*limits.key_revocation_s));
+    settings.key_revocation_time = FromSeconds(*limits.key_revocation_s);
     settings.key_revocation_source = LimitSource::kPlatform;
   }
 }
--- a/Libraries/LibQuota/quota_bucket.cc
+++ b/Libraries/LibQuota/quota_bucket.cc
@@ -13,10 +13,6 @@
 // the fleet may exceed a quota.
 constexpr double kSpareTokens = 3.0;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 QuotaBucket::QuotaBucket(BootTimePoint now, const QuotaLimit& limit) : refilled_at(now) {
@@ -33,7 +29,7 @@
 
 void QuotaBucket::Refill(BootTimePoint now) {
   const Duration elapsed = std::max(now - this->refilled_at, Duration::zero());
-  const double tokens = this->rate * Seconds(elapsed);
+  const double tokens = this->rate * ToSeconds(elapsed);
   this->level = std::min(this->level + tokens, this->capacity);
   this->backlog = std::max(this->backlog - tokens, 0.0);
   this->refilled_at = std::max(this->refilled_at, now);
@@ -44,7 +40,7 @@
   const auto taken =
       static_cast<std::uint16_t>(std::min<double>(wanted, std::floor(std::max(this->level, 0.0))));
   this->level -= taken;
-  this->backlog = std::min(this->backlog + wanted - taken, this->rate * Seconds(kMaxRetryAfter));
+  this->backlog = std::min(this->backlog + wanted - taken, this->rate * ToSeconds(kMaxRetryAfter));
   return taken;
 }
 
@@ -54,7 +50,7 @@
   if (missing <= 0) {
     return Duration::zero();
   }
-  if (missing >= this->rate * Seconds(kMaxRetryAfter)) {
+  if (missing >= this->rate * ToSeconds(kMaxRetryAfter)) {
     return kMaxRetryAfter;
   }
   return std::chrono::ceil<Duration>(std::chrono::duration<double>(missing / this->rate));
