Config: One reader of key digests and of optional priorities for both documents

The digests and the optional 32-bit number were read in the same way in the operator's document and in that of the platform.

--- a/Libraries/LibConfig/configuration_reader.cc
+++ b/Libraries/LibConfig/configuration_reader.cc
@@ -155,14 +155,10 @@
         {"name", "labels", "key_digests", "priority", "requests_per_second", "burst"});
     Organisation organisation{.name = reader.ReadName("name"),
                               .labels = reader.ReadLabels("labels"),
-                              .keys = this->ReadKeyDigests(reader),
+                              .keys = this->unique_keys.ReadDigests(reader, "key_digests"),
+                              .priority = reader.ReadOptionalUint32("priority", 0, kMaxPriority),
                               .requests_per_second = reader.ReadRate("requests_per_second"),
                               .burst = reader.ReadRate("burst")};
-    const std::optional<std::int64_t> priority =
-        reader.ReadInteger("priority", 0, kMaxPriority, Presence::kOptional);
-    if (priority) {
-      organisation.priority = static_cast<std::uint32_t>(*priority);
-    }
     if (!organisation.keys.empty()) {
       this->key_holders.push_back({organisation.name, reader.json_pointer()});
     }
@@ -172,23 +168,6 @@
     this->configuration.organisations.push_back(std::move(organisation));
   }
 
-  std::vector<ApiKeyDigest> ReadKeyDigests(const ObjectReader& reader) {
-    std::vector<ApiKeyDigest> digests;
-    reader.ForEachElement(
-        "key_digests", Presence::kOptional, [&](const json& value, const std::string& place) {
-          const std::optional<ApiKeyDigest> digest =
-              value.is_string() ? ApiKeyDigest::FromHex(value.get_ref<const std::string&>())
-                                : std::nullopt;
-          if (!digest) {
-            this->report(place, "must be the SHA-256 of a key as 64 lower-case hexadecimal digits");
-            return;
-          }
-          this->unique_keys.Add(*digest, place);
-          digests.push_back(*digest);
-        });
-    return digests;
-  }
-
   void ReadCaller(const ObjectReader& reader) {
     reader.RejectUnknownFields({"name", "organisation", "labels"});
     Caller caller{.name = reader.ReadName("name"),
@@ -307,8 +286,7 @@
         .timeout = std::chrono::milliseconds(reader.ReadUint32("timeout_ms", 1, kMaxDeadlineMs)),
         .latency_objective =
             std::chrono::milliseconds(reader.ReadUint32("latency_objective_ms", 1, kMaxDeadlineMs)),
-        .priority = static_cast<std::uint32_t>(
-            reader.ReadInteger("priority", 0, kMaxPriority, Presence::kOptional).value_or(0)),
+        .priority = reader.ReadOptionalUint32("priority", 0, kMaxPriority).value_or(0),
         .anonymous = reader.ReadBool("anonymous", Presence::kOptional)};
     this->route_names.Add(route.name, reader.FieldPointer("name"));
     this->CheckReference(route.caller, this->caller_names, "caller", reader.FieldPointer("caller"));
--- a/Libraries/LibConfig/object_reader.cc
+++ b/Libraries/LibConfig/object_reader.cc
@@ -116,6 +116,14 @@
       this->ReadInteger(field, minimum, maximum, Presence::kRequired).value_or(minimum));
 }
 
+std::optional<std::uint32_t> ObjectReader::ReadOptionalUint32(std::string_view field,
+                                                              std::int64_t minimum,
+                                                              std::int64_t maximum) const {
+  const std::optional<std::int64_t> value =
+      this->ReadInteger(field, minimum, maximum, Presence::kOptional);
+  return value ? std::optional(static_cast<std::uint32_t>(*value)) : std::nullopt;
+}
+
 double ObjectReader::ReadRate(std::string_view field) const {
   const json* const found = this->FindField(field, Presence::kOptional);
   if (found == nullptr || !this->CheckType(field, *found, found->is_number(), "a number")) {
--- a/Libraries/LibConfig/object_reader.h
+++ b/Libraries/LibConfig/object_reader.h
@@ -49,6 +49,10 @@
   std::uint32_t ReadUint32(std::string_view field,
                            std::int64_t minimum,
                            std::int64_t maximum) const;
+  // The same, for an optional one.
+  std::optional<std::uint32_t> ReadOptionalUint32(std::string_view field,
+                                                  std::int64_t minimum,
+                                                  std::int64_t maximum) const;
   // Reads an optional number of 0 or more; 0 if it is absent.
   double ReadRate(std::string_view field) const;
   bool ReadBool(std::string_view field, Presence presence) const;
--- a/Libraries/LibConfig/unique_keys.h
+++ b/Libraries/LibConfig/unique_keys.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "Libraries/LibConfig/api_key.h"
 #include "Libraries/LibConfig/document_scanner.h"
+#include "Libraries/LibConfig/object_reader.h"
 
 namespace pimentopin {
 
@@ -20,6 +23,9 @@
     }
   }
 
+  // Reads and adds the digests in an optional list of the object.
+  std::vector<ApiKeyDigest> ReadDigests(const ObjectReader& reader, std::string_view field);
+
  private:
   const ErrorReporter& report;
   std::unordered_map<ApiKeyDigest, std::string> places;
