Host, Quota: One type of settings for quotas, one check of a number

QuotaController copied the settings of HostQuotas field by field, and two settings parsed a number alike.

--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <string>
 
 #include "Libraries/LibCore/request_limits.h"
@@ -31,19 +32,23 @@
   return is_url ? "" : "must start with http://";
 }
 
+// Empty if the text is anything but one number.
+std::optional<double> ParseNumber(const std::string& text) {
+  double number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() && end == text.data() + text.size() ? std::optional(number)
+                                                                  : std::nullopt;
+}
+
 std::string CheckCores(const std::string& value) {
-  double cores = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), cores);
-  const bool valid =
-      error == std::errc() && end == value.data() + value.size() && cores > 0 && cores <= kMaxCores;
+  const std::optional<double> cores = ParseNumber(value);
+  const bool valid = cores && *cores > 0 && *cores <= kMaxCores;
   return valid ? "" : "must be a number of cores above 0 and at most 1024";
 }
 
 std::string CheckBandwidth(const std::string& value) {
-  double bandwidth = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), bandwidth);
-  const bool valid = error == std::errc() && end == value.data() + value.size() && bandwidth >= 0 &&
-                     bandwidth <= kMaxBandwidth;
+  const std::optional<double> bandwidth = ParseNumber(value);
+  const bool valid = bandwidth && *bandwidth >= 0 && *bandwidth <= kMaxBandwidth;
   return valid ? "" : "must be a bandwidth in Mbit/s of at least 0 and at most 1000000";
 }
 
--- a/Libraries/LibHost/quota_controller.cc
+++ b/Libraries/LibHost/quota_controller.cc
@@ -61,10 +61,7 @@
       store(store),
       metrics(metrics),
       settings(std::move(controller_settings)),
-      quotas({.self = this->settings.self,
-              .host_name = this->settings.host_name,
-              .domain = this->settings.domain,
-              .incarnation = this->settings.incarnation}),
+      quotas(this->settings),
       alarm(loop.CreateAlarm([this] { this->Tick(); })),
       refusals_alarm(loop.CreateAlarm([this] { this->EndRefusals(); })) {
   shared_state.configuration.Observe(
--- a/Libraries/LibHost/quota_controller.h
+++ b/Libraries/LibHost/quota_controller.h
@@ -22,12 +22,7 @@
 // Executes the actions of HostQuotas. Everything runs on the control thread.
 class QuotaController {
  public:
-  struct Settings {
-    HostId self{};
-    std::string host_name;
-    DomainId domain{};
-    std::uint64_t incarnation = 0;
-  };
+  using Settings = HostQuotas::Settings;
   using Decided = std::function<void(const QuotaVerdict&)>;
 
   QuotaController(ControlLoop& loop,
--- a/Libraries/LibQuota/quota_client.cc
+++ b/Libraries/LibQuota/quota_client.cc
@@ -135,12 +135,13 @@
 BootTimePoint QuotaClient::NextDeadline() const {
   BootTimePoint next = BootTimePoint::max();
   for (const auto& [organisation, state] : this->organisations) {
-    for (const WaitingRequest& waiting : state.waiting) {
-      next = std::min(next, waiting.give_up_at);
-    }
+    // Without a waiting request, nothing follows from an answer that does not come.
     if (state.waiting.empty()) {
       continue;
     }
+    for (const WaitingRequest& waiting : state.waiting) {
+      next = std::min(next, waiting.give_up_at);
+    }
     for (const Ask& ask : state.asks) {
       next = std::min(next, ask.sent_at + (ask.overdue ? kTokenLifetime : kReplyTimeout));
     }
