Dispatch: Do not list all usable targets to learn whether there is one

Each request listed the targets of its cell twice, with a look-up of each in the configuration, before it was placed. The question ends with the first one now.

--- a/Libraries/LibDispatch/host_dispatcher.cc
+++ b/Libraries/LibDispatch/host_dispatcher.cc
@@ -156,7 +156,7 @@
 bool HostDispatcher::IsUntriedCell(TimePoint now, const RequestState& state, ServiceId cell) const {
   const auto found = this->services.find(cell);
   return found != this->services.end() && !Contains(state.refused_by_cells, cell) &&
-         !this->chooser.UsableTargets(now, found->second, state).empty();
+         this->chooser.HasUsableTarget(now, found->second, state);
 }
 
 bool HostDispatcher::HasOtherCell(TimePoint now, const RequestState& state) const {
@@ -267,7 +267,7 @@
   const bool brokered = this->settings.policy == DispatchPolicy::kBrokered;
   DispatchServiceState* service = this->ChoosePlace(now, state);
   const bool usable =
-      service != nullptr && brokered && !this->chooser.UsableTargets(now, *service, state).empty();
+      service != nullptr && brokered && this->chooser.HasUsableTarget(now, *service, state);
   if (service == nullptr ||
       (!usable && this->chooser.AllowedTargets(*this->FindService(description.service), description)
                       .empty())) {
--- a/Libraries/LibDispatch/target_chooser.cc
+++ b/Libraries/LibDispatch/target_chooser.cc
@@ -116,6 +116,18 @@
   return usable;
 }
 
+bool TargetChooser::HasUsableTarget(TimePoint now,
+                                    const DispatchServiceState& service,
+                                    const RequestState& state) const {
+  OrderedSearch search(state.description.allowed);
+  return std::any_of(service.configuration.targets.begin(), service.configuration.targets.end(),
+                     [&](const DispatchService::Target& target) {
+                       return search.Finds(target.target) &&
+                              !this->settings.IsLeaving(target.target) &&
+                              !this->IsForbidden(now, state, target.target);
+                     });
+}
+
 std::optional<TimePoint> TargetChooser::FirstHoldOffEnd(TimePoint now,
                                                         const DispatchServiceState& service,
                                                         const RequestState& state) const {
--- a/Libraries/LibDispatch/target_chooser.h
+++ b/Libraries/LibDispatch/target_chooser.h
@@ -37,6 +37,10 @@
   std::vector<TargetId> UsableTargets(TimePoint now,
                                       const DispatchServiceState& service,
                                       const RequestState& state) const;
+  // Whether there is any of those.
+  bool HasUsableTarget(TimePoint now,
+                       const DispatchServiceState& service,
+                       const RequestState& state) const;
   // The first time at which an allowed target stops holding this host off; empty if no target
   // that has not refused the request does.
   std::optional<TimePoint> FirstHoldOffEnd(TimePoint now,
