--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -478,7 +478,7 @@
         self.sent = {}  # attempt id -> (time, path)
         self.answers = {}  # attempt id -> status; 0 if there was no answer
 
-    async def request(self, host, path, method="GET", deadline_ms=1500):
+    async def request(self, host, path, method="GET", deadline_ms=1500, extra=None):
         self.count += 1
         attempt = f"a{self.count:05d}"
         self.sent[attempt] = (time.monotonic(), path)
@@ -487,7 +487,7 @@
             status, headers, body = await asyncio.wait_for(
                 send(host.front, method, path,
                      {"X-Pimentopin-Attempt-Id": attempt,
-                      "X-Pimentopin-Deadline-Ms": str(deadline_ms)},
+                      "X-Pimentopin-Deadline-Ms": str(deadline_ms), **(extra or {})},
                      b"{}" if method == "POST" else b""), deadline_ms / 1000)
         except (OSError, EOFError, asyncio.TimeoutError) as error:
             self.answers[attempt] = 0
