--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,9 +16,7 @@
 REVOKE_S = BOUNDS["revoke-s"]
 ZONES = ("zone-a", "zone-b", "zone-c")
 KEPT, TAKEN, OTHER = "key-of-port-1", "key-of-port-2", "key-of-grain"
-# As long as a signed token or a key in hexadecimal digits may be.
-LONG = "0123456789abcdef" * 16
-ADDED = "key-of-grain-2"
+ADDED = "key-of-clients"
 JUDGED_FOR_S = 15.0
 
 
@@ -56,16 +54,16 @@
     for key in (KEPT, TAKEN, OTHER):
         if any(status != 200 for _, status, _ in await round_of(key)):
             raise RuntimeError("a valid key is not accepted")
-    added = LONG if trouble else ADDED
+    added = "clients" if trouble else "offices"
     await store.put("op", "config", configuration(
-        0x11, {"port": (KEPT,), "grain": (OTHER, added)}))
+        0x11, {"port": (KEPT,), "grain": (OTHER,), added: (ADDED,)}))
     confirmed_at = time.monotonic()
-    record.add(f"store: configuration 00000011 confirmed: a key of {len(added)} bytes is added, "
-               "another one is taken away")
+    record.add(f"store: configuration 00000011 confirmed: tenant '{added}' is added, a key of the "
+               "tenant 'port' is taken away")
     ran = sent = 0
     while time.monotonic() < confirmed_at + REVOKE_S + JUDGED_FOR_S:
         answers = await round_of(TAKEN)
-        await round_of(added)
+        await round_of(ADDED)
         for attempt, status, _ in answers:
             if client.sent[attempt][0] > confirmed_at + REVOKE_S:
                 sent += 1
