--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -189,7 +189,14 @@
 void DirectoryController::Execute(const ListTable& action) {
   this->store.List(action.table, [this, table = action.table](const std::optional<FeedBatch>& batch,
                                                               const Error& error) {
-    this->OnRows(table, batch, error);
+    const std::size_t changes = this->OnRows(table, batch, error);
+    if (batch) {
+      Log(LogLevel::kInfo, "table_listed",
+          {{"table", table},
+           {"rows", batch->rows.size()},
+           {"version", batch->version},
+           {"changes", changes}});
+    }
   });
 }
 
@@ -234,15 +241,22 @@
   this->peers.Send(action.host, action.message);
 }
 
-void DirectoryController::OnRows(const std::string& table,
-                                 const std::optional<FeedBatch>& batch,
-                                 const Error& error) {
+std::size_t DirectoryController::OnRows(const std::string& table,
+                                        const std::optional<FeedBatch>& batch,
+                                        const Error& error) {
   if (!batch) {
     Log(LogLevel::kDebug, "store_read_failed", {{"table", table}, {"error", error.message}});
   }
   this->RefreshConfirmedStoreTime();
-  this->Execute(this->relay.OnRows(SteadyNow(), table, batch, error));
+  const std::vector<RelayAction> actions = this->relay.OnRows(SteadyNow(), table, batch, error);
+  std::size_t changes = 0;
+  for (const RelayAction& action : actions) {
+    const auto* const changed = std::get_if<RowsChanged>(&action);
+    changes += changed != nullptr ? changed->rows.size() : 0;
+  }
+  this->Execute(actions);
   this->Update();
+  return changes;
 }
 
 void DirectoryController::OnHostRows(const std::vector<FeedRow>& rows) {
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -82,7 +82,10 @@
   void Execute(const RowsChanged& action);
   void Execute(const RemovalsDeferred& action);
   void Execute(const SendToHost& action);
-  void OnRows(const std::string& table, const std::optional<FeedBatch>& batch, const Error& error);
+  // Returns the number of changes that the rows were for this host.
+  std::size_t OnRows(const std::string& table,
+                     const std::optional<FeedBatch>& batch,
+                     const Error& error);
   void OnHostRows(const std::vector<FeedRow>& rows);
   void OnTargetRows(const std::vector<FeedRow>& rows);
   void LogTargetChange(const RegisteredTarget* before,
--- a/Libraries/LibHost/platform_configuration_source.cc
+++ b/Libraries/LibHost/platform_configuration_source.cc
@@ -40,7 +40,7 @@
     callback(std::nullopt, error);
     return;
   }
-  this->version = batch->version;
+  const bool is_listing = std::exchange(this->version, batch->version) == 0;
   std::optional<ConfigurationDocument> newest;
   for (const FeedRow& row : batch->rows) {
     if (row.key != this->settings.key || row.removed) {
@@ -65,6 +65,10 @@
                                                     : row.value};
     }
   }
+  if (is_listing) {
+    Log(LogLevel::kInfo, "configuration_listed",
+        {{"version", batch->version}, {"revision", this->newest_revision}});
+  }
   if (batch->store_time && this->settings.on_confirmed) {
     this->settings.on_confirmed({.at = *batch->store_time, .revision = this->newest_revision});
   }
