--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -23,6 +23,9 @@
 // A silent store is logged as lost after this time.
 constexpr Duration kStoreLossDelay = std::chrono::seconds(3);
 constexpr std::size_t kMaxNotices = 64;
+// When the store has lost the rows of many hosts, each writes its own again at a moment of its own
+// in this time for each host, so that they do not exceed the store's rate of writes.
+constexpr Duration kRegistrationSpreadPerHost = std::chrono::milliseconds(5);
 
 std::vector<StoreRelay::Table> RelayTables(const DirectoryController::Settings& settings) {
   const bool has_targets = !settings.target_table.empty();
@@ -38,14 +41,21 @@
   }
   // Targets rewrite their entries as heartbeats, so only a difference in content is a
   // change.
-  tables.push_back({.name = settings.target_table,
-                    .polled = true,
-                    .defers_removals = true,
-                    .is_relevant_change = [read = settings.read_target](const std::string& before,
-                                                                        const std::string& after) {
-                      Error ignored;
-                      return read("", before, ignored) != read("", after, ignored);
-                    }});
+  tables.push_back(
+      {.name = settings.target_table,
+       .polled = true,
+       .defers_removals = true,
+       .is_relevant_change =
+           [read = settings.read_target](const std::string& before, const std::string& after) {
+             Error ignored;
+             return read("", before, ignored) != read("", after, ignored);
+           },
+       .needs_confirmation =
+           [read = settings.read_target](const FeedRow& row) {
+             Error ignored;
+             const auto target = read("", row.value, ignored);
+             return !target || !target->leaving;
+           }});
   return tables;
 }
 
@@ -194,7 +204,7 @@
       Log(LogLevel::kInfo, "table_listed",
           {{"table", table},
            {"rows", batch->rows.size()},
-           {"version", batch->version},
+           {"version", batch->version.ToText()},
            {"changes", changes}});
     }
   });
@@ -237,6 +247,31 @@
        {"wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(action.wait).count()}});
 }
 
+void DirectoryController::Execute(const EraStarted& action) {
+  Log(LogLevel::kWarning, "table_returned_from_copy",
+      {{"table", action.table},
+       {"version", action.version.ToText()},
+       {"changes", action.changes},
+       {"withheld", action.withheld}});
+  if (action.table != kHostTable) {
+    return;
+  }
+  this->own_row_version.reset();
+  const auto hosts = static_cast<Duration::rep>(this->directory.Members().size());
+  const Duration spread = kRegistrationSpreadPerHost * hosts;
+  const std::uint64_t draw = StableHash(RawId(this->settings.self.host), action.version.era) %
+                             static_cast<std::uint64_t>(spread.count());
+  this->registration_due =
+      std::max(this->registration_due, SteadyNow() + Duration(static_cast<Duration::rep>(draw)));
+}
+
+bool DirectoryController::IsRegistered() const {
+  // The row may have disappeared with the writes that a store lost, although its removal does not
+  // take effect yet.
+  return this->directory.IsRegistered() &&
+         !this->relay.RowVersion(kHostTable, this->settings.self.name).is_zero();
+}
+
 void DirectoryController::Execute(const SendToHost& action) {
   this->peers.Send(action.host, action.message);
 }
@@ -293,11 +328,13 @@
     }
     if (!row.removed) {
       Log(LogLevel::kWarning, "target_entry_unreadable",
-          {{"target", row.key}, {"row_version", row.version}, {"reason", error.message}});
+          {{"target", row.key}, {"row_version", row.version.ToText()}, {"reason", error.message}});
     }
     if (before != nullptr) {
       Log(LogLevel::kInfo, "target_gone",
-          {{"target", row.key}, {"service", before->service}, {"row_version", row.version}});
+          {{"target", row.key},
+           {"service", before->service},
+           {"row_version", row.version.ToText()}});
       this->targets.erase(known);
     }
   }
@@ -325,7 +362,7 @@
        {"address", after.address},
        {"domain", after.domain},
        {"slots", after.slots},
-       {"row_version", row.version}});
+       {"row_version", row.version.ToText()}});
 }
 
 void DirectoryController::UpdateReachability() {
@@ -352,7 +389,7 @@
 
 void DirectoryController::Register() {
   const TimePoint now = SteadyNow();
-  if (this->registering || now < this->registration_due || this->directory.IsRegistered() ||
+  if (this->registering || now < this->registration_due || this->IsRegistered() ||
       !this->relay.MayRegister(now)) {
     return;
   }
--- a/Libraries/LibHost/directory_controller.h
+++ b/Libraries/LibHost/directory_controller.h
@@ -81,6 +81,7 @@
   void Execute(const PullConfiguration& action);
   void Execute(const RowsChanged& action);
   void Execute(const RemovalsDeferred& action);
+  void Execute(const EraStarted& action);
   void Execute(const SendToHost& action);
   // Returns the number of changes that the rows were for this host.
   std::size_t OnRows(const std::string& table,
@@ -93,6 +94,8 @@
                        const FeedRow& row);
   void SendNotices();
   void UpdateReachability();
+  // True if this host's row is in the store, as far as it knows.
+  bool IsRegistered() const;
   void Register();
   // Removes the rows of unreachable hosts of this host's failure domain.
   void RemoveUnreachableHosts();
@@ -112,7 +115,7 @@
   bool registering = false;
   bool removing_host = false;
   // Version of this host's row as of its last write, if the mirror does not have it yet.
-  std::optional<std::uint64_t> own_row_version;
+  std::optional<StoreVersion> own_row_version;
   // Earliest time of the next registration attempt. A written row needs time to reach the
   // mirror.
   TimePoint registration_due;
--- a/Libraries/LibHost/platform_configuration_source.cc
+++ b/Libraries/LibHost/platform_configuration_source.cc
@@ -18,7 +18,7 @@
                      const std::optional<FeedBatch>& batch, const Error& error) {
     this->OnRows(known_revision, callback, batch, error);
   };
-  if (this->version == 0) {
+  if (this->version.is_zero()) {
     this->feed.List(this->settings.table, std::move(on_rows));
   } else {
     this->feed.Changes(this->settings.table, this->version,
@@ -35,12 +35,12 @@
     // The store no longer has the changes since `version`, so the next read lists the
     // table.
     if (error.code == ErrorCode::kNotFound) {
-      this->version = 0;
+      this->version = {};
     }
     callback(std::nullopt, error);
     return;
   }
-  const bool is_listing = std::exchange(this->version, batch->version) == 0;
+  const bool is_listing = std::exchange(this->version, batch->version).is_zero();
   std::optional<ConfigurationDocument> newest;
   for (const FeedRow& row : batch->rows) {
     if (row.key != this->settings.key || row.removed) {
@@ -50,14 +50,14 @@
     const auto configuration = this->settings.reader(row.value, findings);
     if (!configuration) {
       Log(LogLevel::kError, "configuration_unreadable",
-          {{"row_version", row.version}, {"findings", findings.ToText()}});
+          {{"row_version", row.version.ToText()}, {"findings", findings.ToText()}});
       continue;
     }
     this->newest_revision = configuration->revision;
     if (configuration->revision > known_revision) {
       newest = ConfigurationDocument{.revision = configuration->revision,
                                      .base_revision = known_revision,
-                                     .change_id = "row-" + std::to_string(row.version),
+                                     .change_id = "row-" + row.version.ToText(),
                                      .author = "platform operator",
                                      .committed_at_ms = WallClockMs(),
                                      .content = configuration->requires_keys
@@ -67,7 +67,7 @@
   }
   if (is_listing) {
     Log(LogLevel::kInfo, "configuration_listed",
-        {{"version", batch->version}, {"revision", this->newest_revision}});
+        {{"version", batch->version.ToText()}, {"revision", this->newest_revision}});
   }
   if (batch->store_time && this->settings.on_confirmed) {
     this->settings.on_confirmed({.at = *batch->store_time, .revision = this->newest_revision});
--- a/Libraries/LibHost/platform_configuration_source.h
+++ b/Libraries/LibHost/platform_configuration_source.h
@@ -44,8 +44,8 @@
 
   RowFeed& feed;
   const Settings settings;
-  // Version of the store up to which the row has been read; 0 if it has not been read.
-  std::uint64_t version = 0;
+  // Version of the store up to which the row has been read; zero if it has not been read.
+  StoreVersion version;
   // The newest valid revision in the row.
   std::uint64_t newest_revision = 0;
 };
--- a/Libraries/LibIdempotency/claim_store.h
+++ b/Libraries/LibIdempotency/claim_store.h
@@ -143,7 +143,7 @@
     Step step = Step::kWrite;
     // Version that the next write replaces. While claiming and releasing, no earlier
     // claim write can apply any more.
-    std::uint64_t expected_version = 0;
+    StoreVersion expected_version;
     // Rises with each operation; the reply to an earlier one is ignored.
     std::uint64_t operation_id = 0;
     TimePoint sent_at{};
--- a/Libraries/LibMembership/store_relay.cc
+++ b/Libraries/LibMembership/store_relay.cc
@@ -142,6 +142,7 @@
                               TableState& state,
                               std::vector<FeedRow> changes,
                               Actions& actions) {
+  state.returned_rows.Confirm(changes);
   const std::size_t count = changes.size();
   std::vector<FeedRow> effective = state.deferred_removals.Filter(now, std::move(changes));
   if (effective.size() < count) {
@@ -159,13 +160,61 @@
   return std::max(state.confirmed_at, this->freshness.confirmed_at());
 }
 
-void StoreRelay::ActOnDueRemovals(TimePoint now, TableState& state, Actions& actions) const {
+void StoreRelay::ActOnDueRows(TimePoint now, TableState& state, Actions& actions) const {
   std::vector<FeedRow> due = state.deferred_removals.TakeDue(now, this->ConfirmedAt(state));
+  for (FeedRow& row : state.returned_rows.TakeDue(now)) {
+    due.push_back(std::move(row));
+  }
   if (!due.empty()) {
     actions.emplace_back(RowsChanged{state.table.name, std::move(due)});
   }
 }
 
+void StoreRelay::ApplyRows(TimePoint now,
+                           TableState& state,
+                           const FeedBatch& batch,
+                           bool is_listing,
+                           Actions& actions) {
+  const std::optional<StoreVersion> base = state.ContentVersion();
+  const bool starts_era = base && state.mirror.IsOfLaterEra(batch.version);
+  std::vector<FeedRow> changed =
+      is_listing ? state.mirror.ApplyListing(batch) : state.mirror.ApplyChanges(batch);
+  if (starts_era) {
+    // The hosts wait for the owners of rows from the same moment on, also if nothing has changed.
+    state.mirror.RaiseContentVersion(batch.version);
+    // Other hosts may have known other rows of the earlier era.
+    this->RelayRows(now, state, {}, state.mirror.Rows(), actions);
+    StartEra(now, state, batch.version, changed, actions);
+  }
+  // The first listing of a table is new only to this host. If every starting host of a domain
+  // relayed it, the traffic would saturate slow links for seconds.
+  if (base && !starts_era && !changed.empty()) {
+    this->RelayRows(now, state, base->is_zero() ? StoreVersion(1, batch.version.era) : *base,
+                    changed, actions);
+  }
+  if (!changed.empty()) {
+    ActOnChanges(now, state, std::move(changed), actions);
+  }
+}
+
+void StoreRelay::StartEra(TimePoint now,
+                          TableState& state,
+                          const StoreVersion& version,
+                          std::vector<FeedRow>& changes,
+                          Actions& actions) {
+  state.deferred_removals.DeferUntil(now + kRemovalGracePeriod);
+  EraStarted started{.table = state.table.name, .version = version, .changes = changes.size()};
+  if (state.table.needs_confirmation) {
+    const std::vector<std::string> withheld =
+        state.returned_rows.Withhold(now, state.table.needs_confirmation, changes);
+    for (const std::string& key : withheld) {
+      state.mirror.ReportNextWrite(key);
+    }
+    started.withheld = withheld.size();
+  }
+  actions.emplace_back(std::move(started));
+}
+
 std::vector<RelayAction> StoreRelay::OnRows(TimePoint now,
                                             const std::string& table,
                                             const std::optional<FeedBatch>& batch,
@@ -176,6 +225,11 @@
     return actions;
   }
   state->reading = false;
+  if (batch && state->mirror.IsOfEarlierEra(batch->version)) {
+    // Another host has read the store since it came back from a copy, after this response.
+    return this->OnRows(now, table, std::nullopt,
+                        {ErrorCode::kUnreachable, "the response is of an era that has ended"});
+  }
   const bool is_listing = std::exchange(state->reading_listing, false);
   const bool history_lost = error.code == ErrorCode::kNotFound;
   this->RecordStoreResult(now, batch.has_value() || history_lost);
@@ -197,15 +251,9 @@
   this->last_answer_at = now;
   state->confirmed_at = state->read_started_at;
   this->RecordOwnRow(*state, *batch);
-  const std::optional<std::uint64_t> base = state->ContentVersion();
   RecordHeard(now, now, *state);
   state->needs_listing = false;
-  std::vector<FeedRow> changed =
-      is_listing ? state->mirror.ApplyListing(*batch) : state->mirror.ApplyChanges(*batch);
-  if (!changed.empty()) {
-    this->RelayRows(now, *state, base, changed, actions);
-    ActOnChanges(now, *state, std::move(changed), actions);
-  }
+  this->ApplyRows(now, *state, *batch, is_listing, actions);
   state->next_read = now + (state->table.polled ? kPollInterval : kMinLongPollInterval);
   if (const auto waiting_until = state->deferred_removals.waiting_until()) {
     // A read after this time confirms the removals.
@@ -420,7 +468,7 @@
   }
   // The sender may have read the rows long ago, so that only a gap counts.
   DeferRemovalsAfterGap(now, *state);
-  const bool is_whole_table = relay.base_version == 0;
+  const bool is_whole_table = relay.base_version.is_zero();
   if (!is_whole_table &&
       (!state->mirror.loaded() || state->mirror.content_version() < relay.base_version)) {
     this->RequestTable(now, sender, *state, actions);
@@ -428,20 +476,14 @@
   }
   const FeedBatch batch = ToFeedBatch(relay);
   this->RecordOwnRow(*state, batch);
-  const std::optional<std::uint64_t> base = state->ContentVersion();
-  std::vector<FeedRow> changed =
-      is_whole_table ? state->mirror.ApplyListing(batch) : state->mirror.ApplyChanges(batch);
+  // If another domain's reader was faster, this host's own reads no longer return these rows as
+  // changes, so a reader has to relay them here.
+  this->ApplyRows(now, *state, batch, is_whole_table, actions);
   if (std::exchange(state->needs_listing, false)) {
     state->next_read = now;
   }
   state->mirror.RaiseContentVersion(relay.version);
   this->ConfirmByDigest(now);
-  if (!changed.empty()) {
-    // If another domain's reader was faster, this host's own reads no longer return
-    // these rows as changes, so a reader has to relay them here.
-    this->RelayRows(now, *state, base, changed, actions);
-    ActOnChanges(now, *state, std::move(changed), actions);
-  }
   return actions;
 }
 
@@ -454,7 +496,7 @@
   }
   // With the digest, a host that has just started need not read the store.
   return {SendToHost{sender, RowRelay{.table = request.table,
-                                      .base_version = 0,
+                                      .base_version = {},
                                       .version = state->mirror.content_version(),
                                       .rows = ToRelayedRows(state->mirror.Rows())}},
           SendToHost{sender, this->MakeDigest(now)}};
@@ -543,16 +585,14 @@
 
 void StoreRelay::RelayRows(TimePoint now,
                            const TableState& state,
-                           std::optional<std::uint64_t> base,
+                           const StoreVersion& base_version,
                            const std::vector<FeedRow>& rows,
                            Actions& actions) const {
-  // The first listing of a table is new only to this host. If every starting host
-  // of a domain relayed it, the traffic would saturate slow links for seconds.
-  if (!base || !this->IsReader(now)) {
+  if (!this->IsReader(now)) {
     return;
   }
   const RowRelay relay{.table = state.table.name,
-                       .base_version = std::max<std::uint64_t>(*base, 1),
+                       .base_version = base_version,
                        .version = state.mirror.content_version(),
                        .rows = ToRelayedRows(rows)};
   for (const HostId host : this->ranking) {
@@ -642,7 +682,7 @@
   this->Join(now);
   this->RequestMissingTables(actions);
   for (TableState& state : this->table_states) {
-    this->ActOnDueRemovals(now, state, actions);
+    this->ActOnDueRows(now, state, actions);
     this->StartRead(now, state, actions);
   }
   this->SendGreetings(now, actions);
@@ -696,6 +736,7 @@
   for (const TableState& state : this->table_states) {
     next = std::min(next,
                     std::max(now, state.deferred_removals.NextDeadline(this->ConfirmedAt(state))));
+    next = std::min(next, std::max(now, state.returned_rows.NextDeadline()));
     if (!state.reading) {
       next = std::min(next, std::max({now, this->ReadableFrom(state), state.next_read}));
     }
@@ -712,9 +753,9 @@
   return state != nullptr && state->mirror.loaded();
 }
 
-std::uint64_t StoreRelay::RowVersion(const std::string& table, const std::string& key) const {
+StoreVersion StoreRelay::RowVersion(const std::string& table, const std::string& key) const {
   const TableState* const state = this->FindTable(table);
-  return state == nullptr ? 0 : state->mirror.RowVersion(key);
+  return state == nullptr ? StoreVersion() : state->mirror.RowVersion(key);
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "Libraries/LibCore/store_clock.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibMembership/deferred_removals.h"
+#include "Libraries/LibMembership/returned_rows.h"
 #include "Libraries/LibMembership/store_freshness.h"
 #include "Libraries/LibMembership/table_mirror.h"
 #include "Libraries/LibPlatform/row_feed.h"
@@ -31,7 +33,7 @@
 // the first one, and pass the result to OnRows.
 struct ReadChanges {
   std::string table;
-  std::uint64_t version = 0;
+  StoreVersion version;
   Duration wait{};
 
   friend bool operator==(const ReadChanges&, const ReadChanges&) = default;
@@ -74,12 +76,25 @@
   friend bool operator==(const RemovalsDeferred&, const RemovalsDeferred&) = default;
 };
 
+// Action: report that this host has the rows of a store that came back from an older copy of
+// itself.
+struct EraStarted {
+  std::string table;
+  StoreVersion version;
+  // Rows that differ from what this host knew, and those of them that take no effect yet.
+  std::size_t changes = 0;
+  std::size_t withheld = 0;
+
+  friend bool operator==(const EraStarted&, const EraStarted&) = default;
+};
+
 using RelayAction = std::variant<ListTable,
                                  ReadChanges,
                                  ReadNewestConfiguration,
                                  PullConfiguration,
                                  RowsChanged,
                                  RemovalsDeferred,
+                                 EraStarted,
                                  SendToHost>;
 
 // Replicates the store's tables to every host with few reads. In each failure
@@ -150,6 +165,9 @@
     // Removals are deferred for kRemovalGracePeriod after an outage of the store.
     bool defers_removals = false;
     TableMirror::IsRelevantChange is_relevant_change;
+    // Whether a row of a store that came back from an older copy takes no effect before its owner
+    // has written it again; if empty, none does.
+    std::function<bool(const FeedRow&)> needs_confirmation = {};
   };
 
   // The first table lists the hosts; every host reads it when it starts. `address` is the peer
@@ -199,8 +217,8 @@
   // within `window`.
   bool StoreAnsweredWithin(TimePoint now, Duration window) const;
   bool IsLoaded(const std::string& table) const;
-  // 0 if the table has no such row.
-  std::uint64_t RowVersion(const std::string& table, const std::string& key) const;
+  // Zero if the table has no such row.
+  StoreVersion RowVersion(const std::string& table, const std::string& key) const;
 
  private:
   using Actions = std::vector<RelayAction>;
@@ -220,11 +238,12 @@
     // Last time at which a read of this host or of another one showed the table.
     std::optional<TimePoint> heard_at;
     DeferredRemovals deferred_removals;
+    ReturnedRows returned_rows;
     // Time of the last request to a peer for the whole table.
     std::optional<TimePoint> requested_at;
 
     // Empty before the table is loaded.
-    std::optional<std::uint64_t> ContentVersion() const {
+    std::optional<StoreVersion> ContentVersion() const {
       return this->mirror.loaded() ? std::optional(this->mirror.content_version()) : std::nullopt;
     }
   };
@@ -238,13 +257,26 @@
   static void DeferRemovalsAfterGap(TimePoint now, TableState& state);
   // Records that a read that started at `at` has shown the table.
   static void RecordHeard(TimePoint now, TimePoint at, TableState& state);
+  // Applies a listing of the whole table, or changes of it, and makes the host act on what is new.
+  void ApplyRows(TimePoint now,
+                 TableState& state,
+                 const FeedBatch& batch,
+                 bool is_listing,
+                 Actions& actions);
+  // Takes the rows that must wait for their owners out of `changes`, which the first listing in a
+  // later era has brought.
+  static void StartEra(TimePoint now,
+                       TableState& state,
+                       const StoreVersion& version,
+                       std::vector<FeedRow>& changes,
+                       Actions& actions);
   // Makes the host act on changes of its copy of the table.
   static void ActOnChanges(TimePoint now,
                            TableState& state,
                            std::vector<FeedRow> changes,
                            Actions& actions);
-  // Makes the host act on the removals that have waited long enough.
-  void ActOnDueRemovals(TimePoint now, TableState& state, Actions& actions) const;
+  // Makes the host act on the removals and returned rows that have waited long enough.
+  void ActOnDueRows(TimePoint now, TableState& state, Actions& actions) const;
   // Time up to which this host's copy of the table is known to be current.
   std::optional<TimePoint> ConfirmedAt(const TableState& state) const;
   bool IsFirst(const TableState& state) const { return &state == this->table_states.data(); }
@@ -259,11 +291,10 @@
   // returns at once when there is a change.
   bool ContinuesConfigurationRead(TimePoint start) const;
   // Sends the rows to the other hosts of the domain if this host is the reader.
-  // `base` is the table's content version before the rows, empty if the table was
-  // not loaded.
+  // `base_version` is the table's content version before the rows, zero if they are all of it.
   void RelayRows(TimePoint now,
                  const TableState& state,
-                 std::optional<std::uint64_t> base,
+                 const StoreVersion& base_version,
                  const std::vector<FeedRow>& rows,
                  Actions& actions) const;
   // True if this host is the reader and the store answers it.
--- a/Libraries/LibMembership/table_mirror.cc
+++ b/Libraries/LibMembership/table_mirror.cc
@@ -48,8 +48,9 @@
     // All rows up to this version are known, so this one has been removed since.
     return std::nullopt;
   }
+  const bool is_reported = this->reported_keys.erase(row.key) > 0;
   if (!row.removed) {
-    const bool relevant = known == this->rows.end() || known->second.value.empty() ||
+    const bool relevant = is_reported || known == this->rows.end() || known->second.value.empty() ||
                           this->is_relevant_change(known->second.value, row.value);
     this->rows[row.key] = row;
     return relevant ? std::optional(row) : std::nullopt;
@@ -69,9 +70,9 @@
   return all;
 }
 
-std::uint64_t TableMirror::RowVersion(const std::string& key) const {
+StoreVersion TableMirror::RowVersion(const std::string& key) const {
   const auto found = this->rows.find(key);
-  return found == this->rows.end() ? 0 : found->second.version;
+  return found == this->rows.end() ? StoreVersion() : found->second.version;
 }
 
 }  // namespace pimentopin
--- a/Libraries/LibMembership/table_mirror.h
+++ b/Libraries/LibMembership/table_mirror.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,20 +29,30 @@
   // Applies the changes since read_version. Returns the relevant ones.
   std::vector<FeedRow> ApplyChanges(const FeedBatch& batch);
 
+  // Makes the next newer version of the row a relevant change, whatever it contains.
+  void ReportNextWrite(const std::string& key) { this->reported_keys.insert(key); }
   // Records that all changes up to this version are known.
-  void RaiseContentVersion(std::uint64_t known) {
+  void RaiseContentVersion(const StoreVersion& known) {
     this->last_change_version = std::max(this->last_change_version, known);
   }
 
   // True once the table has been listed.
   bool loaded() const { return this->is_loaded; }
   // Version after which changes have to be read.
-  std::uint64_t read_version() const { return this->last_read_version; }
+  const StoreVersion& read_version() const { return this->last_read_version; }
+  // True if a version is of a later era of the store than the rows.
+  bool IsOfLaterEra(const StoreVersion& version) const {
+    return !this->last_read_version.is_zero() && version.era > this->last_read_version.era;
+  }
+  // True if a version is of an era that had ended when the rows were read.
+  bool IsOfEarlierEra(const StoreVersion& version) const {
+    return version.era < this->last_read_version.era;
+  }
   // Version of the last relevant change.
-  std::uint64_t content_version() const { return this->last_change_version; }
+  const StoreVersion& content_version() const { return this->last_change_version; }
   std::vector<FeedRow> Rows() const;
-  // 0 if there is no such row.
-  std::uint64_t RowVersion(const std::string& key) const;
+  // Zero if there is no such row.
+  StoreVersion RowVersion(const std::string& key) const;
 
  private:
   // Returns the row if the change is relevant.
@@ -49,8 +60,10 @@
 
   IsRelevantChange is_relevant_change;
   std::map<std::string, FeedRow> rows;
-  std::uint64_t last_read_version = 0;
-  std::uint64_t last_change_version = 0;
+  // Rows whose next newer version is reported.
+  std::set<std::string> reported_keys;
+  StoreVersion last_read_version;
+  StoreVersion last_change_version;
   bool is_loaded = false;
 };
 
--- a/Libraries/LibPlatform/row_feed.h
+++ b/Libraries/LibPlatform/row_feed.h
@@ -8,6 +8,7 @@
 
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/store_clock.h"
+#include "Libraries/LibCore/store_version.h"
 #include "Libraries/LibCore/time.h"
 
 namespace pimentopin {
@@ -16,7 +17,7 @@
 struct FeedRow {
   // Key without the table name.
   std::string key;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;
   bool removed = false;
 
@@ -26,7 +27,7 @@
 struct FeedBatch {
   std::vector<FeedRow> rows;
   // Store version up to which the rows are complete.
-  std::uint64_t version = 0;
+  StoreVersion version;
   // Time of the store at which the rows were complete, if it stated one.
   std::optional<StoreTimePoint> store_time;
 
@@ -43,10 +44,10 @@
   // Lists all rows of the table.
   virtual void List(const std::string& table, Callback callback) = 0;
   // Reports the rows changed after `version`, in order of their versions. Waits up to `wait` for
-  // the first change. ErrorCode::kNotFound means that the store has discarded the history and the
-  // table must be listed again.
+  // the first change. ErrorCode::kNotFound means that the store does not have the history since
+  // `version`, or is in another era, and the table must be listed again.
   virtual void Changes(const std::string& table,
-                       std::uint64_t version,
+                       const StoreVersion& version,
                        Duration wait,
                        Callback callback) = 0;
 };
--- a/Libraries/LibPlatform/store_era.h
+++ b/Libraries/LibPlatform/store_era.h
@@ -4,11 +4,9 @@
 #include <optional>
 #include <string_view>
 
-namespace pimentopin {
+#include "Libraries/LibCore/store_version.h"
 
-// Number of times that the store has come back from an older copy of itself, as it counts them. 0
-// if it states none.
-using StoreEra = std::uint64_t;
+namespace pimentopin {
 
 // Returns nothing if the text is not a whole number.
 std::optional<StoreEra> ParseStoreEra(std::string_view text);
--- a/Libraries/LibPlatform/table_store.h
+++ b/Libraries/LibPlatform/table_store.h
@@ -7,21 +7,23 @@
 #include <vector>
 
 #include "Libraries/LibCore/error.h"
+#include "Libraries/LibCore/store_version.h"
 
 namespace pimentopin {
 
 struct TableRow {
-  // Increases with every write of the row; 0 means that the row is absent.
-  std::uint64_t version = 0;
+  // Increases with every write of the row; zero means that the row is absent.
+  StoreVersion version;
   std::string value;
 
   friend bool operator==(const TableRow&, const TableRow&) = default;
 };
 
-// A write that is applied only if the row still has the expected version.
+// A write that is applied only if the row still has the expected version. No row has a version of
+// an era that has ended.
 struct ConditionalWrite {
   std::string key;
-  std::uint64_t expected_version = 0;
+  StoreVersion expected_version;
   std::string value;
   // Removes the row instead of writing the value.
   bool remove = false;
@@ -32,7 +34,7 @@
 struct WriteResult {
   bool applied = false;
   // Version of the row after the call.
-  std::uint64_t version = 0;
+  StoreVersion version;
 
   friend bool operator==(const WriteResult&, const WriteResult&) = default;
 };
--- a/Libraries/LibProtocol/codec.cc
+++ b/Libraries/LibProtocol/codec.cc
@@ -18,6 +18,15 @@
 using flatbuffers::Offset;
 
 constexpr std::uint32_t kMaxNestingDepth = 8;
+// A version of the store takes one number, with the era in its upper bits: a second one would
+// lengthen each digest, of which a reader sends many a second.
+constexpr int kVersionNumberBits = 44;
+static_assert(kMaxWireVersionNumber == (std::uint64_t{1} << kVersionNumberBits) - 1);
+static_assert(kMaxWireEra == (StoreEra{1} << (64 - kVersionNumberBits)) - 1);
+
+StoreVersion DecodeVersion(std::uint64_t encoded) {
+  return {encoded & kMaxWireVersionNumber, encoded >> kVersionNumberBits};
+}
 
 // Encodes one message and checks its size limits.
 class Encoder {
@@ -49,6 +58,11 @@
     return std::clamp(duration, Duration::zero(), kMaxWireDuration).count();
   }
 
+  std::uint64_t EncodeVersion(const StoreVersion& version) {
+    this->CheckLimit(version.era <= kMaxWireEra && version.number <= kMaxWireVersionNumber);
+    return version.era << kVersionNumberBits | version.number;
+  }
+
   template <typename Enum>
   static std::uint8_t EnumByte(Enum value) {
     return static_cast<std::uint8_t>(value);
@@ -248,7 +262,8 @@
     std::vector<Offset<wire::TableVersion>> tables;
     for (const TableVersion& table : value.tables) {
       const auto name = this->EncodeString(table.table, kMaxWireNameBytes);
-      tables.push_back(wire::CreateTableVersion(this->builder, name, table.version));
+      tables.push_back(
+          wire::CreateTableVersion(this->builder, name, this->EncodeVersion(table.version)));
     }
     const auto table_list = this->EncodeTables(tables);
     return {
@@ -268,12 +283,14 @@
     for (const RelayedRow& row : value.rows) {
       const auto key = this->EncodeString(row.key, kMaxWireNameBytes);
       const auto bytes = this->EncodeBytes(row.value);
-      rows.push_back(wire::CreateRelayedRow(this->builder, key, row.version, bytes, row.removed));
+      rows.push_back(wire::CreateRelayedRow(this->builder, key, this->EncodeVersion(row.version),
+                                            bytes, row.removed));
     }
     const auto list = this->EncodeTables(rows);
-    return {
-        wire::Message::RowRelay,
-        wire::CreateRowRelay(this->builder, name, value.base_version, value.version, list).Union()};
+    return {wire::Message::RowRelay,
+            wire::CreateRowRelay(this->builder, name, this->EncodeVersion(value.base_version),
+                                 this->EncodeVersion(value.version), list)
+                .Union()};
   }
 
   TypedMessage EncodeMessage(const RowRelayRequest& value) {
@@ -686,21 +703,21 @@
     const std::uint32_t tables = this->ElementCount(value.tables());
     for (std::uint32_t index = 0; index < tables; ++index) {
       const wire::TableVersion& table = *value.tables()->Get(index);
-      digest.tables.push_back(
-          {this->DecodeString(table.table_name(), kMaxWireNameBytes), table.version()});
+      digest.tables.push_back({this->DecodeString(table.table_name(), kMaxWireNameBytes),
+                               DecodeVersion(table.version())});
     }
     return digest;
   }
 
   RowRelay DecodeMessage(const wire::RowRelay& value) {
     RowRelay relay{.table = this->DecodeString(value.table_name(), kMaxWireNameBytes),
-                   .base_version = value.base_version(),
-                   .version = value.version()};
+                   .base_version = DecodeVersion(value.base_version()),
+                   .version = DecodeVersion(value.version())};
     const std::uint32_t rows = this->ElementCount(value.rows());
     for (std::uint32_t index = 0; index < rows; ++index) {
       const wire::RelayedRow& row = *value.rows()->Get(index);
       RelayedRow read{.key = this->DecodeString(row.key(), kMaxWireNameBytes),
-                      .version = row.version(),
+                      .version = DecodeVersion(row.version()),
                       .removed = row.removed()};
       read.value = this->DecodeBytes(row.value());
       relay.rows.push_back(std::move(read));
--- a/Libraries/LibProtocol/codec.h
+++ b/Libraries/LibProtocol/codec.h
@@ -30,6 +30,9 @@
 constexpr std::size_t kMaxWireRetryIntervals = 100;
 constexpr std::uint64_t kMaxWireRetryInterval = 1'000'000'000'000;
 // Maximum duration in a message; the minimum is zero.
+// Limits of the versions of the store: a billion transactions a day for 48 years.
+constexpr std::uint64_t kMaxWireVersionNumber = (std::uint64_t{1} << 44) - 1;
+constexpr std::uint64_t kMaxWireEra = (std::uint64_t{1} << 20) - 1;
 constexpr Duration kMaxWireDuration = std::chrono::hours(24 * 30);
 
 // Encodes an envelope as a frame: length prefix and payload. Clamps durations to
--- a/Libraries/LibProtocol/membership_messages.h
+++ b/Libraries/LibProtocol/membership_messages.h
@@ -7,6 +7,7 @@
 
 #include "Libraries/LibCore/identifiers.h"
 #include "Libraries/LibCore/store_clock.h"
+#include "Libraries/LibCore/store_version.h"
 #include "Libraries/LibCore/time.h"
 
 namespace pimentopin {
@@ -73,7 +74,7 @@
 struct TableVersion {
   std::string table;
   // Version of the last relevant change of the table.
-  std::uint64_t version = 0;
+  StoreVersion version;
 
   friend bool operator==(const TableVersion&, const TableVersion&) = default;
 };
@@ -104,7 +105,7 @@
 
 struct RelayedRow {
   std::string key;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;
   bool removed = false;
 
@@ -114,9 +115,10 @@
 // Rows of a table of the store, relayed by the sender.
 struct RowRelay {
   std::string table;
-  // The rows are the changes since this version, or the whole table if it is 0.
-  std::uint64_t base_version = 0;
-  std::uint64_t version = 0;
+  // The rows are the changes since this version, which is of the same era as `version`, or the
+  // whole table if it is zero.
+  StoreVersion base_version;
+  StoreVersion version;
   std::vector<RelayedRow> rows;
 
   friend bool operator==(const RowRelay&, const RowRelay&) = default;
--- a/Libraries/LibQuota/quota_part_lease.h
+++ b/Libraries/LibQuota/quota_part_lease.h
@@ -21,7 +21,7 @@
 // Action: write the row of the part if it has the expected version, and pass the result to
 // OnWritten().
 struct WriteQuotaPart {
-  std::uint64_t expected_version = 0;
+  StoreVersion expected_version;
   std::string value;
 
   friend bool operator==(const WriteQuotaPart&, const WriteQuotaPart&) = default;
@@ -97,7 +97,7 @@
   bool in_flight = false;
   // Whether known_version and known_row are the result of the last call.
   bool known = false;
-  std::uint64_t known_version = 0;
+  StoreVersion known_version;
   QuotaPartRow known_row;
   bool unreadable = false;
   // When this version of the row was first seen.
--- a/Tests/LibHost/configuration_store_test.cc
+++ b/Tests/LibHost/configuration_store_test.cc
@@ -120,8 +120,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, results.size());
     CPPUNIT_ASSERT(results[0].status == CommitStatus::kCommitted);
     CPPUNIT_ASSERT(results[0] == results[1]);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
-                         platform.table.rows["configuration/revisions/2"].version);
+    CPPUNIT_ASSERT(platform.table.rows["configuration/revisions/2"].version.is_zero());
   }
 
   // Guards against one change id that refers to two documents.
--- a/Tests/LibHost/fake_platform.h
+++ b/Tests/LibHost/fake_platform.h
@@ -103,7 +103,7 @@
       TableRow& row = this->rows[write.key];
       const bool applied = row.version == write.expected_version;
       if (applied) {
-        row = {row.version + 1, write.value};
+        row = {row.version.number + 1, write.value};
         this->history[write.key].push_back(write.value);
       }
       results.push_back({applied, row.version});
--- a/Tests/LibHost/platform_configuration_source_test.cc
+++ b/Tests/LibHost/platform_configuration_source_test.cc
@@ -14,7 +14,10 @@
     ++this->list_calls;
     callback(this->batch, this->error);
   }
-  void Changes(const std::string&, std::uint64_t version, Duration, Callback callback) override {
+  void Changes(const std::string&,
+               const StoreVersion& version,
+               Duration,
+               Callback callback) override {
     this->requested_version = version;
     callback(this->batch, this->error);
   }
@@ -22,7 +25,7 @@
   std::optional<FeedBatch> batch;
   Error error;
   int list_calls = 0;
-  std::uint64_t requested_version = 0;
+  StoreVersion requested_version;
 };
 
 class PlatformConfigurationSourceTest : public CppUnit::TestFixture {
@@ -41,7 +44,7 @@
     this->feed.batch = FeedBatch{{{"other", 3, "9", false}, {"config", 4, "7", false}}, 5, {}};
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, this->Read(0)->revision);
     CPPUNIT_ASSERT(!this->Read(7));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, this->feed.requested_version);
+    CPPUNIT_ASSERT(StoreVersion(5) == this->feed.requested_version);
     CPPUNIT_ASSERT_EQUAL(1, this->feed.list_calls);
   }
 
--- a/Tests/LibIdempotency/claim_store_test.cc
+++ b/Tests/LibIdempotency/claim_store_test.cc
@@ -496,7 +496,7 @@
         database.RunUntil(database.now + seconds(1));
       } else {
         // The table counts the versions of all rows, so the new claim has a higher one.
-        ++database.rows["claim/booking/wheels/a"].version;
+        ++database.rows["claim/booking/wheels/a"].version.number;
       }
       host.claim_store->Complete(database.now, AttemptId{1}, {200, {}, "x"});
       database.RunUntil(database.now + seconds(1));
--- a/Tests/LibIdempotency/faulty_table.h
+++ b/Tests/LibIdempotency/faulty_table.h
@@ -52,7 +52,7 @@
     TableRow& row = this->rows[write.key];
     const bool matches = this->ignore_versions || row.version == write.expected_version;
     if (matches) {
-      row = {row.version + 1, write.value};
+      row = {row.version.number + 1, write.value};
     }
     return {matches, row.version};
   }
--- a/Tests/LibMembership/membership_test.cc
+++ b/Tests/LibMembership/membership_test.cc
@@ -155,7 +155,7 @@
     const std::vector<RelayAction> actions =
         relay.OnRows(start + milliseconds(4), kTable, listing, {});
     CPPUNIT_ASSERT(Contains(actions, RelayAction(RowsChanged{kTable, {removal}})));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, relay.RowVersion(kTable, "gone"));
+    CPPUNIT_ASSERT(relay.RowVersion(kTable, "gone").is_zero());
   }
 
   // Guards against a removed target that returns because a read that started before the removal
@@ -179,7 +179,7 @@
     CPPUNIT_ASSERT(std::none_of(actions.begin(), actions.end(), [](const RelayAction& action) {
       return std::holds_alternative<RowsChanged>(action);
     }));
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, relay.RowVersion(kTable, "gone"));
+    CPPUNIT_ASSERT(relay.RowVersion(kTable, "gone").is_zero());
   }
 
  private:
--- a/Tests/LibMembership/simulated_fleet.cc
+++ b/Tests/LibMembership/simulated_fleet.cc
@@ -27,7 +27,10 @@
           {.name = kTargetTable,
            .polled = true,
            .defers_removals = true,
-           .is_relevant_change = differs}};
+           .is_relevant_change = differs,
+           .needs_confirmation = [](const FeedRow& row) {
+             return !row.value.starts_with("draining");
+           }}};
 }
 
 }  // namespace
@@ -127,6 +130,17 @@
   this->tables[table][key] = {++this->version, value.value_or(""), !value.has_value()};
 }
 
+void SimulatedFleet::TakeStoreCopy() {
+  this->copy = {this->tables, this->version, this->stored_document};
+}
+
+void SimulatedFleet::ReturnFromStoreCopy() {
+  this->tables = this->copy.tables;
+  this->version = this->copy.version;
+  this->stored_document = this->copy.document;
+  ++this->era;
+}
+
 void SimulatedFleet::SilenceConnections() {
   for (const auto& [from, sender] : this->hosts) {
     for (const auto& [to, receiver] : this->hosts) {
@@ -397,17 +411,22 @@
                     reader.relay.OnRows(this->now, table, batch, answered ? Error{} : no_answer));
     });
   } else if (const auto* read = std::get_if<ReadChanges>(&action)) {
-    this->CallStore(host,
-                    [this, query = *read, no_answer](Host& reader, bool answered) {
-                      const auto batch =
-                          answered ? std::optional(this->ReadRows(query.table, query.version, true))
-                                   : std::nullopt;
-                      this->Execute(reader, reader.relay.OnRows(this->now, query.table, batch,
-                                                                answered ? Error{} : no_answer));
-                    },
-                    0, {.timeout = read->wait, .has_change = [this, query = *read] {
-                          return this->HasRowsAfter(query.table, query.version);
-                        }});
+    this->CallStore(
+        host,
+        [this, query = *read, no_answer](Host& reader, bool answered) {
+          const bool has_history = this->HasHistorySince(query.version);
+          const Error error = !answered      ? no_answer
+                              : !has_history ? Error{ErrorCode::kNotFound, "no history"}
+                                             : Error{};
+          const auto batch =
+              answered && has_history
+                  ? std::optional(this->ReadRows(query.table, query.version.number, true))
+                  : std::nullopt;
+          this->Execute(reader, reader.relay.OnRows(this->now, query.table, batch, error));
+        },
+        0, {.timeout = read->wait, .has_change = [this, query = *read] {
+              return this->HasRowsAfter(query.table, query.version);
+            }});
   } else if (const auto* newest = std::get_if<ReadNewestConfiguration>(&action)) {
     const DocumentSource source =
         newest->for_domain ? DocumentSource::kStore : DocumentSource::kStoreForSelf;
@@ -518,25 +537,31 @@
          this->now - *connection.silent_since >= this->store_keep_alive_timeout;
 }
 
-bool SimulatedFleet::HasRowsAfter(const std::string& table, std::uint64_t after) const {
-  return !this->ReadRows(table, after, true).rows.empty();
+bool SimulatedFleet::HasHistorySince(const StoreVersion& after) const {
+  return after.era == this->era && after.number <= this->version;
+}
+
+bool SimulatedFleet::HasRowsAfter(const std::string& table, const StoreVersion& after) const {
+  return !this->HasHistorySince(after) || !this->ReadRows(table, after.number, true).rows.empty();
 }
 
 FeedBatch SimulatedFleet::ReadRows(const std::string& table,
                                    std::uint64_t after,
                                    bool with_removed) const {
-  FeedBatch batch{.rows = {}, .version = this->version};
+  FeedBatch batch{.rows = {}, .version = {this->version, this->era}};
   const auto found = this->tables.find(table);
   for (const auto& [key, row] : found == this->tables.end() ? Table() : found->second) {
     if (row.version > after && (with_removed || !row.removed)) {
-      batch.rows.push_back({key, row.version, row.value, row.removed});
+      batch.rows.push_back({key, {row.version, this->era}, row.value, row.removed});
     }
   }
   return batch;
 }
 
 void SimulatedFleet::Register(Host& host) {
-  if (host.registering || this->now < host.next_registration || host.directory.IsRegistered() ||
+  if (host.registering || this->now < host.next_registration ||
+      (host.directory.IsRegistered() &&
+       !host.relay.RowVersion(kHostTable, host.directory.self().name).is_zero()) ||
       !host.relay.MayRegister(this->now)) {
     return;
   }
--- a/Tests/LibMembership/simulated_fleet.h
+++ b/Tests/LibMembership/simulated_fleet.h
@@ -90,6 +90,10 @@
   void WriteTarget(const std::string& name, const std::string& value);
   void RemoveTarget(const std::string& name);
 
+  // The store takes a copy of itself, and comes back from the last one in a new era.
+  void TakeStoreCopy();
+  void ReturnFromStoreCopy();
+
   // Makes each connection between two hosts silent: the messages on it are lost until its sender
   // notices that the first of them is not acknowledged.
   void SilenceConnections();
@@ -209,7 +213,9 @@
   std::shared_ptr<StoreConnection> TakeStoreConnection(Host& host) const;
   // True if keep-alive probes have closed the connection.
   bool IsClosed(const StoreConnection& connection) const;
-  bool HasRowsAfter(const std::string& table, std::uint64_t after) const;
+  bool HasRowsAfter(const std::string& table, const StoreVersion& after) const;
+  // True if the store has the changes since this version.
+  bool HasHistorySince(const StoreVersion& after) const;
   // Returns when a host's link has transferred `bytes` more, and occupies the link until then.
   TimePoint TransferOver(HostId host, TimePoint& link_free_at, std::size_t bytes) const;
   FeedBatch ReadRows(const std::string& table, std::uint64_t after, bool with_removed) const;
@@ -236,6 +242,13 @@
   std::map<std::string, Table> tables;
   std::uint64_t version = 1;
   std::optional<ConfigurationDocument> stored_document;
+  StoreEra era = 1;
+  struct StoreCopy {
+    std::map<std::string, Table> tables;
+    std::uint64_t version = 0;
+    std::optional<ConfigurationDocument> document;
+  };
+  StoreCopy copy;
 };
 
 }  // namespace pimentopin
--- a/Tests/LibProtocol/codec_test.cc
+++ b/Tests/LibProtocol/codec_test.cc
@@ -243,6 +243,12 @@
     CPPUNIT_ASSERT(!encode(request).empty());
     request.allowed.resize(kMaxWireListEntries + 1);
     CPPUNIT_ASSERT(encode(request).empty());
+    RowRelay relay{.version = {kMaxWireVersionNumber, kMaxWireEra}};
+    CPPUNIT_ASSERT(!encode(relay).empty());
+    relay.version = {kMaxWireVersionNumber + 1, 1};
+    CPPUNIT_ASSERT(encode(relay).empty());
+    relay.version = {1, kMaxWireEra + 1};
+    CPPUNIT_ASSERT(encode(relay).empty());
   }
 
   void TestDecoderLimits() {
--- a/Tests/LibProtocol/message_generators.h
+++ b/Tests/LibProtocol/message_generators.h
@@ -46,6 +46,15 @@
   return rc::gen::arbitrary<std::uint64_t>();
 }
 
+// Within the limits of the encoder.
+inline rc::Gen<StoreVersion> AnyVersion() {
+  return rc::gen::apply(
+      [](std::uint64_t number, std::uint64_t era) {
+        return StoreVersion(number & kMaxWireVersionNumber, era & kMaxWireEra);
+      },
+      AnyInteger(), AnyInteger());
+}
+
 inline rc::Gen<SlotRequest> AnySlotRequest() {
   return rc::gen::build<SlotRequest>(
       rc::gen::set(&SlotRequest::attempt, AnyId<AttemptId>()),
@@ -182,18 +191,18 @@
       rc::gen::set(&StoreDigest::tables,
                    rc::gen::container<std::vector<TableVersion>>(rc::gen::build<TableVersion>(
                        rc::gen::set(&TableVersion::table, AnyString(kMaxWireNameBytes)),
-                       rc::gen::set(&TableVersion::version, AnyInteger())))));
+                       rc::gen::set(&TableVersion::version, AnyVersion())))));
 }
 
 inline rc::Gen<RowRelay> AnyRowRelay() {
   return rc::gen::build<RowRelay>(
       rc::gen::set(&RowRelay::table, AnyString(kMaxWireNameBytes)),
-      rc::gen::set(&RowRelay::base_version, AnyInteger()),
-      rc::gen::set(&RowRelay::version, AnyInteger()),
+      rc::gen::set(&RowRelay::base_version, AnyVersion()),
+      rc::gen::set(&RowRelay::version, AnyVersion()),
       rc::gen::set(&RowRelay::rows,
                    rc::gen::container<std::vector<RelayedRow>>(rc::gen::build<RelayedRow>(
                        rc::gen::set(&RelayedRow::key, AnyString(kMaxWireNameBytes)),
-                       rc::gen::set(&RelayedRow::version, AnyInteger()),
+                       rc::gen::set(&RelayedRow::version, AnyVersion()),
                        rc::gen::set(&RelayedRow::value, rc::gen::arbitrary<std::string>()),
                        rc::gen::set(&RelayedRow::removed)))));
 }
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -273,8 +273,8 @@
 
   // Guards against judging a write by the version of a row with the same key in another table.
   void TestConflictOfRowsWithEqualKeysInTwoTables() {
-    const std::uint64_t first = this->Write({{"a/k", 0, "1"}}).value->front().version;
-    const std::uint64_t second = this->Write({{"b/k", 0, "1"}}).value->front().version;
+    const StoreVersion first = this->Write({{"a/k", 0, "1"}}).value->front().version;
+    const StoreVersion second = this->Write({{"b/k", 0, "1"}}).value->front().version;
     CPPUNIT_ASSERT(first != second);
     const auto written = this->Write({{"a/k", first, "2"}, {"b/k", first, "2"}});
     CPPUNIT_ASSERT_EQUAL(std::string(), written.error.message);
@@ -362,7 +362,7 @@
 
   // Guards against missing a change between two reads of the feed.
   void TestChangesResumeAndWait() {
-    const std::uint64_t start = this->ListRows("f").value->version;
+    const StoreVersion start = this->ListRows("f").value->version;
     const auto first = this->Write({{"f/a", 0, "1"}}).value->front();
     const auto changes = this->Changes("f", start, Duration::zero());
     const std::vector<FeedRow> expected{{"a", first.version, "1", false}};
@@ -380,7 +380,7 @@
 
   // Guards against a reader that continues without the changes that the store has discarded.
   void TestDiscardedHistoryIsReported() {
-    const std::uint64_t start = this->ListRows("f").value->version;
+    const StoreVersion start = this->ListRows("f").value->version;
     this->Write({{"f/a", 0, "1"}});
     this->Post("/compact", "");
     const auto changes = this->Changes("f", start, Duration::zero());
@@ -524,7 +524,7 @@
         [&](RowFeed::Callback callback) { this->store->List(table, std::move(callback)); });
   }
   CallResult<std::optional<FeedBatch>> Changes(const std::string& table,
-                                               std::uint64_t version,
+                                               const StoreVersion& version,
                                                Duration wait) {
     return AwaitCallback<std::optional<FeedBatch>>([&](RowFeed::Callback callback) {
       this->store->Changes(table, version, wait, std::move(callback));
--- a/Tests/StandIns/Platform/platform.cc
+++ b/Tests/StandIns/Platform/platform.cc
@@ -131,6 +131,10 @@
         [this, request = std::move(request)] { return this->WriteRow(request.body.text()); });
   } else if (path == "/compact") {
     this->RespondInState(StoreState::kUp, std::move(responder), [this] { return this->Compact(); });
+  } else if (path == "/copy") {
+    this->RespondInState(StoreState::kUp, std::move(responder), [this] { return this->Copy(); });
+  } else if (path == "/return") {
+    this->RespondInState(StoreState::kUp, std::move(responder), [this] { return this->Return(); });
   } else if (path == "/faults") {
     this->RespondInState(
         StoreState::kUp, std::move(responder),
@@ -144,7 +148,7 @@
                               std::shared_ptr<HttpResponder> responder,
                               Operation operation) {
   if (state == StoreState::kDown) {
-    responder->Respond(503, {}, "down\n");
+    responder->Respond(503, this->Headers(), "down\n");
     return;
   }
   if (state == StoreState::kSilent) {
@@ -166,7 +170,7 @@
     responder->Abort();
     return;
   }
-  responder->Respond(response.status, {}, response.body);
+  responder->Respond(response.status, this->Headers(), response.body);
 }
 
 Platform::Response Platform::ApplyTransaction(const std::string& body) {
@@ -248,7 +252,7 @@
 
 std::optional<Platform::Response> Platform::ChangesSince(const std::string& table,
                                                          std::uint64_t after) const {
-  if (after < this->compacted_version) {
+  if (after < this->compacted_version || after > this->version) {
     return Response{410, "the history of changes has been discarded\n"};
   }
   std::vector<std::pair<std::uint64_t, json>> changed;
@@ -286,7 +290,7 @@
   const auto changes = this->ChangesSince(table->second, after);
   if (changes || wait.count() == 0) {
     const Response& response = changes ? *changes : no_changes;
-    responder->Respond(response.status, {}, response.body);
+    responder->Respond(response.status, this->Headers(), response.body);
     return;
   }
   const auto waiter = this->waiters.insert(this->waiters.end(), {table->second, after, responder});
@@ -298,7 +302,7 @@
                     [&responder](const Waiter& entry) { return entry.responder == responder; });
     if (!error && still_waiting) {
       responder->Respond(
-          200, {},
+          200, this->Headers(),
           SerializeJson(
               {{"rows", json::array()}, {"ver", this->version}, {"now-s", NowSeconds()}}));
       this->waiters.erase(waiter);
@@ -313,7 +317,7 @@
       ++waiter;
       continue;
     }
-    waiter->responder->Respond(changes->status, {}, changes->body);
+    waiter->responder->Respond(changes->status, this->Headers(), changes->body);
     waiter = this->waiters.erase(waiter);
   }
 }
@@ -376,6 +380,34 @@
   return {200, "{}\n"};
 }
 
+Platform::Response Platform::Copy() {
+  this->copy = {.rows = this->rows,
+                .version = this->version,
+                .compacted_version = this->compacted_version,
+                .objects = this->objects};
+  return {200, SerializeJson({{"ver", this->version}})};
+}
+
+Platform::Response Platform::Return() {
+  if (!this->copy) {
+    return {409, "no copy has been taken\n"};
+  }
+  this->rows = this->copy->rows;
+  this->version = this->copy->version;
+  this->compacted_version = this->copy->compacted_version;
+  this->objects = this->copy->objects;
+  ++this->era;
+  for (const Waiter& waiter : std::exchange(this->waiters, {})) {
+    waiter.responder->Abort();
+  }
+  this->AbortSilentRequests();
+  return {200, SerializeJson({{"ver", this->version}, {"era", this->era}})};
+}
+
+HttpHeaders Platform::Headers() const {
+  return {{"Store-Era", std::to_string(this->era)}};
+}
+
 Platform::Response Platform::HandleFaults(const HttpServerRequest& request) {
   if (request.method == "POST") {
     PlatformFaults changed = this->faults;
--- a/Tests/StandIns/Platform/platform.h
+++ b/Tests/StandIns/Platform/platform.h
@@ -42,7 +42,8 @@
 // Stands in for the table store and the object store of the platform, and for nothing else of it.
 // Keeps rows and objects in memory and speaks the protocol of docs/platform.md. Operators and
 // targets write rows with POST /rows, which takes {"table", "key", "value"}; without a value, it
-// removes the row. POST /compact discards the history of changes. All functions run on the
+// removes the row. POST /compact discards the history of changes. POST /copy takes a copy of the
+// store, and POST /return makes the store come back from it in a new era. All functions run on the
 // io_context's thread.
 class Platform {
  public:
@@ -71,6 +72,13 @@
     std::shared_ptr<HttpResponder> responder;
   };
 
+  struct Contents {
+    std::map<RowName, Row> rows;
+    std::uint64_t version = 0;
+    std::uint64_t compacted_version = 0;
+    std::map<std::string, std::string> objects;
+  };
+
   void RespondInState(StoreState state,
                       std::shared_ptr<HttpResponder> responder,
                       Operation operation);
@@ -80,6 +88,10 @@
   Response HandleObjects(const HttpServerRequest& request);
   Response WriteRow(const std::string& body);
   Response Compact();
+  Response Copy();
+  Response Return();
+  // Of every response.
+  HttpHeaders Headers() const;
   Response HandleFaults(const HttpServerRequest& request);
   // Closes the connections of requests that a store in state silent has accepted.
   void AbortSilentRequests();
@@ -94,6 +106,9 @@
   // The history of changes up to this version has been discarded.
   std::uint64_t compacted_version = 0;
   std::map<std::string, std::string> objects;
+  std::optional<Contents> copy;
+  // Number of times that the store has come back from a copy, and one more.
+  std::uint64_t era = 1;
   std::list<Waiter> waiters;
   std::vector<std::shared_ptr<HttpResponder>> silent_requests;
 };
