Platform: Report the history as lost if a position is of another era of the store

Cause: the source of the configuration reads the changes after its last position, and the returned store has given that position out again for other rows; it answers 200 without the operator's row, which lies below.

The client compares the eras of position and response and reports the history as lost, like 410.

--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <tuple>
 
+#include "Libraries/LibHost/platform_configuration_source.h"
 #include "Libraries/LibHttp/http_server.h"
 #include "Tests/LibHttp/http_test_support.h"
 #include "Tests/StandIns/Platform/platform.h"
@@ -46,6 +47,9 @@
   CPPUNIT_TEST(TestTimeOfTheStoreIsPassedOn);
   CPPUNIT_TEST(TestChangesResumeAndWait);
   CPPUNIT_TEST(TestDiscardedHistoryIsReported);
+  CPPUNIT_TEST(TestConfigurationWrittenAsTheStoreReturnsIsMissed);
+  CPPUNIT_TEST(TestWriteMatchesANumberOfAnEarlierEra);
+  CPPUNIT_TEST(TestResponseOfAnEndedEraIsBelieved);
   CPPUNIT_TEST(TestCallbacksRunOnControlThread);
   CPPUNIT_TEST(TestFaultThatTheStandInDoesNotKnowIsIgnored);
   CPPUNIT_TEST_SUITE_END();
@@ -389,6 +393,74 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->ListRows("f").value->rows.size());
   }
 
+  // Guards against a configuration that is never read because the store, back from a copy, gives
+  // out the version again from which the feed is read on.
+  void TestConfigurationWrittenAsTheStoreReturnsIsMissed() {
+    PlatformConfigurationSource source(
+        *this->store, {.table = "op",
+                       .key = "config",
+                       .reader =
+                           [](std::string_view text, Findings&) {
+                             Configuration configuration;
+                             configuration.revision = std::stoull(std::string(text));
+                             return std::optional(configuration);
+                           },
+                       .without_keys = [](std::string_view text) { return std::string(text); }});
+    const auto read = [&](std::uint64_t known) {
+      return AwaitCallback<std::optional<ConfigurationDocument>>(
+          [&](const ConfigurationSource::DocumentCallback& callback) {
+            source.ReadNewest(known, false, callback);
+          });
+    };
+    this->WriteOperatorRow("12");
+    this->Post("/copy", "");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, read(0).value->revision);
+    this->WriteOperatorRow("13");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{13}, read(12).value->revision);
+    this->Post("/return", "");
+    this->WriteOperatorRow("17");
+    this->Write({{"t/other", 0, "x"}});
+    CPPUNIT_ASSERT(read(13).error.code == ErrorCode::kNotFound);
+    const auto listed = read(13);
+    CPPUNIT_ASSERT(listed.value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{17}, listed.value->revision);
+  }
+
+  // Guards against a write that replaces a row of the copy which it has not read, because the store
+  // has given that row the number that it expects.
+  void TestWriteMatchesANumberOfAnEarlierEra() {
+    this->Post("/copy", "");
+    const StoreVersion before = this->Write({{"t/a", 0, "1"}}).value->front().version;
+    this->Post("/return", "");
+    const StoreVersion after = this->Write({{"t/a", 0, "other"}}).value->front().version;
+    CPPUNIT_ASSERT_EQUAL(before.number, after.number);
+    CPPUNIT_ASSERT(before < after);
+    const auto written = this->Write({{"t/a", before, "2"}});
+    CPPUNIT_ASSERT((WriteResult{false, after} == written.value->front()));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), this->Read("t/a").value->value);
+  }
+
+  // Guards against rows and confirmations of a history that the store has lost, and against a store
+  // that states no era being believed less than before.
+  void TestResponseOfAnEndedEraIsBelieved() {
+    std::string era;
+    const auto other = this->StartServer([&era](const HttpServerRequest&, const auto& responder) {
+      const HttpHeaders headers = era.empty() ? HttpHeaders{} : HttpHeaders{{"Store-Era", era}};
+      responder->Respond(200, headers, R"({"rows": [], "ver": 7})");
+    });
+    this->CreateStore("http://" + other->address());
+    CPPUNIT_ASSERT(StoreVersion(7) == this->ListRows("t").value->version);
+    era = "3";
+    CPPUNIT_ASSERT(StoreVersion(7, 3) == this->ListRows("t").value->version);
+    for (const std::string& outdated : {"2", "", "x", "-4", "4x", "99999999999999999999"}) {
+      era = outdated;
+      CPPUNIT_ASSERT(this->ListRows("t").error.code == ErrorCode::kUnreachable);
+      CPPUNIT_ASSERT(this->Write({{"t/a", 0, "1"}}).error.code == ErrorCode::kUnknownOutcome);
+    }
+    era = "4";
+    CPPUNIT_ASSERT(StoreVersion(7, 4) == this->ListRows("t").value->version);
+  }
+
   // Guards against callbacks that run on the HTTP client's thread.
   void TestCallbacksRunOnControlThread() {
     std::promise<std::thread::id> thread;
@@ -475,6 +547,10 @@
     CPPUNIT_ASSERT_EQUAL(200, this->StatusOfPost(path, text));
   }
 
+  void WriteOperatorRow(const std::string& value) {
+    this->Post("/rows", R"({"table": "op", "key": "config", "value": ")" + value + "\"}");
+  }
+
   int StatusOfPost(const std::string& path, const std::string& text) {
     TransferRecorder record;
     this->client->Start({.method = "POST",
