Host: Do not confirm a configuration while the newest one cannot be read

Cause: the source of the configuration skips a row that it cannot read, and confirms the last readable revision as the newest one at each later read, which shows no change. So the lease on keys, which is to fail closed, is renewed. Evidence: configuration_unreadable once, and no key_lease_lapsed after it.

A read confirms a revision only if the row that holds the newest configuration is known and readable.

Tests: TestLeaseIsRenewedAlthoughTheNewestConfigurationIsUnreadable and ...AlthoughTheStoreHasNoConfiguration fail before. TestInvalidRowIsNotConfirmed is replaced by the first: its comment stated the fault ('takes no key away'), and it allowed confirmations after the unreadable row; the new test allows none.

--- a/Libraries/LibHost/platform_configuration_source.cc
+++ b/Libraries/LibHost/platform_configuration_source.cc
@@ -41,9 +41,17 @@
     return;
   }
   const bool is_listing = std::exchange(this->version, batch->version).is_zero();
+  if (is_listing) {
+    this->newest_revision.reset();
+  }
   std::optional<ConfigurationDocument> newest;
   for (const FeedRow& row : batch->rows) {
-    if (row.key != this->settings.key || row.removed) {
+    if (row.key != this->settings.key) {
+      continue;
+    }
+    // What an unreadable configuration says, of keys that it withdraws for example, is not known.
+    this->newest_revision.reset();
+    if (row.removed) {
       continue;
     }
     Findings findings;
@@ -67,10 +75,10 @@
   }
   if (is_listing) {
     Log(LogLevel::kInfo, "configuration_listed",
-        {{"version", batch->version.ToText()}, {"revision", this->newest_revision}});
+        {{"version", batch->version.ToText()}, {"revision", this->newest_revision.value_or(0)}});
   }
-  if (batch->store_time && this->settings.on_confirmed) {
-    this->settings.on_confirmed({.at = *batch->store_time, .revision = this->newest_revision});
+  if (batch->store_time && this->newest_revision && this->settings.on_confirmed) {
+    this->settings.on_confirmed({.at = *batch->store_time, .revision = *this->newest_revision});
   }
   callback(newest, {});
 }
--- a/Libraries/LibHost/platform_configuration_source.h
+++ b/Libraries/LibHost/platform_configuration_source.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,7 +26,8 @@
     Reader reader;
     // Replaces the keys in a document by their digests. Other hosts and operators get the result.
     std::function<std::string(std::string_view text)> without_keys;
-    // Receives the newest valid revision that a read showed, if the store stated its time.
+    // Receives the newest revision whenever a read shows it, if the store stated its time. Not
+    // called while the newest configuration cannot be read.
     std::function<void(const ConfigurationConfirmation&)> on_confirmed = {};
     // Time for which a read waits for a change.
     Duration long_poll_timeout{};
@@ -46,8 +48,8 @@
   const Settings settings;
   // Version of the store up to which the row has been read; zero if it has not been read.
   StoreVersion version;
-  // The newest valid revision in the row.
-  std::uint64_t newest_revision = 0;
+  // Revision in the row; empty if the row is absent or cannot be read.
+  std::optional<std::uint64_t> newest_revision;
 };
 
 }  // namespace pimentopin
--- a/Tests/LibHost/platform_configuration_source_test.cc
+++ b/Tests/LibHost/platform_configuration_source_test.cc
@@ -34,7 +34,8 @@
   CPPUNIT_TEST(TestInvalidRowIsIgnored);
   CPPUNIT_TEST(TestLostHistoryTriggersListing);
   CPPUNIT_TEST(TestReadWithoutChangeConfirmsNewestRevision);
-  CPPUNIT_TEST(TestInvalidRowIsNotConfirmed);
+  CPPUNIT_TEST(TestLeaseIsRenewedAlthoughTheNewestConfigurationIsUnreadable);
+  CPPUNIT_TEST(TestLeaseIsRenewedAlthoughTheStoreHasNoConfiguration);
   CPPUNIT_TEST(TestReadWithoutStoreTimeConfirmsNothing);
   CPPUNIT_TEST(TestDocumentHasNoKeys);
   CPPUNIT_TEST_SUITE_END();
@@ -84,15 +85,39 @@
                                     {.at = first, .revision = 7}, {.at = second, .revision = 7}}));
   }
 
-  // A document that no host accepts takes no key away; the last valid one stays in force.
-  void TestInvalidRowIsNotConfirmed() {
-    this->feed.batch =
-        FeedBatch{{{"config", 4, "7", false}}, 5, StoreTimePoint(std::chrono::seconds(3))};
+  // Guards against withdrawn keys that are accepted for as long as the newest configuration cannot
+  // be read, because reads confirm the one before as the newest.
+  void TestLeaseIsRenewedAlthoughTheNewestConfigurationIsUnreadable() {
+    const StoreTimePoint before(std::chrono::seconds(3));
+    const StoreTimePoint readable_again(std::chrono::seconds(6));
+    this->feed.batch = FeedBatch{{{"config", 4, "7", false}}, 5, before};
     this->Read(0);
     this->feed.batch = FeedBatch{
         {{"config", 6, "not a number", false}}, 6, StoreTimePoint(std::chrono::seconds(4))};
     this->Read(7);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, this->confirmations.back().revision);
+    this->feed.batch = FeedBatch{{}, 7, StoreTimePoint(std::chrono::seconds(5))};
+    this->Read(7);
+    const std::vector<ConfigurationConfirmation> expected{{.at = before, .revision = 7}};
+    CPPUNIT_ASSERT(expected == this->confirmations);
+    this->feed.batch = FeedBatch{{{"config", 8, "9", false}}, 8, readable_again};
+    this->Read(7);
+    CPPUNIT_ASSERT((ConfigurationConfirmation{.at = readable_again, .revision = 9} ==
+                    this->confirmations.back()));
+  }
+
+  // Guards against a confirmation of the last revision although the store, back from an older copy
+  // for example, has no configuration.
+  void TestLeaseIsRenewedAlthoughTheStoreHasNoConfiguration() {
+    this->feed.batch =
+        FeedBatch{{{"config", 4, "7", false}}, 5, StoreTimePoint(std::chrono::seconds(3))};
+    this->Read(0);
+    this->feed.batch.reset();
+    this->feed.error = {ErrorCode::kNotFound, "gone"};
+    this->Read(7);
+    this->feed.error = {};
+    this->feed.batch = FeedBatch{{}, {2, 1}, StoreTimePoint(std::chrono::seconds(4))};
+    this->Read(7);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->confirmations.size());
   }
 
   // Guards against a confirmation by a read that failed, or at an unknown time.
