Host: Reach services of the platform by routes only

Cause: ReadRequest falls back to the addressing of the product's own interface whenever no route matches, for any dialect. Evidence: the hosts log the version without routes as adopted, and the targets answer with the changed path.

Whether a path names a service, and by which header a caller names itself, is a property of the dialect now; the platform's has neither. So an unknown name in Pimentopin-Caller no longer makes a host refuse proper requests with 403 either.

Tests: the three cases of PlatformRoutingTest fail before (one 400 in place of 404, two wrong results).

--- a/Libraries/LibHost/http_dialect.h
+++ b/Libraries/LibHost/http_dialect.h
@@ -70,6 +70,10 @@
 
   // The request id set by the caller; empty if there is none.
   virtual std::string CallerRequestId(const HttpHeaders& headers) const = 0;
+  // The name that the caller gives itself; empty if there is none.
+  virtual std::string_view CallerName(const HttpHeaders& headers) const = 0;
+  // True if a request that matches no route names its service by the first segment of its path.
+  virtual bool NamesServiceInPath() const = 0;
   // The key by which the caller identifies its organisation; empty if there is none. It must not be
   // logged.
   virtual std::string_view CallerCredential(const HttpHeaders& headers) const = 0;
--- a/Libraries/LibHost/native_dialect.cc
+++ b/Libraries/LibHost/native_dialect.cc
@@ -17,6 +17,10 @@
   return std::string(FindHeader(headers, kRequestIdHeader));
 }
 
+std::string_view NativeDialect::CallerName(const HttpHeaders& headers) const {
+  return FindHeader(headers, kCallerHeader);
+}
+
 std::string_view NativeDialect::CallerCredential(const HttpHeaders& headers) const {
   return FindHeader(headers, kKeyHeader);
 }
--- a/Libraries/LibHost/native_dialect.h
+++ b/Libraries/LibHost/native_dialect.h
@@ -8,6 +8,8 @@
 class NativeDialect : public HttpDialect {
  public:
   std::string CallerRequestId(const HttpHeaders& headers) const override;
+  std::string_view CallerName(const HttpHeaders& headers) const override;
+  bool NamesServiceInPath() const override { return true; }
   std::string_view CallerCredential(const HttpHeaders& headers) const override;
   std::string_view CallerDeadline(const HttpHeaders& headers) const override;
   int HostResponseStatus(int status, bool not_run) const override;
--- a/Libraries/LibHost/request_reader.cc
+++ b/Libraries/LibHost/request_reader.cc
@@ -127,7 +127,7 @@
       refusal = MakeRefusal(401, "unknown-key", "no organisation has the key of the request");
       return nullptr;
     }
-    const std::string_view stated = FindHeader(this->request.headers, kCallerHeader);
+    const std::string_view stated = this->dialect.CallerName(this->request.headers);
     if (stated.empty()) {
       if (holder.caller == nullptr) {
         refusal = MakeRefusal(403, "unknown-caller", "the organisation of the key has no caller");
@@ -160,6 +160,7 @@
 };
 
 std::optional<ResolvedRequest> ResolveByRoute(const Configuration& configuration,
+                                              const HttpDialect& dialect,
                                               const CallerResolver& callers,
                                               const Route& route,
                                               const HttpServerRequest& request,
@@ -173,7 +174,7 @@
   } else {
     // Without a key, nothing proves the name of a caller to a fleet that requires keys.
     const std::string_view stated =
-        configuration.requires_keys ? "" : FindHeader(request.headers, kCallerHeader);
+        configuration.requires_keys ? "" : dialect.CallerName(request.headers);
     resolved.caller =
         callers.FindByName(stated.empty() ? std::string_view(route.caller) : stated, refusal);
   }
@@ -191,15 +192,17 @@
 }
 
 std::optional<ResolvedRequest> ResolveByPath(const Configuration& configuration,
+                                             const HttpDialect& dialect,
                                              const CallerResolver& callers,
                                              const HttpServerRequest& request,
                                              ErrorResponse& refusal) {
-  const std::string_view caller_name = FindHeader(request.headers, kCallerHeader);
+  const std::string_view caller_name = dialect.CallerName(request.headers);
   const bool key_suffices = configuration.requires_keys && configuration.routes.empty();
-  if (caller_name.empty() && !key_suffices) {
-    refusal = configuration.routes.empty()
-                  ? MakeRefusal(400, "no-caller", "header Pimentopin-Caller is missing")
-                  : MakeRefusal(404, "no-route", "no route matches the Host header and path");
+  const bool needs_route = !dialect.NamesServiceInPath() || !configuration.routes.empty();
+  if (!dialect.NamesServiceInPath() || (caller_name.empty() && !key_suffices)) {
+    refusal = needs_route
+                  ? MakeRefusal(404, "no-route", "no route matches the Host header and path")
+                  : MakeRefusal(400, "no-caller", "header Pimentopin-Caller is missing");
     return std::nullopt;
   }
   const SplitPath split = SplitService(request.path);
@@ -267,8 +270,8 @@
   const CallerResolver callers(configuration, dialect, request, keys_confirmed);
   const std::optional<ResolvedRequest> resolved =
       route != nullptr
-          ? ResolveByRoute(configuration, callers, *route, request, request_id, refusal)
-          : ResolveByPath(configuration, callers, request, refusal);
+          ? ResolveByRoute(configuration, dialect, callers, *route, request, request_id, refusal)
+          : ResolveByPath(configuration, dialect, callers, request, refusal);
   if (!resolved) {
     return std::nullopt;
   }
