Quota: Keep one holder of a part when the store returns from a copy

Cause: a host takes a part whose row is absent, and a holder grants until the end that it wrote. After a return from a copy both happen. Evidence: TestPartsHaveTwoHoldersAfterTheStoreReturns fails without the era.

The holder writes its row again in the new era; others take the part only by a row of this era, or when all earlier leases have ended. A host that starts with the whole fleet (--bootstrap, the platform's setting) takes absent rows at once, as before.

--- a/Libraries/LibHost/host.cc
+++ b/Libraries/LibHost/host.cc
@@ -245,7 +245,8 @@
              if (this->key_lease) {
                this->key_lease->OnStoreTime(sent, answered, at_store);
              }
-           }});
+           },
+       .on_store_era = [this](StoreEra era) { this->quotas->OnStoreEra(era); }});
   this->configuration_store = std::make_unique<ConfigurationStore>(
       *this->store, *this->store, [this](std::function<void()> task) {
         this->loop.RunAfter(kCommitRetryDelay, std::move(task));
@@ -347,7 +348,8 @@
       QuotaController::Settings{.self = this->self,
                                 .host_name = this->settings.name,
                                 .domain = this->domain,
-                                .incarnation = this->incarnation});
+                                .incarnation = this->incarnation,
+                                .starts_fleet = this->settings.starts_fleet});
   // Each probe opens a connection.
   this->probe_client =
       HttpClient::Create({.max_connections_per_address = kProbeConnectionsPerTarget,
--- a/Libraries/LibHost/host_settings.cc
+++ b/Libraries/LibHost/host_settings.cc
@@ -184,6 +184,12 @@
                "commas; they replace retry-percent, retry-extra, floor-percent and "
                "key-revocation-ms",
        .may_be_empty = true},
+      {.name = "bootstrap",
+       .help = "true if the whole fleet starts for the first time, so that no other host has held "
+               "a part of the quotas before",
+       .default_value = "false",
+       .may_be_empty = true,
+       .choices = {"", "false", "true"}},
       {.name = "cores",
        .help =
            "CPU time available to this host; hosts with less than half of the largest value are no "
@@ -252,6 +258,7 @@
   result.retry_fraction = static_cast<double>(settings.Number("retry-percent")) / kPercentScale;
   result.retry_extra = static_cast<double>(settings.Number("retry-extra"));
   result.platform_bounds = settings.Text("platform-bounds");
+  result.starts_fleet = settings.Text("bootstrap") == "true";
   result.capacity_millicores =
       static_cast<std::uint32_t>(std::stod(settings.Text("cores")) * kMillicoresPerCore);
   const std::string link = settings.Text("link-mbps");
--- a/Libraries/LibHost/host_settings.h
+++ b/Libraries/LibHost/host_settings.h
@@ -70,6 +70,8 @@
   LimitSource key_revocation_source = LimitSource::kNone;
   // Limits of the platform, in its own format.
   std::string platform_bounds;
+  // The whole fleet starts for the first time.
+  bool starts_fleet = false;
   // The platform's operator writes the configuration.
   bool platform_configuration = false;
   Placement placement = Placement::kLoad;
--- a/Libraries/LibHost/quota_controller.cc
+++ b/Libraries/LibHost/quota_controller.cc
@@ -29,6 +29,8 @@
       return "quota_part_released";
     case QuotaPartEvent::kRowUnreadable:
       return "quota_part_row_unreadable";
+    case QuotaPartEvent::kReclaimed:
+      return "quota_part_reclaimed";
   }
   return "unknown";
 }
@@ -103,6 +105,10 @@
   this->Execute(this->quotas.SetCandidates(BootNow(), candidates));
 }
 
+void QuotaController::OnStoreEra(StoreEra era) {
+  this->Execute(this->quotas.OnStoreEra(BootNow(), era));
+}
+
 void QuotaController::SetLeaving() {
   this->Execute(this->quotas.SetLeaving(BootNow()));
 }
@@ -201,8 +207,9 @@
 void QuotaController::Execute(const QuotaPartChange& action) {
   const std::size_t held = this->quotas.parts_held(BootNow());
   this->metrics.SetGauge("pimentopin_quota_parts_held", "", static_cast<double>(held));
-  const bool expected =
-      action.event == QuotaPartEvent::kAcquired || action.event == QuotaPartEvent::kReleased;
+  const bool expected = action.event == QuotaPartEvent::kAcquired ||
+                        action.event == QuotaPartEvent::kReleased ||
+                        action.event == QuotaPartEvent::kReclaimed;
   Log(expected ? LogLevel::kInfo : LogLevel::kWarning, EventName(action.event),
       {{"part", action.part}, {"parts_held", held}});
 }
--- a/Libraries/LibHost/quota_controller.h
+++ b/Libraries/LibHost/quota_controller.h
@@ -36,6 +36,8 @@
   void Admit(const Exchange& exchange, Decided decided);
   // Handles messages about quotas; ignores others.
   void OnMessage(const Envelope& envelope);
+  // To be called before the first response of the store in this era is handled.
+  void OnStoreEra(StoreEra era);
   // Releases the parts that this host holds.
   void SetLeaving();
 
--- a/Libraries/LibPlatform/platform_http_client.h
+++ b/Libraries/LibPlatform/platform_http_client.h
@@ -6,6 +6,7 @@
 
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/store_clock.h"
+#include "Libraries/LibCore/store_version.h"
 #include "Libraries/LibCore/time.h"
 #include "Libraries/LibHttp/http_client.h"
 
@@ -39,6 +40,9 @@
   // at these times; may be empty.
   std::function<void(BootTimePoint sent, BootTimePoint answered, StoreTimePoint at_store)>
       on_store_time = {};
+  // Called with each new era of the store, before the response that states it is handled; may be
+  // empty.
+  std::function<void(StoreEra era)> on_store_era = {};
 };
 
 // HTTP client for the platform that delivers responses on the control thread.
--- a/Libraries/LibQuota/host_quotas.cc
+++ b/Libraries/LibQuota/host_quotas.cc
@@ -7,10 +7,12 @@
 
 HostQuotas::HostQuotas(Settings quota_settings) : settings(std::move(quota_settings)) {
   for (std::size_t part = 0; part < kQuotaParts; ++part) {
-    this->parts.push_back({QuotaPartLease(this->settings.host_name, this->settings.incarnation,
-                                          [this](const std::string& host) {
-                                            return this->IsCandidate(IdFromName<HostId>(host));
-                                          }),
+    this->parts.push_back({QuotaPartLease(
+                               this->settings.host_name, this->settings.incarnation,
+                               [this](const std::string& host) {
+                                 return this->IsCandidate(IdFromName<HostId>(host));
+                               },
+                               this->settings.starts_fleet),
                            std::nullopt});
   }
 }
@@ -52,6 +54,14 @@
   return actions;
 }
 
+HostQuotaActions HostQuotas::OnStoreEra(BootTimePoint now, StoreEra era) {
+  HostQuotaActions actions;
+  for (std::size_t part = 0; part < this->parts.size(); ++part) {
+    this->Take(now, part, this->parts[part].lease.OnEra(now, this->clock, era), actions);
+  }
+  return actions;
+}
+
 HostQuotaActions HostQuotas::SetLeaving(BootTimePoint now) {
   HostQuotaActions actions;
   this->leaving = true;
@@ -198,7 +208,7 @@
     } else if (const auto* event = std::get_if<QuotaPartEvent>(&action)) {
       if (*event == QuotaPartEvent::kAcquired) {
         this->parts[part].tokens.emplace(now, this->limits);
-      } else if (*event != QuotaPartEvent::kRowUnreadable) {
+      } else if (*event == QuotaPartEvent::kLost || *event == QuotaPartEvent::kReleased) {
         this->parts[part].tokens.reset();
       }
       actions.emplace_back(QuotaPartChange{part, *event});
--- a/Libraries/LibQuota/host_quotas.h
+++ b/Libraries/LibQuota/host_quotas.h
@@ -54,6 +54,8 @@
     DomainId domain{};
     // Start of this process.
     std::uint64_t incarnation = 0;
+    // The whole fleet starts for the first time.
+    bool starts_fleet = false;
   };
   using Rows = std::array<TableRow, kQuotaParts>;
 
@@ -67,6 +69,8 @@
 
   HostQuotaActions Configure(BootTimePoint now, const QuotaLimits& limits);
   HostQuotaActions SetCandidates(BootTimePoint now, const std::vector<QuotaCandidate>& candidates);
+  // To be called with the era of the store before its first response in that era is handled.
+  HostQuotaActions OnStoreEra(BootTimePoint now, StoreEra era);
   // Releases the parts of this host and acquires no others.
   HostQuotaActions SetLeaving(BootTimePoint now);
 
--- a/Libraries/LibQuota/quota_part_lease.cc
+++ b/Libraries/LibQuota/quota_part_lease.cc
@@ -5,8 +5,14 @@
 
 namespace pimentopin {
 
-QuotaPartLease::QuotaPartLease(std::string host_name, std::uint64_t incarnation, IsUsable is_usable)
-    : host_name(std::move(host_name)), incarnation(incarnation), is_usable(std::move(is_usable)) {}
+QuotaPartLease::QuotaPartLease(std::string host_name,
+                               std::uint64_t incarnation,
+                               IsUsable is_usable,
+                               bool starts_fleet)
+    : host_name(std::move(host_name)),
+      incarnation(incarnation),
+      is_usable(std::move(is_usable)),
+      starts_fleet(starts_fleet) {}
 
 std::vector<LeaseAction> QuotaPartLease::SetWanted(BootTimePoint now,
                                                    const StoreClock& clock,
@@ -19,6 +25,7 @@
   if (!next && std::exchange(this->end, std::nullopt)) {
     actions.emplace_back(QuotaPartEvent::kReleased);
   }
+  this->reclaims = this->reclaims && next;
   // What other hosts did meanwhile is not known.
   if (next) {
     this->known = false;
@@ -29,6 +36,7 @@
 
 std::vector<LeaseAction> QuotaPartLease::OnStoreClockJumped(BootTimePoint now) {
   this->clock_jumped_at = now;
+  this->reclaims = false;
   if (!std::exchange(this->end, std::nullopt)) {
     return {};
   }
@@ -36,6 +44,27 @@
   return {QuotaPartEvent::kLost};
 }
 
+std::vector<LeaseAction> QuotaPartLease::OnEra(BootTimePoint now,
+                                               const StoreClock& clock,
+                                               StoreEra next) {
+  std::vector<LeaseAction> actions;
+  if (this->era == next) {
+    return actions;
+  }
+  this->era_has_risen = this->era.has_value();
+  this->era = next;
+  this->era_known_at = now;
+  if (this->era_has_risen) {
+    // The row may be an older one or absent, whatever this host has written.
+    this->known = false;
+    this->reclaims = this->end.has_value();
+    this->renewal_due = now;
+    this->retry_at = now;
+    this->Advance(now, clock, actions);
+  }
+  return actions;
+}
+
 std::vector<LeaseAction> QuotaPartLease::OnHostsChanged(BootTimePoint now,
                                                         const StoreClock& clock) {
   std::vector<LeaseAction> actions;
@@ -81,13 +110,15 @@
     }
     this->known = true;
     this->checks_former = false;
-    if (this->end && !this->IsOwn(this->known_row)) {
+    // A row of the copy does not say who holds the part.
+    const bool is_copy = this->reclaims && this->known_row.era != this->era;
+    if (this->end && !is_copy && !this->IsOwn(this->known_row)) {
       this->end.reset();
       actions.emplace_back(QuotaPartEvent::kLost);
     }
   }
   const bool may_write =
-      read && (!this->wanted || (clock.Earliest(now) && this->MayTake(now, clock)));
+      read && (!this->wanted || this->end || (clock.Earliest(now) && this->MayTake(now, clock)));
   if (may_write) {
     this->retry_at = now;
   } else {
@@ -110,9 +141,13 @@
     // Nobody else writes while this host holds the part, except for a late write of its own.
     this->known = false;
     this->retry_at = now;
-    if (std::exchange(this->end, std::nullopt)) {
+    if (!this->reclaims && std::exchange(this->end, std::nullopt)) {
       actions.emplace_back(QuotaPartEvent::kLost);
     }
+  } else if (this->era && this->written_in != this->era) {
+    // It was sent before the store came back, and replaced a row that this host has not read.
+    this->known = false;
+    this->retry_at = now;
   } else {
     this->known = true;
     this->known_version = result->version;
@@ -124,7 +159,10 @@
     if (this->wanted && this->IsOwn(this->written)) {
       if (!this->end) {
         actions.emplace_back(QuotaPartEvent::kAcquired);
+      } else if (this->reclaims) {
+        actions.emplace_back(QuotaPartEvent::kReclaimed);
       }
+      this->reclaims = false;
       this->end = this->written.end;
       this->renewal_due = now + kRenewInterval;
     }
@@ -165,7 +203,20 @@
          this->IsFormer(this->known_row) || (!this->known && this->IsOwn(this->written));
 }
 
+bool QuotaPartLease::IsSettled(BootTimePoint now) const {
+  if (this->era.value_or(0) == 0 || this->known_row.era == this->era) {
+    return true;
+  }
+  const bool is_first_row =
+      this->starts_fleet && !this->era_has_risen && this->known_version.is_zero();
+  // All leases of earlier eras were written before this host heard of this one.
+  return is_first_row || now - this->era_known_at > kLength + kClockMargin;
+}
+
 bool QuotaPartLease::MayTake(BootTimePoint now, const StoreClock& clock) const {
+  if (!this->IsSettled(now)) {
+    return false;
+  }
   // A machine runs one process: an earlier one of this name has ended.
   const bool is_free = this->known_row.holder.empty() || this->known_row.holder == this->host_name;
   if (!this->unreadable && is_free) {
@@ -186,10 +237,16 @@
   actions.emplace_back(ReadQuotaPart{});
 }
 
-void QuotaPartLease::Write(StoreTimePoint next_end, std::vector<LeaseAction>& actions) {
+void QuotaPartLease::Write(BootTimePoint now,
+                           StoreTimePoint next_end,
+                           std::vector<LeaseAction>& actions) {
   this->in_flight = true;
   this->written =
       this->wanted ? QuotaPartRow{this->host_name, this->incarnation, next_end} : QuotaPartRow{};
+  // A release of what a copy says must not tell other hosts that the part is free.
+  const bool knows_holder = this->end || this->IsSettled(now);
+  this->written.era = knows_holder ? this->era.value_or(0) : this->known_row.era;
+  this->written_in = this->era;
   actions.emplace_back(WriteQuotaPart{this->known_version, EncodeQuotaPartRow(this->written)});
 }
 
@@ -198,6 +255,7 @@
                              std::vector<LeaseAction>& actions) {
   if (this->end && !this->HoldsAt(now, clock)) {
     this->end.reset();
+    this->reclaims = false;
     actions.emplace_back(QuotaPartEvent::kLost);
   }
   if (this->in_flight || now < this->retry_at || !this->HasWork()) {
@@ -205,7 +263,7 @@
   }
   if (!this->wanted) {
     if (this->known) {
-      this->Write({}, actions);
+      this->Write(now, {}, actions);
     } else {
       this->Read(actions);
     }
@@ -220,7 +278,7 @@
   if (!this->known || !earliest) {
     this->Read(actions);
   } else if (this->end || this->MayTake(now, clock)) {
-    this->Write(*earliest + kLength, actions);
+    this->Write(now, *earliest + kLength, actions);
   } else {
     this->Read(actions);
   }
--- a/Libraries/LibQuota/quota_part_row.h
+++ b/Libraries/LibQuota/quota_part_row.h
@@ -7,6 +7,7 @@
 
 #include "Libraries/LibCore/error.h"
 #include "Libraries/LibCore/store_clock.h"
+#include "Libraries/LibCore/store_version.h"
 
 namespace pimentopin {
 
@@ -18,6 +19,9 @@
   std::uint64_t incarnation = 0;
   // Time of the store until which the holder may grant tokens.
   StoreTimePoint end;
+  // Era of the store in which the row was written by a host that knew that no other one held the
+  // part; 0 if unknown.
+  StoreEra era = 0;
 
   friend bool operator==(const QuotaPartRow&, const QuotaPartRow&) = default;
 };
--- a/Meta/deploy_file.py
+++ b/Meta/deploy_file.py
@@ -89,8 +89,12 @@
     return arguments
 
 
-def host_settings(name, zone, platform_url, bounds, addresses=("127.0.0.1:0",) * 3):
-    """Returns the settings of a host with these addresses for callers, operators and peers."""
+def host_settings(name, zone, platform_url, bounds, addresses=("127.0.0.1:0",) * 3,
+                  bootstrap=False):
+    """Returns the settings of a host with these addresses for callers, operators and peers.
+
+    `bootstrap` says that it starts together with the whole fleet for the first time.
+    """
     caller, operator, peer = addresses
     peer_ip, peer_port = peer.rsplit(":", 1)
     return {
@@ -102,4 +106,5 @@
         "provider": {"addr": platform_url.removeprefix("http://")},
         "limits": {"cpu-share": 0.2, "link-mbps": 1000.0, "memory-mb": 260},
         "bounds": bounds,
+        "bootstrap": bootstrap,
     }
--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -220,9 +220,10 @@
         self.hosts.append(host)
         return host
 
-    def start_deployed_host(self, name, domain, bounds, overrides):
+    def start_deployed_host(self, name, domain, bounds, overrides, bootstrap=False):
         """Starts a host with the command line of the deploy file."""
-        settings = deploy_file.host_settings(name, domain, self.platform_url, bounds)
+        settings = deploy_file.host_settings(name, domain, self.platform_url, bounds,
+                                             bootstrap=bootstrap)
         host = Host(name, domain, deploy_file.command(self.build, settings, overrides),
                     self.directory)
         self.hosts.append(host)
@@ -289,6 +290,19 @@
         if status != 200:
             raise RuntimeError(f"setting the faults of the platform failed with status {status}: {body}")
 
+    def copy_store(self):
+        """Takes a copy of the platform's store."""
+        self._post_to_platform("copy")
+
+    def return_store(self):
+        """Makes the platform's store come back from its last copy, in a new era."""
+        self._post_to_platform("return")
+
+    def _post_to_platform(self, path):
+        status, body = http("POST", f"{self.platform_url}/{path}")
+        if status != 200:
+            raise RuntimeError(f"POST /{path} to the platform failed with status {status}: {body}")
+
     def ledgers(self):
         """Returns the started runs by target name, including targets that were killed."""
         return {name: process.runs() for name, process in self.targets.items()}
--- a/Tests/LibQuota/host_quotas_test.cc
+++ b/Tests/LibQuota/host_quotas_test.cc
@@ -23,6 +23,8 @@
 class HostQuotasTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HostQuotasTest);
   CPPUNIT_TEST(TestQuotaIsExceededUnderFaults);
+  CPPUNIT_TEST(TestPartsHaveTwoHoldersAfterTheStoreReturns);
+  CPPUNIT_TEST(TestRequestBelowTheQuotaIsRefusedAfterTheStoreReturns);
   CPPUNIT_TEST(TestHolderThatIsCutOffGrantsBesideItsSuccessor);
   CPPUNIT_TEST(TestLoweredQuotaIsExceeded);
   CPPUNIT_TEST(TestRequestBelowTheQuotaIsRefused);
@@ -64,6 +66,57 @@
     }
   }
 
+  // Guards against two holders of one part after the store came back from a copy that lacks the
+  // writes of the first one, or has those of an earlier one.
+  void TestPartsHaveTwoHoldersAfterTheStoreReturns() {
+    for (int seed = 0; seed < kSeeds; ++seed) {
+      QuotaFleet fleet(8, static_cast<std::uint64_t>(seed));
+      const bool is_copied_first = seed % 2 == 0;
+      if (is_copied_first) {
+        fleet.TakeStoreCopy();
+      }
+      fleet.Configure(kLimits);
+      RunWithSingleHolders(fleet, seconds(6));
+      for (int drill = 0; drill < 3; ++drill) {
+        if (!is_copied_first || drill > 0) {
+          fleet.TakeStoreCopy();
+          Disturb(fleet);
+        }
+        RunWithSingleHolders(fleet, seconds(3) + milliseconds(fleet.random.Below(5000)));
+        // Hosts that start with the return know no other era.
+        const std::size_t restarted = fleet.random.Below(fleet.size());
+        fleet.Kill(restarted);
+        fleet.faults.store_down = true;
+        RunWithSingleHolders(fleet, milliseconds(fleet.random.Below(1000)));
+        fleet.faults.store_down = false;
+        fleet.ReturnFromStoreCopy();
+        fleet.Start(restarted);
+        RunWithSingleHolders(fleet, seconds(6) + milliseconds(fleet.random.Below(10'000)));
+      }
+    }
+  }
+
+  // Guards against quotas that nobody grants after a return, although the holders live.
+  void TestRequestBelowTheQuotaIsRefusedAfterTheStoreReturns() {
+    for (int seed = 0; seed < kSeeds; ++seed) {
+      QuotaFleet fleet(8, static_cast<std::uint64_t>(seed));
+      if (seed % 2 == 0) {
+        fleet.TakeStoreCopy();
+      }
+      fleet.Configure(kLimits);
+      fleet.Run(seconds(10));
+      if (seed % 2 == 1) {
+        fleet.TakeStoreCopy();
+      }
+      SetUsualDemand(fleet, 1);
+      fleet.Run(milliseconds(fleet.random.Below(8000)));
+      fleet.ReturnFromStoreCopy();
+      fleet.Run(seconds(30));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::size_t{0},
+                                   Refused(fleet, {}));
+    }
+  }
+
   // Holders that reach nobody still admit the requests of their own callers.
   void TestHolderThatIsCutOffGrantsBesideItsSuccessor() {
     for (int seed = 0; seed < kSeeds; ++seed) {
@@ -212,6 +265,14 @@
   }
 
  private:
+  static void RunWithSingleHolders(QuotaFleet& fleet, Duration duration) {
+    constexpr Duration kStep = milliseconds(50);
+    for (Duration elapsed{}; elapsed < duration; elapsed += kStep) {
+      fleet.Run(kStep);
+      CPPUNIT_ASSERT_MESSAGE("a part has two holders", PartsHeld(fleet) <= kQuotaParts);
+    }
+  }
+
   // The usual demand, as far as it fits into this share of the quotas.
   static void SetUsualDemand(QuotaFleet& fleet, double share) {
     for (const auto& [organisation, limit] : kLimits) {
--- a/Tests/LibQuota/quota_fleet.cc
+++ b/Tests/LibQuota/quota_fleet.cc
@@ -153,7 +153,7 @@
             TableRow& stored = this->rows.at(row.part);
             result->applied = stored.version == row.write.expected_version;
             if (result->applied) {
-              stored = {this->next_sequence++ + 1, row.write.value};
+              stored = {{this->next_sequence++ + 1, this->era}, row.write.value};
             }
             result->version = stored.version;
           },
@@ -197,28 +197,53 @@
   const bool late = this->random.Unit() < this->faults.late_calls;
   const bool lost = this->random.Unit() < this->faults.response_loss;
   const Duration arrival = this->time + milliseconds(1 + this->random.Below(late ? 3000 : 10));
-  this->At(arrival, operation);
+  // The store states its era in the response.
+  const auto stated = std::make_shared<StoreEra>();
+  this->At(arrival, [this, operation, stated] {
+    operation();
+    *stated = this->era;
+  });
   if (late || lost) {
     this->AtHost(host, this->time + kStoreTimeout, fail);
   } else {
     this->AtHost(host, arrival + milliseconds(1 + this->random.Below(10)),
-                 [done](HostQuotas& quotas) { return done(quotas, true); });
+                 [this, host, stated, done](HostQuotas& quotas) {
+                   StoreEra& known = this->hosts[host].known_era;
+                   const bool is_current = *stated >= known;
+                   known = std::max(known, *stated);
+                   HostQuotaActions actions = quotas.OnStoreEra(this->HostTime(host), known);
+                   const HostQuotaActions more = done(quotas, is_current);
+                   actions.insert(actions.end(), more.begin(), more.end());
+                   return actions;
+                 });
+  }
+}
+
+void QuotaFleet::ReturnFromStoreCopy() {
+  ++this->era;
+  this->rows = this->copy;
+  for (TableRow& row : this->rows) {
+    if (!row.version.is_zero()) {
+      row.version.era = this->era;
+    }
   }
 }
 
 void QuotaFleet::Start(std::size_t index) {
   Host& host = this->hosts[index];
+  host.known_era = 0;
   ++host.process;
   host.leaving = false;
   host.paused_until = this->time;
   host.delayed.clear();
   host.wake_at = Duration::max();
   host.waiting.clear();
-  host.quotas =
-      std::make_unique<HostQuotas>(HostQuotas::Settings{.self = IdFromName<HostId>(HostName(index)),
-                                                        .host_name = HostName(index),
-                                                        .domain = DomainId{index % kDomains},
-                                                        .incarnation = host.process});
+  host.quotas = std::make_unique<HostQuotas>(
+      HostQuotas::Settings{.self = IdFromName<HostId>(HostName(index)),
+                           .host_name = HostName(index),
+                           .domain = DomainId{index % kDomains},
+                           .incarnation = host.process,
+                           .starts_fleet = this->time == Duration::zero()});
   this->RunAtHost(index, host.process, [this, index](HostQuotas& quotas) {
     return quotas.Configure(this->HostTime(index), this->limits);
   });
--- a/Tests/LibQuota/quota_fleet.h
+++ b/Tests/LibQuota/quota_fleet.h
@@ -57,6 +57,10 @@
   void SetCutFromStore(std::size_t host, bool cut);
   void SetCutFromHosts(std::size_t host, bool cut);
 
+  // The store takes a copy of itself, and comes back from the last one in a new era.
+  void TakeStoreCopy() { this->copy = this->rows; }
+  void ReturnFromStoreCopy();
+
   bool IsUp(std::size_t host) const { return this->hosts[host].quotas != nullptr; }
   std::size_t size() const { return this->hosts.size(); }
   std::size_t PartsHeld(std::size_t host) const;
@@ -82,6 +86,7 @@
     bool leaving = false;
     bool cut_from_store = false;
     bool cut_from_hosts = false;
+    StoreEra known_era = 0;
     Duration wake_at = Duration::max();
     std::map<RequestId, Result> waiting;
   };
@@ -128,6 +133,8 @@
   std::vector<Host> hosts;
   std::map<HostId, std::size_t> host_by_id;
   HostQuotas::Rows rows;
+  HostQuotas::Rows copy;
+  StoreEra era = 1;
   QuotaLimits limits;
   std::map<OrganisationId, Demand> demands;
   std::vector<Result> all_results;
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -452,7 +452,7 @@
     CPPUNIT_ASSERT(StoreVersion(7) == this->ListRows("t").value->version);
     era = "3";
     CPPUNIT_ASSERT(StoreVersion(7, 3) == this->ListRows("t").value->version);
-    for (const std::string& outdated : {"2", "", "x", "-4", "4x", "99999999999999999999"}) {
+    for (const char* const outdated : {"2", "", "x", "-4", "4x", "99999999999999999999"}) {
       era = outdated;
       CPPUNIT_ASSERT(this->ListRows("t").error.code == ErrorCode::kUnreachable);
       CPPUNIT_ASSERT(this->Write({{"t/a", 0, "1"}}).error.code == ErrorCode::kUnknownOutcome);
