--- a/Libraries/LibConfig/api_key.h
+++ b/Libraries/LibConfig/api_key.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <string_view>
 
+#include "Libraries/LibCore/request_limits.h"
+
 namespace pimentopin {
 
 // Digest of a key by which callers identify themselves. The key itself is never kept, sent or
@@ -28,7 +30,7 @@
   friend auto operator<=>(const ApiKeyDigest&, const ApiKeyDigest&) = default;
 };
 
-inline constexpr std::size_t kMaxApiKeyBytes = 200;
+inline constexpr std::size_t kMaxApiKeyBytes = kMaxHeaderLimitBytes;
 
 }  // namespace pimentopin
 
