Soak: Let the store return from copies in series

A request that reaches a target that had left more than the bound before fails the soak (DRAIN), and so does a host without the newest configuration at the end (CONFIG).

--- a/Meta/soak_configuration.py
+++ b/Meta/soak_configuration.py
@@ -9,6 +9,8 @@
 FIRST_VERSION = 28
 # A version is in force at most this long after the confirmation of the next one.
 CONFIG_APPLY_S = 2.0
+# The bound is longer for a version that is written as the store comes back (contact-s).
+RETURN_STRETCH_S = 3.0
 
 # `services` has the services of each kind of request; it has none if the route is dropped.
 Version = collections.namedtuple("Version", "services sent_at confirmed_at")
@@ -23,6 +25,7 @@
         self.timeouts = {kind.name: kind.timeout_s for kind in self.kinds}
         self.unused_routes = 0
         self.versions = []
+        self.last_resources = []
         # Versions reach the platform in their order.
         self.lock = asyncio.Lock()
 
@@ -31,10 +34,24 @@
             services = dict(self.services)
             version = f"{FIRST_VERSION + len(self.versions):08x}"
             sent_at = time.monotonic()
+            self.last_resources = self.resources()
             await asyncio.to_thread(self.fleet.write_row, "op", "config", {
-                "version": version, "resources": self.resources()})
+                "version": version, "resources": self.last_resources})
             self.versions.append(Version(services, sent_at, time.monotonic()))
 
+    async def write_again(self):
+        """Writes the last version once more after the store has come back from a copy."""
+        async with self.lock:
+            version = f"{FIRST_VERSION + len(self.versions) - 1:08x}"
+            await asyncio.to_thread(self.fleet.write_row, "op", "config", {
+                "version": version, "resources": self.last_resources})
+            # Hosts may not have read it before.
+            self.versions[-1] = self.versions[-1]._replace(
+                confirmed_at=time.monotonic() + RETURN_STRETCH_S)
+
+    def newest_revision(self):
+        return FIRST_VERSION + len(self.versions) - 1
+
     def resources(self):
         routes = [
             {"type": "routes", "metadata": {"name": f"r-{kind.name}"},
--- a/Meta/soak_targets.py
+++ b/Meta/soak_targets.py
@@ -11,6 +11,9 @@
 FIRST_BORN_MS = 1700000000000
 # The entry of a target that has started again is written up to this time later.
 MAX_ENTRY_DELAY_S = 1.0
+HEARTBEAT_S = 1.5
+# Time after which an entry that is not written again is removed.
+EXPIRY_S = 3 * HEARTBEAT_S
 # Time for which the entry of its earlier name stays.
 LAPSE_S = (0.2, 3.0)
 
@@ -18,10 +21,11 @@
 class Run:
     """Work on a request at a target."""
 
-    def __init__(self, target, service):
+    def __init__(self, target, service, arrived_at=None):
         self.target = target
         self.service = service
         self.started_at = time.monotonic()
+        self.arrived_at = arrived_at or self.started_at
         # Empty while the target works.
         self.ended_at = None
         # True if the target was not allowed to finish.
@@ -106,6 +110,9 @@
         self.waiting = 0
         self.address = None
         self.entries_written = 0
+        # State that its last entry states, and when the store has first accepted that it leaves.
+        self.state = None
+        self.left_at = None
         # Entries reach the platform in their order.
         self.entry_lock = asyncio.Lock()
         # How often a process has started at the address.
@@ -130,7 +137,18 @@
                 "slots": self.soak.deployment.slots, "state": state, "addr": self.address,
                 "cold-remaining-s": 0, "seq": self.entries_written, "born": self.born_ms,
             }
+            self.state = state
             await asyncio.to_thread(self.soak.fleet.write_row, "servers", self.name, entry)
+            if state != "ready" and self.left_at is None:
+                self.left_at = time.monotonic()
+
+    async def write_again(self):
+        """Writes the entry once more after the store has come back from a copy.
+
+        The platform removes that of a target that has ended after some seconds of silence.
+        """
+        await asyncio.sleep(EXPIRY_S if self.state is None else self.rng.uniform(0.0, HEARTBEAT_S))
+        await self.register(self.state)
 
     async def leave(self):
         await self.register("draining")
@@ -194,6 +212,7 @@
             writer.close()
 
     async def answer(self, head, _, connection):
+        arrived_at = time.monotonic()
         reader, writer = connection.reader, connection.writer
         is_behind_copy = await self.write_copy(connection)
         request_id = head[1].get("x-pimentopin-attempt-id", "")
@@ -215,7 +234,7 @@
         if connection.is_broken:
             self.slots.release()
             return False
-        run = Run(self.name, self.service)
+        run = Run(self.name, self.service, arrived_at)
         run.is_behind_copy = is_behind_copy
         connection.run = run
         request.runs.append(run)
