--- a/Libraries/LibCore/store_version.h
+++ b/Libraries/LibCore/store_version.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace pimentopin {
 
@@ -29,7 +30,10 @@
   StoreEra era = 0;
   std::uint64_t number = 0;
 
-  friend auto operator<=>(const StoreVersion&, const StoreVersion&) = default;
+  friend bool operator==(const StoreVersion&, const StoreVersion&) = default;
+  friend std::strong_ordering operator<=>(const StoreVersion& left, const StoreVersion& right) {
+    return std::tie(left.era, left.number) <=> std::tie(right.era, right.number);
+  }
 };
 
 }  // namespace pimentopin
--- a/Libraries/LibHost/directory_controller.cc
+++ b/Libraries/LibHost/directory_controller.cc
@@ -23,8 +23,8 @@
 // A silent store is logged as lost after this time.
 constexpr Duration kStoreLossDelay = std::chrono::seconds(3);
 constexpr std::size_t kMaxNotices = 64;
-// When the store has lost the rows of many hosts, each writes its own again at a moment of its own
-// in this time for each host, so that they do not exceed the store's rate of writes.
+// If the store has lost the rows of the hosts, they write them again spread over this time for each
+// known host, below the store's rate of writes.
 constexpr Duration kRegistrationSpreadPerHost = std::chrono::milliseconds(5);
 
 std::vector<StoreRelay::Table> RelayTables(const DirectoryController::Settings& settings) {
--- a/Libraries/LibMembership/store_relay.h
+++ b/Libraries/LibMembership/store_relay.h
@@ -165,8 +165,8 @@
     // Removals are deferred for kRemovalGracePeriod after an outage of the store.
     bool defers_removals = false;
     TableMirror::IsRelevantChange is_relevant_change;
-    // Whether a row of a store that came back from an older copy takes no effect before its owner
-    // has written it again; if empty, none does.
+    // Whether a row of a store that came back from an older copy must be written again before it
+    // takes effect. If empty, all rows take effect at once.
     std::function<bool(const FeedRow&)> needs_confirmation = {};
   };
 
